Handle SIGHUP: read the configuration again and follow the new discovery

Checked: the handlers of __main__.serve covered SIGTERM and SIGINT only; the watcher had no way to another address. Ruled out: the files themselves, which parse as at the start. Blamed: __main__.serve (no handler), Watcher (address fixed at its making). Now: the handler stands before the configuration is read; a good file moves the watch at once from the revision held, whatever wait a failed call had left; a bad one is one line in the log.

--- a/orchidledge/__main__.py
+++ b/orchidledge/__main__.py
@@ -21,35 +21,54 @@
     return parse_config(Path(path).read_bytes())
 
 
-async def serve(config: Config) -> None:
-    """Run the node until SIGTERM or SIGINT."""
-    stop = asyncio.Event()
+async def serve() -> int:
+    """Run the node until SIGTERM or SIGINT; SIGHUP has it read its configuration again."""
+    stop, hangup = asyncio.Event(), asyncio.Event()
     loop = asyncio.get_running_loop()
+    # Guard: SIGHUP ends a process that has no handler for it, so this comes before anything slow.
+    loop.add_signal_handler(signal.SIGHUP, hangup.set)
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
+    try:
+        config = read_config()
+    except (OSError, ValueError) as error:
+        print(f"orchidledge: bad configuration: {_one_line(error)}", file=sys.stderr)
+        return 2
     node = Node(config)
     await node.start()
+    reloading = asyncio.create_task(_reload(node, hangup))
     gc.collect()
     gc.freeze()  # what is there for good need not be looked at again
     logging.info("%s serves on %s:%d", config.name, *node.server.address)
     await stop.wait()
+    reloading.cancel()
     logging.info("%s stops", config.name)
     await node.stop()
+    return 0
+
+
+async def _reload(node: Node, hangup: asyncio.Event) -> None:
+    """Read the configuration again at each hang-up; a bad file leaves the one that is in force."""
+    while True:
+        await hangup.wait()
+        hangup.clear()
+        try:
+            node.reconfigure(read_config())
+        except (OSError, ValueError) as error:
+            logging.error("bad configuration, the old one stays: %s", _one_line(error))
+
+
+def _one_line(error: Exception) -> str:
+    return " ".join(str(error).split())
 
 
 def main() -> int:
     logging.basicConfig(stream=sys.stderr, level=logging.INFO, format="%(asctime)s %(levelname)s %(message)s")
     try:
-        config = read_config()
-    except (OSError, ValueError) as error:
-        print(f"orchidledge: bad configuration: {' '.join(str(error).split())}", file=sys.stderr)
-        return 2
-    try:
-        asyncio.run(serve(config))
+        return asyncio.run(serve())
     except OSError as error:
         print(f"orchidledge: {error}", file=sys.stderr)
         return 1
-    return 0
 
 
 if __name__ == "__main__":
--- a/orchidledge/net/discovery.py
+++ b/orchidledge/net/discovery.py
@@ -114,6 +114,14 @@
         if self._task is None:
             self._task = asyncio.create_task(self._follow())
 
+    def move(self, address: Address) -> None:
+        """Follow the list at another address from now on, from the revision that is held."""
+        if address != self._address:
+            self.close()
+            self._address, self._task = address, None
+            # Guard: news of the new address counts as told soon, so it is asked now, whatever went before.
+            self.start()
+
     def close(self) -> None:
         if self._task is not None:
             self._task.cancel()
--- a/orchidledge/net/node.py
+++ b/orchidledge/net/node.py
@@ -7,7 +7,7 @@
 import math
 import time
 from collections import Counter, deque
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from urllib.parse import unquote_to_bytes
 
 from orchidledge import interface as api
@@ -113,6 +113,15 @@
         self._beat(self.loop.time())
         self._stats()
 
+    def reconfigure(self, config: Config) -> None:
+        """Follow a new configuration in what can change while the node runs: where discovery is."""
+        self.config = replace(self.config, discovery=config.discovery)
+        self.watcher.move(config.discovery)
+        log.info("%s follows discovery at %s:%d", self.config.name, *config.discovery)
+        # The list and the seed are new in every file and only of use to a start.
+        if replace(config, known=self.config.known, seed=self.config.seed) != self.config:
+            log.warning("other changes of the configuration wait for the next start")
+
     async def stop(self) -> None:
         """Leave service: take what still comes, finish what is held, and end in time."""
         began = self.loop.time()
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -72,6 +72,7 @@
         self.script = script
         self.seen: list[Message] = []
         self.connections = 0
+        self.readers: list[asyncio.StreamReader] = []
         self._writers: list[asyncio.StreamWriter] = []
 
     async def start(self) -> Peer:
@@ -85,6 +86,7 @@
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         self.connections += 1
+        self.readers.append(reader)
         self._writers.append(writer)
         with contextlib.suppress(OSError, asyncio.IncompleteReadError):
             while True:
--- a/tests/test_main.py
+++ b/tests/test_main.py
@@ -18,6 +18,7 @@
     Message,
     Peer,
     config_row,
+    listing,
     read_message,
     reply,
     request,
@@ -132,3 +133,35 @@
             discovery.stop()
 
     asyncio.run(main())
+
+
+def test_sighup_moves_to_another_discovery_and_a_bad_file_changes_nothing(tmp_path):
+    async def main():
+        first = await Discovery(listing(7, True, s0=("127.0.0.1:9", "Ready"))).start()
+        second = await Discovery().start()
+        path = tmp_path / "config.json"
+        path.write_bytes(orjson.dumps(config_row(first.endpoint)))
+        program = start(path)
+        try:
+            async with asyncio.timeout(60):
+                await until(lambda: len(first.seen) == 2)
+                path.write_text("{")
+                program.send_signal(signal.SIGHUP)
+                assert program.stderr is not None
+                while "bad configuration" not in (line := await asyncio.to_thread(program.stderr.readline)):
+                    assert line
+                path.write_bytes(orjson.dumps(config_row(second.endpoint)))
+                program.send_signal(signal.SIGHUP)
+                await until(lambda: second.seen)
+                assert "since=7&" in second.seen[0].first[1]  # what is held stays
+                await until(lambda: all(reader.at_eof() for reader in first.readers))  # the old watch is over
+                program.send_signal(signal.SIGTERM)
+                await asyncio.to_thread(program.communicate)
+                assert program.returncode == 0
+        finally:
+            program.kill()
+            program.wait()
+            first.stop()
+            second.stop()
+
+    asyncio.run(main())
