Bound what callers and servers may hold and say: one deadline, strict heads, allow-listed headers

Ruled out: surplus behind answers. On the wire every good answer with more behind it (49 second copies, 16 of noise in one log) has one valid length, and what is cut off carries two lengths that differ, which the parser refuses; so framing tells them apart. Length beside coding was refused by the parser already. Blamed: Server.opened/crowded/_sweep and ServerConnection.data_received, node._number/_forwarded, ClientConnection.on_headers_complete, settings.report_from. Now connections are in stages kept in order (owes a request, idle, lingering), each with one limit, on one budget of descriptors; room is made from those who never asked, then the idle.

--- a/orchidledge/net/http.py
+++ b/orchidledge/net/http.py
@@ -48,6 +48,8 @@
         self._exchange: Exchange | None = None
         self._response = Response()
         self._size = 0
+        self._in_head = True
+        self._head = 0  # bytes that have come of heads that were not whole yet
         self._whole = False
         self._spoilt = False
         self._written = True
@@ -78,6 +80,7 @@
         assert self._exchange is None
         self._exchange = exchange
         self._response, self._size, self._whole = Response(), 0, False
+        self._in_head, self._head = True, 0
         self._transport.write(data)
         # Guard: a write that fails at once empties the buffer and closes; nothing of it has left.
         self._written = not self._transport.is_closing() and not self._transport.get_write_buffer_size()
@@ -108,6 +111,11 @@
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
             self._spoilt = True
+        if (
+            self._in_head
+        ):  # Guard: the parser keeps a header back until it is whole; interim answers count too
+            self._head += len(data)
+            self._spoilt = self._spoilt or self._head > MAX_HEAD
         if self._whole:
             exchange, self._exchange = self._exchange, None
             # A server that answers before it has the whole request leaves the rest on the connection.
@@ -142,11 +150,22 @@
 
     def on_header(self, name: bytes, value: bytes) -> None:
         self._grow(len(name) + len(value), MAX_HEAD)
-        if not self._whole:
+        if self._in_head:  # a trailer changes nothing
             self._response.headers[name.lower()] = value
 
     def on_headers_complete(self) -> None:
         self._size = 0
+        if self._whole or self._parser.get_status_code() < 200:
+            return
+        self._in_head = False
+        headers = self._response.headers
+        length = headers.get(b"content-length")
+        # Guard: what is said to be too long is not waited for; what only the end of the connection
+        # would end can't be told from what broke off.
+        if length is None:
+            self._spoilt = self._spoilt or b"transfer-encoding" not in headers
+        elif b"transfer-encoding" in headers or int(length) > self._max_body:
+            self._spoilt = True
 
     def on_body(self, body: bytes) -> None:
         self._grow(len(body), self._max_body)
--- a/orchidledge/net/node.py
+++ b/orchidledge/net/node.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import logging
-import math
+import re
 import time
 from collections import Counter, deque
 from dataclasses import dataclass, field, replace
@@ -15,7 +15,7 @@
 from orchidledge.net.config import Config
 from orchidledge.net.discovery import Listing, Watcher
 from orchidledge.net.http import Response
-from orchidledge.net.server import Call, Server
+from orchidledge.net.server import FORWARDED, Call, Server
 from orchidledge.net.upstream import Attempt, Pool
 from orchidledge.settings import report_from
 
@@ -23,9 +23,9 @@
 
 WAY_BACK_S = 0.015  # an answer leaves this long before the client's time is up
 BACKSTOP_S = 0.005  # after which a request that the module left unanswered is answered for it
-SPARE_SOCKETS = 32  # for the listener, discovery, standard streams and the event loop
-INBOUND_SHARE = 0.45  # of the other descriptors: callers' connections;
-UPSTREAM_SHARE = 0.35  # servers'; what is left takes in a burst before idle ones have been closed
+SPARE_SOCKETS = 16  # for the listener, discovery, standard streams and the event loop
+INBOUND_SHARE = 0.58  # of the other descriptors: callers' connections, lingering ones too;
+UPSTREAM_SHARE = 0.35  # servers'; what is left takes in a burst before others have been closed
 LONGEST_WATCH_MS = 20_000.0
 WATCH_SHARE = 0.5  # of the time within which discovery has to be asked
 FAULT_PAUSE_S = 0.5  # before an alarm or a watch is tried again that a fault of the module has lost
@@ -36,9 +36,9 @@
 STATS_S = 10.0
 BEAT_S = 0.1
 
-HOP_BY_HOP = frozenset(
-    b"connection keep-alive proxy-connection te trailer transfer-encoding upgrade expect".split()
-) | {b"content-length", b"req-deadline-ms"}
+TOKEN = re.compile(r"[\x21-\x7e]{1,128}")
+WHOLE = re.compile(r"[0-9]{1,9}")
+DECIMAL = re.compile(r"[0-9]{1,12}(\.[0-9]{1,9})?")
 
 
 class Clock:
@@ -217,7 +217,7 @@
             self.counts[f"bad {error.status}"] += 1
             call.answer(error.status)
             return
-        if self.open >= self.config.max_open or self.server.crowded:
+        if self.open >= self.config.max_open or not self.server.make_room():
             # Guard: too many to hold. None of it has gone anywhere, so it is a refusal.
             self.counts["over the limit"] += 1
             call.answer(503)
@@ -244,12 +244,13 @@
             raise BadRequestError(405)
         name = headers.get(b"req-id", b"").decode("latin-1")
         keyless = kind.effect is api.Effect.KEYED and b"idempotency-key" not in headers
-        if not name or keyless or name in self.jobs:
+        bodied = kind.effect is api.Effect.SAFE and bool(call.body)
+        if not TOKEN.fullmatch(name) or keyless or bodied or name in self.jobs:
             raise BadRequestError(400)
         give_up_ms = kind.give_up_ms
-        if (deadline := _number(headers, b"req-deadline-ms")) is not None:
+        if (deadline := _number(headers, b"req-deadline-ms", WHOLE)) is not None:
             give_up_ms = min(deadline, 10.0 * kind.give_up_ms)
-        cost_us = _number(headers, b"req-cost")
+        cost_us = _number(headers, b"req-cost", DECIMAL)
         give_up_at = call.arrived + give_up_ms / 1000.0 - WAY_BACK_S
         owner = headers.get(b"req-owner")
         request = api.Request(
@@ -391,24 +392,21 @@
         self._timers["stats"] = self.loop.call_later(STATS_S, self._stats)
 
 
-def _number(headers: dict[bytes, bytes], name: bytes) -> float | None:
+def _number(headers: dict[bytes, bytes], name: bytes, form: re.Pattern[str]) -> float | None:
     """A header's figure, None without one."""
     text = headers.get(name)
     if text is None:
         return None
-    try:
-        value = float(text)
-    except ValueError:
-        raise BadRequestError(400) from None
-    if not math.isfinite(value) or value < 0.0:
+    # Guard: float() reads more than figures: blanks, underscores, signs, words.
+    if not form.fullmatch(text.decode("latin-1")):
         raise BadRequestError(400)
-    return value
+    return float(text)
 
 
 def _forwarded(call: Call, wait_s: float) -> bytes:
     """The request as it goes to a server that is waited for this long."""
     lines = [call.method + b" " + call.target + b" HTTP/1.1"]
-    lines += [name + b": " + value for name, value in call.headers.items() if name not in HOP_BY_HOP]
+    lines += [name + b": " + value for name, value in call.headers.items() if name in FORWARDED]
     lines.append(b"req-deadline-ms: %d" % max(1, int(wait_s * 1000.0)))
     if call.body or call.method != b"GET":
         lines.append(b"content-length: %d" % len(call.body))
--- a/orchidledge/net/server.py
+++ b/orchidledge/net/server.py
@@ -3,20 +3,35 @@
 from __future__ import annotations
 
 import asyncio
+import re
 import socket
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from http import HTTPStatus
+from itertools import islice
 
 import httptools
 
 from orchidledge.net.http import MAX_BODY, MAX_HEAD, readable
 
 READY_PATH = b"/up"
-LINGER_S = 1.0  # how long what a caller still sends after a fatal answer is read and dropped
 BACKLOG = 1024
-PARTIAL_S = 15.0  # how long a request may take to come in
+REQUEST_S = 2.5  # within which a request has to come in whole, from connecting or from its first byte
+IDLE_S = 8.0  # after which a connection that carries nothing is closed
+SPARED_S = 2.0  # of which it is spared where room is short
+LINGER_S = 0.5  # how long what a caller still sends after a fatal answer is read and dropped
+SWEEP_S = 0.1
+LOOKED_AT = 16  # connections that are looked at, at most, to make room for one
+PIPELINE = 32  # whole requests that may wait on one connection
+
+# Guard: of a repeated header the node could read one and a server another, so these may stand once only.
+FORWARDED = frozenset(
+    b"host req-id idempotency-key req-owner req-retry req-cost req-extra".split()
+    + b"accept content-type content-encoding".split()
+)
+ONCE = FORWARDED | frozenset(b"req-deadline-ms content-length transfer-encoding expect".split())
+TARGET = re.compile(rb"/[\x21-\x7e]*")
 
 
 @dataclass(slots=True, eq=False)
@@ -63,36 +78,40 @@
         self._head = 0  # bytes that have come of a head that is not whole
         self._fault = 0  # the status that ends this connection, once something was wrong on it
         self._closing = False  # the last answer has been written, or will be with what is in hand
-        self.since = 0.0  # the loop's time of the last byte either way
-
-    @property
-    def idle(self) -> bool:
-        return not self._calls and self._partial is None and not self._closing
+        self.known = False  # a request that could be used has come on it
+        self.since = 0.0  # the loop's time at which it came into the stage that it is in
 
     def close_if_idle(self) -> bool:
-        """Close between requests, but not with a request already waiting in the kernel."""
-        if not self.idle or self._transport.is_closing() or readable(self._transport):
+        """Close where no request is open, but not with bytes already waiting in the kernel."""
+        if self._calls or (self._partial is not None and self.known) or readable(self._transport):
             return False
-        self._transport.abort()
+        self.abort()
         return True
 
-    def expire(self, before: float) -> None:
-        if self._partial is not None and self.since < before and not self._calls:
+    def abort(self) -> None:
+        self._closing = True
+        self._server.closed(self)
+        self._transport.abort()
+
+    def expire(self) -> None:
+        """Its time in this stage is over."""
+        if self._closing:
+            self.abort()
+        elif self._partial is not None:
             self._fail(408)
+        else:
+            self.close_if_idle()
 
     # ---------------------------------------------------------- asyncio.Protocol
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
-        self.since = self._server.loop.time()
         self._server.opened(self)
 
     def data_received(self, data: bytes) -> None:
-        if self._closing:
-            return  # read and dropped, so that the answer is not lost to a reset
-        if self._partial is None:
-            self.since = self._server.loop.time()
+        if self._closing or (self._fault and self._calls):
+            return  # read and dropped, so that no answer is lost to a reset and a caller's leaving is seen
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
@@ -101,13 +120,14 @@
             self._head += len(data)
             if self._head > MAX_HEAD + MAX_BODY:  # a body before it may have come with its first part
                 self._fault = self._fault or 400
-        if self._fault and not self._calls:
-            self._fail(self._fault)
-        elif self._calls:
-            # A caller sends one request at a time; another is left in the kernel until its turn.
-            if len(self._calls) > 1 or self._partial is not None:
-                self._transport.pause_reading()
+        if self._calls:
+            self._server.stage(self, None)
             self._serve()
+        elif self._fault:
+            self._fail(self._fault)
+        elif self._partial is not None:
+            # Guard: one deadline for a whole request; no byte but its first moves it.
+            self._server.stage(self, self._server.waiting)
 
     def eof_received(self) -> bool:
         return False
@@ -135,18 +155,31 @@
 
     def on_header(self, name: bytes, value: bytes) -> None:
         self._grow(len(name) + len(value), MAX_HEAD, 400)
-        if self._partial is not None:
-            self._partial.headers[name.lower()] = value
+        name = name.lower()
+        if self._partial is None or self._fault:
+            return
+        # Guard: a trailer could rewrite the head that it follows.
+        if not self._in_head or (name in ONCE and name in self._partial.headers):
+            self._fault = 400
+        self._partial.headers[name] = value
 
     def on_headers_complete(self) -> None:
         self._in_head = False
         if self._partial is None or self._fault:
             return
         self._size = 0
-        length = self._partial.headers.get(b"content-length", b"0")
-        if length.isdigit() and int(length) > MAX_BODY:
+        headers = self._partial.headers
+        length, coding = headers.get(b"content-length"), headers.get(b"transfer-encoding")
+        # Guard: a length beside a coding may hide a second request from one of two readers.
+        if coding is not None and (length is not None or coding.lower() != b"chunked"):
+            self._fault = 400
+        elif length is not None and int(length) > MAX_BODY:
             self._fault = 413
-        elif self._partial.headers.get(b"expect", b"").lower() == b"100-continue" and not self._calls:
+        elif not TARGET.fullmatch(self._partial.target):
+            self._fault = 400
+        elif self._parser.get_http_version() not in ("1.1", "1.0"):
+            self._fault = 505
+        elif headers.get(b"expect", b"").lower() == b"100-continue" and not self._calls:
             self._transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
 
     def on_body(self, body: bytes) -> None:
@@ -161,6 +194,10 @@
         call.arrived = self._server.loop.time()
         call.method = self._parser.get_method()
         call.keep_alive = self._parser.should_keep_alive()
+        # Guard: a caller sends one request at a time; of one that sends more, only so much is held.
+        if len(self._calls) >= PIPELINE or sum(len(held.body) for held in self._calls) > MAX_BODY:
+            self._fault = 429
+            return
         self._calls.append(call)
 
     def _grow(self, size: int, limit: int, fault: int) -> None:
@@ -183,11 +220,11 @@
     def answer(self, call: Call, status: int, body: bytes, retry_after_ms: float) -> None:
         if self._transport.is_closing() or not self._calls or self._calls[0] is not call:
             return
+        self.known = self.known or not 400 <= status < 500
         close = not call.keep_alive or self._server.stopping or self._server.crowded
         close = close and len(self._calls) == 1
         self._transport.write(_head(status, len(body), close, retry_after_ms) + body)
         self._calls.popleft()
-        self.since = self._server.loop.time()
         if close:
             self._end()
         elif self._calls:
@@ -195,7 +232,8 @@
         elif self._fault:
             self._fail(self._fault)
         else:
-            self._transport.resume_reading()
+            owing = self._partial is not None or not self.known
+            self._server.stage(self, self._server.waiting if owing else self._server.idle)
 
     def _next(self) -> None:
         if self._calls and not self._closing:
@@ -210,18 +248,23 @@
         """Close, reading on for a moment: closing over unread bytes would reset the answer away."""
         self._closing = True
         if not self._transport.is_closing():
-            self._transport.resume_reading()
             if self._transport.can_write_eof():
                 self._transport.write_eof()
-            self._server.loop.call_later(LINGER_S, self._transport.abort)
+            self._server.stage(self, self._server.lingering)
 
 
 def _nothing() -> None:
     """Stands for the interest of nobody in a caller's going away."""
 
 
+Stage = dict[ServerConnection, None]  # in the order of coming into it
+
+
 class Server:
-    """Listens, and keeps the callers' connections within their share of the descriptors."""
+    """Listens, and keeps the callers' connections within their share of the descriptors.
+
+    A connection without an open request is in a stage: it owes a request, idles, or lingers after its end.
+    """
 
     def __init__(self, limit: int, on_call: Callable[[Call], None]) -> None:
         self.loop = asyncio.get_running_loop()
@@ -229,7 +272,10 @@
         self.on_call = on_call
         self.ready = False
         self.stopping = False
-        self.connections: dict[ServerConnection, None] = {}  # in the order of their opening
+        self.connections: dict[ServerConnection, Stage | None] = {}
+        self.waiting: Stage = {}
+        self.idle: Stage = {}
+        self.lingering: Stage = {}
         self._listener: asyncio.Server | None = None
         self._sweep_timer: asyncio.TimerHandle | None = None
 
@@ -248,25 +294,34 @@
         # Guard: asyncio accepts as many as its `backlog` before it looks at any, and closed ones go a turn or
         # two later: a small one keeps a burst within the descriptors. The kernel's queue is then made long.
         self._listener = await self.loop.create_server(
-            lambda: ServerConnection(self), sock=raw, backlog=max(1, self.limit // 7)
+            lambda: ServerConnection(self), sock=raw, backlog=max(1, self.limit // 20)
         )
         raw.listen(BACKLOG)
         self._sweep()
 
     def opened(self, connection: ServerConnection) -> None:
         self.connections[connection] = None
-        if self.crowded:  # Guard: idle connections go first; accepting never stops
-            idle = [other for other in self.connections if other.idle and other is not connection]
-            for other in sorted(idle, key=lambda one: one.since):
-                if other.close_if_idle():
-                    break
+        self.make_room()  # Guard: accepting never stops
+        self.stage(connection, self.waiting)
 
     def closed(self, connection: ServerConnection) -> None:
+        self.stage(connection, None)
         self.connections.pop(connection, None)
 
+    def stage(self, connection: ServerConnection, stage: Stage | None) -> None:
+        """Move a connection to a stage, None while a request is open. To stay in one changes nothing."""
+        was = self.connections.get(connection)
+        if connection in self.connections and was is not stage:
+            if was is not None:
+                del was[connection]
+            if stage is not None:
+                stage[connection] = None
+            self.connections[connection] = stage
+            connection.since = self.loop.time()
+
     def close_idle(self) -> None:
         """Close what carries nothing."""
-        for connection in list(self.connections):
+        for connection in [*self.waiting, *self.idle]:
             connection.close_if_idle()
 
     def close(self) -> None:
@@ -275,8 +330,33 @@
         if self._sweep_timer is not None:
             self._sweep_timer.cancel()
 
+    def make_room(self) -> bool:
+        """Come within the limit by closing what carries nothing; False if that is not enough."""
+        while self.crowded:
+            if not self._close_one():
+                return False
+        return True
+
+    def _close_one(self) -> bool:
+        """What has had its last answer goes first, then what never asked, then what idles longest."""
+        for connection in self.lingering:
+            connection.abort()
+            return True
+        for connection in islice(self.waiting, LOOKED_AT):
+            if not connection.known and connection.close_if_idle():
+                return True
+        spared = self.loop.time() - SPARED_S
+        for connection in islice(self.idle, LOOKED_AT):
+            if connection.since < spared and connection.close_if_idle():
+                return True
+        return False
+
     def _sweep(self) -> None:
-        before = self.loop.time() - PARTIAL_S
-        for connection in list(self.connections):
-            connection.expire(before)
-        self._sweep_timer = self.loop.call_later(PARTIAL_S / 3, self._sweep)
+        """End what has been in its stage for too long."""
+        now = self.loop.time()
+        for stage, limit_s in ((self.waiting, REQUEST_S), (self.idle, IDLE_S), (self.lingering, LINGER_S)):
+            for connection in list(stage):
+                if connection.since > now - limit_s:
+                    break
+                connection.expire()
+        self._sweep_timer = self.loop.call_later(SWEEP_S, self._sweep)
--- a/orchidledge/settings.py
+++ b/orchidledge/settings.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-import math
+import re
 from typing import Any
 
 from orchidledge.interface import Effect, Scope, ServiceClass, Settings, Tenant
@@ -18,6 +18,7 @@
     "tps": "qps",
     "err_ps": "eps",
 }
+FIGURE = re.compile(r"[0-9]{1,6}(\.[0-9]{1,9})?")
 
 
 def settings_from(config: Row) -> Settings:
@@ -75,15 +76,18 @@
 
 
 def report_from(text: str, fields: tuple[str, ...]) -> dict[str, float] | None:
-    """A report's text form, `TEXT name=value, name=value`, cut down to the fields that the settings name."""
+    """A report's text form, `TEXT name=value, name=value`, cut down to the fields that the settings name.
+
+    One with anything in it that is no figure, or none that a server could mean, is no report.
+    """
+    kind, _, pairs = text.partition(" ")
     report: dict[str, float] = {}
-    for pair in text.removeprefix("TEXT").split(","):
+    for pair in pairs.split(","):
         name, _, figure = pair.strip().partition("=")
+        # Guard: float() reads signs, words and underscores, and a huge queue would shut a server out.
+        if kind != "TEXT" or not FIGURE.fullmatch(figure):
+            return None
         name = REPORTS.get(name, name)
-        try:
-            value = float(figure)
-        except ValueError:
-            continue
-        if name in fields and math.isfinite(value):
-            report[name] = value
+        if name in fields:
+            report[name] = float(figure)
     return report or None
