Count calls that were given up as in flight while their server may work on them

Blamed: Balancer._on_outcome, which takes a call off its server at a time-out or cancel; _judge, which heard nothing of the slow calls that callers left. Now such a call stays in the count for its class's mean latency, and a cancelled one that was slower than the mean is a latency; the crowding bound goes to 5 calls a server, since more now counts.

--- a/orchidledge/brain.py
+++ b/orchidledge/brain.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 import math
+from collections import deque
 from dataclasses import dataclass, field
 from random import Random
 
@@ -30,7 +31,7 @@
 FLOOR = 2.0  # and this much afterwards
 SLACK = 0.11  # target: quiet latency plus this share of the way from there to the aim
 SLACK_ROOM = 0.3  # the same while the servers are far from crowded: latency is then mostly chance
-CROWD = 7.0  # calls in flight a server, all siblings' taken to be like ours, from which they may be crowded
+CROWD = 5.0  # calls in flight a server, all siblings' taken to be like ours, from which they may be crowded
 SLACK_SEEN = 0.35  # the same where utilisation is reported: latency then stands for the tiers below only
 WEIGHTY = 20.0  # outcomes that give a period half the say in the smoothed latency
 JAM = 0.6  # a smoothed latency over this share of the aim also counts in a period without answers
@@ -64,7 +65,10 @@
     slow: float | None = None  # smoothed latency over its class's mean
     errs: float = 0.0  # smoothed share of failed attempts
     heard_ms: float = -math.inf
-    load: float = 0.0  # calls in flight from here, by weight
+    load: float = 0.0  # calls in flight from here, by weight, those given up too while they may run on
+    given_up: deque[tuple[float, float]] = field(
+        default_factory=deque
+    )  # when each is held to end, its weight
     queue: float = 0.0  # reported waiting requests
     told_ms: float = -math.inf
     util: float | None = None
@@ -305,8 +309,14 @@
             return
         item = job.tries[event.attempt]
         item.result = event.result
-        item.peer.load = max(0.0, item.peer.load - job.units)
         item.peer.out.pop((event.id, event.attempt), None)
+        if event.result in (api.Result.TIMEOUT, api.Result.CANCELLED):
+            # Guard: a server works on at what was given up; while callers left early, servers held to be half
+            # empty were crowded until they turned slow.
+            mean = self.class_ms.get(job.kind.name, 0.0)
+            item.peer.given_up.append((now + mean, job.units))
+        else:
+            item.peer.load = max(0.0, item.peer.load - job.units)
         self._judge(now, job, item, event)
         if event.done:
             job.streaming = False
@@ -350,6 +360,9 @@
 
     def _judge(self, now: float, job: _Job, item: _Try, event: api.Outcome) -> None:
         peer, result = item.peer, event.result
+        if result is api.Result.CANCELLED and event.latency_ms > self.class_ms.get(job.kind.name, math.inf):
+            # Guard: the calls that callers leave are the slow ones; without them a jam looked quick.
+            self.ratios.append(event.latency_ms / job.kind.aim_ms)
         if result in (api.Result.CANCELLED, api.Result.MOOT):
             return
         self.ended += 1
@@ -377,6 +390,9 @@
     def _on_period(self, now: float, ready: list[_Peer]) -> None:
         """Move the cursor one step by the period's load, scaled so that 1 is the target."""
         self.periods += 1
+        for peer in ready:
+            while peer.given_up and peer.given_up[0][0] <= now:
+                peer.load = max(0.0, peer.load - peer.given_up.popleft()[1])
         load = 0.0
         fresh = [peer for peer in ready if peer.told_ms >= now - FRESH_MS]  # Guard: old reports mislead
         utils = _middle([peer.util for peer in fresh if peer.util is not None])
--- a/tests/test_guards.py
+++ b/tests/test_guards.py
@@ -245,6 +245,39 @@
     assert bed.brain.cursor == moved
 
 
+def test_a_call_given_up_counts_until_its_server_may_have_done_it():
+    """Guard: a server works on at what its caller left; counted as gone, it crowded the server."""
+    bed = Bed(count=1)
+    for _ in range(3):
+        bed.serve(latency=400.0)
+    name, _ = bed.ask()
+    bed.now += 50.0
+    (cancel,) = bed.give(api.Lapsed(name))
+    bed.end(name, "s0", api.Result.CANCELLED, 50.0, done=True)
+    assert cancel == api.Cancel(name, 0)
+    (peer,) = bed.brain.peers.values()
+    bed.period(after=300.0)
+    assert peer.load == 1.0
+    bed.period(after=150.0)
+    assert (peer.load, len(peer.given_up)) == (0.0, 0)
+
+
+def test_slow_calls_that_their_callers_left_count_as_slow():
+    """Guard: only the quick ones were left to be judged by, and a jam looked quick."""
+    bed = Bed(count=4)
+    for _ in range(30):
+        bed.serve(latency=300.0)
+    bed.period()
+    before = bed.brain.level
+    for _ in range(8):
+        name, acts = bed.ask()
+        bed.now += 700.0
+        bed.give(api.Lapsed(name))
+        bed.end(name, sent(acts)[0].server, api.Result.CANCELLED, 700.0, done=True)
+    bed.period()
+    assert bed.brain.level > before
+
+
 def test_the_floor_of_the_table_is_shared_by_all_balancers():
     """Guard: a floor for each balancer summed, over hundreds of them, to a threshold that never bound."""
     for siblings in (4, 100):
