--- a/orchidledge/__main__.py
+++ b/orchidledge/__main__.py
@@ -10,8 +10,8 @@
 import sys
 from pathlib import Path
 
-from orchidledge.net.config import Config, parse_config
-from orchidledge.net.node import Node
+from orchidledge.platform.config import Config, parse_config
+from orchidledge.platform.node import Node
 
 
 def read_config() -> Config:
--- /dev/null
+++ b/orchidledge/core/clock.py
@@ -0,0 +1,17 @@
+"""The clock that the decision module is given."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+
+
+class Clock:
+    """Unix time in milliseconds that never goes back: the event loop's clock, anchored to it once."""
+
+    def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
+        self._time = loop.time
+        self._anchor = time.time() - loop.time()
+
+    def ms(self, at: float | None = None) -> float:
+        return ((self._time() if at is None else at) + self._anchor) * 1000.0
--- /dev/null
+++ b/orchidledge/core/leaving.py
@@ -0,0 +1,40 @@
+"""Leaving service without losing a request."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Collection, Sized
+from typing import Protocol
+
+STOP_OPEN_S = 0.6  # after SIGTERM connections still come for up to 0.4 s
+STOP_SLACK_S = 0.6  # SIGKILL comes 0.7 s after the longest deadline at the soonest
+STOP_FINISH_S = 1.2  # of that time are left to finish what is held, on connections then closed
+LONGEST_DEADLINE_S = 3.0
+
+
+class Door(Protocol):
+    """What takes callers' connections."""
+
+    stopping: bool  # whether each connection is closed after its answer
+
+    @property
+    def connections(self) -> Sized: ...
+
+    def close_idle(self) -> None: ...
+
+
+async def finish(doors: Collection[Door], longest_s: float) -> None:
+    """Serve what still comes and finish what is held; over after the longest deadline and a little more."""
+    loop = asyncio.get_running_loop()
+    latest = loop.time() + min(longest_s, LONGEST_DEADLINE_S) + STOP_SLACK_S
+    # Guard: callers go on using the connections they have, and the nodes they would turn to may be
+    # restarting too: closing at once left them with none. New ones may come at first, too.
+    await asyncio.sleep(STOP_OPEN_S)
+    while any(door.connections for door in doors) and loop.time() < latest - STOP_FINISH_S:
+        await asyncio.sleep(0.01)
+    for door in doors:
+        door.stopping = True
+    while any(door.connections for door in doors) and loop.time() < latest:
+        for door in doors:
+            door.close_idle()
+        await asyncio.sleep(0.01)
--- /dev/null
+++ b/orchidledge/core/pool.py
@@ -0,0 +1,260 @@
+"""A pool: one decision module, the requests it was told of, and the back that carries their attempts."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from collections import Counter, deque
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass, field
+from typing import Any
+
+from orchidledge import interface as api
+from orchidledge.brain import Balancer
+from orchidledge.core.address import Address
+from orchidledge.core.clock import Clock
+from orchidledge.core.types import Answer, Attempt, Back, Cause, Kind, Room
+
+log = logging.getLogger("orchidledge")
+
+BACKSTOP_S = 0.005  # after which a request that the module left unanswered is answered for it
+FAULT_PAUSE_S = 0.5  # before an alarm or a watch is tried again that a fault of the module has lost
+
+
+@dataclass(slots=True, eq=False)
+class Job:
+    """A request that the module knows of, until it is over and all its attempts have ended."""
+
+    id: str
+    message: Any  # what the back sends, and what the front knows the request by
+    deliver: Callable[[Job, Answer], None]
+    give_up_at: float  # by the loop's clock
+    kind: str = ""  # its class's name
+    backstop: asyncio.TimerHandle | None = None
+    done: bool = False
+    attempts: list[Attempt | None] = field(default_factory=list)
+    out: int = 0
+    last: api.Result | None = None
+    reply: Any = None  # the last error that a server answered with
+
+
+class Pool:
+    """Owns the decision module: makes events of what happens and carries out the actions it returns."""
+
+    def __init__(
+        self,
+        settings: api.Settings,
+        seed: int,
+        clock: Clock,
+        back: Back,
+        room: Room,
+        watch: Callable[[], None] = lambda: None,
+    ) -> None:
+        """`watch` is called when the module wants news of the server list."""
+        self.loop = asyncio.get_running_loop()
+        self.settings = settings
+        self.classes = {kind.name: kind for kind in settings.classes}
+        self.clock = clock
+        self.back = back
+        self.room = room
+        self.watch = watch
+        self.balancer = Balancer(settings, seed, clock.ms())
+        self.jobs: dict[str, Job] = {}
+        self.up: set[str] = set()
+        self.counts: Counter[str] = Counter()
+        self.timers: dict[str, asyncio.TimerHandle] = {}
+        self._events: deque[api.Event] = deque()
+        self._deciding = False
+
+    def close(self) -> None:
+        self.back.close()
+        for timer in self.timers.values():
+            timer.cancel()
+
+    # ----------------------------------------------------------------- the module
+
+    def tell(self, event: api.Event) -> None:
+        """Give the module an event and carry out what it says; events that come of that wait their turn."""
+        self._events.append(event)
+        if self._deciding:
+            return
+        self._deciding = True
+        try:
+            while self._events:
+                event = self._events.popleft()
+                for action in self._decide(event):
+                    self.act(action)
+        finally:
+            self._deciding = False
+
+    def _decide(self, event: api.Event) -> list[api.Action]:
+        try:
+            return self.balancer.handle(self.clock.ms(), event)
+        except Exception:
+            # Guard: a fault of the module must leave no caller without an answer, nor stop its clockwork.
+            log.exception("the decision module failed on %s", type(event).__name__)
+            self.counts["faults"] += 1
+            if isinstance(event, api.Request | api.Outcome):
+                job = self.jobs.get(event.id)
+                if job is not None and not job.done and not job.out:
+                    self.answer(job, Answer(Kind.FAILED, Cause.FAULT))
+                    self._events.append(api.Lapsed(event.id))
+            elif isinstance(event, api.Alarm):
+                self._wake(FAULT_PAUSE_S, event.name)
+            elif isinstance(event, api.Membership) and event.form is api.ListForm.FAILED:
+                self.loop.call_later(FAULT_PAUSE_S, self.watch)
+            return []
+
+    def act(self, action: api.Action) -> None:
+        match action:
+            case api.Send():
+                self._send(action)
+            case api.Refuse():
+                job = self.jobs.get(action.id)
+                if job is not None:
+                    reply = job.reply if job.last is api.Result.ERROR else None
+                    self.answer(job, Answer(Kind.REFUSED, Cause.SHED, reply, action.retry_after_ms))
+            case api.Fail():
+                job = self.jobs.get(action.id)
+                if job is not None:
+                    cause = Cause.TIMEOUT if job.last is api.Result.TIMEOUT else Cause.BROKEN
+                    reply = job.reply if job.last is api.Result.ERROR else None
+                    self.answer(job, Answer(Kind.FAILED, cause, reply))
+            case api.Cancel():
+                job = self.jobs.get(action.id)
+                attempt = job.attempts[action.attempt] if job and action.attempt < len(job.attempts) else None
+                if attempt is not None:
+                    attempt.cancel()
+            case api.Wake():
+                self._wake(action.delay_ms / 1000.0, action.name)
+            case api.Watch():
+                self.watch()
+
+    def _wake(self, delay_s: float, name: str) -> None:
+        self.timers[name] = self.loop.call_later(delay_s, self.tell, api.Alarm(name))
+
+    # ------------------------------------------------------------------- requests
+
+    def take(
+        self, request: api.Request, give_up_at: float, message: Any, deliver: Callable[[Job, Answer], None]
+    ) -> Job:
+        """Take a request, whose id no open one of this pool may have. `deliver` is called once, perhaps
+        before this returns, and never after `leave`."""
+        job = Job(request.id, message, deliver, give_up_at, request.service)
+        self.jobs[request.id] = job
+        self.room.open += 1
+        job.backstop = self.loop.call_at(give_up_at + BACKSTOP_S, self._on_backstop, job)
+        self.tell(request)
+        return job
+
+    def leave(self, job: Job) -> None:
+        """Its caller has gone."""
+        if not job.done:
+            self.counts["gone"] += 1
+            self._end(job)
+            self.tell(api.Lapsed(job.id))
+
+    def answer_all(self, cause: Cause) -> None:
+        """End what is open; nothing is promised about its effects."""
+        for job in [job for job in self.jobs.values() if not job.done]:
+            self.answer(job, Answer(Kind.FAILED, cause))
+            self.tell(api.Lapsed(job.id))
+
+    def answer(self, job: Job, answer: Answer) -> None:
+        """The one final answer; a second one is ignored."""
+        if not job.done:
+            self._end(job)
+            job.deliver(job, answer)
+
+    def _end(self, job: Job) -> None:
+        job.done = True
+        self.room.open -= 1
+        if job.backstop is not None:
+            job.backstop.cancel()
+        self._forget(job)
+
+    def _forget(self, job: Job) -> None:
+        if job.done and not job.out:
+            self.jobs.pop(job.id, None)
+
+    def _on_backstop(self, job: Job) -> None:
+        # Guard: whatever the module does, the caller gets an answer while it still waits.
+        if not job.done:
+            self.counts["backstop"] += 1
+            self.answer(job, Answer(Kind.FAILED, Cause.LATE))
+            self.tell(api.Lapsed(job.id))
+
+    # ------------------------------------------------------------------- attempts
+
+    def _send(self, action: api.Send) -> None:
+        job = self.jobs.get(action.id)
+        number = len(job.attempts) if job is not None else 0
+        began = self.loop.time()
+        over = job is None or job.done or job.give_up_at <= began
+        if job is not None:
+            job.attempts.append(None)  # a moot send has a number too
+        if job is None or over or number >= self.settings.max_attempts:
+            self._outcome(action, number, job, api.Result.MOOT, began)
+            return
+        left = job.give_up_at - began
+        timeout = min(left, action.timeout_ms / 1000.0) if action.timeout_ms > 0.0 else left
+        job.out += 1
+
+        def on_end(result: api.Result, reply: Any, report: dict[str, float] | None) -> None:
+            job.out -= 1
+            job.attempts[number] = None
+            self._outcome(action, number, job, result, began, reply, report)
+
+        attempt = self.back.send(action.server, job.message, timeout, on_end)
+        if attempt is None:
+            on_end(api.Result.CONNECT_FAILED, None, None)
+        else:
+            job.attempts[number] = attempt
+
+    def _outcome(
+        self,
+        action: api.Send,
+        number: int,
+        job: Job | None,
+        result: api.Result,
+        began: float,
+        reply: Any = None,
+        report: dict[str, float] | None = None,
+    ) -> None:
+        """The one outcome of a send. The first good answer goes to the caller and ends its request."""
+        self.counts[result.value] += 1
+        if job is not None:
+            job.last = result
+            if result is api.Result.OK and reply is not None:
+                self.answer(job, Answer(Kind.SERVED, Cause.ANSWERED, reply))
+            elif result is api.Result.ERROR:
+                job.reply = reply
+            self._forget(job)
+        done = job is None or job.done
+        latency = (self.loop.time() - began) * 1000.0
+        self.tell(api.Outcome(action.id, number, action.server, result, latency, done, report))
+
+    # ------------------------------------------------------------ the server list
+
+    def on_list(
+        self,
+        form: api.ListForm,
+        servers: tuple[api.Server, ...] = (),
+        endpoints: Mapping[str, Address] | None = None,
+    ) -> None:
+        """News of the server list; `endpoints` has the address of each server that is UP."""
+        self.counts[f"list {form.value}"] += 1
+        if form is api.ListForm.FAILED:
+            self.tell(api.Membership(form))
+            return
+        endpoints = endpoints or {}
+        ready = [server for server in servers if server.state is api.ServerState.UP]
+        for server in ready:
+            self.back.add(server.address, endpoints[server.address], server.launched_ms)
+        up = {server.address for server in ready}
+        self.tell(api.Membership(form, servers))
+        # The module hears of it first, so that what is withdrawn here is sent on by the new list.
+        gone = {server.address for server in servers} - up if form is api.ListForm.DELTA else self.up - up
+        for name in gone:
+            self.back.remove(name)
+        self.up = (self.up | up) - gone
--- /dev/null
+++ b/orchidledge/core/types.py
@@ -0,0 +1,89 @@
+"""What fronts, pools and backs say to one another. No protocol's words stand here."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from enum import Enum
+from typing import Any, Protocol
+
+from orchidledge.core.address import Address
+from orchidledge.interface import Result
+
+
+class Kind(Enum):
+    """The three kinds of the one final answer."""
+
+    SERVED = "served"
+    REFUSED = "refused"  # trying again is harmless
+    FAILED = "failed"  # nothing is promised about effects
+
+
+class Cause(Enum):
+    """Why an answer is what it is."""
+
+    ANSWERED = "answered"
+    SHED = "shed"  # the decision module gave it up
+    TIMEOUT = "timeout"  # the last attempt got no answer in time
+    BROKEN = "broken"  # the last attempt failed in another way
+    LATE = "late"  # its time was up before the decision module had said anything
+    LEAVING = "leaving"  # the process ends
+    FAULT = "fault"  # the decision module failed
+
+
+@dataclass(slots=True, frozen=True)
+class Answer:
+    """The final answer to a request.
+
+    `reply` is what the back had from a server, in the back's own form: the good answer of a request that
+    was served, or the last one of a request that ended in a server's error; None where no server answered.
+    """
+
+    kind: Kind
+    cause: Cause
+    reply: Any = None
+    retry_after_ms: float = 0.0  # 0: nothing is said about when to come back
+
+
+@dataclass(slots=True)
+class Room:
+    """How many requests may be open at once, over all pools of a process."""
+
+    limit: int
+    open: int = 0
+
+    @property
+    def full(self) -> bool:
+        return self.open >= self.limit
+
+
+# How an attempt ended: the result, the server's reply if one came, and the load report that it held.
+OnEnd = Callable[[Result, Any, dict[str, float] | None], None]
+
+
+class Attempt(Protocol):
+    """One request on its way to one server."""
+
+    def cancel(self) -> None:
+        """Give it up; `on_end` is told CANCELLED, unless the attempt is over."""
+
+
+class Back(Protocol):
+    """Carries attempts to servers. Nothing is ever sent twice by it."""
+
+    @property
+    def size(self) -> int:
+        """Connections to servers, those that are being opened too."""
+
+    def add(self, name: str, endpoint: Address, launched_ms: float | None = None) -> None:
+        """Name a server, its new endpoint or its latest start (Unix time; None: long ago)."""
+
+    def remove(self, name: str) -> None:
+        """Nothing new goes to this server; attempts that have sent nothing yet end as CONNECT_FAILED."""
+
+    def send(self, name: str, message: Any, timeout_s: float, on_end: OnEnd) -> Attempt | None:
+        """Start an attempt, which ends within `timeout_s` with one call of `on_end`, never before this call
+        has returned; None if no such server is named."""
+
+    def close(self) -> None:
+        """End everything at once."""
--- a/orchidledge/net/upstream.py
+++ b/orchidledge/http/back.py
@@ -1,26 +1,36 @@
-"""The servers' side: pooled connections to each server, and attempts that end with exactly one result."""
+"""The servers' side: pooled connections to each server, and attempts that end with exactly one result.
+
+`HttpBack` is a `core.types.Back`; what a message is and what an answer stands for, its `Wire` says.
+"""
 
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable
 from dataclasses import dataclass, field
+from typing import Any, Protocol
 
+from orchidledge.core.address import Address
+from orchidledge.core.types import OnEnd
+from orchidledge.http.client import ClientConnection, Response
 from orchidledge.interface import Result
-from orchidledge.net.http import ClientConnection, Response
-
-Address = tuple[str, int]
 
 IDLE_SHARE = 0.5  # of the time after which a server closes an idle connection: ours goes well before
 
 
-def result_of(response: Response) -> Result:
-    """The outcome that a server's whole answer stands for."""
-    if response.status == 200:
-        return Result.OK
-    if response.status in (503, 504) and response.headers.get(b"srv-declined") == b"1":
-        return Result.FULL
-    return Result.ERROR
+class Wire(Protocol):
+    """How a message goes to a server, and what its answer stands for."""
+
+    max_body: int  # bytes of an answer's body
+    raw: bool  # whether an answer's headers are kept as they came
+
+    def encode(self, message: Any, wait_s: float) -> bytes:
+        """The request as it goes to a server that is waited for this long."""
+
+    def bodiless(self, message: Any) -> bool:
+        """Whether the answer to it has no body, as to HEAD."""
+
+    def read(self, response: Response) -> tuple[Result, dict[str, float] | None]:
+        """The outcome that a whole answer stands for, and the load report that it holds."""
 
 
 @dataclass(slots=True, eq=False)
@@ -36,14 +46,14 @@
 
     def __init__(
         self,
-        pool: Pool,
-        request: Callable[[float], bytes],
+        pool: HttpBack,
+        message: Any,
         timeout_s: float,
-        on_result: Callable[[Result, Response | None], None],
+        on_end: OnEnd,
     ) -> None:
         self._pool = pool
-        self._request = request  # the bytes to send, given the seconds left to wait
-        self._on_result = on_result
+        self._message = message
+        self._on_end = on_end
         self._over = False
         self._server: _Server | None = None
         self._connection: ClientConnection | None = None
@@ -65,7 +75,8 @@
         connection, self._connection = self._connection, None
         if connection is not None and self._server is not None:
             self._pool.give_back(self._server, connection)
-        self._finish(result_of(response), response)
+        result, report = self._pool.wire.read(response)
+        self._finish(result, response, report)
 
     def lost(self, written: bool) -> None:
         self._connection = None
@@ -104,14 +115,17 @@
     def _write(self, connection: ClientConnection) -> None:
         self._connection = connection
         left = self._end_at - asyncio.get_running_loop().time()
-        connection.start(self._request(left), self)
+        wire = self._pool.wire
+        connection.start(wire.encode(self._message, left), self, wire.bodiless(self._message))
 
     def _time_out(self) -> None:
         # Guard: what has not been written whole has never run, and a refusal may then say so.
         sent = self._connection is not None and self._connection.written
         self._finish(Result.TIMEOUT if sent else Result.CONNECT_FAILED)
 
-    def _finish(self, result: Result, response: Response | None = None) -> None:
+    def _finish(
+        self, result: Result, response: Response | None = None, report: dict[str, float] | None = None
+    ) -> None:
         if self._over:
             return
         self._over = True
@@ -122,13 +136,14 @@
             self._connect.cancel()
         if self._connection is not None:  # closing is how an attempt is given up
             self._connection.abort()
-        self._on_result(result, response)
+        self._on_end(result, response, report)
 
 
-class Pool:
+class HttpBack:
     """Connections to all servers, at most `limit` of them, the newest idle one used first."""
 
-    def __init__(self, limit: int, server_idle_s: float, connect_timeout_s: float) -> None:
+    def __init__(self, limit: int, server_idle_s: float, connect_timeout_s: float, wire: Wire) -> None:
+        self.wire = wire
         self.limit = limit
         self.connect_timeout_s = connect_timeout_s
         self._idle_s = server_idle_s * IDLE_SHARE
@@ -164,15 +179,15 @@
     def send(
         self,
         name: str,
-        request: Callable[[float], bytes],
+        message: Any,
         timeout_s: float,
-        on_result: Callable[[Result, Response | None], None],
+        on_end: OnEnd,
     ) -> Attempt | None:
         """Start an attempt; None if no such server is named."""
         server = self._servers.get(name)
         if server is None:
             return None
-        attempt = Attempt(self, request, timeout_s, on_result)
+        attempt = Attempt(self, message, timeout_s, on_end)
         attempt.begin(server)
         return attempt
 
@@ -224,7 +239,10 @@
 
     async def open(self, endpoint: Address) -> ClientConnection:
         loop = asyncio.get_running_loop()
-        _, connection = await loop.create_connection(lambda: ClientConnection(self._open.discard), *endpoint)
+        wire = self.wire
+        _, connection = await loop.create_connection(
+            lambda: ClientConnection(self._open.discard, wire.max_body, wire.raw), *endpoint
+        )
         self._open.add(connection)
         return connection
 
--- a/orchidledge/net/http.py
+++ b/orchidledge/http/client.py
@@ -12,12 +12,16 @@
 
 MAX_BODY = 64 * 1024
 MAX_HEAD = 16 * 1024
+NO_BODY = frozenset((204, 304))  # answers that have none, whatever their head says (RFC 9110, section 6.4.1)
+
+Header = tuple[bytes, bytes]
 
 
 @dataclass(slots=True)
 class Response:
     status: int = 0
     headers: dict[bytes, bytes] = field(default_factory=dict)  # by lower-case name
+    raw: list[Header] = field(default_factory=list)  # as they came, where the connection keeps them
     body: bytearray = field(default_factory=bytearray)
 
 
@@ -40,9 +44,13 @@
 class ClientConnection(asyncio.Protocol):
     """The calling end of a connection. `on_closed` is told when it is gone."""
 
-    def __init__(self, on_closed: Callable[[ClientConnection], None], max_body: int = MAX_BODY) -> None:
+    def __init__(
+        self, on_closed: Callable[[ClientConnection], None], max_body: int = MAX_BODY, raw: bool = False
+    ) -> None:
         self._on_closed = on_closed
         self._max_body = max_body
+        self._raw = raw
+        self._bodiless = False  # the answer to the current request has no body
         self._transport: asyncio.Transport | None = None
         self._parser = httptools.HttpResponseParser(self)
         self._exchange: Exchange | None = None
@@ -75,10 +83,12 @@
         """Whether the last byte of the current request has left."""
         return self._written
 
-    def start(self, data: bytes, exchange: Exchange) -> None:
+    def start(self, data: bytes, exchange: Exchange, bodiless: bool = False) -> None:
+        """Send a request; `bodiless`: its method is HEAD."""
         assert self._transport is not None
         assert self._exchange is None
         self._exchange = exchange
+        self._bodiless = bodiless
         self._response, self._size, self._whole = Response(), 0, False
         self._in_head, self._head = True, 0
         self._transport.write(data)
@@ -117,6 +127,8 @@
             self._head += len(data)
             self._spoilt = self._spoilt or self._head > MAX_HEAD
         if self._whole:
+            if self._bodiless or self._response.status in NO_BODY:
+                self._parser = httptools.HttpResponseParser(self)  # the old one may wait for a body
             exchange, self._exchange = self._exchange, None
             # A server that answers before it has the whole request leaves the rest on the connection.
             if not self._written:
@@ -154,6 +166,8 @@
         self._grow(len(name) + len(value), MAX_HEAD)
         if self._in_head:  # a trailer changes nothing
             self._response.headers[name.lower()] = value
+            if self._raw:
+                self._response.raw.append((name, value))
 
     def on_headers_complete(self) -> None:
         self._size = 0
@@ -161,6 +175,10 @@
             return
         self._in_head = False
         headers = self._response.headers
+        if self._bodiless or self._parser.get_status_code() in NO_BODY:
+            # Guard: the parser waits for the body that the head speaks of; none comes.
+            self._finish()
+            return
         length = headers.get(b"content-length")
         # Guard: what is said to be too long is not waited for; what only the end of the connection
         # would end can't be told from what broke off.
@@ -170,6 +188,9 @@
             self._spoilt = True
 
     def on_body(self, body: bytes) -> None:
+        if self._whole:  # a body where none belongs
+            self._spoilt = True
+            return
         self._grow(len(body), self._max_body)
         if not self._spoilt:
             self._response.body += body
@@ -181,7 +202,10 @@
         if status < 200:  # an interim answer: the real one follows
             self._response, self._size = Response(), 0
             return
-        self._response.status = status
+        self._finish()
+
+    def _finish(self) -> None:
+        self._response.status = self._parser.get_status_code()
         self._whole = True
         if not self._parser.should_keep_alive():
             self._spoilt = True
--- a/orchidledge/net/server.py
+++ b/orchidledge/http/server.py
@@ -13,9 +13,8 @@
 
 import httptools
 
-from orchidledge.net.http import MAX_BODY, MAX_HEAD, readable
+from orchidledge.http.client import MAX_BODY, MAX_HEAD, NO_BODY, Header, readable
 
-READY_PATH = b"/up"
 BACKLOG = 1024
 REQUEST_S = 2.5  # within which a request has to come in whole, from connecting or from its first byte
 IDLE_S = 8.0  # after which a connection that carries nothing is closed
@@ -26,14 +25,22 @@
 PIPELINE = 32  # whole requests that may wait on one connection
 
 # Guard: of a repeated header the node could read one and a server another, so these may stand once only.
-FORWARDED = frozenset(
-    b"host req-id idempotency-key req-owner req-retry req-cost req-extra".split()
-    + b"accept content-type content-encoding".split()
-)
-ONCE = FORWARDED | frozenset(b"req-deadline-ms content-length transfer-encoding expect".split())
+FRAMING = frozenset(b"host content-length transfer-encoding expect".split())
 TARGET = re.compile(rb"/[\x21-\x7e]*")
 
 
+@dataclass(slots=True, frozen=True)
+class Dialect:
+    """What a listener's callers may send, and how long they may take."""
+
+    once: frozenset[bytes] = FRAMING  # headers, by lower-case name, that may stand once only
+    ready_path: bytes | None = None  # answered here: 200 while ready, else 503
+    max_body: int = MAX_BODY  # bytes
+    raw: bool = False  # whether the headers are kept as they came, beside those by name
+    request_s: float | None = None  # instead of REQUEST_S
+    idle_s: float | None = None  # instead of IDLE_S
+
+
 @dataclass(slots=True, eq=False)
 class Call:
     """One request as it came, and where its answer goes."""
@@ -43,6 +50,7 @@
     method: bytes = b""
     target: bytes = b""
     headers: dict[bytes, bytes] = field(default_factory=dict)  # by lower-case name
+    raw: list[Header] = field(default_factory=list)  # as they came, where the dialect keeps them
     body: bytearray = field(default_factory=bytearray)
     keep_alive: bool = True
     begun: bool = False
@@ -54,16 +62,35 @@
         if not self.answered:
             self.answered = True
             self.on_gone = None  # which would hold what holds this call
-            self.connection.answer(self, status, body, retry_after_ms)
+            self.connection.answer(self, _head(status, len(body), retry_after_ms), body, 400 <= status < 500)
+
+    def pass_on(self, status: int, headers: list[Header], body: bytes) -> None:
+        """The final answer as a server gave it; framing headers are not among `headers`."""
+        if not self.answered:
+            self.answered = True
+            self.on_gone = None
+            lines = [b"HTTP/1.1 %d %s" % (status, _phrase(status))]
+            lines += [name + b": " + value for name, value in headers]
+            if self.method == b"HEAD" or status in NO_BODY:
+                body = b""
+            else:
+                lines.append(b"Content-Length: %d" % len(body))
+            self.connection.answer(self, b"\r\n".join(lines) + b"\r\n", body, False)
+
+
+def _phrase(status: int) -> bytes:
+    try:
+        return HTTPStatus(status).phrase.encode()
+    except ValueError:
+        return b"Status"
 
 
-def _head(status: int, length: int, close: bool, retry_after_ms: float) -> bytes:
+def _head(status: int, length: int, retry_after_ms: float) -> bytes:
+    """The head of an answer of ours, but for its last line."""
     lines = [f"HTTP/1.1 {status} {HTTPStatus(status).phrase}", f"Content-Length: {length}"]
     if retry_after_ms > 0.0:
         lines.append(f"Retry-After: {retry_after_ms / 1000.0:.3f}")
-    if close:
-        lines.append("Connection: close")
-    return ("\r\n".join(lines) + "\r\n\r\n").encode()
+    return ("\r\n".join(lines) + "\r\n").encode()
 
 
 class ServerConnection(asyncio.Protocol):
@@ -71,6 +98,7 @@
 
     def __init__(self, server: Server) -> None:
         self._server = server
+        self._dialect = server.dialect
         self._transport: asyncio.Transport
         self._parser = httptools.HttpRequestParser(self)
         self._calls: deque[Call] = deque()  # whole requests, the first of them being answered
@@ -78,6 +106,7 @@
         self._size = 0
         self._in_head = False
         self._head = 0  # bytes that have come of a head that is not whole
+        self._owes_continue = False  # a caller waits to be told to send its body
         self._fault = 0  # the status that ends this connection, once something was wrong on it
         self._closing = False  # the last answer has been written, or will be with what is in hand
         self.known = False  # a request that could be used has come on it
@@ -120,7 +149,8 @@
             self._fault = self._fault or 400
         if self._in_head:  # Guard: the parser keeps a header back until it is whole
             self._head += len(data)
-            if self._head > MAX_HEAD + MAX_BODY:  # a body before it may have come with its first part
+            # A body before it may have come with its first part.
+            if self._head > MAX_HEAD + self._dialect.max_body:
                 self._fault = self._fault or 400
         if self._calls:
             self._server.stage(self, None)
@@ -160,12 +190,14 @@
 
     def on_header(self, name: bytes, value: bytes) -> None:
         self._grow(len(name) + len(value), MAX_HEAD, 400)
-        name = name.lower()
+        given, name = name, name.lower()
         if self._partial is None or self._fault:
             return
         # Guard: a trailer could rewrite the head that it follows.
-        if not self._in_head or (name in ONCE and name in self._partial.headers):
+        if not self._in_head or (name in self._dialect.once and name in self._partial.headers):
             self._fault = 400
+        if self._dialect.raw:
+            self._partial.raw.append((given, value))
         self._partial.headers[name] = value
 
     def on_headers_complete(self) -> None:
@@ -178,17 +210,25 @@
         # Guard: a length beside a coding may hide a second request from one of two readers.
         if coding is not None and (length is not None or coding.lower() != b"chunked"):
             self._fault = 400
-        elif length is not None and int(length) > MAX_BODY:
+        elif length is not None and int(length) > self._dialect.max_body:
             self._fault = 413
         elif not TARGET.fullmatch(self._partial.target):
             self._fault = 400
         elif self._parser.get_http_version() not in ("1.1", "1.0"):
             self._fault = 505
-        elif headers.get(b"expect", b"").lower() == b"100-continue" and not self._calls:
+        elif headers.get(b"expect", b"").lower() == b"100-continue":
+            self._owes_continue = True
+            self._continue()
+
+    def _continue(self) -> None:
+        """Have the body come that a caller holds back, once the answers before it have gone."""
+        if self._owes_continue and not self._calls:
+            self._owes_continue = False
             self._transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
 
     def on_body(self, body: bytes) -> None:
-        self._grow(len(body), MAX_BODY, 413)
+        self._owes_continue = False  # it did not wait
+        self._grow(len(body), self._dialect.max_body, 413)
         if self._partial is not None and not self._fault:
             self._partial.body += body
 
@@ -200,7 +240,8 @@
         call.method = self._parser.get_method()
         call.keep_alive = self._parser.should_keep_alive()
         # Guard: a caller sends one request at a time; of one that sends more, only so much is held.
-        if len(self._calls) >= PIPELINE or sum(len(held.body) for held in self._calls) > MAX_BODY:
+        held = sum(len(one.body) for one in self._calls)
+        if len(self._calls) >= PIPELINE or held > self._dialect.max_body:
             self._fault = 429
             return
         self._calls.append(call)
@@ -217,18 +258,19 @@
         call = self._calls[0]
         if not call.begun:
             call.begun = True
-            if call.target.partition(b"?")[0] == READY_PATH:
+            if self._dialect.ready_path and call.target.partition(b"?")[0] == self._dialect.ready_path:
                 call.answer(200 if self._server.ready else 503)
             else:
                 self._server.on_call(call)
 
-    def answer(self, call: Call, status: int, body: bytes, retry_after_ms: float) -> None:
+    def answer(self, call: Call, head: bytes, body: bytes, unusable: bool) -> None:
+        """Write an answer; `head` lacks the empty line at its end; `unusable`: so was the request."""
         if self._transport.is_closing() or not self._calls or self._calls[0] is not call:
             return
-        self.known = self.known or not 400 <= status < 500
+        self.known = self.known or not unusable
         close = not call.keep_alive or self._server.stopping or self._server.crowded
         close = close and len(self._calls) == 1
-        self._transport.write(_head(status, len(body), close, retry_after_ms) + body)
+        self._transport.write(head + (b"Connection: close\r\n\r\n" if close else b"\r\n") + body)
         self._calls.popleft()
         if close:
             self._end()
@@ -237,6 +279,7 @@
         elif self._fault:
             self._fail(self._fault)
         else:
+            self._continue()
             owing = self._partial is not None or not self.known
             self._server.stage(self, self._server.waiting if owing else self._server.idle)
 
@@ -246,7 +289,7 @@
 
     def _fail(self, status: int) -> None:
         """Answer what can't be read as a request, and end the connection."""
-        self._transport.write(_head(status, 0, True, 0.0))
+        self._transport.write(_head(status, 0, 0.0) + b"Connection: close\r\n\r\n")
         self._end()
 
     def _end(self) -> None:
@@ -267,10 +310,11 @@
     A connection without an open request is in a stage: it owes a request, idles, or lingers after its end.
     """
 
-    def __init__(self, limit: int, on_call: Callable[[Call], None]) -> None:
+    def __init__(self, limit: int, on_call: Callable[[Call], None], dialect: Dialect) -> None:
         self.loop = asyncio.get_running_loop()
         self.limit = limit
         self.on_call = on_call
+        self.dialect = dialect
         self.ready = False
         self.stopping = False
         self.connections: dict[ServerConnection, Stage | None] = {}
@@ -291,7 +335,8 @@
         return host, port
 
     async def listen(self, host: str, port: int) -> None:
-        raw = socket.create_server((host, port))
+        family = socket.AF_INET6 if ":" in host else socket.AF_INET
+        raw = socket.create_server((host, port), family=family)
         # Guard: asyncio accepts as many as its `backlog` before it looks at any, and closed ones go a turn or
         # two later: a small one keeps a burst within the descriptors. The kernel's queue is then made long.
         self._listener = await self.loop.create_server(
@@ -355,7 +400,8 @@
     def _sweep(self) -> None:
         """End what has been in its stage for too long."""
         now = self.loop.time()
-        for stage, limit_s in ((self.waiting, REQUEST_S), (self.idle, IDLE_S), (self.lingering, LINGER_S)):
+        request_s, idle_s = self.dialect.request_s or REQUEST_S, self.dialect.idle_s or IDLE_S
+        for stage, limit_s in ((self.waiting, request_s), (self.idle, idle_s), (self.lingering, LINGER_S)):
             for connection in list(stage):
                 if connection.since > now - limit_s:
                     break
--- /dev/null
+++ b/orchidledge/lists/__init__.py
@@ -0,0 +1,1 @@
+"""Where servers come from."""
--- a/orchidledge/net/discovery.py
+++ b/orchidledge/lists/discovery.py
@@ -9,15 +9,17 @@
 
 import orjson
 
+from orchidledge.core.address import Address, parse_address
+from orchidledge.http.client import ClientConnection, Response
 from orchidledge.interface import ListForm, Server, ServerState
-from orchidledge.net.http import ClientConnection, Response
-from orchidledge.net.upstream import Address
 
 # A call unanswered so long after its wait has failed; 2 s after it, its news counts as told.
 LATE_S = 1.2
 CONNECT_S = 1.0
 PUSH_PAUSE_S = 0.5  # before a local agent is asked again after a failure
 MAX_LIST = 16 * 1024 * 1024
+LONGEST_WATCH_MS = 20_000.0
+WATCH_SHARE = 0.5  # of the time within which discovery has to be asked
 
 STATES = {
     "Ready": ServerState.UP,
@@ -36,11 +38,10 @@
     endpoints: dict[str, Address]
 
 
-def parse_address(text: object) -> Address:
-    host, _, port = str(text).rpartition(":")
-    if not host or not port.isascii() or not port.isdigit() or not 0 <= int(port) < 65536:
-        raise ValueError(f"{text!r} is not an address and a port")
-    return host, int(port)
+def watch_ms(ask_within_ms: float) -> float:
+    """How long discovery may hold a call, in ms, where it has to be asked within so long."""
+    # Guard: a discovery that has gone silent must be noticed before the node counts as told.
+    return min(LONGEST_WATCH_MS, ask_within_ms * WATCH_SHARE)
 
 
 def parse_listing(row: object) -> Listing:
--- /dev/null
+++ b/orchidledge/platform/__init__.py
@@ -0,0 +1,1 @@
+"""The platform's node: one HTTP front, one pool, one list."""
--- a/orchidledge/net/config.py
+++ b/orchidledge/platform/config.py
@@ -6,9 +6,9 @@
 
 import orjson
 
+from orchidledge.core.address import Address, parse_address
 from orchidledge.interface import Settings
-from orchidledge.net.discovery import Listing, parse_address, parse_listing
-from orchidledge.net.upstream import Address
+from orchidledge.lists.discovery import Listing, parse_listing
 from orchidledge.settings import Row, settings_from
 
 
--- /dev/null
+++ b/orchidledge/platform/front.py
@@ -0,0 +1,164 @@
+"""The platform's callers: what a request must say there, and what answers it."""
+
+from __future__ import annotations
+
+import re
+from collections import Counter
+from urllib.parse import unquote_to_bytes
+
+from orchidledge import interface as api
+from orchidledge.core.pool import Job, Pool
+from orchidledge.core.types import Answer, Cause, Kind
+from orchidledge.http.client import MAX_BODY, Response
+from orchidledge.http.server import FRAMING, Call, Dialect, Server
+from orchidledge.settings import report_from
+
+WAY_BACK_S = 0.015  # an answer leaves this long before the client's time is up
+
+TOKEN = re.compile(r"[\x21-\x7e]{1,128}")
+WHOLE = re.compile(r"[0-9]{1,9}")
+DECIMAL = re.compile(r"[0-9]{1,12}(\.[0-9]{1,9})?")
+
+FORWARDED = frozenset(
+    b"host req-id idempotency-key req-owner req-retry req-cost req-extra".split()
+    + b"accept content-type content-encoding".split()
+)
+DIALECT = Dialect(once=FORWARDED | FRAMING | {b"req-deadline-ms"}, ready_path=b"/up")
+
+FAILURES = {Cause.TIMEOUT: 504, Cause.LATE: 504, Cause.LEAVING: 504, Cause.BROKEN: 502, Cause.FAULT: 500}
+
+
+class BadRequestError(Exception):
+    """A request that the module is not asked about, and the status that answers it."""
+
+    def __init__(self, status: int) -> None:
+        super().__init__(status)
+        self.status = status
+
+
+class PlatformFront:
+    """Callers that speak the platform's dialect, in front of one pool."""
+
+    def __init__(self, limit: int, pool: Pool) -> None:
+        """At most `limit` connections are kept."""
+        self.pool = pool
+        self.server = Server(limit, self._on_call, DIALECT)
+        self.counts: Counter[str] = pool.counts
+
+    def _on_call(self, call: Call) -> None:
+        """A whole request has come in."""
+        self.counts["taken"] += 1
+        try:
+            request, give_up_at = self._read(call)
+        except BadRequestError as error:
+            self.counts[f"bad {error.status}"] += 1
+            call.answer(error.status)
+            return
+        # Guard: while a sibling restarted, 200 connections idle for under 2 s held all the room, and requests
+        # were refused beside 10 open ones. So a whole request takes the place of the one idle for longest,
+        # however short; a mere connection doesn't. It would hurt where connecting costs callers much.
+        if self.pool.room.full or not self.server.make_room(spared_s=0.0):
+            # Guard: too many to hold. None of it has gone anywhere, so it is a refusal.
+            self.counts["over the limit"] += 1
+            call.answer(503)
+            return
+        job = self.pool.take(request, give_up_at, call, self._deliver)
+        if not job.done:
+            call.on_gone = lambda: self.pool.leave(job)
+
+    def _read(self, call: Call) -> tuple[api.Request, float]:
+        """The module's view of a request, and when its client gives up."""
+        headers = call.headers
+        path = call.target.partition(b"?")[0]
+        parts = path.split(b"/")
+        kind = (
+            self.pool.classes.get(unquote_to_bytes(parts[1]).decode("utf-8", "replace"))
+            if len(parts) > 1
+            else None
+        )
+        if kind is None:
+            raise BadRequestError(404)
+        if call.method != (b"GET" if kind.effect is api.Effect.SAFE else b"POST"):
+            raise BadRequestError(405)
+        name = headers.get(b"req-id", b"").decode("latin-1")
+        keyless = kind.effect is api.Effect.KEYED and b"idempotency-key" not in headers
+        bodied = kind.effect is api.Effect.SAFE and bool(call.body)
+        if not TOKEN.fullmatch(name) or keyless or bodied or name in self.pool.jobs:
+            raise BadRequestError(400)
+        give_up_ms = kind.give_up_ms
+        if (deadline := _number(headers, b"req-deadline-ms", WHOLE)) is not None:
+            give_up_ms = min(deadline, 10.0 * kind.give_up_ms)
+        cost_us = _number(headers, b"req-cost", DECIMAL)
+        give_up_at = call.arrived + give_up_ms / 1000.0 - WAY_BACK_S
+        owner = headers.get(b"req-owner")
+        request = api.Request(
+            id=name,
+            service=kind.name,
+            give_up_at_ms=self.pool.clock.ms(give_up_at),
+            tenant=owner.decode("latin-1") if owner else None,
+            cost_hint_ms=None if cost_us is None else cost_us / 1000.0,
+            is_retry=headers.get(b"req-retry") == b"1",
+        )
+        return request, give_up_at
+
+    def _deliver(self, job: Job, answer: Answer) -> None:
+        call: Call = job.message
+        body = b""
+        if answer.kind is Kind.SERVED:
+            status, body = 200, bytes(answer.reply.body)
+        elif answer.kind is Kind.REFUSED:
+            status = 503
+        else:
+            status = FAILURES[answer.cause]
+        self.counts[f"answered {status}"] += 1
+        call.answer(status, body, answer.retry_after_ms)
+
+
+def _number(headers: dict[bytes, bytes], name: bytes, form: re.Pattern[str]) -> float | None:
+    """A header's figure, None without one."""
+    text = headers.get(name)
+    if text is None:
+        return None
+    # Guard: float() reads more than figures: blanks, underscores, signs, words.
+    if not form.fullmatch(text.decode("latin-1")):
+        raise BadRequestError(400)
+    return float(text)
+
+
+def result_of(response: Response) -> api.Result:
+    """The outcome that a server's whole answer stands for on the platform."""
+    if response.status == 200:
+        return api.Result.OK
+    if response.status in (503, 504) and response.headers.get(b"srv-declined") == b"1":
+        return api.Result.FULL
+    return api.Result.ERROR
+
+
+def report_of(response: Response, fields: tuple[str, ...]) -> dict[str, float] | None:
+    """The load report that an answer holds."""
+    load = response.headers.get(b"srv-load")
+    return report_from(load.decode("latin-1"), fields) if load else None
+
+
+class PlatformWire:
+    """How the platform's servers are asked; a message is a `Call`."""
+
+    max_body = MAX_BODY
+    raw = False
+
+    def __init__(self, report_fields: tuple[str, ...]) -> None:
+        self._fields = report_fields
+
+    def encode(self, message: Call, wait_s: float) -> bytes:
+        lines = [message.method + b" " + message.target + b" HTTP/1.1"]
+        lines += [name + b": " + value for name, value in message.headers.items() if name in FORWARDED]
+        lines.append(b"req-deadline-ms: %d" % max(1, int(wait_s * 1000.0)))
+        if message.body or message.method != b"GET":
+            lines.append(b"content-length: %d" % len(message.body))
+        return b"\r\n".join(lines) + b"\r\n\r\n" + message.body
+
+    def bodiless(self, message: Call) -> bool:
+        return False  # its requests are GET and POST
+
+    def read(self, response: Response) -> tuple[api.Result, dict[str, float] | None]:
+        return result_of(response), report_of(response, self._fields)
--- /dev/null
+++ b/orchidledge/platform/node.py
@@ -0,0 +1,121 @@
+"""The platform's node: its one front, pool and list put together."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from dataclasses import replace
+
+from orchidledge import interface as api
+from orchidledge.core.clock import Clock
+from orchidledge.core.leaving import finish
+from orchidledge.core.pool import Pool
+from orchidledge.core.types import Cause, Room
+from orchidledge.http.back import HttpBack
+from orchidledge.lists.discovery import Listing, Watcher, watch_ms
+from orchidledge.platform.config import Config
+from orchidledge.platform.front import PlatformFront, PlatformWire
+
+log = logging.getLogger("orchidledge")
+
+SPARE_SOCKETS = 16  # for the listener, discovery, standard streams and the event loop
+INBOUND_SHARE = 0.58  # of the other descriptors: callers' connections, lingering ones too;
+UPSTREAM_SHARE = 0.35  # servers'; what is left takes in a burst before others have been closed
+STATS_S = 10.0
+BEAT_S = 0.1
+
+
+class Node:
+    def __init__(self, config: Config) -> None:
+        self.loop = asyncio.get_running_loop()
+        self.clock = Clock(self.loop)
+        self.config = config
+        self.settings = config.settings
+        usable = max(16, config.sockets - SPARE_SOCKETS)
+        self.back = HttpBack(
+            int(usable * UPSTREAM_SHARE),
+            config.conn_idle_ms / 1000.0,
+            config.connect_timeout_ms / 1000.0,
+            PlatformWire(self.settings.report_fields),
+        )
+        self.watcher = Watcher(
+            config.discovery,
+            config.known.revision,
+            watch_ms(config.ask_within_ms),
+            not self.settings.ask_discovery,
+            self._on_list,
+        )
+        room = Room(config.max_open)
+        self.pool = Pool(self.settings, config.seed, self.clock, self.back, room, self.watcher.start)
+        self.front = PlatformFront(int(usable * INBOUND_SHARE), self.pool)
+        self.server = self.front.server
+        self.leaving = False
+        self.lag = 0.0  # the longest that the loop was late in this stretch
+
+    async def start(self) -> None:
+        """Tell the module what is known and begin to serve."""
+        self._on_list(api.ListForm.CACHED, self.config.known)
+        await self.server.listen(*self.config.listen)
+        if not self.settings.ask_discovery:
+            self.watcher.start()
+        self._beat(self.loop.time())
+        self._stats()
+
+    def reconfigure(self, config: Config) -> None:
+        """Follow a new configuration in what can change while the node runs: where discovery is."""
+        self.config = replace(self.config, discovery=config.discovery)
+        self.watcher.move(config.discovery)
+        log.info("%s follows discovery at %s:%d", self.config.name, *config.discovery)
+        # The list and the seed are new in every file and only of use to a start.
+        if replace(config, known=self.config.known, seed=self.config.seed) != self.config:
+            log.warning("other changes of the configuration wait for the next start")
+
+    async def stop(self) -> None:
+        """Leave service: take what still comes, finish what is held, and end in time."""
+        self.leaving = True
+        self._set_ready()
+        await finish([self.server], max(kind.give_up_ms for kind in self.settings.classes) / 1000.0)
+        self.pool.answer_all(Cause.LEAVING)
+        await asyncio.sleep(0)
+        self.close()
+
+    def close(self) -> None:
+        self.server.close()
+        self.watcher.close()
+        self.pool.close()
+
+    def _on_list(self, form: api.ListForm, listing: Listing | None) -> None:
+        if listing is None:
+            self.pool.on_list(form)
+        else:
+            self.pool.on_list(form, listing.servers, listing.endpoints)
+            self._set_ready()
+
+    def _set_ready(self) -> None:
+        """Ready once there is a server to send to, until the node leaves service."""
+        self.server.ready = not self.leaving and (self.server.ready or bool(self.pool.up))
+
+    # -------------------------------------------------------------------- figures
+
+    def _beat(self, due: float) -> None:
+        now = self.loop.time()
+        self.lag = max(self.lag, now - due)
+        self.pool.timers["beat"] = self.loop.call_at(now + BEAT_S, self._beat, now + BEAT_S)
+
+    def _stats(self) -> None:
+        """One line of figures every few seconds."""
+        counts = self.pool.counts
+        figures = ", ".join(f"{name} {count}" for name, count in sorted(counts.items()))
+        log.info(
+            "%s: %s; open %d, cursor %d, callers %d, upstream %d, loop late %.0f ms",
+            self.config.name,
+            figures,
+            self.pool.room.open,
+            self.pool.balancer.cursor,
+            len(self.server.connections),
+            self.back.size,
+            self.lag * 1000.0,
+        )
+        counts.clear()
+        self.lag = 0.0
+        self.pool.timers["stats"] = self.loop.call_later(STATS_S, self._stats)
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -11,8 +11,8 @@
 import orjson
 
 from orchidledge import interface as api
-from orchidledge.net.config import Config, parse_config
-from orchidledge.net.node import Node
+from orchidledge.platform.config import Config, parse_config
+from orchidledge.platform.node import Node
 
 SETTINGS: dict[str, Any] = {
     "bounds": {
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -27,9 +27,9 @@
 )
 
 from orchidledge import interface as api
-from orchidledge.net import node as node_module
-from orchidledge.net.discovery import Listing
-from orchidledge.net.node import Clock
+from orchidledge.core import pool as pool_module
+from orchidledge.core.clock import Clock
+from orchidledge.lists.discovery import Listing
 
 
 def send_to(*names):
@@ -61,8 +61,8 @@
             assert seen.body == b'{"a":1}'
             assert (seen.headers["req-id"], seen.headers["idempotency-key"]) == ("q7", "k1")
             assert 0 < int(seen.headers["req-deadline-ms"]) < 9000
-            assert node.balancer.peers["s0"].queue == 3
-            assert node.jobs == {}
+            assert node.pool.balancer.peers["s0"].queue == 3
+            assert node.pool.jobs == {}
 
     asyncio.run(main())
 
@@ -70,7 +70,7 @@
 def test_the_module_hears_what_the_request_says():
     async def main():
         async with running(Peer()) as node:
-            node.balancer = scripted = Scripted(lambda event: [api.Refuse(event.id, 250.0)])
+            node.pool.balancer = scripted = Scripted(lambda event: [api.Refuse(event.id, 250.0)])
             before = node.clock.ms()
             answer = await ask(
                 node,
@@ -98,7 +98,7 @@
 
         server = Peer(script)
         async with running(server) as node:
-            node.balancer = scripted = Scripted(send_to("s0"))
+            node.pool.balancer = scripted = Scripted(send_to("s0"))
             assert (await ask(node, request(kind, "q1"))).status == 200
             assert (await ask(node, request(kind, "q2"))).status == 502  # on the connection kept from before
             assert (server.connections, len(server.seen)) == (1, 2)
@@ -136,14 +136,14 @@
                     return [api.Fail(event.id)] if moot else [api.Send(event.id, "s0")]
                 return []
 
-            node.balancer = scripted = Scripted(act)
+            node.pool.balancer = scripted = Scripted(act)
             assert (await ask(node, request())).status == 502
             assert len(server.seen) == 3
             outcomes = scripted.of(api.Outcome)
             assert [event.attempt for event in outcomes] == [0, 1, 2, 3]
             assert outcomes[-1].result is api.Result.MOOT
-            node.balancer = scripted = Scripted()
-            node._act(api.Send("q1", "s0"))
+            node.pool.balancer = scripted = Scripted()
+            node.pool.act(api.Send("q1", "s0"))
             assert [(event.result, event.done) for event in scripted.of(api.Outcome)] == [
                 (api.Result.MOOT, True)
             ]
@@ -159,11 +159,11 @@
             caller = await Caller.to(node)
             caller.writer.write(request())
             await until(lambda: server.seen)
-            assert node.balancer.peers["s0"].load == 1.0
+            assert node.pool.balancer.peers["s0"].load == 1.0
             caller.writer.close()
-            await until(lambda: not node.jobs)
-            await until(lambda: node.balancer.peers["s0"].load == 0.0)
-            assert node.open == 0
+            await until(lambda: not node.pool.jobs)
+            await until(lambda: node.pool.balancer.peers["s0"].load == 0.0)
+            assert node.pool.room.open == 0
 
     asyncio.run(main())
 
@@ -178,10 +178,10 @@
                     return [api.Send(event.id, "s0"), api.Send(event.id, "s1")]
                 return []
 
-            node.balancer = scripted = Scripted(act)
+            node.pool.balancer = scripted = Scripted(act)
             assert (await ask(node, request())).body == b"done"
             server.release.set()
-            await until(lambda: not node.jobs)
+            await until(lambda: not node.pool.jobs)
             outcomes = scripted.of(api.Outcome)
             assert [(event.attempt, event.done) for event in outcomes] == [(1, True), (0, True)]
 
@@ -198,10 +198,10 @@
                     raise RuntimeError("broken")
                 return [api.Send(event.id, "s0")] if isinstance(event, api.Request) else []
 
-            node.balancer = scripted = Scripted(act)
+            node.pool.balancer = scripted = Scripted(act)
             assert (await ask(node, request())).status == 500
             assert scripted.of(api.Lapsed)
-            assert not node.jobs
+            assert not node.pool.jobs
             assert node.server.ready
 
     asyncio.run(main())
@@ -209,7 +209,7 @@
 
 def test_a_fault_on_an_alarm_does_not_stop_the_modules_clockwork(monkeypatch):
     async def main():
-        monkeypatch.setattr(node_module, "FAULT_PAUSE_S", 0.01)
+        monkeypatch.setattr(pool_module, "FAULT_PAUSE_S", 0.01)
 
         def act(event):
             if isinstance(event, api.Alarm) and len(scripted.of(api.Alarm)) == 1:
@@ -217,8 +217,8 @@
             return []
 
         async with running(Peer()) as node:
-            node.balancer = scripted = Scripted(act)
-            node._act(api.Wake(1.0, "tick"))
+            node.pool.balancer = scripted = Scripted(act)
+            node.pool.act(api.Wake(1.0, "tick"))
             await until(lambda: len([event for event in scripted.of(api.Alarm) if event.name == "tick"]) == 2)
 
     asyncio.run(main())
@@ -227,7 +227,7 @@
 def test_a_request_that_the_module_forgets_is_answered_at_its_deadline():
     async def main():
         async with running(Peer()) as node:
-            node.balancer = scripted = Scripted()
+            node.pool.balancer = scripted = Scripted()
             assert (await ask(node, request(Req_Deadline_Ms="200"))).status == 504
             assert [event.id for event in scripted.of(api.Lapsed)] == ["q1"]
 
@@ -243,7 +243,7 @@
                     return [api.Send(event.id, "s0", 60_000.0)]
                 return [api.Fail(event.id)] if isinstance(event, api.Outcome) else []
 
-            node.balancer = scripted = Scripted(act)
+            node.pool.balancer = scripted = Scripted(act)
             assert (await ask(node, request(Req_Deadline_Ms="300"))).status == 504
             # The module's answer to its time-out came first, not the node's own.
             assert [event.result for event in scripted.of(api.Outcome)] == [api.Result.TIMEOUT]
@@ -282,10 +282,10 @@
 def test_bad_callers_are_answered_and_never_reach_the_module(data, status):
     async def main():
         async with running(Peer()) as node:
-            node.balancer = scripted = Scripted()
+            node.pool.balancer = scripted = Scripted()
             assert (await ask(node, data)).status == status
             assert not scripted.of(api.Request)
-            assert not node.jobs
+            assert not node.pool.jobs
 
     asyncio.run(main())
 
@@ -376,17 +376,17 @@
 def test_busy_connections_over_the_limit_are_refused_at_once_and_closed():
     async def main():
         async with running(Peer(), limits={"sockets": 132}) as node:
-            node.balancer = scripted = Scripted()  # holds every request
+            node.pool.balancer = scripted = Scripted()  # holds every request
             callers = [await Caller.to(node) for _ in range(node.server.limit)]
             for at, caller in enumerate(callers):
                 caller.writer.write(request(name=f"q{at}"))
-            await until(lambda: node.open == len(callers))
+            await until(lambda: node.pool.room.open == len(callers))
             late = await ask(node, request(name="late"))
             assert (late.status, late.headers["connection"]) == (503, "close")
             assert len(scripted.of(api.Request)) == len(callers)
             await until(lambda: len(node.server.connections) == len(callers))
             for at, caller in enumerate(callers):
-                node._act(api.Refuse(f"q{at}"))
+                node.pool.act(api.Refuse(f"q{at}"))
                 assert (await caller.answer()).status == 503
                 caller.writer.close()
 
@@ -404,7 +404,7 @@
             late = await Caller.to(node)
             await until(lambda: len(node.server.connections) > node.server.limit)  # it alone takes no place
             assert (await late.ask(request(name="late"))).status == 200
-            assert node.counts["over the limit"] == 0
+            assert node.pool.counts["over the limit"] == 0
             assert await callers[0].reader.read() == b""  # the one idle for longest
             assert (await callers[1].ask(request(name="again"))).status == 200
             for caller in [*callers, late]:
@@ -423,12 +423,12 @@
             reply(503),
         )
         async with running(Peer(), discovery=discovery) as node:
-            node.balancer = scripted = Scripted()
+            node.pool.balancer = scripted = Scripted()
             # The module's first act, on the known list, was to ask for a watch.
             await until(lambda: len(scripted.of(api.Membership)) == 3)
             forms = [event.form for event in scripted.of(api.Membership)]
             assert forms == [api.ListForm.FULL, api.ListForm.DELTA, api.ListForm.FAILED]
-            assert set(node.pool._servers) == {"s2"}
+            assert set(node.back._servers) == {"s2"}
             queries = [message.first[1] for message in discovery.seen]
             assert [query.split("?")[1].split("&")[0] for query in queries] == [
                 "since=1",
@@ -444,7 +444,7 @@
 def test_the_known_list_comes_first_and_as_cached():
     async def main():
         async with running(Peer()) as node:
-            node.balancer = scripted = Scripted()
+            node.pool.balancer = scripted = Scripted()
             await node.start()
             assert [event.form for event in scripted.of(api.Membership)] == [api.ListForm.CACHED]
             assert scripted.events[0].servers[0].launched_ms is None  # 0 means long ago
@@ -467,10 +467,10 @@
 def test_any_bad_discovery_call_is_a_failure_and_keeps_the_list(news):
     async def main():
         async with running(Peer(), discovery=Discovery(news)) as node:
-            node.balancer = scripted = Scripted()
+            node.pool.balancer = scripted = Scripted()
             await until(lambda: scripted.of(api.Membership))
             assert [event.form for event in scripted.of(api.Membership)] == [api.ListForm.FAILED]
-            assert (set(node.pool._servers), node.server.ready) == ({"s0"}, True)
+            assert (set(node.back._servers), node.server.ready) == ({"s0"}, True)
             assert node.watcher._task is None  # it is for the module to ask again
 
     asyncio.run(main())
@@ -478,25 +478,25 @@
 
 def test_a_hung_discovery_call_fails_and_the_module_asks_again(monkeypatch):
     async def main():
-        monkeypatch.setattr("orchidledge.net.discovery.LATE_S", 0.05)
+        monkeypatch.setattr("orchidledge.lists.discovery.LATE_S", 0.05)
         discovery = Discovery()
         async with running(
             Peer(), discovery=discovery, settings={"invariants": {"askWithinMs": 100.0}}
         ) as node:
             await until(lambda: len(discovery.seen) >= 2)
             assert discovery.seen[0].first[1].endswith("&timeout_ms=50")
-            assert node.counts["list failed"] >= 1
+            assert node.pool.counts["list failed"] >= 1
 
     asyncio.run(main())
 
 
 def test_a_pushed_list_is_followed_unasked_and_through_failures(monkeypatch):
     async def main():
-        monkeypatch.setattr("orchidledge.net.discovery.PUSH_PAUSE_S", 0.01)
+        monkeypatch.setattr("orchidledge.lists.discovery.PUSH_PAUSE_S", 0.01)
         discovery = Discovery(reply(503), listing(5, True, s9=("127.0.0.1:9", "Ready")))
         async with running(Peer(), discovery=discovery, settings={"registryMode": "push"}) as node:
-            await until(lambda: set(node.pool._servers) == {"s9"})
-            assert set(node.balancer.peers) == {"s9"}
+            await until(lambda: set(node.back._servers) == {"s9"})
+            assert set(node.pool.balancer.peers) == {"s9"}
 
     asyncio.run(main())
 
@@ -505,16 +505,16 @@
     async def main():
         server = Peer()
         async with running(server) as node:
-            node.balancer = scripted = Scripted(send_to("s0", "s0"))
+            node.pool.balancer = scripted = Scripted(send_to("s0", "s0"))
             caller = await Caller.to(node)
             hold = asyncio.Event()
 
             async def never(endpoint):
                 await hold.wait()
 
-            node.pool.open = never  # a connection that does not come up
+            node.back.open = never  # a connection that does not come up
             caller.writer.write(request())
-            await until(lambda: node.pool.size)
+            await until(lambda: node.back.size)
             row = Listing(9, False, (api.Server("s0", state=api.ServerState.DRAINING),), {"s0": ("", 1)})
             node._on_list(api.ListForm.DELTA, row)
             assert [event.result for event in scripted.of(api.Outcome)] == [api.Result.CONNECT_FAILED] * 2
@@ -567,7 +567,7 @@
                     return [api.Send(event.id, "s0"), api.Send(event.id, "s0")]
                 return [api.Refuse(event.id)] if isinstance(event, api.Outcome) else []
 
-            node.balancer = scripted = Scripted(act)
+            node.pool.balancer = scripted = Scripted(act)
             assert (await ask(node, request(Req_Deadline_Ms="0"))).status == 503
             outcomes = [(event.result, event.attempt) for event in scripted.of(api.Outcome)]
             assert outcomes == [(api.Result.MOOT, 0), (api.Result.MOOT, 1)]
@@ -611,7 +611,7 @@
     async def main():
         server = Held()
         async with running(server) as node:
-            node.loop = clock = Shifted(node.loop)
+            node.pool.loop = clock = Shifted(node.loop)
 
             async def calls(count, latency_s):
                 """So many answers with this latency, and the end of the module's period."""
@@ -623,19 +623,19 @@
                 clock.shift = latency_s
                 server.release.set()
                 assert [answer.status for answer in await asked] == [200] * count
-                node.tell(api.Alarm("period"))
-                node._timers["period"].cancel()  # the next one ends when the test says so
+                node.pool.tell(api.Alarm("period"))
+                node.pool.timers["period"].cancel()  # the next one ends when the test says so
 
-            node._timers["period"].cancel()
+            node.pool.timers["period"].cancel()
             for _ in range(3):
                 await calls(8, 0.0)
-            assert node.balancer.cursor == 0
+            assert node.pool.balancer.cursor == 0
             for _ in range(12):
                 await calls(8, 10.0)  # half of what is wanted: too slow, and no jam
-            assert 0 < node.balancer.cursor <= 12 * 8 / 20
-            high = node.balancer.cursor
+            assert 0 < node.pool.balancer.cursor <= 12 * 8 / 20
+            high = node.pool.balancer.cursor
             for _ in range(6):
                 await calls(8, 0.0)
-            assert node.balancer.cursor < high  # back left it waits for nothing
+            assert node.pool.balancer.cursor < high  # back left it waits for nothing
 
     asyncio.run(main())
--- a/tests/test_strangers.py
+++ b/tests/test_strangers.py
@@ -9,11 +9,12 @@
 
 import pytest
 from loopback import Caller, Held, Peer, Scripted, ask, read_message, reply, request, running, until
+from test_upstream import Bytes
 
 from orchidledge import interface as api
+from orchidledge.http import server as server_module
+from orchidledge.http.back import HttpBack
 from orchidledge.interface import Result
-from orchidledge.net import server as server_module
-from orchidledge.net.upstream import Pool
 from orchidledge.settings import report_from
 
 
@@ -79,7 +80,7 @@
             # The one that has asked before is not among those that were closed.
             assert (await good.ask(request(name="q1"))).status == 200
             assert (await ask(node, request(name="q2"))).status == 200
-            assert node.counts["over the limit"] == 0
+            assert node.pool.counts["over the limit"] == 0
             for caller in (good, *strangers):
                 caller.writer.close()
 
@@ -113,7 +114,7 @@
             caller.writer.write(f"POST /post/1 HTTP/1.1\r\nReq-Id: q1\r\n{head}\r\n".encode() + b"0\r\n\r\n")
             assert (await caller.answer()).status == 400
             caller.writer.close()
-            assert (server.seen, node.jobs) == ([], {})
+            assert (server.seen, node.pool.jobs) == ([], {})
 
     asyncio.run(main())
 
@@ -181,7 +182,7 @@
             caller.writer.write(request("post", "q1") + request("post", "q2"))
             await until(lambda: server.seen)
             caller.writer.close()
-            await until(lambda: not node.jobs)
+            await until(lambda: not node.pool.jobs)
             assert len(server.seen) == 1
 
     asyncio.run(main())
@@ -191,13 +192,13 @@
     async def main():
         server = Held()
         async with running(server) as node:
-            node.balancer = scripted = Scripted(
+            node.pool.balancer = scripted = Scripted(
                 lambda event: [api.Send(event.id, "s0")] if isinstance(event, api.Request) else []
             )
             first = asyncio.create_task(ask(node, request("post", "q1")))
             await until(lambda: server.seen)
             assert (await ask(node, request("post", "q1"))).status == 400
-            assert (len(node.jobs), len(scripted.of(api.Request)), scripted.of(api.Lapsed)) == (1, 1, [])
+            assert (len(node.pool.jobs), len(scripted.of(api.Request)), scripted.of(api.Lapsed)) == (1, 1, [])
             server.release.set()
             assert (await first).status == 200
 
@@ -218,11 +219,11 @@
             await asyncio.sleep(0)
 
     server = await asyncio.start_server(serve, "127.0.0.1", 0)
-    servers = Pool(10, 10.0, 20.0)
+    servers = HttpBack(10, 10.0, 20.0, Bytes())
     servers.add("s", server.sockets[0].getsockname())
     done: asyncio.Future[Result] = asyncio.get_running_loop().create_future()
     data = b"POST /post/1 HTTP/1.1\r\nReq-Id: q\r\nContent-Length: 0\r\n\r\n"
-    servers.send("s", lambda wait: data, 20.0, lambda result, _: done.set_result(result))
+    servers.send("s", data, 20.0, lambda result, *_: done.set_result(result))
     result = await done
     await asyncio.sleep(0)
     kept = servers.size
@@ -283,7 +284,7 @@
         server = Peer(lambda message: asyncio.sleep(0, reply(200, Srv_Load='{"')))
         async with running(server) as node:
             assert (await ask(node, request())).status == 200
-            assert node.balancer.peers["s0"].queue == 0.0
+            assert node.pool.balancer.peers["s0"].queue == 0.0
 
     asyncio.run(main())
 
@@ -293,11 +294,11 @@
         async with running(Peer()) as node:
             caller = await Caller.to(node)
             assert (await caller.ask(request("post", "q1"))).status == 200
-            (inbound,), (outbound,) = node.server.connections, node.pool._open
+            (inbound,), (outbound,) = node.server.connections, node.back._open
             gone = [weakref.ref(inbound), weakref.ref(outbound)]
             del inbound, outbound
             caller.writer.close()
-            node.pool.remove("s0")
+            node.back.remove("s0")
             gc.disable()
             try:
                 await until(lambda: [one() for one in gone] == [None, None])
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -10,22 +10,33 @@
 import pytest
 from loopback import Held, Message, Peer, reply, until
 
+from orchidledge.http.back import HttpBack
+from orchidledge.http.client import ClientConnection, Response, readable
 from orchidledge.interface import Result
-from orchidledge.net.http import ClientConnection, Response, readable
-from orchidledge.net.upstream import Pool
+from orchidledge.platform.front import PlatformWire
 
 DATA = b"GET /read/1 HTTP/1.1\r\nReq-Id: q\r\n\r\n"
 
 
-def pool(**more: float) -> Pool:
+class Bytes(PlatformWire):
+    """Messages that are the bytes to send."""
+
+    def __init__(self) -> None:
+        super().__init__(())
+
+    def encode(self, message, wait_s):
+        return message(wait_s) if callable(message) else message
+
+
+def pool(**more: float) -> HttpBack:
     given = {"limit": 10, "server_idle_s": 10.0, "connect_timeout_s": 20.0} | more
-    return Pool(int(given["limit"]), given["server_idle_s"], given["connect_timeout_s"])
+    return HttpBack(int(given["limit"]), given["server_idle_s"], given["connect_timeout_s"], Bytes())
 
 
-async def result(pool: Pool, timeout_s: float = 20.0, data: bytes = DATA) -> Result:
+async def result(pool: HttpBack, timeout_s: float = 20.0, data: bytes = DATA) -> Result:
     done: asyncio.Future[Result] = asyncio.get_running_loop().create_future()
     # set_result raises on a second result, and asyncio's debug mode is not needed to see it
-    pool.send("s", lambda wait: data, timeout_s, lambda result, response: done.set_result(result))
+    pool.send("s", data, timeout_s, lambda result, response, report: done.set_result(result))
     return await done
 
 
@@ -292,7 +303,7 @@
         servers.add("s2", ("127.0.0.1", busy.port))
         ends: list[Result] = []
         for _ in range(3):
-            servers.send("s2", lambda wait: DATA, 20.0, lambda result, _: ends.append(result))
+            servers.send("s2", lambda wait: DATA, 20.0, lambda result, *_: ends.append(result))
         assert servers._servers["s"].idle == []
         await until(lambda: ends)
         assert ends == [Result.CONNECT_FAILED]  # the third: all are busy
