Let a class have fewer attempts than the settings, and the module tell its ranks

Need: a catalogue may allow a class fewer attempts than the rest, and operators want to see state and rank. Change: ServiceClass.max_attempts (0: the settings'), Balancer.survey, which leaves the random source as it was.

--- a/orchidledge/brain.py
+++ b/orchidledge/brain.py
@@ -274,6 +274,13 @@
         far = ZONE_WEIGHT * self.cfg.cross_zone_price if peer.info.zone != self.cfg.zone else 0.0
         return slow * (peer.load + queue + 1.0 + far) / failing * (1.0 + JITTER * (self.rng.random() - 0.5))
 
+    def survey(self, now: float) -> list[tuple[api.Server, float, float, float]]:
+        """Each server's line of the list, rank (less goes first), calls in flight and share of errors."""
+        state = self.rng.getstate()  # Guard: to look must not change what is drawn next.
+        rows = [(peer.info, self._rank(now, peer), peer.load, peer.errs) for peer in self.peers.values()]
+        self.rng.setstate(state)
+        return rows
+
     def _paced(self, now: float, peer: _Peer, ready: int) -> bool:
         """Guard: all balancers together must not push a cold server over. A call may go to it with the chance
         of its present share (from `cold_from`, even over `cold_ms`) of an average server's calls: a draw for
@@ -292,7 +299,8 @@
         if job.kind.late_worth <= 0.0 and not job.kind.stream:
             # Guard: late work is worth nothing, so it is stopped at the aim and does not crowd out the rest.
             left = min(left, job.taken_ms + job.kind.aim_ms * AIM_MARGIN - now)
-        if job.done or left <= 1.0 or len(job.tries) >= self.cfg.max_attempts:
+        most = min(self.cfg.max_attempts, job.kind.max_attempts or self.cfg.max_attempts)
+        if job.done or left <= 1.0 or len(job.tries) >= most:
             return False
         peer = self._pick(now, job)
         if peer is None:
--- a/orchidledge/interface.py
+++ b/orchidledge/interface.py
@@ -73,6 +73,7 @@
     scope: Scope = Scope.ALL
     memory_ms: float = 0.0  # how long the group remembers a key
     stream: bool = False
+    max_attempts: int = 0  # for one request, within the settings'; 0: the settings'
 
 
 @dataclass(slots=True, frozen=True)
@@ -107,7 +108,7 @@
         for at, item in enumerate(self.classes):
             for key in ("aim_ms", "give_up_ms"):
                 _within(f"classes[{at}].{key}", getattr(item, key), 0.001)
-            for key in ("worth", "late_worth", "memory_ms"):
+            for key in ("worth", "late_worth", "memory_ms", "max_attempts"):
                 _within(f"classes[{at}].{key}", getattr(item, key), 0)
         for at, tenant in enumerate(self.tenants):
             _within(f"tenants[{at}].quota_per_s", tenant.quota_per_s, 0)
