--- /dev/null
+++ b/orchidledge/standin/box.py
@@ -0,0 +1,236 @@
+"""A stand-in ledger box: answers HTTP/1.1, keeps how often each posting ran, and misbehaves as told.
+
+    python -m orchidledge.standin.box --port 0 --name box-1 --work-ms 4
+
+prints `NAME listens on HOST:PORT` and serves until it is ended, or for `--seconds`.
+
+What it answers: `GET /balance/...` a figure; anything else what it was sent; `/status/N` that status;
+`/big/N` so many bytes. Every answer names the box in `X-Box`.
+"""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import contextlib
+import sys
+from collections import Counter, deque
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+import httptools
+
+POSTING = b"x-posting"  # the header by which a posting is counted; else its idempotency key, else its id
+REASONS = {200: b"OK", 204: b"No Content", 304: b"Not Modified", 500: b"Error", 503: b"Unavailable"}
+
+
+@dataclass(slots=True)
+class Behaviour:
+    """How a box works from now on; changed while it runs."""
+
+    work_ms: float = 0.0  # of one core, for each request
+    cores: int = 64  # requests worked on at once
+    slow: float = 1.0  # times the work
+    hang: bool = False  # take requests and answer none
+    decline: bool = False  # turn all away, as a box that drains
+    die_mid_answer: int = 0  # so many next answers break off halfway, the connection with them
+    error: int = 0  # so many next answers are a 500, after the work was done
+
+
+@dataclass(slots=True)
+class Seen:
+    """One request as it came whole."""
+
+    method: bytes = b""
+    target: bytes = b""
+    headers: list[tuple[bytes, bytes]] = field(default_factory=list)
+    body: bytearray = field(default_factory=bytearray)
+    posting: str = ""
+
+    def header(self, name: bytes) -> bytes | None:
+        """The last header of this lower-case name."""
+        return next((value for key, value in reversed(self.headers) if key.lower() == name), None)
+
+
+class _Connection(asyncio.Protocol):
+    def __init__(self, box: Box) -> None:
+        self._box = box
+        self._parser = httptools.HttpRequestParser(self)
+        self._now = Seen()
+        self.transport: asyncio.Transport
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        assert isinstance(transport, asyncio.Transport)
+        self.transport = transport
+        self._box.connections.add(self)
+        self._box.accepted += 1
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self._box.connections.discard(self)
+
+    def data_received(self, data: bytes) -> None:
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserError:
+            self.transport.abort()
+
+    def on_message_begin(self) -> None:
+        self._now = Seen()
+
+    def on_url(self, url: bytes) -> None:
+        self._now.target += url
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        self._now.headers.append((name, value))
+
+    def on_body(self, body: bytes) -> None:
+        self._now.body += body
+
+    def on_message_complete(self) -> None:
+        self._now.method = self._parser.get_method()
+        self._box.take(self, self._now)
+
+
+class Box:
+    """One box. `ran` counts, for each posting, how often its work was begun."""
+
+    def __init__(
+        self,
+        name: str = "box",
+        behaviour: Behaviour | None = None,
+        answer: Callable[[Seen], bytes | None] | None = None,
+    ) -> None:
+        """`answer`, if given, makes the whole answer's bytes; None closes the connection instead."""
+        self.name = name
+        self.behaviour = behaviour or Behaviour()
+        self.answer = answer
+        self.ran: Counter[str] = Counter()
+        self.classes: Counter[str] = Counter()  # first path segment: how many were begun
+        self.seen: deque[Seen] = deque(maxlen=1000)
+        self.taken = self.served = self.declined = self.accepted = 0
+        self.connections: set[_Connection] = set()
+        self._queue: deque[tuple[_Connection, Seen]] = deque()
+        self._busy = 0
+        self._server: asyncio.Server | None = None
+        self._loop: asyncio.AbstractEventLoop
+
+    async def start(self, port: int = 0) -> Box:
+        self._loop = asyncio.get_running_loop()
+        self._server = await self._loop.create_server(
+            lambda: _Connection(self), "127.0.0.1", port, backlog=1024
+        )
+        return self
+
+    @property
+    def endpoint(self) -> str:
+        assert self._server is not None
+        return f"127.0.0.1:{self._server.sockets[0].getsockname()[1]}"
+
+    def stop(self) -> None:
+        """Die: the listener goes and all connections are reset."""
+        if self._server is not None:
+            self._server.close()
+        for connection in list(self.connections):
+            connection.transport.abort()
+        self._queue.clear()
+
+    # ----------------------------------------------------------------------- work
+
+    def take(self, connection: _Connection, seen: Seen) -> None:
+        self.taken += 1
+        how = self.behaviour
+        if how.decline:
+            self.declined += 1
+            connection.transport.write(
+                b"HTTP/1.1 503 Unavailable\r\nSrv-Declined: 1\r\nContent-Length: 0\r\n\r\n"
+            )
+            return
+        self._queue.append((connection, seen))
+        self._begin()
+
+    def _begin(self) -> None:
+        how = self.behaviour
+        while self._queue and self._busy < how.cores:
+            connection, seen = self._queue.popleft()
+            if connection.transport.is_closing():
+                continue  # its caller has given up; nothing of it has run
+            names = (seen.header(POSTING), seen.header(b"idempotency-key"), seen.header(b"req-id"))
+            seen.posting = next((name for name in names if name), b"").decode("latin-1")
+            self.ran[seen.posting] += 1
+            self.classes[seen.target.split(b"/", 2)[1].partition(b"?")[0].decode("latin-1")] += 1
+            self.seen.append(seen)
+            if how.hang:
+                continue
+            if how.work_ms <= 0.0:
+                self._finish(connection, seen)
+                continue
+            self._busy += 1
+            self._loop.call_later(how.work_ms * how.slow / 1000.0, self._worked, connection, seen)
+
+    def _worked(self, connection: _Connection, seen: Seen) -> None:
+        self._busy -= 1
+        self._finish(connection, seen)
+        self._begin()
+
+    def _finish(self, connection: _Connection, seen: Seen) -> None:
+        if connection.transport.is_closing():
+            return
+        if self.behaviour.hang:  # it began to hang while this was being worked on
+            return
+        data = self.answer(seen) if self.answer is not None else self._reply(seen)
+        if data is None:
+            connection.transport.abort()
+        elif self.behaviour.die_mid_answer > 0:
+            self.behaviour.die_mid_answer -= 1
+            connection.transport.write(data[: max(1, len(data) - 3)])
+            connection.transport.close()
+        else:
+            self.served += 1
+            connection.transport.write(data)
+
+    def _reply(self, seen: Seen) -> bytes:
+        parts = seen.target.partition(b"?")[0].split(b"/")
+        status, body = 200, bytes(seen.body)
+        if self.behaviour.error > 0:
+            self.behaviour.error -= 1
+            status, body = 500, b"posted, then failed"
+        elif parts[1] == b"status":
+            status = int(parts[2])
+        elif parts[1] == b"big":
+            body = b"x" * int(parts[2])
+        elif parts[1] == b"balance":
+            body = b'{"balance":"1204.50"}'
+        lines = [
+            b"HTTP/1.1 %d %s" % (status, REASONS.get(status, b"Word")),
+            b"X-Box: " + self.name.encode(),
+            b"Srv-Load: TEXT queue=%d" % len(self._queue),
+        ]
+        if status not in (204, 304):
+            lines.append(b"Content-Length: %d" % len(body))
+        if seen.method == b"HEAD" or status in (204, 304):
+            body = b""
+        return b"\r\n".join(lines) + b"\r\n\r\n" + body
+
+
+async def _serve(args: argparse.Namespace) -> None:
+    box = await Box(args.name, Behaviour(work_ms=args.work_ms, cores=args.cores)).start(args.port)
+    print(f"{args.name} listens on {box.endpoint}", flush=True)
+    with contextlib.suppress(asyncio.CancelledError):
+        await asyncio.sleep(args.seconds)
+    box.stop()
+
+
+def main(argv: list[str] | None = None) -> int:
+    parser = argparse.ArgumentParser(prog="python -m orchidledge.standin.box", description="A stand-in box.")
+    parser.add_argument("--name", default="box")
+    parser.add_argument("--port", type=int, default=0, help="on 127.0.0.1; 0 takes a free one")
+    parser.add_argument("--work-ms", type=float, default=0.0)
+    parser.add_argument("--cores", type=int, default=64)
+    parser.add_argument("--seconds", type=float, default=3600.0, help="after which it ends by itself")
+    with contextlib.suppress(KeyboardInterrupt):
+        asyncio.run(_serve(parser.parse_args(argv)))
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
