--- /dev/null
+++ b/orchidledge/cli/config.py
@@ -0,0 +1,297 @@
+"""`orchidledge config write | check | explain | drift | schema`."""
+
+from __future__ import annotations
+
+import argparse
+import os
+import resource
+import sys
+import urllib.error
+import urllib.request
+from pathlib import Path
+from tempfile import NamedTemporaryFile
+from typing import Any
+
+import orjson
+
+from orchidledge.sidecar.checks import check
+from orchidledge.sidecar.derive import Derived, derive, text_of
+from orchidledge.sidecar.drift import Difference, compare
+from orchidledge.sidecar.load import Document, UnusableError, read
+from orchidledge.sidecar.locate import Path as Place
+from orchidledge.sidecar.mistakes import Mistake, shown
+from orchidledge.sidecar.models import KINDS, Configuration, digest, plain
+from orchidledge.sidecar.toml import scalar
+
+FETCH_S = 3.0
+EXITS = "Exit codes: 0 none found, 1 mistakes or drift, 2 the call itself can't be carried out."
+
+
+def add_arguments(parser: argparse.ArgumentParser) -> None:
+    actions = parser.add_subparsers(dest="action", required=True, metavar="ACTION")
+
+    write = actions.add_parser(
+        "write", help="write a configuration from a catalogue and an application description", epilog=EXITS
+    )
+    write.add_argument("catalogue", help="the operators' file")
+    write.add_argument("application", help="the description")
+    write.add_argument(
+        "-o", "--output", help="file to write, whole or not at all; standard output by default"
+    )
+    write.set_defaults(run=_write)
+
+    checks = actions.add_parser(
+        "check",
+        help="find all mistakes in catalogues, descriptions and configurations",
+        description="Each mistake is one line, `file:line: path: what is wrong; what would be right`. A description "
+        "is held against the catalogue among the files. No file is changed.",
+        epilog=EXITS,
+    )
+    checks.add_argument("files", nargs="+", metavar="FILE")
+    checks.add_argument("--json", action="store_true", help="mistakes as JSON")
+    checks.add_argument(
+        "--descriptors",
+        type=int,
+        default=None,
+        help="how many a process may have where the sidecar runs; this machine's limit by default",
+    )
+    checks.set_defaults(run=_check)
+
+    explain = actions.add_parser(
+        "explain",
+        help="show each value that a configuration would have, and where it comes from",
+        epilog=EXITS,
+    )
+    explain.add_argument("catalogue")
+    explain.add_argument("application")
+    explain.add_argument(
+        "path", nargs="?", default="", help="only what begins so, as `classes[journal-post]`"
+    )
+    explain.add_argument("--json", action="store_true")
+    explain.set_defaults(run=_explain)
+
+    drift = actions.add_parser(
+        "drift",
+        help="compare configurations and running sidecars",
+        description="Tells which differences are meant, which are drift, and which of these endangers a rule.",
+        epilog=EXITS,
+    )
+    drift.add_argument("sources", nargs="+", metavar="FILE|URL", help="a file, or http://ADMIN-ADDRESS")
+    drift.add_argument("--json", action="store_true")
+    drift.add_argument("--all", action="store_true", help="show the differences that are meant too")
+    drift.set_defaults(run=_drift)
+
+    schema = actions.add_parser("schema", help="print JSON Schema (draft 2020-12) for editors")
+    schema.add_argument("kind", choices=sorted(KINDS))
+    schema.set_defaults(run=_schema)
+
+
+def descriptors_here() -> int:
+    """How many descriptors this process could have."""
+    hard = resource.getrlimit(resource.RLIMIT_NOFILE)[1]
+    return 2**31 if hard == resource.RLIM_INFINITY else hard
+
+
+def _unusable(error: object) -> int:
+    print(f"orchidledge: {error}", file=sys.stderr)
+    return 2
+
+
+def _documents(paths: list[str], descriptors: int) -> list[Document]:
+    """The files, each checked by itself. UnusableError if one can't be read."""
+    documents = [read(path) for path in paths]
+    for document in documents:
+        check(document, descriptors)
+    return documents
+
+
+def _tell(mistakes: list[Mistake]) -> int:
+    for mistake in mistakes:
+        print(mistake)
+    return 1 if mistakes else 0
+
+
+# ------------------------------------------------------------------------------ check
+
+
+def check_files(paths: list[str], descriptors: int) -> tuple[list[Document], list[str]]:
+    """All files, checked alone and together, and remarks on what was not checked."""
+    documents = _documents(paths, descriptors)
+    catalogues = [item for item in documents if item.kind == "catalogue"]
+    remarks = []
+    for document in documents:
+        if document.kind != "application" or document.model is None:
+            continue
+        wanted = document.model.catalogue
+        fitting = [item for item in catalogues if item.model is not None and item.model.name == wanted]
+        if len(catalogues) == 1:
+            fitting = catalogues
+        if not catalogues:
+            remarks.append(f"{document.name}: no catalogue among the files, so it was checked by itself only")
+        elif not fitting:
+            document.add(
+                ("catalogue",), f"none of the catalogues given is {wanted!r}", "name the one it is meant for"
+            )
+        elif not fitting[0].mistakes and not document.mistakes:
+            derive(fitting[0], document)
+        elif fitting[0].mistakes:
+            remarks.append(f"{document.name}: not held against {fitting[0].name}, which has mistakes itself")
+        elif document.model is not None and not document.spoilt:
+            derive(fitting[0], document)
+    return documents, remarks
+
+
+def _check(args: argparse.Namespace) -> int:
+    descriptors = descriptors_here() if args.descriptors is None else args.descriptors
+    try:
+        documents, remarks = check_files(args.files, descriptors)
+    except UnusableError as error:
+        return _unusable(error)
+    mistakes = sorted(mistake for document in documents for mistake in document.mistakes)
+    if args.json:
+        rows: dict[str, Any] = {"mistakes": [mistake.row() for mistake in mistakes], "remarks": remarks}
+        print(orjson.dumps(rows, option=orjson.OPT_INDENT_2).decode())
+        return 1 if mistakes else 0
+    for remark in remarks:
+        print(f"note: {remark}", file=sys.stderr)
+    return _tell(mistakes)
+
+
+# ------------------------------------------------------------------- write and explain
+
+
+def _derived(args: argparse.Namespace) -> tuple[Derived, Document, Document] | int:
+    try:
+        catalogue, application = _documents([args.catalogue, args.application], descriptors_here())
+    except UnusableError as error:
+        return _unusable(error)
+    for document, kind in ((catalogue, "catalogue"), (application, "application")):
+        if document.kind and document.kind != kind:
+            return _unusable(f"{document.name}: kind is {document.kind!r}, and {kind!r} is wanted here")
+    mistakes = catalogue.mistakes + application.mistakes
+    derived = None if mistakes else derive(catalogue, application)
+    if derived is None:
+        return _tell(mistakes or application.mistakes)
+    return derived, catalogue, application
+
+
+def _write(args: argparse.Namespace) -> int:
+    found = _derived(args)
+    if isinstance(found, int):
+        return found
+    text = text_of(*found)
+    if args.output is None:
+        sys.stdout.write(text)
+        return 0
+    try:
+        replace_file(Path(args.output), text)
+    except OSError as error:
+        return _unusable(f"{args.output}: {error.strerror or error}")
+    return 0
+
+
+def replace_file(path: Path, text: str) -> None:
+    """Put a whole new file in the place of the old one; OSError changes nothing."""
+    with NamedTemporaryFile(
+        "w", dir=path.parent, prefix=f".{path.name}.", delete=False, encoding="utf-8"
+    ) as file:
+        try:
+            file.write(text)
+            file.flush()
+            os.fsync(file.fileno())
+            os.chmod(file.name, 0o644)
+            os.replace(file.name, path)
+        except OSError:
+            os.unlink(file.name)
+            raise
+
+
+def _explain(args: argparse.Namespace) -> int:
+    found = _derived(args)
+    if isinstance(found, int):
+        return found
+    derived = found[0]
+    rows = []
+    for path, value in _values(derived.data, ()):
+        text = shown(path, derived.data)
+        if text.startswith(args.path):
+            rows.append({"path": text, "value": value, "from": derived.origins.get(path, "always so")})
+    if args.json:
+        print(orjson.dumps(rows, option=orjson.OPT_INDENT_2).decode())
+        return 0
+    for row in rows:
+        print(f"{row['path']} = {scalar(row['value'])}  <- {row['from']}")
+    if not rows:
+        return _unusable(f"no value's path begins with {args.path!r}")
+    return 0
+
+
+def _values(data: Any, path: Place) -> list[tuple[Place, Any]]:
+    if isinstance(data, dict):
+        return [row for key, value in data.items() for row in _values(value, (*path, key))]
+    if isinstance(data, list) and data and isinstance(data[0], dict):
+        return [row for at, value in enumerate(data) for row in _values(value, (*path, at))]
+    return [(path, data)]
+
+
+# ------------------------------------------------------------------------------ drift
+
+
+def _source(source: str) -> dict[str, Any]:
+    """A configuration's plain data from a file or a running sidecar; UnusableError if there is none."""
+    if source.startswith(("http://", "https://")):
+        try:
+            with urllib.request.urlopen(f"{source.rstrip('/')}/config", timeout=FETCH_S) as answer:
+                data = orjson.loads(answer.read())["configuration"]
+        except (OSError, urllib.error.URLError, ValueError, KeyError, TypeError) as error:
+            raise UnusableError(f"{source}: no configuration to be had: {error}") from error
+        model = Configuration.model_validate(data)
+    else:
+        document = read(source)
+        check(document)
+        if document.mistakes:
+            raise UnusableError(f"{source} has mistakes; `orchidledge config check {source}` tells them")
+        if not isinstance(document.model, Configuration):
+            raise UnusableError(f"{source}: kind is {document.kind!r}, and a configuration is wanted here")
+        model = document.model
+    return plain(model)
+
+
+def _drift(args: argparse.Namespace) -> int:
+    if len(args.sources) < 2:
+        return _unusable("drift needs two configurations or more")
+    try:
+        differences = compare([_source(source) for source in args.sources])
+    except (UnusableError, ValueError) as error:
+        return _unusable(" ".join(str(error).split()))
+    drifted = [item for item in differences if item.drift]
+    if args.json:
+        rows = [item.row(args.sources) for item in differences]
+        print(orjson.dumps(rows, option=orjson.OPT_INDENT_2).decode())
+        return 1 if drifted else 0
+    for item in differences if args.all else drifted:
+        print(_difference(item, args.sources))
+    meant = len(differences) - len(drifted)
+    endangering = sum(1 for item in drifted if item.rule)
+    print(f"{len(drifted)} drifted, {endangering} of them endanger a rule; {meant} meant", file=sys.stderr)
+    return 1 if drifted else 0
+
+
+def _difference(item: Difference, names: list[str]) -> str:
+    word = "meant" if not item.drift else f"DRIFT, endangers «{item.rule.value}»" if item.rule else "drift"
+    lines = [f"{item.path}: {word}" + (f": {item.why}" if item.drift else "")]
+    lines += [
+        f"    {name}: {'(none)' if value is None else scalar(value)}"
+        for name, value in zip(names, item.values, strict=True)
+    ]
+    return "\n".join(lines)
+
+
+def _schema(args: argparse.Namespace) -> int:
+    schema = KINDS[args.kind].model_json_schema(by_alias=True)
+    schema = {"$schema": "https://json-schema.org/draft/2020-12/schema"} | schema
+    print(orjson.dumps(schema, option=orjson.OPT_INDENT_2).decode())
+    return 0
+
+
+__all__ = ["add_arguments", "check_files", "descriptors_here", "digest", "replace_file"]
--- /dev/null
+++ b/orchidledge/sidecar/checks.py
@@ -0,0 +1,307 @@
+"""What is wrong with a file beyond the shape of its values: names that lead nowhere, routes that no request
+reaches, figures that can't hold together."""
+
+from __future__ import annotations
+
+import ipaddress
+from collections.abc import Callable, Iterable, Sequence
+from typing import Any
+
+from orchidledge.core.address import parse_address
+from orchidledge.router.paths import PathPattern
+from orchidledge.router.router import HeaderMatch, Route, Router
+from orchidledge.sidecar.load import Document
+from orchidledge.sidecar.locate import Path
+from orchidledge.sidecar.mistakes import near
+from orchidledge.sidecar.models import (
+    EFFECTS,
+    Application,
+    Catalogue,
+    ClassModel,
+    Configuration,
+    PoolModel,
+    RouteModel,
+)
+
+Say = Callable[[Path, str, str], None]
+
+SPARE_DESCRIPTORS = 16  # for listeners, discovery, standard streams and the event loop
+LEAST_EACH = 8  # descriptors for each listener and pool
+
+
+def check(document: Document, descriptors: int | None = None) -> None:
+    """Add what is wrong to the document's mistakes. `descriptors`: how many a process may have here."""
+    if document.model is None:
+        return
+
+    def say(path: Path, wrong: str, right: str) -> None:
+        # A mistake of shape in the same place is the cause; what follows from it is not told too.
+        if not any(_touch(path, spoilt) for spoilt in document.spoilt):
+            document.add(path, wrong, right)
+
+    model = document.model
+    if isinstance(model, Catalogue):
+        _catalogue(model, say, descriptors, document)
+    elif isinstance(model, Application):
+        _application(model, say)
+    elif isinstance(model, Configuration):
+        _configuration(model, say, descriptors, document)
+    document.mistakes.sort()
+
+
+def _touch(path: Path, spoilt: Path) -> bool:
+    """Whether both lie in the same entity: the same table at the top, or the same element of a list."""
+    size = 2 if len(path) > 1 and isinstance(path[1], int) else 1
+    return spoilt[:size] == path[:size] or (len(spoilt) == 1 and spoilt[0] == path[0])
+
+
+# ------------------------------------------------------------------ parts of several files
+
+
+def _unique(path: Path, names: Sequence[str], say: Say, key: str = "name") -> None:
+    for at, name in enumerate(names):
+        if name in names[:at]:
+            say(
+                (*path, at, key),
+                f"{name!r} stands twice",
+                f"the first is {key} of number {names.index(name)}",
+            )
+
+
+def _pools(pools: list[PoolModel], used: Iterable[str], say: Say) -> None:
+    _unique(("pools",), [pool.name for pool in pools], say)
+    wanted = set(used)
+    for at, pool in enumerate(pools):
+        here: Path = ("pools", at)
+        if pool.name not in wanted:
+            say((*here, "name"), f"no class uses pool {pool.name!r}", "leave it out, or name it in a class")
+        source = pool.servers_from
+        if source is None:
+            say(here, f"pool {pool.name!r} has no list", "add list, with source = 'static' or 'discovery'")
+        elif source.source == "discovery":
+            if source.address is None:
+                say((*here, "list"), "discovery has no address", "add address")
+            if source.servers:
+                say((*here, "list", "servers"), "stand beside discovery", "leave them out, or use 'static'")
+        else:
+            for key, value in (("address", source.address), ("mode", source.mode)):
+                if value is not None:
+                    say((*here, "list", key), "belongs to discovery", "leave it out, or use 'discovery'")
+            if not source.servers:
+                say((*here, "list"), f"pool {pool.name!r} has a list without servers", "add servers")
+            _unique((*here, "list", "servers"), [item.id for item in source.servers], say, "id")
+            _unique((*here, "list", "servers"), [item.address for item in source.servers], say, "address")
+            for number, item in enumerate(source.servers):
+                if pool.zones and item.zone not in pool.zones:
+                    path = (*here, "list", "servers", number, "zone")
+                    say(path, f"zone {item.zone!r} is not one of the pool's", near(item.zone, pool.zones))
+
+
+def _classes(classes: Sequence[ClassModel], pools: list[PoolModel], attempts: int, say: Say) -> None:
+    _unique(("classes",), [item.name for item in classes], say)
+    by_name = {pool.name: pool for pool in pools}
+    for at, item in enumerate(classes):
+        here: Path = ("classes", at)
+        pool = by_name.get(item.pool)
+        if pool is None:
+            say((*here, "pool"), f"there is no pool {item.pool!r}", near(item.pool, by_name))
+        elif item.give_up_ms <= pool.round_trip_ms:
+            say(
+                (*here, "give_up_ms"),
+                f"{item.give_up_ms:g} is not above the network's round trip of pool {pool.name!r}",
+                f"more than {pool.round_trip_ms:g}",
+            )
+        if item.aim_ms > item.give_up_ms:
+            say((*here, "aim_ms"), f"{item.aim_ms:g} is over give_up_ms", f"at most {item.give_up_ms:g}")
+        if item.attempts is not None and item.attempts > attempts:
+            say(
+                (*here, "attempts"), f"{item.attempts} is over the rules' max_attempts", f"at most {attempts}"
+            )
+        if item.effect == "keyed":
+            if item.memory_ms is None:
+                say(here, f"keyed class {item.name!r} has no memory_ms", "add how long boxes know a key")
+        else:
+            for key in ("key_header", "key_scope", "memory_ms"):
+                if getattr(item, key) is not None:
+                    say(
+                        (*here, key),
+                        f"belongs to a keyed class, and {item.name!r} is {item.effect}",
+                        "leave it out",
+                    )
+
+
+def route_of(model: RouteModel, service: str, pool: str, deadline_ms: float | None = None) -> Route:
+    return Route(
+        service=service,
+        pool=pool,
+        path=PathPattern.parse(model.path),
+        methods=frozenset(method.encode() for method in model.methods),
+        headers=tuple(
+            HeaderMatch(
+                item.name.lower().encode(), None if item.value is None else item.value.encode("latin-1")
+            )
+            for item in model.headers
+        ),
+        deadline_ms=deadline_ms,
+    )
+
+
+def _routes(found: list[tuple[Path, RouteModel, str]], say: Say, document: Document) -> None:
+    """Routes in the order in which they are asked, each with its path and class."""
+    for path, model, _ in found:
+        for at, item in enumerate(model.headers):
+            if item.value is not None and not (item.value.isascii() and item.value.isprintable()):
+                say(
+                    (*path, "headers", at, "value"),
+                    "is not printable ASCII",
+                    "a value that a header can have",
+                )
+                return
+    router = Router(route_of(model, service, "") for _, model, service in found)
+    for at, by in router.shadowed():
+        before, _, service = found[by]
+        say(
+            (*found[at][0], "path"),
+            f"no request reaches this route: the one at {document.at(before)} ({service}) takes all of them",
+            "put the narrower route first, or leave it out",
+        )
+
+
+def _limits(descriptors: int, parts: int, most: int | None, path: Path, say: Say) -> None:
+    if most is not None and descriptors > most:
+        say(path, f"{descriptors} is more than a process may have here", f"at most {most}")
+    least = SPARE_DESCRIPTORS + parts * LEAST_EACH
+    if descriptors < least:
+        say(path, f"{descriptors} is too few for {parts} listeners and pools", f"at least {least}")
+
+
+def _on_loopback(path: Path, text: str, say: Say) -> None:
+    host, _ = parse_address(text)
+    try:
+        good = ipaddress.ip_address(host).is_loopback
+    except ValueError:
+        good = False
+    if not good:
+        say(path, f"{host} is not a loopback address", "127.0.0.1 or [::1]")
+
+
+# ------------------------------------------------------------------------- whole files
+
+
+def _catalogue(model: Catalogue, say: Say, descriptors: int | None, document: Document) -> None:
+    _unique(("tenants",), [item.name for item in model.tenants], say)
+    _pools(model.pools, (item.pool for item in model.classes), say)
+    _classes(model.classes, model.pools, model.rules.max_attempts, say)
+    found: list[tuple[Path, RouteModel, str]] = []
+    for at, item in enumerate(model.classes):
+        if item.hedge and item.effect != "safe":
+            say(
+                ("classes", at, "hedge"), f"{item.name!r} is {item.effect}", "only a safe class may be hedged"
+            )
+        if not item.routes:
+            say(("classes", at), f"no route reaches class {item.name!r}", "add routes")
+        found += [
+            (("classes", at, "routes", number), route, item.name) for number, route in enumerate(item.routes)
+        ]
+    _routes(found, say, document)
+    _limits(model.limits.descriptors, 1 + len(model.pools), descriptors, ("limits", "descriptors"), say)
+
+
+def _application(model: Application, say: Say) -> None:
+    _on_loopback(("listen",), model.listen, say)
+    if model.admin is not None:
+        _on_loopback(("admin",), model.admin, say)
+        if _same(model.admin, model.listen):
+            say(("admin",), f"{model.admin} is the listener's address too", "another port")
+    elif parse_address(model.listen)[1] == 65535:
+        say(("listen",), "port 65535 leaves none after it for admin", "a lower port, or add admin")
+    effects: dict[str, tuple[int, str | None]] = {}
+    for at, call in enumerate(model.calls):
+        here: Path = ("calls", at)
+        if call.service in effects:
+            number, effect = effects[call.service]
+            if effect != call.effect:
+                say(
+                    (*here, "effect") if call.effect else here,
+                    f"class {call.service!r} is called with two effects, {call.effect} and {effect}",
+                    f"one effect for a class; the other stands in number {number}",
+                )
+            else:
+                say((*here, "class"), f"class {call.service!r} stands twice", "one entry for a class")
+        effects.setdefault(call.service, (at, call.effect))
+        if call.effect == "unsafe":
+            for key in ("retryable", "idempotent", "hedged"):
+                if getattr(call, key):
+                    say((*here, key), "can't be true of an unsafe call", "leave it out")
+
+
+def _same(one: str, other: str) -> bool:
+    first = parse_address(one)
+    return first[1] != 0 and first == parse_address(other)
+
+
+def _configuration(model: Configuration, say: Say, descriptors: int | None, document: Document) -> None:
+    _unique(("tenants",), [item.name for item in model.tenants], say)
+    _pools(model.pools, (item.pool for item in model.classes), say)
+    _classes(model.classes, model.pools, model.rules.max_attempts, say)
+    _unique(("listeners",), [item.name for item in model.listeners], say)
+    tenants = {item.name for item in model.tenants}
+    for at, listener in enumerate(model.listeners):
+        here: Path = ("listeners", at)
+        _on_loopback((*here, "address"), listener.address, say)
+        for before in model.listeners[:at]:
+            if _same(before.address, listener.address):
+                say(
+                    (*here, "address"), f"listener {before.name!r} has {listener.address} too", "another port"
+                )
+        if listener.tenant is not None and listener.tenant not in tenants:
+            say((*here, "tenant"), f"there is no tenant {listener.tenant!r}", near(listener.tenant, tenants))
+    if model.admin is not None:
+        _on_loopback(("admin", "address"), model.admin.address, say)
+        for listener in model.listeners:
+            if _same(model.admin.address, listener.address):
+                say(("admin", "address"), f"is listener {listener.name!r}'s address too", "another port")
+    _known_routes(model, say, document)
+    zones = {zone for pool in model.pools for zone in pool.zones}
+    if zones and model.zone not in zones:
+        say(("zone",), f"zone {model.zone!r} is not one of the pools'", near(model.zone, zones))
+    parts = len(model.listeners) + len(model.pools)
+    _limits(model.limits.descriptors, parts, descriptors, ("limits", "descriptors"), say)
+
+
+def _known_routes(model: Configuration, say: Say, document: Document) -> None:
+    classes: dict[str, Any] = {item.name: item for item in model.classes}
+    pools = {pool.name: pool for pool in model.pools}
+    reached = set()
+    for at, route in enumerate(model.routes):
+        here: Path = ("routes", at)
+        kind = classes.get(route.service)
+        if kind is None:
+            say((*here, "class"), f"there is no class {route.service!r}", near(route.service, classes))
+            continue
+        reached.add(kind.name)
+        if route.effect is not None and route.effect != kind.effect:
+            say(
+                (*here, "effect"),
+                f"is {route.effect!r}, and class {kind.name!r} is {kind.effect}",
+                f"{kind.effect!r}, or another class",
+            )
+        if route.deadline_ms is None:
+            continue
+        if route.deadline_ms > kind.give_up_ms:
+            say((*here, "deadline_ms"), "is over the class's give_up_ms", f"at most {kind.give_up_ms:g}")
+        pool = pools.get(kind.pool)
+        if pool is not None and route.deadline_ms <= pool.round_trip_ms:
+            say(
+                (*here, "deadline_ms"),
+                f"{route.deadline_ms:g} is not above the network's round trip of pool {pool.name!r}",
+                f"more than {pool.round_trip_ms:g}",
+            )
+    if not any(path[0] == "routes" for path in document.spoilt):
+        for at, item in enumerate(model.classes):
+            if item.name not in reached:
+                say(("classes", at), f"no route reaches class {item.name!r}", "add a route, or leave it out")
+    _routes([(("routes", at), route, route.service) for at, route in enumerate(model.routes)], say, document)
+
+
+__all__ = ["EFFECTS", "check", "route_of"]
--- /dev/null
+++ b/orchidledge/sidecar/mistakes.py
@@ -0,0 +1,52 @@
+"""Mistakes in files, and how they are told: place, what is wrong, what would be right."""
+
+from __future__ import annotations
+
+import difflib
+from collections.abc import Iterable
+from dataclasses import asdict, dataclass
+
+from orchidledge.sidecar.locate import Path
+
+
+@dataclass(slots=True, frozen=True, order=True)
+class Mistake:
+    file: str
+    line: int  # from 1; 0 where the file could not be read at all
+    path: str
+    wrong: str
+    right: str
+
+    def __str__(self) -> str:
+        return f"{self.file}:{self.line}: {self.path}: {self.wrong}; {self.right}"
+
+    def row(self) -> dict[str, object]:
+        return asdict(self)
+
+
+def near(word: str, known: Iterable[str]) -> str:
+    """`did you mean ...?`, or the names to choose from."""
+    names = sorted(known)
+    found = difflib.get_close_matches(word, names, 1, 0.6)
+    if found:
+        return f"did you mean {found[0]!r}?"
+    return f"one of {', '.join(names)}" if names else "none is defined"
+
+
+def shown(path: Path, data: object) -> str:
+    """A path as people read it: an element of a list by its name, where it has one."""
+    text = ""
+    for word in path:
+        if isinstance(word, int):
+            item = data[word] if isinstance(data, list) and word < len(data) else None
+            label = (
+                next((item[key] for key in ("name", "class", "id") if isinstance(item.get(key), str)), None)
+                if isinstance(item, dict)
+                else None
+            )
+            text += f"[{label if label is not None else word}]"
+            data = item
+        else:
+            text += f".{word}" if text else word
+            data = data.get(word) if isinstance(data, dict) else None
+    return text or "the file"
--- /dev/null
+++ b/orchidledge/sidecar/models.py
@@ -0,0 +1,244 @@
+"""The three files of a sidecar, as they are written: catalogue, application description, configuration.
+
+Times are milliseconds, rates are per second, sizes are bytes. Each model refuses keys that it does not know and
+values of another type; what goes beyond one value is checked in `checks`.
+"""
+
+from __future__ import annotations
+
+import hashlib
+from typing import Annotated, Literal
+
+import orjson
+from pydantic import AfterValidator, BaseModel, ConfigDict, Field
+
+from orchidledge.core.address import parse_address
+from orchidledge.router.paths import PathPattern
+
+VERSION = 1  # of all three files
+
+EffectName = Literal["safe", "keyed", "unsafe"]  # from the loosest to the strictest
+EFFECTS: tuple[EffectName, ...] = ("safe", "keyed", "unsafe")
+
+
+def _address(text: str) -> str:
+    parse_address(text)
+    return text
+
+
+def _path(text: str) -> str:
+    PathPattern.parse(text)
+    return text
+
+
+Name = Annotated[str, Field(pattern=r"^[A-Za-z0-9][A-Za-z0-9._-]{0,63}$")]
+HeaderName = Annotated[str, Field(pattern=r"^[A-Za-z0-9!#$%&'*+.^_`|~-]{1,64}$")]  # RFC 9110, section 5.6.2
+Method = Annotated[str, Field(pattern=r"^[A-Z]{1,16}$")]
+PathText = Annotated[str, AfterValidator(_path)]
+AddressText = Annotated[str, AfterValidator(_address)]
+Milliseconds = Annotated[float, Field(gt=0, le=86_400_000)]
+Share = Annotated[float, Field(ge=0, le=1)]
+
+
+class Model(BaseModel):
+    model_config = ConfigDict(extra="forbid", strict=True, frozen=True, allow_inf_nan=False)
+
+
+class Rules(Model):
+    """The figures of the four rules, the same at every sidecar of a pool."""
+
+    max_attempts: int = Field(3, ge=1, le=10, description="attempts for one request, the first one too")
+    may_cancel: bool = Field(True, description="an attempt that is no longer wanted is given up")
+    retry_after: bool = Field(True, description="a refusal may say when to come back")
+    max_retry_after_ms: float = Field(2000.0, ge=0, le=600_000)
+    told_within_ms: Milliseconds = Field(
+        10_000.0, description="a sidecar that has not heard of its list for so long asks again"
+    )
+    cold_from: float = Field(0.14, gt=0, le=1, description="share of its capacity that a box starts with")
+    cold_ms: float = Field(21_000.0, ge=0, le=86_400_000, description="until a box that started is warm")
+    overload_factor: float = Field(
+        4.0, gt=0, le=100, description="a cold box that gets this much of its present capacity falls over"
+    )
+    cross_zone_price: float = Field(0.0, ge=0, le=1000, description="what a call to another zone costs")
+    over_share_worth: Share = Field(1.0, description="what is left of worth beyond a tenant's quota")
+
+
+class Limits(Model):
+    """What one sidecar may hold."""
+
+    descriptors: int = Field(256, ge=64, le=1_048_576)
+    max_open: int = Field(1000, ge=1, le=1_000_000, description="requests open at once")
+    max_body_bytes: int = Field(1_048_576, ge=0, le=67_108_864)
+    request_ms: Milliseconds = Field(30_000.0, description="for a request to come in whole")
+    caller_idle_ms: Milliseconds = Field(60_000.0, description="a caller's connection may idle so long")
+
+
+class ListedServer(Model):
+    id: Name
+    address: AddressText
+    zone: str = ""
+    cell: int = Field(0, ge=0)
+
+
+class ListSource(Model):
+    """Where the servers of a pool come from."""
+
+    source: Literal["static", "discovery"]
+    address: AddressText | None = Field(None, description="of discovery")
+    mode: Literal["ask", "push"] | None = Field(None, description="whether discovery is asked or pushes")
+    servers: list[ListedServer] = Field([], description="of a static list")
+
+
+class PoolModel(Model):
+    name: Name
+    protocol: Literal["http"] = "http"
+    siblings: int = Field(
+        1, ge=1, le=100_000, description="sidecars and nodes that use the pool, this one too"
+    )
+    round_trip_ms: float = Field(1.0, ge=0, le=60_000, description="of the network, to the farthest box")
+    connect_timeout_ms: Milliseconds = 250.0
+    server_idle_ms: Milliseconds = Field(10_000.0, description="after which a box closes an idle connection")
+    report_fields: list[Literal["inflight", "queue", "util", "latency_ms", "qps", "eps"]] = Field(
+        [], description="what load reports hold that boxes send with answers"
+    )
+    zones: list[str] = Field([], description="the zones that there are; none: any")
+    servers_from: ListSource | None = Field(None, alias="list")
+
+
+class ClassModel(Model):
+    name: Name
+    pool: Name
+    effect: EffectName
+    aim_ms: Milliseconds = Field(description="an answer within this is worth all")
+    give_up_ms: Milliseconds = Field(description="the longest that a caller waits")
+    worth: float = Field(1.0, ge=0, le=1_000_000)
+    late_worth: Share = 0.0
+    attempts: int | None = Field(None, ge=1, le=10, description="at most the rules' max_attempts")
+    key_header: HeaderName | None = Field(None, description="of a keyed class: Idempotency-Key by default")
+    key_scope: Literal["all", "zone", "cell"] | None = Field(
+        None, description="of a keyed class: all by default"
+    )
+    memory_ms: Milliseconds | None = Field(None, description="of a keyed class: how long boxes know a key")
+
+
+class HeaderModel(Model):
+    name: HeaderName
+    value: str | None = Field(None, description="any, if it is not given")
+
+
+class RouteModel(Model):
+    methods: list[Method] = Field([], description="any, if none is given")
+    path: PathText = Field(description="segments: literal, {name}, or a last **")
+    headers: list[HeaderModel] = []
+
+
+class TenantModel(Model):
+    name: Name
+    quota_per_s: float = Field(ge=0, le=1_000_000_000)
+
+
+class CatalogueClass(ClassModel):
+    hedge: bool = Field(False, description="whether a second copy may be sent; safe classes only")
+    routes: list[RouteModel] = Field([], description="how its requests are told")
+
+
+class Catalogue(Model):
+    """The operators' file."""
+
+    kind: Literal["catalogue"]
+    version: int = Field(ge=1)
+    name: Name
+    rules: Rules = Rules()
+    limits: Limits = Limits()
+    tenants: list[TenantModel] = []
+    pools: list[PoolModel] = Field(min_length=1)
+    classes: list[CatalogueClass] = Field(min_length=1)
+
+
+class Call(Model):
+    """A class that the application calls, and what it wants stricter than the catalogue has it."""
+
+    service: Name = Field(alias="class")
+    rate: float = Field(gt=0, le=1_000_000)
+    deadline_ms: Milliseconds | None = None
+    attempts: int | None = Field(None, ge=1, le=10)
+    worth: float | None = Field(None, ge=0)
+    effect: EffectName | None = None
+    retryable: bool | None = Field(None, description="sent again although it may have run")
+    idempotent: bool | None = Field(None, description="a repeat does nothing")
+    hedged: bool | None = Field(None, description="a second copy while the first one runs")
+    routes: list[RouteModel] | None = Field(None, description="instead of the catalogue's")
+
+
+class OwnLimits(Model):
+    descriptors: int | None = Field(None, ge=64)
+    max_open: int | None = Field(None, ge=1)
+    max_body_bytes: int | None = Field(None, ge=0)
+
+
+class Application(Model):
+    """A subsidiary's short description of its system."""
+
+    kind: Literal["application"]
+    version: int = Field(ge=1)
+    name: Name
+    zone: str = ""
+    catalogue: Name | None = Field(None, description="the name of the catalogue that it is held against")
+    listen: AddressText
+    admin: AddressText | None = Field(None, description="the next port after the listener's by default")
+    tenant: Name | None = None
+    limits: OwnLimits = OwnLimits()
+    calls: list[Call] = Field(min_length=1)
+
+
+class ListenerModel(Model):
+    name: Name
+    address: AddressText
+    deadline_header: HeaderName = Field("Req-Deadline-Ms", description="a caller's deadline in whole ms")
+    tenant: Name | None = None
+
+
+class AdminModel(Model):
+    address: AddressText
+
+
+class ConfiguredRoute(RouteModel):
+    service: Name = Field(alias="class")
+    deadline_ms: Milliseconds | None = None
+    effect: EffectName | None = Field(None, description="if given, it has to be the class's")
+
+
+class Configuration(Model):
+    """What a sidecar runs from; written by the tool."""
+
+    kind: Literal["configuration"]
+    version: int = Field(ge=1)
+    name: Name
+    zone: str = ""
+    catalogue: Name | None = None
+    listeners: list[ListenerModel] = Field(min_length=1)
+    admin: AdminModel | None = None
+    rules: Rules = Rules()
+    limits: Limits = Limits()
+    tenants: list[TenantModel] = []
+    pools: list[PoolModel] = Field(min_length=1)
+    classes: list[ClassModel] = Field(min_length=1)
+    routes: list[ConfiguredRoute] = Field(min_length=1)
+
+
+KINDS: dict[str, type[Catalogue] | type[Application] | type[Configuration]] = {
+    "catalogue": Catalogue,
+    "application": Application,
+    "configuration": Configuration,
+}
+
+
+def plain(model: BaseModel) -> dict[str, object]:
+    """A model as plain data with the names of its file; what was not given is not there."""
+    data: dict[str, object] = model.model_dump(by_alias=True, exclude_none=True)
+    return data
+
+
+def digest(model: BaseModel) -> str:
+    """The same for the same values, whatever the layout of the file: SHA-256 of its canonical JSON."""
+    return hashlib.sha256(orjson.dumps(plain(model), option=orjson.OPT_SORT_KEYS)).hexdigest()
