Add the sidecar: plain HTTP/1.1 callers, an admin listener, and reloads whole or not at all

Callers need no ids: one is minted for each request; class and deadline come from the route table; end-to-end headers and the body pass unchanged both ways, HEAD, 204 and 304 too. What the sidecar says itself carries Proxy-Status (RFC 9209). A reload binds new sockets first, then changes routes, pools, limits and listeners in one step of the loop; requests open on what goes end where they began.

--- a/orchidledge/core/leaving.py
+++ b/orchidledge/core/leaving.py
@@ -9,7 +9,6 @@
 STOP_OPEN_S = 0.6  # after SIGTERM connections still come for up to 0.4 s
 STOP_SLACK_S = 0.6  # SIGKILL comes 0.7 s after the longest deadline at the soonest
 STOP_FINISH_S = 1.2  # of that time are left to finish what is held, on connections then closed
-LONGEST_DEADLINE_S = 3.0
 
 
 class Door(Protocol):
@@ -24,9 +23,9 @@
 
 
 async def finish(doors: Collection[Door], longest_s: float) -> None:
-    """Serve what still comes and finish what is held; over after the longest deadline and a little more."""
+    """Serve what still comes and finish what is held; over `longest_s` and a little more from now."""
     loop = asyncio.get_running_loop()
-    latest = loop.time() + min(longest_s, LONGEST_DEADLINE_S) + STOP_SLACK_S
+    latest = loop.time() + longest_s + STOP_SLACK_S
     # Guard: callers go on using the connections they have, and the nodes they would turn to may be
     # restarting too: closing at once left them with none. New ones may come at first, too.
     await asyncio.sleep(STOP_OPEN_S)
--- a/orchidledge/http/back.py
+++ b/orchidledge/http/back.py
@@ -156,6 +156,11 @@
     def size(self) -> int:
         return len(self._open) + len(self._opening)
 
+    @property
+    def endpoints(self) -> dict[str, Address]:
+        """The servers that are named, and where each is."""
+        return {name: server.endpoint for name, server in self._servers.items()}
+
     def add(self, name: str, endpoint: Address, launched_ms: float | None = None) -> None:
         """Name a server, its new endpoint or its latest start."""
         # Guard: a machine that vanished and is back resets what is written to connections from before.
--- a/orchidledge/http/server.py
+++ b/orchidledge/http/server.py
@@ -64,8 +64,9 @@
             self.on_gone = None  # which would hold what holds this call
             self.connection.answer(self, _head(status, len(body), retry_after_ms), body, 400 <= status < 500)
 
-    def pass_on(self, status: int, headers: list[Header], body: bytes) -> None:
-        """The final answer as a server gave it; framing headers are not among `headers`."""
+    def pass_on(self, status: int, headers: list[Header], body: bytes, unusable: bool = False) -> None:
+        """The final answer with these headers, whose length is written here unless it has no body;
+        `unusable`: so was the request."""
         if not self.answered:
             self.answered = True
             self.on_gone = None
@@ -75,7 +76,7 @@
                 body = b""
             else:
                 lines.append(b"Content-Length: %d" % len(body))
-            self.connection.answer(self, b"\r\n".join(lines) + b"\r\n", body, False)
+            self.connection.answer(self, b"\r\n".join(lines) + b"\r\n", body, unusable)
 
 
 def _phrase(status: int) -> bytes:
@@ -334,9 +335,17 @@
         host, port = self._listener.sockets[0].getsockname()[:2]
         return host, port
 
-    async def listen(self, host: str, port: int) -> None:
+    @staticmethod
+    def bind(host: str, port: int) -> socket.socket:
+        """A socket that callers can connect to, though nothing is taken from it yet; OSError without one."""
         family = socket.AF_INET6 if ":" in host else socket.AF_INET
-        raw = socket.create_server((host, port), family=family)
+        return socket.create_server((host, port), family=family, backlog=BACKLOG)
+
+    async def listen(self, host: str, port: int) -> None:
+        await self.serve(self.bind(host, port))
+
+    async def serve(self, raw: socket.socket) -> None:
+        """Take callers' connections from a bound socket."""
         # Guard: asyncio accepts as many as its `backlog` before it looks at any, and closed ones go a turn or
         # two later: a small one keeps a burst within the descriptors. The kernel's queue is then made long.
         self._listener = await self.loop.create_server(
--- a/orchidledge/lists/discovery.py
+++ b/orchidledge/lists/discovery.py
@@ -96,11 +96,12 @@
     def __init__(
         self,
         address: Address,
-        revision: int,
+        revision: int | None,
         wait_ms: float,
         endless: bool,
         on_news: Callable[[ListForm, Listing | None], None],
     ) -> None:
+        """`revision`: of the list that is held; None: there is none, so the whole is asked for first."""
         self._address = address
         self._revision = revision
         self._wait_ms = int(wait_ms)
@@ -156,7 +157,9 @@
             self._connection = connection
         call = _Call()
         host = f"{self._address[0]}:{self._address[1]}"
-        target = f"/discovery/hosts?since={self._revision}&timeout_ms={self._wait_ms}"
+        target = "/discovery/hosts"
+        if self._revision is not None:
+            target += f"?since={self._revision}&timeout_ms={self._wait_ms}"
         connection.start(f"GET {target} HTTP/1.1\r\nHost: {host}\r\n\r\n".encode(), call)
         response = await call.done
         if response.status != 200:
--- a/orchidledge/platform/node.py
+++ b/orchidledge/platform/node.py
@@ -21,6 +21,7 @@
 SPARE_SOCKETS = 16  # for the listener, discovery, standard streams and the event loop
 INBOUND_SHARE = 0.58  # of the other descriptors: callers' connections, lingering ones too;
 UPSTREAM_SHARE = 0.35  # servers'; what is left takes in a burst before others have been closed
+LONGEST_DEADLINE_S = 3.0  # the platform waits no longer before it kills
 STATS_S = 10.0
 BEAT_S = 0.1
 
@@ -74,7 +75,8 @@
         """Leave service: take what still comes, finish what is held, and end in time."""
         self.leaving = True
         self._set_ready()
-        await finish([self.server], max(kind.give_up_ms for kind in self.settings.classes) / 1000.0)
+        longest = max(kind.give_up_ms for kind in self.settings.classes) / 1000.0
+        await finish([self.server], min(longest, LONGEST_DEADLINE_S))
         self.pool.answer_all(Cause.LEAVING)
         await asyncio.sleep(0)
         self.close()
--- /dev/null
+++ b/orchidledge/runtime/__init__.py
@@ -0,0 +1,1 @@
+"""The running sidecar: fronts, pools, lists and admin listener put together, and put anew by a reload."""
--- /dev/null
+++ b/orchidledge/runtime/front.py
@@ -0,0 +1,221 @@
+"""Callers that speak plain HTTP/1.1 and know nothing of us, and the boxes that answer them.
+
+What is passed on follows RFC 9110, section 7.6: hop-by-hop fields go, all others stay as they came, in order and
+case. What a caller hears of our own carries a `Proxy-Status` field (RFC 9209); an answer without one is a box's.
+"""
+
+from __future__ import annotations
+
+import math
+import re
+import secrets
+from collections import Counter
+from collections.abc import Collection, Mapping
+from dataclasses import dataclass, field
+from itertools import count
+
+from orchidledge import interface as api
+from orchidledge.core.pool import Job, Pool
+from orchidledge.core.types import Answer, Cause, Kind
+from orchidledge.http.client import NO_BODY, Header, Response
+from orchidledge.http.server import Call, Dialect, Server
+from orchidledge.router.router import Router
+from orchidledge.settings import report_from
+
+WAY_BACK_S = 0.002  # an answer leaves this long before the caller's time is up: it is on this machine
+DEADLINE = re.compile(rb"[0-9]{1,9}")
+
+HOP_BY_HOP = frozenset(
+    b"connection keep-alive proxy-connection proxy-authenticate proxy-authorization te trailer".split()
+    + b"transfer-encoding upgrade".split()
+)
+# Ours or the connection's: written anew for each message.
+REQUEST_DROPPED = HOP_BY_HOP | frozenset(
+    b"content-length expect req-id req-deadline-ms req-owner req-retry".split()
+)
+RESPONSE_DROPPED = HOP_BY_HOP | frozenset(b"srv-load srv-declined".split())
+BODIED = frozenset((b"POST", b"PUT", b"PATCH"))
+
+# Of servers' answers these say that the work went wrong; others are the answer, whatever they say.
+ERRORS = frozenset((500, 502, 503, 504))
+
+# What a caller hears of a failure: status, and the error's type (RFC 9209, section 2.3).
+FAILURES = {
+    Cause.TIMEOUT: (504, "http_response_timeout"),
+    Cause.LATE: (504, "http_response_timeout"),
+    Cause.LEAVING: (504, "http_response_timeout"),
+    Cause.BROKEN: (502, "connection_terminated"),
+    Cause.FAULT: (500, "proxy_internal_error"),
+}
+
+
+@dataclass(slots=True)
+class Message:
+    """A request as it goes to a box, and the call that it answers."""
+
+    call: Call
+    id: str
+    host: str  # for a caller that named none
+    headers: list[Header] = field(default_factory=list)
+    tenant: str | None = None
+
+
+@dataclass(slots=True, frozen=True)
+class Plan:
+    """What is in force: replaced as a whole."""
+
+    name: str
+    router: Router
+    pools: Mapping[str, Pool]
+    key_headers: Mapping[str, bytes]  # of keyed classes, by lower-case name
+
+
+class SidecarWire:
+    """How boxes are asked on behalf of plain callers; a message is a `Message`."""
+
+    raw = True
+
+    def __init__(self, max_body: int, report_fields: tuple[str, ...]) -> None:
+        self.max_body = max_body
+        self._fields = report_fields
+
+    def encode(self, message: Message, wait_s: float) -> bytes:
+        call = message.call
+        lines = [call.method + b" " + call.target + b" HTTP/1.1"]
+        lines += [name + b": " + value for name, value in message.headers]
+        if b"host" not in call.headers:
+            lines.append(b"Host: " + message.host.encode())
+        lines.append(b"Req-Id: " + message.id.encode())
+        lines.append(b"Req-Deadline-Ms: %d" % max(1, int(wait_s * 1000.0)))
+        if message.tenant is not None:
+            lines.append(b"Req-Owner: " + message.tenant.encode())
+        if call.body or call.method in BODIED:
+            lines.append(b"Content-Length: %d" % len(call.body))
+        return b"\r\n".join(lines) + b"\r\n\r\n" + call.body
+
+    def bodiless(self, message: Message) -> bool:
+        return message.call.method == b"HEAD"
+
+    def read(self, response: Response) -> tuple[api.Result, dict[str, float] | None]:
+        load = response.headers.get(b"srv-load")
+        report = report_from(load.decode("latin-1"), self._fields) if load else None
+        if response.status in (503, 504) and response.headers.get(b"srv-declined") == b"1":
+            return api.Result.FULL, report
+        return (api.Result.ERROR if response.status in ERRORS else api.Result.OK), report
+
+
+class SidecarFront:
+    """One listener. Its plan is asked for anew with each request, so that a reload changes it in one step."""
+
+    def __init__(
+        self, limit: int, dialect: Dialect, plan: Plan, deadline_header: str, tenant: str | None
+    ) -> None:
+        self.plan = plan
+        self.server = Server(limit, self._on_call, dialect)
+        self.counts: Counter[str] = Counter()
+        self.configure(deadline_header, tenant)
+        self._ids = count(1)
+        self._mark = secrets.token_hex(6)  # ids of other sidecars and starts differ in this
+
+    def configure(self, deadline_header: str, tenant: str | None) -> None:
+        self._deadline = deadline_header.lower().encode()
+        self._tenant = tenant
+
+    # ------------------------------------------------------------------- requests
+
+    def _on_call(self, call: Call) -> None:
+        """A whole request has come in."""
+        plan = self.plan
+        self.counts["taken"] += 1
+        try:
+            route = plan.router.match(call.method, call.target, call.headers)
+        except ValueError as error:
+            self._deny(call, 400, "http_request_error", str(error))
+            return
+        if route is None:
+            self._deny(call, 404, "destination_not_found", "no route takes this request")
+            return
+        pool = plan.pools[route.pool]
+        kind = pool.classes[route.service]
+        wanted = kind.give_up_ms if route.deadline_ms is None else min(kind.give_up_ms, route.deadline_ms)
+        given = call.headers.get(self._deadline)
+        if given is not None:
+            if not DEADLINE.fullmatch(given):
+                self._deny(call, 400, "http_request_error", "the deadline is not in whole milliseconds")
+                return
+            wanted = min(wanted, float(given))
+        key = plan.key_headers.get(kind.name)
+        if kind.effect is api.Effect.KEYED and key is not None and not call.headers.get(key):
+            # Guard: sent on without a key, a repeat of it would not be dropped by any box.
+            self._deny(call, 400, "http_request_error", f"class {kind.name} needs {key.decode()}")
+            return
+        if pool.room.full or not self.server.make_room(spared_s=0.0):
+            # Guard: too many to hold. None of it has gone anywhere, so it is a refusal.
+            self._refuse(call, 0.0, "connection_limit_reached")
+            return
+        give_up_at = call.arrived + wanted / 1000.0 - WAY_BACK_S
+        name = f"{self._mark}-{next(self._ids):x}"
+        request = api.Request(
+            id=name,
+            service=kind.name,
+            give_up_at_ms=pool.clock.ms(give_up_at),
+            tenant=self._tenant,
+            is_retry=call.headers.get(b"req-retry") == b"1",
+        )
+        kept = {b"host"} if key is None else {b"host", key}
+        headers = passed_on(
+            call.raw, call.headers.get(b"connection"), REQUEST_DROPPED | {self._deadline}, kept
+        )
+        message = Message(call, name, route.pool, headers, self._tenant)
+        job = pool.take(request, give_up_at, message, self._deliver)
+        if not job.done:
+            call.on_gone = lambda: pool.leave(job)
+
+    # -------------------------------------------------------------------- answers
+
+    def _deliver(self, job: Job, answer: Answer) -> None:
+        call: Call = job.message.call
+        if answer.reply is not None:  # a box's word, its errors too
+            self._pass_on(call, answer.reply)
+        elif answer.kind is Kind.REFUSED:
+            self._refuse(call, answer.retry_after_ms, "destination_unavailable")
+        else:
+            status, error = FAILURES[answer.cause]
+            self._say(call, status, error, "failed: it may have run")
+
+    def _pass_on(self, call: Call, reply: Response) -> None:
+        self.counts[f"answered {reply.status}"] += 1
+        # What has no body keeps the length that its head speaks of; else it is written for the body as it goes.
+        bodiless = call.method == b"HEAD" or reply.status in NO_BODY
+        dropped = RESPONSE_DROPPED if bodiless else RESPONSE_DROPPED | {b"content-length"}
+        headers = passed_on(reply.raw, reply.headers.get(b"connection"), dropped, ())
+        call.pass_on(reply.status, headers, bytes(reply.body))
+
+    def _deny(self, call: Call, status: int, error: str, why: str) -> None:
+        self._say(call, status, error, f"refused: {why}")
+
+    def _refuse(self, call: Call, retry_after_ms: float, error: str) -> None:
+        # Retry-After has whole seconds (RFC 9110, section 10.2.3); with nothing to say, none is sent.
+        self._say(call, 503, error, "refused: it never ran", math.ceil(retry_after_ms / 1000.0))
+
+    def _say(self, call: Call, status: int, error: str, details: str, retry_after_s: int = 0) -> None:
+        self.counts[f"own {status}"] += 1
+        said = f'{self.plan.name}; error={error}; details="{details}"'
+        headers = [(b"Proxy-Status", said.encode("ascii", "replace")), (b"Content-Type", b"text/plain")]
+        if retry_after_s > 0:
+            headers.append((b"Retry-After", b"%d" % retry_after_s))
+        call.pass_on(status, headers, f"{details}\n".encode(), unusable=status in (400, 404))
+
+
+def passed_on(
+    headers: list[Header], connection: bytes | None, dropped: Collection[bytes], kept: Collection[bytes]
+) -> list[Header]:
+    """End-to-end fields as they came; `connection`, the value of that field, names more that end here.
+
+    Guard: a caller that names Host or its key there would have its request taken for another by the box, so
+    `kept` go on all the same.
+    """
+    if connection is not None:
+        named = {item.strip().lower() for item in connection.split(b",")} - set(kept)
+        dropped = named.union(dropped)
+    return [(name, value) for name, value in headers if name.lower() not in dropped]
--- /dev/null
+++ b/orchidledge/runtime/sidecar.py
@@ -0,0 +1,371 @@
+"""The running sidecar: what its configuration names is made, and made anew by a reload, whole or not at all."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import random
+import socket
+import time
+from collections import Counter
+from collections.abc import Iterable
+from dataclasses import dataclass
+from typing import Any
+
+from orchidledge import interface as api
+from orchidledge.core.address import Address, parse_address
+from orchidledge.core.clock import Clock
+from orchidledge.core.leaving import finish
+from orchidledge.core.pool import Pool
+from orchidledge.core.types import Cause, Room
+from orchidledge.http.back import HttpBack
+from orchidledge.http.server import Dialect, Server
+from orchidledge.lists.discovery import Listing, Watcher, watch_ms
+from orchidledge.router.router import Router
+from orchidledge.runtime.admin import Admin
+from orchidledge.runtime.front import Plan, SidecarFront, SidecarWire
+from orchidledge.sidecar.checks import SPARE_DESCRIPTORS, route_of
+from orchidledge.sidecar.models import ClassModel, Configuration, ListSource, PoolModel, digest, plain
+
+log = logging.getLogger("orchidledge")
+
+INBOUND_SHARE = 0.58  # of the descriptors: callers' connections;
+UPSTREAM_SHARE = 0.35  # boxes'; what is left takes in a burst before others have been closed
+STATS_S = 10.0
+RETIRE_S = 0.05  # between two looks at what a reload has retired
+EFFECTS = {"safe": api.Effect.SAFE, "keyed": api.Effect.KEYED, "unsafe": api.Effect.UNSAFE}
+DEFAULT_KEY = "Idempotency-Key"
+
+
+class ReloadError(Exception):
+    """A configuration that can't be put in force; nothing has changed."""
+
+
+def settings_of(configuration: Configuration, pool: PoolModel) -> api.Settings:
+    """What the decision module of a pool is told."""
+    rules = configuration.rules
+    source = pool.servers_from
+    return api.Settings(
+        classes=tuple(_kind(item) for item in configuration.classes if item.pool == pool.name),
+        tenants=tuple(api.Tenant(item.name, item.quota_per_s) for item in configuration.tenants),
+        zone=configuration.zone,
+        siblings=pool.siblings,
+        ask_discovery=source is not None and source.source == "discovery" and source.mode != "push",
+        over_share_worth=rules.over_share_worth,
+        report_fields=tuple(pool.report_fields),
+        may_cancel=rules.may_cancel,
+        retry_after=rules.retry_after,
+        max_retry_after_ms=rules.max_retry_after_ms,
+        max_attempts=rules.max_attempts,
+        cross_zone_price=rules.cross_zone_price,
+        cold_from=rules.cold_from,
+        cold_ms=rules.cold_ms,
+        overload_factor=rules.overload_factor,
+    )
+
+
+def _kind(item: ClassModel) -> api.ServiceClass:
+    return api.ServiceClass(
+        name=item.name,
+        aim_ms=item.aim_ms,
+        give_up_ms=item.give_up_ms,
+        worth=item.worth,
+        late_worth=item.late_worth,
+        effect=EFFECTS[item.effect],
+        scope=api.Scope(item.key_scope or "all"),
+        memory_ms=item.memory_ms or 0.0,
+        max_attempts=item.attempts or 0,
+    )
+
+
+@dataclass(slots=True)
+class _Managed:
+    """A pool with what feeds it, and what of the configuration it was made from."""
+
+    pool: Pool
+    back: HttpBack
+    settings: api.Settings
+    model: PoolModel
+    watcher: Watcher | None = None
+
+    def close(self) -> None:
+        if self.watcher is not None:
+            self.watcher.close()
+        self.pool.close()
+
+
+@dataclass(slots=True)
+class _Open:
+    """A listener, and what its socket was bound by."""
+
+    key: tuple[str, str]
+    front: SidecarFront
+
+
+class Sidecar:
+    def __init__(self, configuration: Configuration) -> None:
+        self.loop = asyncio.get_running_loop()
+        self.clock = Clock(self.loop)
+        self.configuration = configuration
+        self.digest = digest(configuration)
+        self.since = time.time()
+        self.rejected: dict[str, Any] | None = None
+        self.room = Room(configuration.limits.max_open)
+        self.managed: dict[str, _Managed] = {}
+        self.listeners: dict[str, _Open] = {}
+        self.admin: Admin | None = None
+        self._admin_key = ""
+        self.leaving = False
+        self._retired: set[asyncio.Task[None]] = set()  # what ends listeners and pools of before
+        self._old: list[_Managed] = []  # pools that still hold requests
+        self._stats_timer: asyncio.TimerHandle | None = None
+
+    # ----------------------------------------------------------------- what is told
+
+    @property
+    def pools(self) -> dict[str, Pool]:
+        return {name: item.pool for name, item in self.managed.items()}
+
+    @property
+    def ready(self) -> bool:
+        return not self.leaving and all(item.pool.up for item in self.managed.values())
+
+    def config_row(self) -> dict[str, Any]:
+        return {
+            "configuration": plain(self.configuration),
+            "digest": self.digest,
+            "since": self.since,
+            "rejected": self.rejected,
+        }
+
+    # ------------------------------------------------------------------- life cycle
+
+    async def start(self) -> None:
+        """Put the configuration in force. OSError if an address can't be had; then nothing is left open."""
+        await self._put(self.configuration)
+        self._stats()
+
+    async def reload(self, configuration: Configuration) -> None:
+        """Put another configuration in force; ReloadError or OSError leaves the one that is."""
+        if configuration.name != self.configuration.name:
+            raise ReloadError(
+                f"name: {configuration.name!r} can't replace {self.configuration.name!r} while it runs; restart"
+            )
+        await self._put(configuration)
+        self.configuration = configuration
+        self.digest = digest(configuration)
+        self.since = time.time()
+        self.rejected = None
+
+    def reject(self, why: str) -> None:
+        """Remember that a configuration was not put in force."""
+        self.rejected = {"at": time.time(), "why": why}
+
+    async def stop(self) -> None:
+        """Leave service: take what still comes, finish what is held, and end in time."""
+        self.leaving = True
+        longest = max(item.give_up_ms for item in self.configuration.classes) / 1000.0
+        await finish([item.front.server for item in self.listeners.values()], longest)
+        for managed in (*self.managed.values(), *self._old):
+            managed.pool.answer_all(Cause.LEAVING)
+        await asyncio.sleep(0)
+        self.close()
+
+    def close(self) -> None:
+        for task in self._retired:
+            task.cancel()
+        for item in self.listeners.values():
+            item.front.server.close()
+        if self.admin is not None:
+            self.admin.server.close()
+        for managed in (*self.managed.values(), *self._old):
+            managed.close()
+        if self._stats_timer is not None:
+            self._stats_timer.cancel()
+
+    # ------------------------------------------------------------ putting in force
+
+    async def _put(self, new: Configuration) -> None:
+        """First all that may fail, then the change in one step of the loop."""
+        usable = new.limits.descriptors - SPARE_DESCRIPTORS
+        callers = max(1, int(usable * INBOUND_SHARE) // len(new.listeners))
+        boxes = max(1, int(usable * UPSTREAM_SHARE) // len(new.pools))
+        pools = {model.name: self._pool(new, model, boxes) for model in new.pools}
+        plan = Plan(
+            name=new.name,
+            router=_router(new),
+            pools={name: managed.pool for name, managed in pools.items()},
+            key_headers={
+                item.name: (item.key_header or DEFAULT_KEY).lower().encode()
+                for item in new.classes
+                if item.effect == "keyed"
+            },
+        )
+        dialect = Dialect(
+            max_body=new.limits.max_body_bytes,
+            raw=True,
+            request_s=new.limits.request_ms / 1000.0,
+            idle_s=new.limits.caller_idle_ms / 1000.0,
+        )
+        listeners: dict[str, _Open] = {}
+        bound: list[tuple[Server, socket.socket]] = []
+        admin, admin_key = self.admin, new.admin.address if new.admin else ""
+        kept = {item.key: item for item in self.listeners.values()}
+        try:
+            for model in new.listeners:
+                host, port = parse_address(model.address)
+                # A free port is another one each time, so such a listener is known by its name.
+                key = (model.address, model.name if port == 0 else "")
+                found = kept.get(key)
+                if found is None:
+                    front = SidecarFront(callers, dialect, plan, model.deadline_header, model.tenant)
+                    bound.append((front.server, Server.bind(host, port)))
+                    found = _Open(key, front)
+                listeners[model.name] = found
+            if admin_key != self._admin_key:
+                admin = Admin(self) if new.admin else None
+                if admin is not None:
+                    bound.append((admin.server, Server.bind(*parse_address(admin_key))))
+        except OSError:
+            for _, raw in bound:
+                raw.close()
+            for name, managed in pools.items():
+                if managed is not self.managed.get(name):
+                    managed.close()
+            raise
+        # From here on nothing fails, and nothing waits until all is in force.
+        for model in new.listeners:
+            front = listeners[model.name].front
+            front.plan = plan
+            front.configure(model.deadline_header, model.tenant)
+            front.server.limit, front.server.dialect = callers, dialect
+        going = [item for item in self.listeners.values() if item not in listeners.values()]
+        old_pools = [item for name, item in self.managed.items() if item is not pools.get(name)]
+        old_admin = self.admin if admin is not self.admin else None
+        before = self.managed
+        self.room.limit = new.limits.max_open
+        self.listeners, self.managed = listeners, pools
+        self.admin, self._admin_key = admin, admin_key
+        for pool_model in new.pools:
+            self._feed(pools[pool_model.name], pool_model, new, boxes, before.get(pool_model.name))
+        if old_admin is not None:
+            old_admin.server.close()
+            old_admin.server.close_idle()
+        for item in going:
+            self._retire(self._end_listener(item.front))
+        for managed in old_pools:
+            self._retire(self._end_pool(managed))
+        for server, raw in bound:
+            await server.serve(raw)
+
+    def _pool(self, new: Configuration, model: PoolModel, boxes: int) -> _Managed:
+        """The pool that is there if its decisions would be the same, else a new one."""
+        settings = settings_of(new, model)
+        known = self.managed.get(model.name)
+        wire = SidecarWire(new.limits.max_body_bytes, tuple(model.report_fields))
+        if known is not None and known.settings == settings and _connects_alike(known.model, model):
+            return known
+        back = HttpBack(boxes, model.server_idle_ms / 1000.0, model.connect_timeout_ms / 1000.0, wire)
+        pool = Pool(settings, random.getrandbits(64), self.clock, back, self.room)
+        return _Managed(pool, back, settings, model)
+
+    def _feed(
+        self, managed: _Managed, model: PoolModel, new: Configuration, boxes: int, old: _Managed | None
+    ) -> None:
+        """Have a pool follow the list that its configuration names; `old` is the one it takes over from."""
+        source = model.servers_from
+        assert source is not None  # as checked
+        managed.back.limit = boxes
+        managed.back.wire = SidecarWire(new.limits.max_body_bytes, tuple(model.report_fields))
+        fed = bool(managed.pool.up) or managed.watcher is not None
+        before = managed.model.servers_from if fed else None
+        managed.model = model
+        if source == before:
+            return
+        if source.source == "static":
+            if managed.watcher is not None:
+                managed.watcher.close()
+                managed.watcher = None
+            managed.pool.on_list(api.ListForm.FULL, *_static(source))
+            return
+        address = parse_address(source.address)
+        if managed.watcher is not None and before is not None and before.mode == source.mode:
+            managed.watcher.move(address)
+            return
+        if managed.watcher is not None:
+            managed.watcher.close()
+        if old is not None and old is not managed:
+            # Guard: until discovery had answered, a pool made anew knew no box and refused everything.
+            servers = tuple(peer.info for peer in old.pool.balancer.peers.values())
+            managed.pool.on_list(api.ListForm.CACHED, servers, old.back.endpoints)
+        self._watch(managed, address, source.mode == "push", new.rules.told_within_ms)
+
+    def _watch(self, managed: _Managed, address: Address, endless: bool, told_within_ms: float) -> None:
+        def on_news(form: api.ListForm, listing: Listing | None) -> None:
+            if listing is None:
+                managed.pool.on_list(form)
+            else:
+                managed.pool.on_list(form, listing.servers, listing.endpoints)
+
+        watcher = Watcher(address, None, watch_ms(told_within_ms), endless, on_news)
+        managed.watcher = watcher
+        managed.pool.watch = watcher.start
+        if not managed.pool.up:
+            managed.pool.on_list(api.ListForm.CACHED)
+        watcher.start()
+
+    # -------------------------------------------------------- what a reload retires
+
+    def _retire(self, ending: Any) -> None:
+        task = asyncio.create_task(ending)
+        self._retired.add(task)
+        task.add_done_callback(self._retired.discard)
+
+    async def _end_listener(self, front: SidecarFront) -> None:
+        """Take no more connections, answer what is open, and let each connection end between requests."""
+        front.server.close()
+        front.server.stopping = True
+        while front.server.connections:
+            front.server.close_idle()
+            await asyncio.sleep(RETIRE_S)
+
+    async def _end_pool(self, managed: _Managed) -> None:
+        """Its requests end where they began, by the list that they began with; drains still come."""
+        self._old.append(managed)
+        while managed.pool.jobs:
+            await asyncio.sleep(RETIRE_S)
+        self._old.remove(managed)
+        managed.close()
+
+    # ---------------------------------------------------------------------- figures
+
+    def _stats(self) -> None:
+        """One line of figures every few seconds."""
+        counts: Counter[str] = Counter()
+        for holder in (
+            *(item.front.counts for item in self.listeners.values()),
+            *(pool.counts for pool in self.pools.values()),
+        ):
+            counts.update(holder)
+            holder.clear()
+        figures = ", ".join(f"{name} {count}" for name, count in sorted(counts.items()))
+        callers = sum(len(item.front.server.connections) for item in self.listeners.values())
+        log.info("%s: %s; open %d, callers %d", self.configuration.name, figures, self.room.open, callers)
+        self._stats_timer = self.loop.call_later(STATS_S, self._stats)
+
+
+def _router(configuration: Configuration) -> Router:
+    pools = {item.name: item.pool for item in configuration.classes}
+    return Router(
+        route_of(route, route.service, pools[route.service], route.deadline_ms)
+        for route in configuration.routes
+    )
+
+
+def _connects_alike(one: PoolModel, other: PoolModel) -> bool:
+    return (one.server_idle_ms, one.connect_timeout_ms) == (other.server_idle_ms, other.connect_timeout_ms)
+
+
+def _static(source: ListSource) -> tuple[tuple[api.Server, ...], dict[str, Address]]:
+    servers: Iterable[api.Server] = (api.Server(item.id, item.zone, item.cell) for item in source.servers)
+    return tuple(servers), {item.id: parse_address(item.address) for item in source.servers}
