Add orchidledge try: a sidecar, stand-in boxes in trouble, and what came of it

Boxes, discovery and load run in one process, the sidecar in its own; the configuration is written by the tool from the shipped catalogue.

--- /dev/null
+++ b/orchidledge/cli/trial.py
@@ -0,0 +1,349 @@
+"""`orchidledge try`: a sidecar between an application and stand-in boxes that get into trouble.
+
+Everything runs on 127.0.0.1 and ends by itself. The configuration is written by the tool from the shipped
+catalogue and description; the sidecar is a process of its own, as it would be in service.
+"""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import contextlib
+import random
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import time
+from collections import Counter, defaultdict
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from importlib.resources import files
+from pathlib import Path
+
+from rich.console import Console, Group
+from rich.live import Live
+from rich.table import Table
+
+from orchidledge.cli.config import replace_file
+from orchidledge.core.address import parse_address
+from orchidledge.http.client import Response
+from orchidledge.sidecar.checks import check
+from orchidledge.sidecar.derive import derive, text_of
+from orchidledge.sidecar.load import parse
+from orchidledge.standin.box import Behaviour, Box, Seen
+from orchidledge.standin.caller import Application, LostError
+from orchidledge.standin.discovery import Discovery
+
+GRACE_S = 0.5  # after a drain is told nothing new may reach the box
+START_S = 15.0
+TICK_S = 0.25
+ZONES = ("dar-kariakoo", "dar-mikocheni", "arusha", "dodoma")
+SHARES = {"balance-read": 0.5, "journal-post": 0.3, "invoice-record": 0.2}
+
+
+def add_arguments(parser: argparse.ArgumentParser) -> None:
+    parser.add_argument("--seconds", type=float, default=10.0, help="how long the load lasts (2 to 600)")
+    parser.add_argument("--rate", type=float, default=150.0, help="requests a second (1 to 2000)")
+    parser.add_argument("--boxes", type=int, default=5, help="4 to 50")
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument(
+        "--keep", metavar="FOLDER", help="where catalogue, description and configuration stay"
+    )
+    parser.add_argument("--plain", action="store_true", help="lines, as on what is no terminal")
+    parser.epilog = "Exit codes: 0 the rules were kept, 1 one was broken, 2 the call can't be carried out."
+    parser.set_defaults(run=run)
+
+
+@dataclass
+class Tally:
+    """What came of the requests of one class."""
+
+    asked: int = 0
+    served: int = 0
+    refused: int = 0
+    failed: int = 0
+    lost: int = 0
+    waits_ms: list[float] = field(default_factory=list)
+
+    def row(self) -> list[str]:
+        waits = sorted(self.waits_ms) or [0.0]
+        figures = (self.asked, self.served, self.refused, self.failed, self.lost)
+        p50, p99 = waits[len(waits) // 2], waits[len(waits) * 99 // 100]
+        return [*(str(figure) for figure in figures), f"{p50:.0f}", f"{p99:.0f}"]
+
+
+@dataclass
+class Step:
+    """Something that happens to a box, at a share of the time."""
+
+    at: float
+    text: str
+    do: Callable[[], None]
+    done: bool = False
+
+
+class Trial:
+    def __init__(self, args: argparse.Namespace, folder: Path) -> None:
+        self.seconds: float = args.seconds
+        self.rate: float = args.rate
+        self.folder = folder
+        self.rng = random.Random(args.seed)
+        self.boxes = [
+            Box(f"box-{at + 1}", Behaviour(work_ms=12.0, cores=4), self._noting(at))
+            for at in range(args.boxes)
+        ]
+        self.discovery = Discovery()
+        self.tallies: dict[str, Tally] = defaultdict(Tally)
+        self.unsafe: set[str] = set()
+        self.drained_at: dict[int, float] = {}
+        self.late_at_drained = 0
+        self.steps: list[Step] = []
+        self.began = 0.0
+        self.said: list[str] = []
+
+    def _noting(self, at: int) -> Callable[[Seen], bytes | None]:
+        def answer(seen: Seen) -> bytes:
+            body = bytes(seen.body) or b'{"balance":"1204.50"}'
+            return (
+                b"HTTP/1.1 200 OK\r\nX-Box: %d\r\nSrv-Load: TEXT queue=0\r\nContent-Length: %d\r\n\r\n%s"
+                % (
+                    at + 1,
+                    len(body),
+                    body,
+                )
+            )
+
+        return answer
+
+    # ---------------------------------------------------------------------- running
+
+    async def run(self, show: Callable[[Trial], None]) -> bool:
+        """Whether the rules were kept."""
+        await self.discovery.start()
+        for at, box in enumerate(self.boxes):
+            await box.start()
+            self.discovery.tell(box, zone=ZONES[at % len(ZONES)], cell=at)
+        path, listen, admin = self.write()
+        command = [sys.executable, "-m", "orchidledge.cli", "sidecar", str(path)]
+        with (self.folder / "sidecar.log").open("wb") as log_file:
+            process = subprocess.Popen(command, stdout=log_file, stderr=log_file)
+        application, operator = Application(parse_address(listen)), Application(parse_address(admin))
+        try:
+            await self._until_ready(operator, process)
+            await self._load(application, show)
+        finally:
+            process.send_signal(signal.SIGTERM)
+            try:
+                await asyncio.to_thread(process.wait, 30)
+            except subprocess.TimeoutExpired:
+                process.kill()
+            application.close()
+            operator.close()
+            self.discovery.stop()
+            for box in self.boxes:
+                box.stop()
+        return not any(self.broken().values())
+
+    def write(self) -> tuple[Path, str, str]:
+        """Write the files; returns the configuration's path and the listener's and admin's addresses."""
+        with socket.create_server(("127.0.0.1", 0)) as one, socket.create_server(("127.0.0.1", 0)) as two:
+            listen, admin = (f"127.0.0.1:{sock.getsockname()[1]}" for sock in (one, two))
+        shipped = files("orchidledge.examples")
+        catalogue_text = (
+            (shipped / "ledger.toml").read_text().replace("127.0.0.1:8500", self.discovery.endpoint)
+        )
+        description = (shipped / "month-close.toml").read_text()
+        description = description.replace("127.0.0.1:7610", listen).replace("127.0.0.1:7619", admin)
+        catalogue, application = parse(catalogue_text, "ledger.toml"), parse(description, "month-close.toml")
+        for document in (catalogue, application):
+            check(document)
+            replace_file(self.folder / document.name, document.text)
+        derived = None if catalogue.mistakes or application.mistakes else derive(catalogue, application)
+        if derived is None:
+            raise RuntimeError("\n".join(map(str, catalogue.mistakes + application.mistakes)))
+        path = self.folder / "month-close.configuration.toml"
+        replace_file(path, text_of(derived, catalogue, application))
+        return path, listen, admin
+
+    async def _until_ready(self, operator: Application, process: subprocess.Popen[bytes]) -> None:
+        async with asyncio.timeout(START_S):
+            while process.poll() is None:
+                with contextlib.suppress(OSError, LostError):
+                    if (await operator.ask("GET", "/up")).status == 200:
+                        return
+                await asyncio.sleep(0.05)
+        raise RuntimeError(f"the sidecar ended: {(self.folder / 'sidecar.log').read_text().strip()}")
+
+    async def _load(self, application: Application, show: Callable[[Trial], None]) -> None:
+        loop = asyncio.get_running_loop()
+        self.began = loop.time()
+        self._plan()
+        tasks: set[asyncio.Task[None]] = set()
+        number, due, next_show = 0, 0.0, 0.0
+        while (now := loop.time() - self.began) < self.seconds:
+            for step in self.steps:
+                if not step.done and now >= step.at * self.seconds:
+                    step.done = True
+                    step.do()
+                    self.said.append(f"{now:5.1f} s  {step.text}")
+            while due <= now:
+                number += 1
+                task = asyncio.create_task(self._one(application, number))
+                tasks.add(task)
+                task.add_done_callback(tasks.discard)
+                due += self.rng.expovariate(self.rate)
+            if now >= next_show:
+                show(self)
+                next_show += TICK_S
+            await asyncio.sleep(min(0.01, max(0.0, due - now)))
+        if tasks:
+            await asyncio.wait(tasks)
+        show(self)
+
+    def _plan(self) -> None:
+        slow, hung, drained, killed = self.boxes[:4]
+
+        def drain() -> None:
+            self.drained_at[2] = time.monotonic()
+            self.discovery.tell(drained, "Terminating", ZONES[2], 2)
+
+        def note(box: Box) -> None:
+            inner = box.take
+
+            def take(connection: object, seen: Seen) -> None:
+                at = self.drained_at.get(2)
+                if at is not None and time.monotonic() - at > GRACE_S:
+                    self.late_at_drained += 1
+                inner(connection, seen)  # type: ignore[arg-type]
+
+            box.take = take  # type: ignore[method-assign]
+
+        def recover() -> None:
+            slow.behaviour.slow, hung.behaviour.hang = 1.0, False
+
+        note(drained)
+
+        def hang() -> None:
+            hung.behaviour.hang = True
+
+        def slow_down() -> None:
+            slow.behaviour.slow = 8.0
+
+        def break_off() -> None:
+            killed.behaviour.die_mid_answer = 3
+
+        self.steps = [
+            Step(0.15, f"{slow.name} turns 8 times slower", slow_down),
+            Step(0.35, f"{hung.name} hangs: takes requests, answers none", hang),
+            Step(0.5, f"{drained.name} drains", drain),
+            Step(0.65, f"{killed.name} breaks off 3 answers halfway", break_off),
+            Step(0.8, f"{slow.name} and {hung.name} are well again", recover),
+        ]
+
+    async def _one(self, application: Application, number: int) -> None:
+        kind = self.rng.choices(list(SHARES), list(SHARES.values()))[0]
+        posting = f"p{number}"
+        body = b'{"amount":"18.20","posting":"%s"}' % posting.encode()
+        headers = {"X-Posting": posting}
+        if kind == "balance-read":
+            call = application.ask("GET", f"/balance/{number % 97}", headers=headers)
+        elif kind == "journal-post":
+            self.unsafe.add(posting)
+            call = application.ask("POST", "/journal/general/entries", body, headers)
+        else:
+            call = application.ask("PUT", f"/invoice/{number}", body, headers | {"Idempotency-Key": posting})
+        tally = self.tallies[kind]
+        tally.asked += 1
+        began = time.monotonic()
+        try:
+            response = await call
+        except (OSError, TimeoutError, LostError):
+            tally.lost += 1
+            return
+        tally.waits_ms.append((time.monotonic() - began) * 1000.0)
+        self._count(tally, response)
+
+    def _count(self, tally: Tally, response: Response) -> None:
+        if response.status == 200:
+            tally.served += 1
+        elif response.status == 503 and b"proxy-status" in response.headers:
+            tally.refused += 1
+        else:
+            tally.failed += 1
+
+    # --------------------------------------------------------------------- figures
+
+    def broken(self) -> dict[str, int]:
+        """How often each rule was seen broken."""
+        ran: Counter[str] = Counter()
+        for box in self.boxes:
+            ran.update(box.ran)
+        return {
+            "no request lost": sum(tally.lost for tally in self.tallies.values()),
+            "no effect twice": sum(1 for posting in self.unsafe if ran[posting] > 1),
+            "drains kept": self.late_at_drained,
+        }
+
+
+def _classes(trial: Trial) -> Table:
+    table = Table(title="What the application got")
+    for name in ("class", "asked", "served", "refused", "failed", "no answer", "p50 ms", "p99 ms"):
+        table.add_column(name, justify="left" if name == "class" else "right")
+    for kind in SHARES:
+        table.add_row(kind, *trial.tallies[kind].row())
+    return table
+
+
+def _boxes(trial: Trial) -> Table:
+    table = Table(title="What each box got")
+    for name in ("box", "begun", "answered", "state"):
+        table.add_column(name, justify="right" if name in ("begun", "answered") else "left")
+    for at, box in enumerate(trial.boxes):
+        how = box.behaviour
+        state = "hangs" if how.hang else f"{how.slow:g} times slower" if how.slow > 1.0 else "well"
+        state = "drains" if at in trial.drained_at else state
+        table.add_row(box.name, str(sum(box.ran.values())), str(box.served), state)
+    return table
+
+
+def _page(trial: Trial) -> Group:
+    return Group(_classes(trial), _boxes(trial), *trial.said)
+
+
+async def _shown(trial: Trial, console: Console, plain: bool) -> bool:
+    if plain or not console.is_terminal:
+        told = 0
+
+        def show(now: Trial) -> None:
+            nonlocal told
+            for line in now.said[told:]:
+                console.print(line, highlight=False)
+            told = len(now.said)
+
+        kept = await trial.run(show)
+        console.print(_classes(trial))
+        console.print(_boxes(trial))
+        return kept
+    with Live(_page(trial), console=console, refresh_per_second=4) as live:
+        return await trial.run(lambda now: live.update(_page(now)))
+
+
+def run(args: argparse.Namespace) -> int:
+    if not (2 <= args.seconds <= 600 and 1 <= args.rate <= 2000 and 4 <= args.boxes <= 50):
+        print("orchidledge: --seconds, --rate or --boxes is out of its range, see --help", file=sys.stderr)
+        return 2
+    console = Console(highlight=False, width=None if sys.stdout.isatty() else 100)
+    with tempfile.TemporaryDirectory() as temporary:
+        folder = Path(args.keep or temporary)
+        try:
+            folder.mkdir(parents=True, exist_ok=True)
+            trial = Trial(args, folder)
+            kept = asyncio.run(_shown(trial, console, args.plain))
+        except (OSError, RuntimeError, TimeoutError) as error:
+            print(f"orchidledge: {error}", file=sys.stderr)
+            return 2
+    for rule, count in trial.broken().items():
+        console.print(f"{rule}: {'kept' if not count else f'BROKEN {count} times'}")
+    return 0 if kept else 1
--- /dev/null
+++ b/orchidledge/standin/caller.py
@@ -0,0 +1,74 @@
+"""A stand-in application: plain HTTP/1.1, connections kept, one request at a time on each."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass, field
+
+from orchidledge.core.address import Address
+from orchidledge.http.client import ClientConnection, Response
+
+MAX_BODY = 16 * 1024 * 1024
+
+
+class LostError(Exception):
+    """The connection ended without a whole answer."""
+
+
+class _Exchange:
+    def __init__(self) -> None:
+        self.done: asyncio.Future[Response] = asyncio.get_running_loop().create_future()
+
+    def answered(self, response: Response) -> None:
+        if not self.done.done():
+            self.done.set_result(response)
+
+    def lost(self, written: bool) -> None:
+        if not self.done.done():
+            self.done.set_exception(LostError("the connection ended without a whole answer"))
+
+
+@dataclass
+class Application:
+    """Asks at one address; `timeout_s` is how long it waits for an answer."""
+
+    address: Address
+    timeout_s: float = 10.0
+    idle: list[ClientConnection] = field(default_factory=list)
+
+    async def ask(
+        self, method: str, target: str, body: bytes = b"", headers: dict[str, str] | None = None
+    ) -> Response:
+        """The whole answer. LostError, TimeoutError or OSError without one; nothing is sent again."""
+        connection = await self._connect()
+        lines = [f"{method} {target} HTTP/1.1", f"Host: {self.address[0]}:{self.address[1]}"]
+        lines += [f"{name}: {value}" for name, value in (headers or {}).items()]
+        if body or method not in ("GET", "HEAD"):
+            lines.append(f"Content-Length: {len(body)}")
+        exchange = _Exchange()
+        connection.start("\r\n".join(lines).encode() + b"\r\n\r\n" + body, exchange, method == "HEAD")
+        try:
+            async with asyncio.timeout(self.timeout_s):
+                response = await exchange.done
+        except TimeoutError:
+            connection.abort()
+            raise
+        if connection.usable:
+            self.idle.append(connection)
+        return response
+
+    async def _connect(self) -> ClientConnection:
+        while self.idle:
+            connection = self.idle.pop()
+            if connection.usable:
+                return connection
+            connection.abort()
+        _, connection = await asyncio.get_running_loop().create_connection(
+            lambda: ClientConnection(lambda _: None, MAX_BODY, raw=True), *self.address
+        )
+        return connection
+
+    def close(self) -> None:
+        for connection in self.idle:
+            connection.abort()
+        self.idle.clear()
