--- a/orchidledge/sidecar/checks.py
+++ b/orchidledge/sidecar/checks.py
@@ -70,10 +70,10 @@
 
 def _pools(pools: list[PoolModel], used: Iterable[str], say: Say) -> None:
     _unique(("pools",), [pool.name for pool in pools], say)
-    wanted = set(used)
+    wanted, named = set(used), {pool.name for pool in pools}
     for at, pool in enumerate(pools):
         here: Path = ("pools", at)
-        if pool.name not in wanted:
+        if pool.name not in wanted and wanted <= named:  # else a class may mean it by another name
             say((*here, "name"), f"no class uses pool {pool.name!r}", "leave it out, or name it in a class")
         source = pool.servers_from
         if source is None:
--- /dev/null
+++ b/tests/test_structure.py
@@ -0,0 +1,85 @@
+"""The structure that docs/design/structure.md states: which package may import which, and what the platform's node
+leaves unimported."""
+
+from __future__ import annotations
+
+import ast
+import subprocess
+import sys
+from pathlib import Path
+
+import pytest
+
+ROOT = Path(__file__).parent.parent
+PACKAGE = ROOT / "orchidledge"
+
+# A room may import these of our own, and itself.
+MAY: dict[str, set[str]] = {
+    "interface": set(),
+    "brain": {"interface"},
+    "settings": {"interface"},
+    "simhost": {"brain", "interface", "settings"},
+    "core": {"brain", "interface"},
+    "router": set(),
+    "http": {"core", "interface"},
+    "lists": {"core", "http", "interface"},
+    "platform": {"core", "http", "lists", "interface", "settings"},
+    "sidecar": {"core", "router"},
+    "runtime": {"core", "http", "lists", "router", "sidecar", "interface", "settings"},
+    "standin": {"core", "http"},
+    "examples": set(),
+    "cli": {"core", "http", "runtime", "sidecar", "standin"},
+    "__main__": {"platform"},
+    "__init__": {"brain", "interface"},
+}
+# Modules of core that rooms without sockets and stand-ins may use.
+CORE_ONLY: dict[str, set[str]] = {"sidecar": {"address"}, "standin": {"address"}, "cli": {"address"}}
+
+
+def imported(path: Path) -> set[str]:
+    """Names of our own that a module imports, below the package."""
+    found = set()
+    for node in ast.walk(ast.parse(path.read_text())):
+        if isinstance(node, ast.ImportFrom) and node.module and node.module.split(".")[0] == "orchidledge":
+            rest = node.module.split(".")[1:]
+            found |= {".".join(rest)} if rest else {item.name for item in node.names}
+        elif isinstance(node, ast.Import):
+            found |= {
+                ".".join(item.name.split(".")[1:])
+                for item in node.names
+                if item.name.startswith("orchidledge.")
+            }
+    return found
+
+
+MODULES = sorted(PACKAGE.rglob("*.py"))
+
+
+@pytest.mark.parametrize("path", MODULES, ids=lambda path: str(path.relative_to(PACKAGE)))
+def test_arrows_point_down(path):
+    room = path.relative_to(PACKAGE).parts[0].removesuffix(".py")
+    for name in imported(path):
+        target = name.split(".")[0]
+        if target in ("Balancer", "Settings"):
+            target = "brain"
+        assert target == room or target in MAY[room], f"{room} imports {name}"
+        if target == "core" and room in CORE_ONLY:
+            assert name.split(".")[1] in CORE_ONLY[room], f"{room} imports {name}"
+
+
+def test_the_platforms_node_imports_nothing_that_it_does_not_use():
+    code = "import sys, orchidledge.__main__; print(' '.join(sorted(sys.modules)))"
+    modules = subprocess.run(
+        [sys.executable, "-c", code], cwd=ROOT, capture_output=True, text=True, check=True
+    ).stdout.split()
+    ours = {name.split(".")[1] for name in modules if name.startswith("orchidledge.")}
+    assert ours <= {"__main__", "brain", "core", "http", "interface", "lists", "platform", "settings"}
+    assert not {"pydantic", "rich", "argparse", "tomllib"} & set(modules)
+
+
+def test_decisions_stand_in_modules_that_do_no_io():
+    pure = [*(PACKAGE / "router").glob("*.py"), *(PACKAGE / "sidecar").glob("*.py")]
+    for path in pure:
+        text = path.read_text()
+        assert "import asyncio" not in text, path
+        assert "import socket" not in text, path
