--- /dev/null
+++ b/benchmarks/check_files.py
@@ -0,0 +1,90 @@
+"""How long `orchidledge config check` takes over many files.
+
+    python benchmarks/check_files.py --files 1000
+
+Catalogues, descriptions and configurations are written to a folder for the time, a fifth of them with a mistake;
+the whole command is timed, its start with it, and the check alone in this process.
+"""
+
+from __future__ import annotations
+
+import argparse
+import os
+import platform
+import resource
+import statistics
+import subprocess
+import sys
+import tempfile
+import time
+from importlib.resources import files
+from pathlib import Path
+
+from orchidledge.cli.config import check_files
+from orchidledge.sidecar.checks import check
+from orchidledge.sidecar.derive import derive, text_of
+from orchidledge.sidecar.load import parse
+
+
+def write(folder: Path, count: int) -> list[str]:
+    """One catalogue, and descriptions and configurations in turn."""
+    shipped = files("orchidledge.examples")
+    catalogue = parse((shipped / "ledger.toml").read_text(), "ledger.toml")
+    check(catalogue)
+    paths = [folder / "ledger.toml"]
+    paths[0].write_text(catalogue.text)
+    names = ("clerk-desk", "month-close", "bank-matching")
+    for at in range(count - 1):
+        text = (shipped / f"{names[at % 3]}.toml").read_text().replace(names[at % 3], f"app-{at}")
+        if at % 2:
+            application = parse(text, "app.toml")
+            check(application)
+            derived = derive(catalogue, application)
+            assert derived is not None
+            text = text_of(derived, catalogue, application)
+        if at % 5 == 0:
+            text = text.replace("zone", "zoen", 1)
+        paths.append(folder / f"app-{at}.toml")
+        paths[-1].write_text(text)
+    return [str(path) for path in paths]
+
+
+def main() -> int:
+    parser = argparse.ArgumentParser(
+        description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter
+    )
+    parser.add_argument("--files", type=int, default=1000)
+    parser.add_argument("--rounds", type=int, default=5)
+    args = parser.parse_args()
+    with tempfile.TemporaryDirectory() as folder:
+        paths = write(Path(folder), args.files)
+        size = sum(os.path.getsize(path) for path in paths)
+        command = [sys.executable, "-m", "orchidledge.cli", "config", "check", *paths]
+        whole, alone, found = [], [], 0
+        for _ in range(args.rounds):
+            began = time.perf_counter()
+            ended = subprocess.run(command, capture_output=True, check=False, text=True)
+            whole.append(time.perf_counter() - began)
+            assert ended.returncode == 1, ended.stderr
+            began = time.perf_counter()
+            documents, _ = check_files(paths, 65536)
+            alone.append(time.perf_counter() - began)
+            found = sum(len(document.mistakes) for document in documents)
+            assert len(ended.stdout.splitlines()) == found
+        memory = resource.getrusage(resource.RUSAGE_CHILDREN).ru_maxrss / 1024
+    print(
+        f"{args.files} files, {size / 1e6:.1f} MB, {found} mistakes, {args.rounds} rounds, medians; "
+        f"{platform.machine()}, {os.cpu_count()} cores, Python {platform.python_version()}"
+    )
+    print(f"{'case':<22}{'seconds':>9}{'ms a file':>11}{'least':>8}{'most':>8}")
+    for label, times in (("the whole command", whole), ("the check alone", alone)):
+        middle = statistics.median(times)
+        print(
+            f"{label:<22}{middle:>9.2f}{middle / args.files * 1e3:>11.2f}{min(times):>8.2f}{max(times):>8.2f}"
+        )
+    print(f"the command's memory: {memory:.0f} MB at most")
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/benchmarks/throughput.py
+++ b/benchmarks/throughput.py
@@ -159,6 +159,12 @@
     raise SystemExit(f"nothing came up on port {port}")
 
 
+def resident_mb(pid: int) -> float:
+    """What a process holds in memory, on Linux."""
+    lines = Path(f"/proc/{pid}/status").read_text().splitlines()
+    return next(float(line.split()[1]) / 1024 for line in lines if line.startswith("VmRSS"))
+
+
 def main() -> int:
     parser = argparse.ArgumentParser(
         description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter
@@ -209,6 +215,7 @@
             for _ in range(args.rounds):
                 for label, port in ports.items():
                     rows[label].append(asyncio.run(Load(args.connections, args.seconds).run(port)))
+            memory = {label: resident_mb(process.pid) for label, process in zip(ports, running, strict=True)}
         finally:
             for process in running:
                 process.terminate()
@@ -227,7 +234,7 @@
         rates = [item[0] for item in found]
         print(
             f"{label:<12}{rate:>12.0f}{rate / direct:>11.3f}{p50:>9.2f}{p99:>9.2f}{min(rates):>10.0f}"
-            f"{max(rates):>10.0f}"
+            f"{max(rates):>10.0f}{memory[label]:>7.1f}"
         )
     return 0
 
