Let headers that decide stand once only; take a bare admin address for drift

Guard: of a repeated key, deadline or routed header the sidecar could read one value and a box another, and the class would be decided on what the box does not see.

--- a/orchidledge/cli/config.py
+++ b/orchidledge/cli/config.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import argparse
+import contextlib
 import os
 import resource
 import sys
@@ -14,6 +15,7 @@
 
 import orjson
 
+from orchidledge.core.address import parse_address
 from orchidledge.sidecar.checks import check
 from orchidledge.sidecar.derive import Derived, derive, text_of
 from orchidledge.sidecar.drift import Difference, compare
@@ -76,7 +78,7 @@
         description="Tells which differences are meant, which are drift, and which of these endangers a rule.",
         epilog=EXITS,
     )
-    drift.add_argument("sources", nargs="+", metavar="FILE|URL", help="a file, or http://ADMIN-ADDRESS")
+    drift.add_argument("sources", nargs="+", metavar="FILE|ADDRESS", help="a file, or an admin address")
     drift.add_argument("--json", action="store_true")
     drift.add_argument("--all", action="store_true", help="show the differences that are meant too")
     drift.set_defaults(run=_drift)
@@ -239,6 +241,10 @@
 
 def _source(source: str) -> dict[str, Any]:
     """A configuration's plain data from a file or a running sidecar; UnusableError if there is none."""
+    if not source.startswith(("http://", "https://")) and not Path(source).exists():
+        with contextlib.suppress(ValueError):
+            host, port = parse_address(source)
+            source = f"http://{f'[{host}]' if ':' in host else host}:{port}"
     if source.startswith(("http://", "https://")):
         try:
             with urllib.request.urlopen(f"{source.rstrip('/')}/config", timeout=FETCH_S) as answer:
--- a/orchidledge/runtime/sidecar.py
+++ b/orchidledge/runtime/sidecar.py
@@ -19,7 +19,7 @@
 from orchidledge.core.pool import Pool
 from orchidledge.core.types import Cause, Room
 from orchidledge.http.back import HttpBack
-from orchidledge.http.server import Dialect, Server
+from orchidledge.http.server import FRAMING, Dialect, Server
 from orchidledge.lists.discovery import Listing, Watcher, watch_ms
 from orchidledge.router.router import Router
 from orchidledge.runtime.admin import Admin
@@ -202,6 +202,7 @@
             },
         )
         dialect = Dialect(
+            once=_decisive(new),
             max_body=new.limits.max_body_bytes,
             raw=True,
             request_s=new.limits.request_ms / 1000.0,
@@ -362,6 +363,17 @@
     )
 
 
+def _decisive(configuration: Configuration) -> frozenset[bytes]:
+    """The headers that something is decided by, by lower-case name.
+
+    Guard: of a repeated one the sidecar could read one value and the box another, and decide for another class.
+    """
+    names = [listener.deadline_header for listener in configuration.listeners]
+    names += [item.key_header or DEFAULT_KEY for item in configuration.classes if item.effect == "keyed"]
+    names += [header.name for route in configuration.routes for header in route.headers]
+    return FRAMING | {name.lower().encode() for name in names}
+
+
 def _connects_alike(one: PoolModel, other: PoolModel) -> bool:
     return (one.server_idle_ms, one.connect_timeout_ms) == (other.server_idle_ms, other.connect_timeout_ms)
 
--- a/tests/runtime/test_front.py
+++ b/tests/runtime/test_front.py
@@ -256,6 +256,20 @@
     asyncio.run(main())
 
 
+def test_a_header_that_decides_may_stand_once_only():
+    async def main():
+        (box,) = boxes(1)
+        route = {"class": "read", "path": "/**", "headers": [{"name": "X-Book", "value": "a"}]}
+        async with running(box, routes=[route, *ROUTES[1:]], classes=CLASSES) as sidecar:
+            for name in (b"X-Book", b"Idempotency-Key", b"Req-Deadline-Ms"):
+                twice = b"%s: 1\r\n%s: 1\r\n" % (name, name.lower())
+                answer = await raw(sidecar, b"GET /x HTTP/1.1\r\nHost: x\r\n" + twice + b"\r\n")
+                assert answer.startswith(b"HTTP/1.1 400"), name
+            assert box.taken == 0
+
+    asyncio.run(main())
+
+
 def test_a_key_named_in_connection_still_goes_on():
     async def main():
         (box,) = boxes(1)
--- a/tests/runtime/test_strangers_http.py
+++ b/tests/runtime/test_strangers_http.py
@@ -284,6 +284,7 @@
                 return process.returncode or 0, out.decode()
 
             assert await drift(sidecar.admin, str(sidecar.path)) == (0, "")
+            assert await drift(sidecar.admin.removeprefix("http://"), sidecar.admin) == (0, "")
             other = tmp_path / "other.toml"
             other.write_text(dumps(data_of(sidecar.discovery, rules={"cold_ms": 5.0}), {}))
             code, said = await drift(sidecar.admin, str(other))
