Let the decision module honour weights, priority levels, localities and panic

Need: clusters in xDS form state weights, levels and health; the module knew servers as up or not. A cold server's pace counts the servers that were there before, so that moving all weight to it does not flood it. Lists without levels are decided as before.

--- a/orchidledge/brain.py
+++ b/orchidledge/brain.py
@@ -14,6 +14,7 @@
 from random import Random
 
 from orchidledge import interface as api
+from orchidledge.levels import Group, groups_of
 
 PERIOD = 0.15  # P, as a share of the shortest aim
 FLAT = 2  # n: slots of T1 at the table's left
@@ -132,6 +133,9 @@
         self.heard = WEIGHTY  # outcomes since it last went right
         self.peers: dict[str, _Peer] = {}
         self.ready: list[_Peer] = []  # the servers in use
+        self.levels: api.Levels | None = None
+        self.groups: list[Group[_Peer]] = []  # where there are levels: who gets which share, by level
+        self.width, self.width_ms = 0.0, now_ms  # how many servers bore the load, forgotten as one gets warm
         self.jobs: dict[str, _Job] = {}
         self.started = False
         self.watch_failures = 0
@@ -165,7 +169,7 @@
         elif isinstance(event, api.Alarm) and event.name == "watch":
             acts.append(api.Watch())
         elif isinstance(event, api.Membership):
-            self._on_membership(event, acts)
+            self._on_membership(now, event, acts)
         elif isinstance(event, api.Lapsed) and event.id in self.jobs:
             self._end(self.jobs[event.id], acts)
         elif isinstance(event, api.Started) and event.id in self.jobs:
@@ -177,7 +181,7 @@
 
     # ------------------------------------------------------------ membership
 
-    def _on_membership(self, event: api.Membership, acts: list[api.Action]) -> None:
+    def _on_membership(self, now: float, event: api.Membership, acts: list[api.Action]) -> None:
         if event.form is api.ListForm.FAILED:  # subscribe anew, backing off so as not to crowd discovery
             self.watch_failures += 1
             wait = min(WATCH_MAX_MS, WATCH_MS * 2.0**self.watch_failures)
@@ -197,7 +201,20 @@
                 self.peers[server.address] = _Peer(server)
             else:
                 known.info = server
-        self.ready = [peer for peer in self.peers.values() if peer.info.state is api.ServerState.UP]
+        self.levels = event.levels or self.levels
+        if self.levels is None:
+            self.ready = [peer for peer in self.peers.values() if peer.info.state is api.ServerState.UP]
+            return
+        self.width, self.width_ms = max(float(len(self.ready)), self._wide(now)), now
+        self.groups = groups_of([(peer.info, peer) for peer in self.peers.values()], self.levels)
+        self.ready = list({id(peer): peer for group in self.groups for peer in group.members}.values())
+
+    def _wide(self, now: float) -> float:
+        """Guard: a new server to which a list gave all weight took the calls of all that had been there; its
+        share of an average server's calls counts those too, for as long as one takes to get warm."""
+        if self.levels is None or self.cfg.cold_ms <= 0.0:
+            return float(len(self.ready))
+        return max(float(len(self.ready)), self.width * math.exp((self.width_ms - now) / self.cfg.cold_ms))
 
     # ------------------------------------------------------------- admission
 
@@ -238,6 +255,7 @@
         room = self.threshold(self._worth(now, request, kind), len(self.ready)) - queue
         # Guard: one call from each of hundreds of balancers kept a jam alive, so a fraction of one is drawn.
         full = room < 1.0 and self.rng.random() >= room
+        full = full or (self.levels is not None and self.rng.random() < self.levels.drop)
         if full or not self._send(now, job, acts):
             self._answer(job, acts)
 
@@ -250,14 +268,30 @@
             return None
         bound = _group(job.kind, ran[0].peer) if ran and effect is api.Effect.KEYED else None
         tried = [item.peer for item in job.tries]
-        best, best_rank = None, math.inf
-        for peer in self.ready:
-            if peer in tried or (bound is not None and bound != _group(job.kind, peer)):
-                continue
-            rank = self._rank(now, peer)
-            if rank < best_rank and self._paced(now, peer, len(self.ready)):
-                best, best_rank = peer, rank
-        return best
+        wide = self._wide(now)
+        for peers in self._order():
+            best, best_rank = None, math.inf
+            for peer in peers:
+                if peer in tried or (bound is not None and bound != _group(job.kind, peer)):
+                    continue
+                rank = self._rank(now, peer)
+                if rank < best_rank and self._paced(now, peer, wide):
+                    best, best_rank = peer, rank
+            if best is not None:
+                return best
+        return None
+
+    def _order(self) -> list[list[_Peer]]:
+        """The servers to rank: all, or those of the group that is drawn by its share, then of the others."""
+        if self.levels is None:
+            return [self.ready]
+        draw = self.rng.random()
+        for at, group in enumerate(self.groups):
+            draw -= group.share
+            if draw < 0.0 and group.share > 0.0:
+                others = self.groups[:at] + self.groups[at + 1 :]
+                return [group.members, *(other.members for other in others)]
+        return [group.members for group in self.groups]
 
     def _rank(self, now: float, peer: _Peer) -> float:
         """Smoothed latency x (queue + 1); a silent server drifts to the mean of the others, which is 1."""
@@ -272,16 +306,20 @@
         failing = 1.0 - min(0.9, peer.errs)
         queue = peer.queue * math.exp((peer.told_ms - now) / STALE_MS) if peer.queue else 0.0
         far = ZONE_WEIGHT * self.cfg.cross_zone_price if peer.info.zone != self.cfg.zone else 0.0
-        return slow * (peer.load + queue + 1.0 + far) / failing * (1.0 + JITTER * (self.rng.random() - 0.5))
+        length = (peer.load + queue + 1.0 + far) / peer.info.weight
+        return slow * length / failing * (1.0 + JITTER * (self.rng.random() - 0.5))
 
     def survey(self, now: float) -> list[tuple[api.Server, float, float, float]]:
         """Each server's line of the list, rank (less goes first), calls in flight and share of errors."""
         state = self.rng.getstate()  # Guard: to look must not change what is drawn next.
-        rows = [(peer.info, self._rank(now, peer), peer.load, peer.errs) for peer in self.peers.values()]
+        rows = [
+            (peer.info, self._rank(now, peer) if peer.info.weight > 0.0 else math.inf, peer.load, peer.errs)
+            for peer in self.peers.values()
+        ]
         self.rng.setstate(state)
         return rows
 
-    def _paced(self, now: float, peer: _Peer, ready: int) -> bool:
+    def _paced(self, now: float, peer: _Peer, ready: float) -> bool:
         """Guard: all balancers together must not push a cold server over. A call may go to it with the chance
         of its present share (from `cold_from`, even over `cold_ms`) of an average server's calls: a draw for
         each call, not a count, so that the sum keeps to the share however many balancers there are."""
--- a/orchidledge/core/pool.py
+++ b/orchidledge/core/pool.py
@@ -18,6 +18,7 @@
 log = logging.getLogger("orchidledge")
 
 BACKSTOP_S = 0.005  # after which a request that the module left unanswered is answered for it
+IN_USE = frozenset((api.ServerState.UP, api.ServerState.DEGRADED, api.ServerState.SICK))  # sick: in a panic
 FAULT_PAUSE_S = 0.5  # before an alarm or a watch is tried again that a fault of the module has lost
 
 
@@ -241,18 +242,19 @@
         form: api.ListForm,
         servers: tuple[api.Server, ...] = (),
         endpoints: Mapping[str, Address] | None = None,
+        levels: api.Levels | None = None,
     ) -> None:
-        """News of the server list; `endpoints` has the address of each server that is UP."""
+        """News of the server list; `endpoints` has the address of each server that may get something new."""
         self.counts[f"list {form.value}"] += 1
         if form is api.ListForm.FAILED:
             self.tell(api.Membership(form))
             return
         endpoints = endpoints or {}
-        ready = [server for server in servers if server.state is api.ServerState.UP]
+        ready = [server for server in servers if server.state in IN_USE and server.weight > 0.0]
         for server in ready:
             self.back.add(server.address, endpoints[server.address], server.launched_ms)
         up = {server.address for server in ready}
-        self.tell(api.Membership(form, servers))
+        self.tell(api.Membership(form, servers, levels))
         # The module hears of it first, so that what is withdrawn here is sent on by the new list.
         gone = {server.address for server in servers} - up if form is api.ListForm.DELTA else self.up - up
         for name in gone:
--- a/orchidledge/interface.py
+++ b/orchidledge/interface.py
@@ -46,6 +46,8 @@
 
 class ServerState(Enum):
     UP = "up"
+    DEGRADED = "degraded"  # works, and is to be spared while others do
+    SICK = "sick"  # gets nothing new, unless so many are that health can't be believed
     DRAINING = "draining"
     REMOVED = "removed"
 
@@ -152,12 +154,26 @@
     cell: int = 0
     state: ServerState = ServerState.UP
     launched_ms: float | None = None  # None: long ago
+    weight: float = 1.0  # 0: nothing new
+    priority: int = 0  # 0 is the first to be used
+    locality: str = ""
+    locality_weight: float | None = None  # share of its level that its locality gets; None: not weighed
+
+
+@dataclass(slots=True, frozen=True)
+class Levels:
+    """How the priority levels of a list stand in for one another."""
+
+    overprovisioning: float = 1.4  # a level takes all its calls while this times its healthy share is 1
+    panic: float = 0.5  # healthy share under which health is not believed, once levels together lack some
+    drop: float = 0.0  # share of requests to refuse whatever the load
 
 
 @dataclass(slots=True)
 class Membership:
     form: ListForm
     servers: tuple[Server, ...] = ()
+    levels: Levels | None = None  # None: as before; all servers are one level until it is given
 
 
 @dataclass(slots=True)
--- a/tests/test_structure.py
+++ b/tests/test_structure.py
@@ -16,7 +16,8 @@
 # A room may import these of our own, and itself.
 MAY: dict[str, set[str]] = {
     "interface": set(),
-    "brain": {"interface"},
+    "brain": {"interface", "levels"},
+    "levels": {"interface"},
     "settings": {"interface"},
     "simhost": {"brain", "interface", "settings"},
     "core": {"brain", "interface"},
@@ -77,7 +78,17 @@
         [sys.executable, "-c", code], cwd=ROOT, capture_output=True, text=True, check=True
     ).stdout.split()
     ours = {name.split(".")[1] for name in modules if name.startswith("orchidledge.")}
-    assert ours <= {"__main__", "brain", "core", "http", "interface", "lists", "platform", "settings"}
+    assert ours <= {
+        "__main__",
+        "brain",
+        "core",
+        "http",
+        "interface",
+        "levels",
+        "lists",
+        "platform",
+        "settings",
+    }
     assert not {"pydantic", "rich", "argparse", "tomllib"} & set(modules)
 
 
