--- /dev/null
+++ b/tests/lists/test_membership.py
@@ -0,0 +1,103 @@
+"""One owner of which servers are there: what is new, what changed, what is cold."""
+
+from __future__ import annotations
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from orchidledge.interface import Levels, ListForm, Server, ServerState
+from orchidledge.lists.membership import Change, Entry, Roster
+
+
+def entry(name: str, port: int = 1, **more) -> Entry:
+    return Entry(Server(name, **more), ("127.0.0.1", port))
+
+
+def launched(news) -> dict[str, float | None]:
+    return {server.address: server.launched_ms for server in news.servers}
+
+
+def test_the_first_list_is_warm_and_what_comes_later_is_cold():
+    roster = Roster()
+    assert launched(roster.tell(100.0, [entry("a"), entry("b", 2)])) == {"a": None, "b": None}
+    news = roster.tell(200.0, [entry("a"), entry("b", 2), entry("c", 3)])
+    assert launched(news) == {"a": None, "b": None, "c": 200.0}
+    assert news.changes == (("c", Change.ADDED),)
+    assert launched(roster.tell(300.0, [entry("a"), entry("b", 2), entry("c", 3)])) == launched(news)
+
+
+@pytest.mark.parametrize(
+    ("between", "back"),
+    [
+        ([], [entry("a")]),  # removed, and added again at the same address
+        ([entry("a", 9)], [entry("a", 9)]),  # its address went to another
+        ([entry("a", state=ServerState.SICK)], [entry("a")]),
+        ([entry("a", weight=0.0)], [entry("a")]),
+    ],
+)
+def test_what_may_be_another_process_is_cold(between, back):
+    roster = Roster()
+    roster.tell(100.0, [entry("a")])
+    roster.tell(200.0, between)
+    assert launched(roster.tell(300.0, back))["a"] in (200.0, 300.0)
+
+
+def test_a_start_that_the_source_knows_counts():
+    roster = Roster()
+    assert launched(roster.tell(100.0, [entry("a", launched_ms=40.0)])) == {"a": 40.0}
+    assert launched(roster.tell(200.0, [entry("a", launched_ms=150.0)])) == {"a": 150.0}
+
+
+def test_draining_and_back_is_the_same_process():
+    roster = Roster()
+    roster.tell(100.0, [entry("a")])
+    roster.tell(200.0, [entry("a", state=ServerState.DRAINING)])
+    assert launched(roster.tell(300.0, [entry("a")])) == {"a": None}
+
+
+def test_a_list_that_cant_be_taken_changes_nothing():
+    roster = Roster()
+    roster.tell(100.0, [entry("a")], Levels(panic=0.1))
+    with pytest.raises(ValueError, match="'b' stands twice"):
+        roster.tell(200.0, [entry("b"), entry("b", 2)])
+    assert (list(roster.entries), roster.told_ms, roster.levels) == (["a"], 100.0, Levels(panic=0.1))
+
+
+def test_age_and_staleness_are_told_from_the_last_whole_list():
+    roster = Roster(stale_after_ms=500.0)
+    assert roster.age_ms(1.0) is None
+    assert not roster.stale(1e9)
+    roster.tell(1000.0, [])
+    assert (roster.age_ms(1400.0), roster.stale(1400.0), roster.stale(1501.0)) == (400.0, False, True)
+
+
+ENTRIES = st.lists(
+    st.builds(
+        lambda name, port, weight, state: entry(name, port, weight=weight, state=state),
+        st.sampled_from("abc"),
+        st.integers(1, 2),
+        st.sampled_from([0.0, 1.0]),
+        st.sampled_from([ServerState.UP, ServerState.SICK, ServerState.DRAINING]),
+    ),
+    unique_by=lambda item: item.server.address,
+)
+
+
+@settings(max_examples=300, deadline=None)
+@given(st.lists(ENTRIES, min_size=2, max_size=6))
+def test_changes_lead_from_one_list_to_the_next(lists):
+    roster = Roster()
+    known: dict[str, Entry] = {}
+    for at, given_list in enumerate(lists):
+        news = roster.tell(float(at), given_list)
+        assert news.form is ListForm.FULL
+        by_kind = {kind: {name for name, change in news.changes if change is kind} for kind in Change}
+        now = dict(roster.entries)
+        assert by_kind[Change.ADDED] == now.keys() - known.keys()
+        assert by_kind[Change.REMOVED] == known.keys() - now.keys()
+        assert by_kind[Change.CHANGED] == {
+            name for name in now.keys() & known.keys() if now[name] != known[name]
+        }
+        assert news.endpoints == {name: item.endpoint for name, item in now.items()}
+        known = now
