--- a/orchidledge/cli/trial.py
+++ b/orchidledge/cli/trial.py
@@ -10,8 +10,8 @@
 import asyncio
 import contextlib
 import random
+import re
 import signal
-import socket
 import subprocess
 import sys
 import tempfile
@@ -38,6 +38,7 @@
 
 GRACE_S = 0.5  # after a drain is told nothing new may reach the box
 START_S = 15.0
+LISTENS = re.compile(r"(?:listener \S+|admin) on (\S+)")
 TICK_S = 0.25
 ZONES = ("dar-kariakoo", "dar-mikocheni", "arusha", "dodoma")
 SHARES = {"balance-read": 0.5, "journal-post": 0.3, "invoice-record": 0.2}
@@ -125,12 +126,13 @@
         for at, box in enumerate(self.boxes):
             await box.start()
             self.discovery.tell(box, zone=ZONES[at % len(ZONES)], cell=at)
-        path, listen, admin = self.write()
+        path = self.write()
         command = [sys.executable, "-m", "orchidledge.cli", "sidecar", str(path)]
         with (self.folder / "sidecar.log").open("wb") as log_file:
             process = subprocess.Popen(command, stdout=log_file, stderr=log_file)
-        application, operator = Application(parse_address(listen)), Application(parse_address(admin))
+        application = operator = None
         try:
+            application, operator = await self._where(process)
             await self._until_ready(operator, process)
             await self._load(application, show)
         finally:
@@ -139,23 +141,24 @@
                 await asyncio.to_thread(process.wait, 30)
             except subprocess.TimeoutExpired:
                 process.kill()
-            application.close()
-            operator.close()
+            for caller in (application, operator):
+                if caller is not None:
+                    caller.close()
             self.discovery.stop()
             for box in self.boxes:
                 box.stop()
         return not any(self.broken().values())
 
-    def write(self) -> tuple[Path, str, str]:
-        """Write the files; returns the configuration's path and the listener's and admin's addresses."""
-        with socket.create_server(("127.0.0.1", 0)) as one, socket.create_server(("127.0.0.1", 0)) as two:
-            listen, admin = (f"127.0.0.1:{sock.getsockname()[1]}" for sock in (one, two))
+    def write(self) -> Path:
+        """Write the files; returns the configuration's path. The sidecar takes free ports."""
         shipped = files("orchidledge.examples")
         catalogue_text = (
             (shipped / "ledger.toml").read_text().replace("127.0.0.1:8500", self.discovery.endpoint)
         )
         description = (shipped / "month-close.toml").read_text()
-        description = description.replace("127.0.0.1:7610", listen).replace("127.0.0.1:7619", admin)
+        description = description.replace("127.0.0.1:7610", "127.0.0.1:0").replace(
+            "127.0.0.1:7619", "127.0.0.1:0"
+        )
         catalogue, application = parse(catalogue_text, "ledger.toml"), parse(description, "month-close.toml")
         for document in (catalogue, application):
             check(document)
@@ -165,7 +168,18 @@
             raise RuntimeError("\n".join(map(str, catalogue.mistakes + application.mistakes)))
         path = self.folder / "month-close.configuration.toml"
         replace_file(path, text_of(derived, catalogue, application))
-        return path, listen, admin
+        return path
+
+    async def _where(self, process: subprocess.Popen[bytes]) -> tuple[Application, Application]:
+        """The listener and the admin listener, as the sidecar's log tells them."""
+        async with asyncio.timeout(START_S):
+            while process.poll() is None:
+                found = LISTENS.findall((self.folder / "sidecar.log").read_text())
+                if len(found) == 2:
+                    listener, admin = (Application(parse_address(address)) for address in found)
+                    return listener, admin
+                await asyncio.sleep(0.02)
+        raise RuntimeError(f"the sidecar ended: {(self.folder / 'sidecar.log').read_text().strip()}")
 
     async def _until_ready(self, operator: Application, process: subprocess.Popen[bytes]) -> None:
         async with asyncio.timeout(START_S):
--- a/tests/runtime/test_reload.py
+++ b/tests/runtime/test_reload.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import os
 import socket
 from typing import Any
 
@@ -13,17 +14,12 @@
 
 from orchidledge.runtime.sidecar import ReloadError
 from orchidledge.standin.box import Box
-from orchidledge.standin.caller import Application
 from orchidledge.standin.discovery import Discovery
 
 
-def free_port() -> int:
-    with socket.create_server(("127.0.0.1", 0)) as sock:
-        return int(sock.getsockname()[1])
-
-
-def listener(name: str, port: int = 0, **more: Any) -> dict[str, Any]:
-    return {"name": name, "address": f"127.0.0.1:{port}"} | more
+def listener(name: str, port: int = 0) -> dict[str, Any]:
+    """Port 0 takes a free one; such a listener is known by its name and kept over reloads."""
+    return {"name": name, "address": f"127.0.0.1:{port}"}
 
 
 def test_a_route_added_is_there_and_one_removed_is_gone():
@@ -76,20 +72,19 @@
 def test_listeners_come_and_go_and_a_removed_ones_open_request_is_answered():
     async def main():
         (box,) = boxes(1)
-        first, second = free_port(), free_port()
-        async with running(box, listeners=[listener("one", first)]) as sidecar:
+        async with running(box, listeners=[listener("one")]) as sidecar:
             box.behaviour.work_ms, box.behaviour.cores = 1.0, 0
-            app = Application(("127.0.0.1", first), 20.0)
+            app = application(sidecar, "one")
             held = asyncio.create_task(app.ask("GET", "/x"))
             await until(lambda: box.taken)
-            await sidecar.reload(configuration(row(box, listeners=[listener("two", second)])))
+            await sidecar.reload(configuration(row(box, listeners=[listener("two")])))
             box.behaviour.cores = 9
             box._begin()
             answer = await held
             assert (answer.status, answer.headers[b"connection"]) == (200, b"close")
-            assert (await Application(("127.0.0.1", second), 20.0).ask("GET", "/x")).status == 200
+            assert (await application(sidecar, "two").ask("GET", "/x")).status == 200
             with pytest.raises(OSError, match=r"refused|Connect"):
-                await Application(("127.0.0.1", first), 20.0).ask("GET", "/x")
+                await app.ask("GET", "/x")
 
     asyncio.run(main())
 
@@ -104,20 +99,19 @@
                 before, mine, pool = sidecar.digest, sidecar.listeners, sidecar.pools["boxes"]
                 wanted = [
                     listener("application"),
-                    listener("more", free_port()),
+                    listener("more"),
                     listener("bad", taken.getsockname()[1]),
                 ]
                 new = row(box, listeners=wanted, rules={"max_attempts": 2})
+                held = len(os.listdir("/proc/self/fd"))
                 with pytest.raises(OSError, match="in use"):
                     await sidecar.reload(configuration(new))
+                assert len(os.listdir("/proc/self/fd")) == held  # what had been bound for it is free again
                 assert sidecar.digest == before
                 assert sidecar.listeners is mine
                 assert sidecar.pools["boxes"] is pool
                 assert (await application(sidecar).ask("GET", "/b/1")).status == 404
                 assert (await application(sidecar).ask("GET", "/a/1")).status == 200
-                # What had been bound for it is free again.
-                port = int(wanted[1]["address"].rpartition(":")[2])
-                socket.create_server(("127.0.0.1", port)).close()
 
     asyncio.run(main())
 
@@ -218,8 +212,7 @@
         around = boxes(3)
         for box in around:
             box.behaviour.work_ms = 3.0
-        ports = [free_port(), free_port()]
-        both = [listener("kept", ports[0]), listener("comes-and-goes", ports[1])]
+        both = [listener("kept"), listener("comes-and-goes")]
         async with running(*around, listeners=both) as sidecar:
             variants = {
                 "rules": [{"rules": {"max_attempts": at}} for at in (2, 3)],
@@ -239,7 +232,7 @@
             over = asyncio.Event()
 
             async def client(at: int) -> None:
-                app = Application(("127.0.0.1", ports[0]), 20.0)
+                app = application(sidecar, "kept")
                 number = 0
                 while not over.is_set():
                     number += 1
@@ -269,12 +262,11 @@
 def test_a_connection_that_a_removed_listener_kept_is_closed_between_requests():
     async def main():
         (box,) = boxes(1)
-        ports = [free_port(), free_port()]
-        async with running(box, listeners=[listener("one", ports[0]), listener("two", ports[1])]) as sidecar:
-            app = Application(("127.0.0.1", ports[1]), 20.0)
+        async with running(box, listeners=[listener("one"), listener("two")]) as sidecar:
+            app = application(sidecar, "two")
             assert (await app.ask("GET", "/x")).status == 200
             (kept,) = app.idle
-            await sidecar.reload(configuration(row(box, listeners=[listener("one", ports[0])])))
+            await sidecar.reload(configuration(row(box, listeners=[listener("one")])))
             await until(lambda: not kept.usable)
             with pytest.raises(OSError, match=r"refused|Connect|whole answer"):
                 await app.ask("GET", "/x")
