--- /dev/null
+++ b/orchidledge/standin/xds.py
@@ -0,0 +1,248 @@
+"""A stand-in control plane: an aggregated discovery server, state of the world and incremental, that misbehaves as
+told. Needs the extra `xds`."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+from collections.abc import AsyncIterator
+from dataclasses import dataclass, field
+from typing import Any
+
+import grpc
+from envoy.config.cluster.v3 import cluster_pb2
+from envoy.config.endpoint.v3 import endpoint_pb2
+from envoy.service.discovery.v3 import ads_pb2_grpc, discovery_pb2
+from google.protobuf import any_pb2, json_format
+from google.protobuf.message import Message
+
+CLUSTER = "type.googleapis.com/envoy.config.cluster.v3.Cluster"
+ENDPOINTS = "type.googleapis.com/envoy.config.endpoint.v3.ClusterLoadAssignment"
+
+
+def packed(message: Message) -> any_pb2.Any:
+    found = any_pb2.Any()
+    found.Pack(message)
+    return found
+
+
+def cluster(name: str, **more: Any) -> any_pb2.Any:
+    """An EDS cluster over the same stream, with changes in the API's JSON form."""
+    data = {"name": name, "type": "EDS", "eds_cluster_config": {"eds_config": {"ads": {}}}} | more
+    return packed(json_format.ParseDict(data, cluster_pb2.Cluster()))
+
+
+def endpoints(name: str, *rows: dict[str, Any], **more: Any) -> any_pb2.Any:
+    """Endpoints of one locality; a row has `address` (`host:port`) and fields of `LbEndpoint`."""
+    found = []
+    for row in rows:
+        host, _, port = row["address"].rpartition(":")
+        socket = {"socket_address": {"address": host, "port_value": int(port)}}
+        rest = {key: value for key, value in row.items() if key != "address"}
+        found.append({"endpoint": {"address": socket}} | rest)
+    data = {"cluster_name": name, "endpoints": [{"lb_endpoints": found} | more]}
+    return packed(json_format.ParseDict(data, endpoint_pb2.ClusterLoadAssignment()))
+
+
+@dataclass(slots=True)
+class Asked:
+    """One request as it came, by stream."""
+
+    stream: int
+    request: Any
+
+
+@dataclass(slots=True)
+class _Stream:
+    """What one stream has been told: versions by type and name."""
+
+    number: int
+    queue: asyncio.Queue[Any] = field(default_factory=asyncio.Queue)
+    names: dict[str, set[str]] = field(default_factory=dict)
+    sent: dict[str, dict[str, str]] = field(default_factory=dict)
+    nonce: int = 0
+
+
+class ControlPlane(ads_pb2_grpc.AggregatedDiscoveryServiceServicer):  # type: ignore[misc]
+    """`put` and `remove` change its state; streams are told at once unless `silent`."""
+
+    def __init__(self) -> None:
+        self.resources: dict[str, dict[str, any_pb2.Any]] = {CLUSTER: {}, ENDPOINTS: {}}
+        self.versions: dict[str, dict[str, str]] = {CLUSTER: {}, ENDPOINTS: {}}
+        self.version = 0
+        self.asked: list[Asked] = []
+        self.silent: set[str] = set()  # types of which nothing is told for now
+        self.streams: dict[int, _Stream] = {}
+        self._opened = 0
+        self._server: Any = None
+        self.port = 0
+
+    async def start(self, port: int = 0) -> ControlPlane:
+        self._server = grpc.aio.server()
+        ads_pb2_grpc.add_AggregatedDiscoveryServiceServicer_to_server(self, self._server)
+        self.port = self._server.add_insecure_port(f"127.0.0.1:{port}")
+        await self._server.start()
+        return self
+
+    async def stop(self) -> None:
+        await self._server.stop(None)
+
+    @property
+    def endpoint(self) -> str:
+        return f"127.0.0.1:{self.port}"
+
+    # ----------------------------------------------------------------------- script
+
+    def put(self, *resources: any_pb2.Any, tell: bool = True) -> None:
+        """Add resources, or replace those of the same name."""
+        self.version += 1
+        for resource in resources:
+            kind = cluster_pb2.Cluster if resource.type_url == CLUSTER else endpoint_pb2.ClusterLoadAssignment
+            message = kind.FromString(resource.value)
+            name = message.name if resource.type_url == CLUSTER else message.cluster_name
+            self.resources[resource.type_url][name] = resource
+            self.versions[resource.type_url][name] = str(self.version)
+        if tell:
+            self.tell()
+
+    def remove(self, type_url: str, name: str) -> None:
+        self.version += 1
+        self.resources[type_url].pop(name)
+        self.versions[type_url].pop(name)
+        self.tell()
+
+    def tell(self) -> None:
+        """Have streams look for what is new."""
+        for stream in self.streams.values():
+            stream.queue.put_nowait(None)
+
+    def say(self, response: Any) -> None:
+        """Send this response on all streams, whatever it is."""
+        for stream in self.streams.values():
+            stream.queue.put_nowait(response)
+
+    def drop_streams(self) -> None:
+        for stream in self.streams.values():
+            stream.queue.put_nowait(ConnectionError("dropped"))
+
+    def forget(self) -> None:
+        """A restart that begins its versions anew."""
+        self.version = 0
+        for versions in self.versions.values():
+            for name in versions:
+                versions[name] = "0"
+
+    def errors(self) -> list[str]:
+        """What has been rejected, in the words of those who did."""
+        return [
+            item.request.error_detail.message for item in self.asked if item.request.HasField("error_detail")
+        ]
+
+    # --------------------------------------------------------------------- service
+
+    async def StreamAggregatedResources(  # noqa: N802 - the service's own name
+        self, requests: AsyncIterator[Any], context: Any
+    ) -> AsyncIterator[Any]:
+        async with self._stream(requests) as stream:
+            while True:
+                request = await stream.queue.get()
+                if isinstance(request, Exception):
+                    return
+                if isinstance(request, discovery_pb2.DiscoveryResponse):
+                    yield request
+                    continue
+                if request is not None:
+                    names = set(request.resource_names)
+                    if names != stream.names.get(request.type_url):
+                        stream.names[request.type_url] = names
+                        stream.sent.pop(request.type_url, None)
+                for type_url in (CLUSTER, ENDPOINTS):
+                    response = self._state(stream, type_url)
+                    if response is not None:
+                        yield response
+
+    async def DeltaAggregatedResources(  # noqa: N802 - the service's own name
+        self, requests: AsyncIterator[Any], context: Any
+    ) -> AsyncIterator[Any]:
+        async with self._stream(requests) as stream:
+            while True:
+                request = await stream.queue.get()
+                if isinstance(request, Exception):
+                    return
+                if isinstance(request, discovery_pb2.DeltaDiscoveryResponse):
+                    yield request
+                    continue
+                if request is not None:
+                    names = stream.names.setdefault(request.type_url, set())
+                    names |= set(request.resource_names_subscribe)
+                    names -= set(request.resource_names_unsubscribe)
+                    sent = stream.sent.setdefault(request.type_url, dict(request.initial_resource_versions))
+                    for name in request.resource_names_unsubscribe:
+                        sent.pop(name, None)
+                for type_url in (CLUSTER, ENDPOINTS):
+                    response = self._changes(stream, type_url)
+                    if response is not None:
+                        yield response
+
+    @contextlib.asynccontextmanager
+    async def _stream(self, requests: AsyncIterator[Any]) -> AsyncIterator[_Stream]:
+        self._opened += 1
+        stream = self.streams[self._opened] = _Stream(self._opened)
+
+        async def read() -> None:
+            async for request in requests:
+                self.asked.append(Asked(stream.number, request))
+                stream.queue.put_nowait(request)
+            stream.queue.put_nowait(ConnectionError("the caller has ended its side"))
+
+        reading = asyncio.create_task(read())
+        try:
+            yield stream
+        finally:
+            reading.cancel()
+            self.streams.pop(stream.number, None)
+
+    def _wanted(self, stream: _Stream, type_url: str) -> dict[str, str]:
+        return {
+            name: version
+            for name, version in self.versions[type_url].items()
+            if name in stream.names[type_url]
+        }
+
+    def _state(self, stream: _Stream, type_url: str) -> Any:
+        if type_url not in stream.names or type_url in self.silent:
+            return None
+        wanted = self._wanted(stream, type_url)
+        if stream.sent.get(type_url) == wanted:
+            return None
+        stream.sent[type_url] = wanted
+        stream.nonce += 1
+        return discovery_pb2.DiscoveryResponse(
+            version_info=str(self.version),
+            resources=[self.resources[type_url][name] for name in wanted],
+            type_url=type_url,
+            nonce=f"n{stream.nonce}",
+        )
+
+    def _changes(self, stream: _Stream, type_url: str) -> Any:
+        if type_url not in stream.names or type_url in self.silent:
+            return None
+        wanted, sent = self._wanted(stream, type_url), stream.sent[type_url]
+        news = [name for name, version in wanted.items() if sent.get(name) != version]
+        removed = [name for name in sent if name not in wanted and name in stream.names[type_url]]
+        if not news and not removed:
+            return None
+        stream.sent[type_url] = wanted
+        stream.nonce += 1
+        return discovery_pb2.DeltaDiscoveryResponse(
+            system_version_info=str(self.version),
+            resources=[
+                discovery_pb2.Resource(
+                    name=name, version=wanted[name], resource=self.resources[type_url][name]
+                )
+                for name in news
+            ],
+            removed_resources=removed,
+            type_url=type_url,
+            nonce=f"n{stream.nonce}",
+        )
