--- a/orchidledge/core/pool.py
+++ b/orchidledge/core/pool.py
@@ -6,7 +6,7 @@
 import logging
 from collections import Counter, deque
 from collections.abc import Callable, Mapping
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from typing import Any
 
 from orchidledge import interface as api
@@ -18,7 +18,6 @@
 log = logging.getLogger("orchidledge")
 
 BACKSTOP_S = 0.005  # after which a request that the module left unanswered is answered for it
-IN_USE = frozenset((api.ServerState.UP, api.ServerState.DEGRADED, api.ServerState.SICK))  # sick: in a panic
 FAULT_PAUSE_S = 0.5  # before an alarm or a watch is tried again that a fault of the module has lost
 
 
@@ -61,6 +60,8 @@
         self.watch = watch
         self.balancer = Balancer(settings, seed, clock.ms())
         self.jobs: dict[str, Job] = {}
+        self.open = 0  # requests of this pool without a final answer
+        self.most_open: int | None = None  # of these, where the list states a limit
         self.up: set[str] = set()
         self.counts: Counter[str] = Counter()
         self.timers: dict[str, asyncio.TimerHandle] = {}
@@ -136,6 +137,19 @@
 
     # ------------------------------------------------------------------- requests
 
+    @property
+    def full(self) -> bool:
+        """Whether one more request is too many, here or in the process."""
+        return self.room.full or (self.most_open is not None and self.open >= self.most_open)
+
+    def warm_up(self, cold_ms: float) -> None:
+        """Take a list's word for how long a server is cold, unless the settings have it for longer.
+
+        Guard: a shorter one would let all nodes together push a cold server over.
+        """
+        if cold_ms > self.settings.cold_ms:
+            self.balancer.cfg = replace(self.balancer.cfg, cold_ms=cold_ms)
+
     def take(
         self, request: api.Request, give_up_at: float, message: Any, deliver: Callable[[Job, Answer], None]
     ) -> Job:
@@ -144,6 +158,7 @@
         job = Job(request.id, message, deliver, give_up_at, request.service)
         self.jobs[request.id] = job
         self.room.open += 1
+        self.open += 1
         job.backstop = self.loop.call_at(give_up_at + BACKSTOP_S, self._on_backstop, job)
         self.tell(request)
         return job
@@ -170,6 +185,7 @@
     def _end(self, job: Job) -> None:
         job.done = True
         self.room.open -= 1
+        self.open -= 1
         if job.backstop is not None:
             job.backstop.cancel()
         self._forget(job)
@@ -250,12 +266,15 @@
             self.tell(api.Membership(form))
             return
         endpoints = endpoints or {}
-        ready = [server for server in servers if server.state in IN_USE and server.weight > 0.0]
-        for server in ready:
-            self.back.add(server.address, endpoints[server.address], server.launched_ms)
-        up = {server.address for server in ready}
-        self.tell(api.Membership(form, servers, levels))
         # The module hears of it first, so that what is withdrawn here is sent on by the new list.
+        self.tell(api.Membership(form, servers, levels))
+        if levels is None:
+            up = {server.address for server in servers if server.state is api.ServerState.UP}
+        else:  # of levels the module says which servers may get something, as sick ones may in a panic
+            up = {peer.info.address for peer in self.balancer.ready}
+        for server in servers:
+            if server.address in up:
+                self.back.add(server.address, endpoints[server.address], server.launched_ms)
         gone = {server.address for server in servers} - up if form is api.ListForm.DELTA else self.up - up
         for name in gone:
             self.back.remove(name)
--- a/orchidledge/runtime/admin.py
+++ b/orchidledge/runtime/admin.py
@@ -5,6 +5,7 @@
 | `/config` | the configuration in force, its digest, since when (Unix time in s), and the last one rejected |
 | `/servers` | by pool: each server's state, zone, rank (less is picked first), calls in flight, errors |
 | `/requests` | by pool and class: requests open |
+| `/lists` | by pool: where its list comes from; of xDS: each resource's version, age, and what was rejected and why |
 | `/up` | 200 once each pool knows a server, else 503 |
 """
 
@@ -26,6 +27,8 @@
 
     def config_row(self) -> dict[str, Any]: ...
 
+    def lists_row(self) -> dict[str, Any]: ...
+
     @property
     def ready(self) -> bool: ...
 
@@ -47,6 +50,7 @@
             b"/config": self.subject.config_row,
             b"/servers": self._servers,
             b"/requests": self._requests,
+            b"/lists": self.subject.lists_row,
         }
         if path == b"/up":
             call.pass_on(200 if self.subject.ready else 503, [], b"")
--- a/orchidledge/runtime/front.py
+++ b/orchidledge/runtime/front.py
@@ -149,7 +149,7 @@
             # Guard: sent on without a key, a repeat of it would not be dropped by any box.
             self._deny(call, 400, "http_request_error", f"class {kind.name} needs {key.decode()}")
             return
-        if pool.room.full or not self.server.make_room(spared_s=0.0):
+        if pool.full or not self.server.make_room(spared_s=0.0):
             # Guard: too many to hold. None of it has gone anywhere, so it is a refusal.
             self._refuse(call, 0.0, "connection_limit_reached")
             return
--- a/orchidledge/runtime/sidecar.py
+++ b/orchidledge/runtime/sidecar.py
@@ -10,7 +10,7 @@
 from collections import Counter
 from collections.abc import Iterable
 from dataclasses import dataclass
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 from orchidledge import interface as api
 from orchidledge.core.address import Address, parse_address
@@ -27,6 +27,9 @@
 from orchidledge.sidecar.checks import SPARE_DESCRIPTORS, route_of
 from orchidledge.sidecar.models import ClassModel, Configuration, ListSource, PoolModel, digest, plain
 
+if TYPE_CHECKING:
+    from orchidledge.runtime.xds import XdsFeed
+
 log = logging.getLogger("orchidledge")
 
 INBOUND_SHARE = 0.58  # of the descriptors: callers' connections;
@@ -86,7 +89,7 @@
     back: HttpBack
     settings: api.Settings
     model: PoolModel
-    watcher: Watcher | None = None
+    watcher: Watcher | XdsFeed | None = None
 
     def close(self) -> None:
         if self.watcher is not None:
@@ -138,6 +141,17 @@
             "rejected": self.rejected,
         }
 
+    def lists_row(self) -> dict[str, Any]:
+        """Where each pool's list comes from, and how old its news is where the source tells."""
+        rows: dict[str, Any] = {}
+        for name, item in self.managed.items():
+            source = item.model.servers_from
+            rows[name] = {"source": plain(source) if source is not None else None}
+            told = getattr(item.watcher, "row", None)
+            if told is not None:
+                rows[name] |= told()
+        return rows
+
     # ------------------------------------------------------------------- life cycle
 
     async def start(self) -> None:
@@ -289,8 +303,13 @@
                 managed.watcher = None
             managed.pool.on_list(api.ListForm.FULL, *_static(source))
             return
+        if source.source == "xds":
+            if managed.watcher is not None:
+                managed.watcher.close()
+            self._follow_xds(managed, source, new)
+            return
         address = parse_address(source.address)
-        if managed.watcher is not None and before is not None and before.mode == source.mode:
+        if isinstance(managed.watcher, Watcher) and before is not None and before.mode == source.mode:
             managed.watcher.move(address)
             return
         if managed.watcher is not None:
@@ -301,6 +320,25 @@
             managed.pool.on_list(api.ListForm.CACHED, servers, old.back.endpoints)
         self._watch(managed, address, source.mode == "push", new.rules.told_within_ms)
 
+    def _follow_xds(self, managed: _Managed, source: ListSource, new: Configuration) -> None:
+        # Imported here: only installations with such a list have what it needs.
+        from orchidledge.runtime.xds import XdsFeed
+
+        assert source.address is not None  # as checked
+        assert source.cluster is not None
+        roster = managed.watcher.roster if isinstance(managed.watcher, XdsFeed) else None
+        node = f"{new.zone}/{new.name}" if new.zone else new.name
+        managed.watcher = XdsFeed(
+            source.address,
+            source.cluster,
+            source.updates != "state",
+            node,
+            managed.pool,
+            managed.back,
+            roster,
+        )
+        managed.watcher.start()
+
     def _watch(self, managed: _Managed, address: Address, endless: bool, told_within_ms: float) -> None:
         def on_news(form: api.ListForm, listing: Listing | None) -> None:
             if listing is None:
@@ -375,7 +413,13 @@
 
 
 def _connects_alike(one: PoolModel, other: PoolModel) -> bool:
-    return (one.server_idle_ms, one.connect_timeout_ms) == (other.server_idle_ms, other.connect_timeout_ms)
+    # What an xDS list states of levels and limits does not hold for another kind of list.
+    kinds = {item.servers_from.source for item in (one, other) if item.servers_from is not None}
+    alike = "xds" not in kinds or len(kinds) == 1
+    return alike and (one.server_idle_ms, one.connect_timeout_ms) == (
+        other.server_idle_ms,
+        other.connect_timeout_ms,
+    )
 
 
 def _static(source: ListSource) -> tuple[tuple[api.Server, ...], dict[str, Address]]:
--- a/orchidledge/sidecar/checks.py
+++ b/orchidledge/sidecar/checks.py
@@ -19,6 +19,7 @@
     Catalogue,
     ClassModel,
     Configuration,
+    ListSource,
     PoolModel,
     RouteModel,
 )
@@ -78,15 +79,9 @@
         source = pool.servers_from
         if source is None:
             say(here, f"pool {pool.name!r} has no list", "add list, with source = 'static' or 'discovery'")
-        elif source.source == "discovery":
-            if source.address is None:
-                say((*here, "list"), "discovery has no address", "add address")
-            if source.servers:
-                say((*here, "list", "servers"), "stand beside discovery", "leave them out, or use 'static'")
         else:
-            for key, value in (("address", source.address), ("mode", source.mode)):
-                if value is not None:
-                    say((*here, "list", key), "belongs to discovery", "leave it out, or use 'discovery'")
+            _source((*here, "list"), source, say)
+        if source is not None and source.source == "static":
             if not source.servers:
                 say((*here, "list"), f"pool {pool.name!r} has a list without servers", "add servers")
             _unique((*here, "list", "servers"), [item.id for item in source.servers], say, "id")
@@ -97,6 +92,25 @@
                     say(path, f"zone {item.zone!r} is not one of the pool's", near(item.zone, pool.zones))
 
 
+# By kind of list: what it needs, and what it may have beside that.
+SOURCES: dict[str, tuple[frozenset[str], frozenset[str]]] = {
+    "static": (frozenset(), frozenset({"servers"})),
+    "discovery": (frozenset({"address"}), frozenset({"mode"})),
+    "xds": (frozenset({"address", "cluster"}), frozenset({"updates"})),
+}
+
+
+def _source(here: Path, source: ListSource, say: Say) -> None:
+    needs, may = SOURCES[source.source]
+    for key in ("address", "mode", "cluster", "updates", "servers"):
+        given = bool(getattr(source, key))
+        if key in needs and not given:
+            say(here, f"{source.source} has no {key}", f"add {key}")
+        elif given and key not in needs | may:
+            owners = " or ".join(repr(name) for name, (one, two) in SOURCES.items() if key in one | two)
+            say((*here, key), f"does not belong to {source.source!r}", f"leave it out, or use {owners}")
+
+
 def _classes(classes: Sequence[ClassModel], pools: list[PoolModel], attempts: int, say: Say) -> None:
     _unique(("classes",), [item.name for item in classes], say)
     by_name = {pool.name: pool for pool in pools}
--- a/orchidledge/sidecar/models.py
+++ b/orchidledge/sidecar/models.py
@@ -83,9 +83,13 @@
 class ListSource(Model):
     """Where the servers of a pool come from."""
 
-    source: Literal["static", "discovery"]
-    address: AddressText | None = Field(None, description="of discovery")
+    source: Literal["static", "discovery", "xds"]
+    address: AddressText | None = Field(None, description="of discovery or the xDS control plane")
     mode: Literal["ask", "push"] | None = Field(None, description="whether discovery is asked or pushes")
+    cluster: str | None = Field(None, min_length=1, description="the xDS cluster's name")
+    updates: Literal["state", "incremental"] | None = Field(
+        None, description="of xDS: the state of the world, or changes (the default)"
+    )
     servers: list[ListedServer] = Field([], description="of a static list")
 
 
--- a/orchidledge/xds/protocol.py
+++ b/orchidledge/xds/protocol.py
@@ -10,14 +10,14 @@
 
 import random
 from collections.abc import Iterable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from typing import Any
 
 from envoy.config.core.v3 import base_pb2
 from envoy.service.discovery.v3 import discovery_pb2
 from google.rpc import code_pb2, status_pb2
 
-from orchidledge.interface import Levels
+from orchidledge.interface import Levels, Server, ServerState
 from orchidledge.lists.membership import Entry
 from orchidledge.xds.resources import (
     CLUSTER,
@@ -72,7 +72,10 @@
     cluster: Cluster | None
     entries: tuple[Entry, ...]
     levels: Levels
-    stale_after_ms: float | None = None
+
+
+def _sick(server: Server) -> Server:
+    return replace(server, state=ServerState.SICK) if server.state is not ServerState.DRAINING else server
 
 
 class XdsClient:
@@ -321,7 +324,13 @@
                 continue
             self._warming.pop(name, None)
             entries, levels = membership(cluster, assignment)
-            self._active[name] = Served(cluster, entries, levels, assignment.stale_after_ms)
+            told = self.endpoints.held.get(cluster.service) if cluster.kind is Kind.EDS else None
+            heard = told.accepted_ms if told is not None else None
+            limit = assignment.stale_after_ms
+            if limit is not None and heard is not None and now_ms - heard > limit:
+                # "endpoint_stale_after": endpoints of which nothing new was heard for so long count as unhealthy.
+                entries = tuple(Entry(_sick(entry.server), entry.endpoint) for entry in entries)
+            self._active[name] = Served(cluster, entries, levels)
 
     def _refresh(self, name: str) -> None:
         """A cluster that waits for the endpoints of its new form serves from the old one's, as they are now."""
@@ -331,7 +340,7 @@
         old = self.endpoints.of(served.cluster.service)
         if old is not None:
             entries, levels = membership(served.cluster, old)
-            self._active[name] = Served(served.cluster, entries, levels, old.stale_after_ms)
+            self._active[name] = Served(served.cluster, entries, levels)
 
     def _same_source(self, name: str, cluster: Cluster) -> bool:
         """Whether a cluster serves from where it is to serve from now."""
--- a/tests/test_structure.py
+++ b/tests/test_structure.py
@@ -26,7 +26,7 @@
     "lists": {"core", "http", "interface"},
     "platform": {"core", "http", "lists", "interface", "settings"},
     "sidecar": {"core", "router"},
-    "runtime": {"core", "http", "lists", "router", "sidecar", "interface", "settings"},
+    "runtime": {"core", "http", "lists", "router", "sidecar", "interface", "settings", "xds"},
     "xds": {"core", "interface", "lists"},
     "standin": {"core", "http"},
     "examples": set(),
