--- a/orchidledge/cli/config.py
+++ b/orchidledge/cli/config.py
@@ -26,6 +26,7 @@
 from orchidledge.sidecar.toml import scalar
 
 FETCH_S = 3.0
+RESOURCES = (".json", ".yaml", ".yml")  # files of xDS resources
 EXITS = "Exit codes: 0 none found, 1 mistakes or drift, 2 the call itself can't be carried out."
 
 
@@ -46,7 +47,7 @@
         "check",
         help="find all mistakes in catalogues, descriptions and configurations",
         description="Each mistake is one line, `file:line: path: what is wrong; what would be right`. A description "
-        "is held against the catalogue among the files. No file is changed.",
+        "is held against the catalogue among the files. JSON and YAML files are xDS resources. No file is changed.",
         epilog=EXITS,
     )
     checks.add_argument("files", nargs="+", metavar="FILE")
@@ -101,12 +102,33 @@
 
 def _documents(paths: list[str], descriptors: int) -> list[Document]:
     """The files, each checked by itself. UnusableError if one can't be read."""
-    documents = [read(path) for path in paths]
+    documents = [_resources(path) if path.endswith(RESOURCES) else read(path) for path in paths]
     for document in documents:
         check(document, descriptors)
     return documents
 
 
+def _resources(path: str) -> Document:
+    """A file of xDS resources, read by what the sidecar reads it by."""
+    try:
+        from orchidledge.xds.files import FileError, load
+    except ImportError as error:
+        raise UnusableError(
+            f"{path}: xDS resources need the extra: pip install 'orchidledge[xds]'"
+        ) from error
+    document = Document(path, "")
+    try:
+        load(path)
+    except OSError as error:
+        raise UnusableError(f"{path}: {error.strerror or error}") from error
+    except FileError as error:
+        document.mistakes = [
+            Mistake(path, line, place, wrong, "what the API definition and docs/operate/xds.md allow")
+            for line, place, wrong in error.mistakes
+        ]
+    return document
+
+
 def _tell(mistakes: list[Mistake]) -> int:
     for mistake in mistakes:
         print(mistake)
--- a/orchidledge/runtime/sidecar.py
+++ b/orchidledge/runtime/sidecar.py
@@ -324,14 +324,12 @@
         # Imported here: only installations with such a list have what it needs.
         from orchidledge.runtime.xds import XdsFeed
 
-        assert source.address is not None  # as checked
-        assert source.cluster is not None
+        assert source.cluster is not None  # as checked
         roster = managed.watcher.roster if isinstance(managed.watcher, XdsFeed) else None
         node = f"{new.zone}/{new.name}" if new.zone else new.name
         managed.watcher = XdsFeed(
-            source.address,
+            source,
             source.cluster,
-            source.updates != "state",
             node,
             managed.pool,
             managed.back,
--- a/orchidledge/runtime/xds.py
+++ b/orchidledge/runtime/xds.py
@@ -8,6 +8,8 @@
 from orchidledge.core.pool import Pool
 from orchidledge.http.back import HttpBack
 from orchidledge.lists.membership import Change, Roster
+from orchidledge.sidecar.models import ListSource
+from orchidledge.xds.files import FileClient
 from orchidledge.xds.protocol import Served, XdsClient
 from orchidledge.xds.stream import XdsStream
 
@@ -21,9 +23,8 @@
 
     def __init__(
         self,
-        address: str,
+        source: ListSource,
         cluster: str,
-        delta: bool,
         node: str,
         pool: Pool,
         back: HttpBack,
@@ -31,8 +32,15 @@
     ) -> None:
         """`roster`: of the feed that it takes over from, so that what that did not have counts as cold."""
         self.cluster = cluster
-        self.client = XdsClient(node, [cluster], delta, pool.balancer.rng.getrandbits(32))
-        self.stream = XdsStream(address, self.client, pool.clock.ms, self._on_change)
+        self.client: XdsClient | FileClient
+        self.stream: XdsStream | FileClient
+        if source.path is not None:
+            self.client = self.stream = FileClient(source.path, cluster, pool.clock.ms, self._on_change)
+        else:
+            assert source.address is not None  # as checked
+            delta = source.updates != "state"
+            self.client = XdsClient(node, [cluster], delta, pool.balancer.rng.getrandbits(32))
+            self.stream = XdsStream(source.address, self.client, pool.clock.ms, self._on_change)
         self.roster = roster or Roster()
         self._pool = pool
         self._back = back
--- a/orchidledge/sidecar/models.py
+++ b/orchidledge/sidecar/models.py
@@ -86,6 +86,9 @@
     source: Literal["static", "discovery", "xds"]
     address: AddressText | None = Field(None, description="of discovery or the xDS control plane")
     mode: Literal["ask", "push"] | None = Field(None, description="whether discovery is asked or pushes")
+    path: str | None = Field(
+        None, min_length=1, description="of a file with xDS resources, in place of an address"
+    )
     cluster: str | None = Field(None, min_length=1, description="the xDS cluster's name")
     updates: Literal["state", "incremental"] | None = Field(
         None, description="of xDS: the state of the world, or changes (the default)"
--- a/tests/test_structure.py
+++ b/tests/test_structure.py
@@ -30,7 +30,7 @@
     "xds": {"core", "interface", "lists"},
     "standin": {"core", "http"},
     "examples": set(),
-    "cli": {"core", "http", "runtime", "sidecar", "standin"},
+    "cli": {"core", "http", "runtime", "sidecar", "standin", "xds"},
     "__main__": {"core", "platform"},
     "__init__": {"brain", "interface"},
 }
