--- a/orchidledge/runtime/xds.py
+++ b/orchidledge/runtime/xds.py
@@ -11,7 +11,7 @@
 from orchidledge.sidecar.models import ListSource
 from orchidledge.xds.files import FileClient
 from orchidledge.xds.protocol import Served, XdsClient
-from orchidledge.xds.stream import XdsStream
+from orchidledge.xds.stream import XdsPolling, XdsStream
 
 log = logging.getLogger("orchidledge")
 
@@ -38,9 +38,12 @@
             self.client = self.stream = FileClient(source.path, cluster, pool.clock.ms, self._on_change)
         else:
             assert source.address is not None  # as checked
-            delta = source.updates != "state"
-            self.client = XdsClient(node, [cluster], delta, pool.balancer.rng.getrandbits(32))
-            self.stream = XdsStream(source.address, self.client, pool.clock.ms, self._on_change)
+            polled = source.transport == "rest"
+            delta = source.updates != "state" and not polled
+            separate = source.transport in ("separate", "rest")
+            self.client = XdsClient(node, [cluster], delta, pool.balancer.rng.getrandbits(32), separate)
+            kind = XdsPolling if polled else XdsStream
+            self.stream = kind(source.address, self.client, pool.clock.ms, self._on_change)
         self.roster = roster or Roster()
         self._pool = pool
         self._back = back
--- a/orchidledge/sidecar/checks.py
+++ b/orchidledge/sidecar/checks.py
@@ -96,7 +96,7 @@
 SOURCES: dict[str, tuple[frozenset[str], frozenset[str]]] = {
     "static": (frozenset(), frozenset({"servers"})),
     "discovery": (frozenset({"address"}), frozenset({"mode"})),
-    "xds": (frozenset({"cluster"}), frozenset({"address", "path", "updates"})),
+    "xds": (frozenset({"cluster"}), frozenset({"address", "path", "transport", "updates"})),
 }
 
 
@@ -104,9 +104,12 @@
     needs, may = SOURCES[source.source]
     if source.source == "xds" and (source.address is None) == (source.path is None):
         say(here, "xds needs an address or a path, and has both or neither", "give one of them")
-    if source.path is not None and source.updates is not None:
-        say((*here, "updates"), "belongs to a control plane, not to a file", "leave it out")
-    for key in ("address", "mode", "path", "cluster", "updates", "servers"):
+    for key in ("transport", "updates"):
+        if source.path is not None and getattr(source, key) is not None:
+            say((*here, key), "belongs to a control plane, not to a file", "leave it out")
+    if source.transport == "rest" and source.updates == "incremental":
+        say((*here, "updates"), "polling has no incremental form", "leave it out, or 'state'")
+    for key in ("address", "mode", "path", "cluster", "transport", "updates", "servers"):
         given = bool(getattr(source, key))
         if key in needs and not given:
             say(here, f"{source.source} has no {key}", f"add {key}")
--- a/orchidledge/sidecar/models.py
+++ b/orchidledge/sidecar/models.py
@@ -90,6 +90,9 @@
         None, min_length=1, description="of a file with xDS resources, in place of an address"
     )
     cluster: str | None = Field(None, min_length=1, description="the xDS cluster's name")
+    transport: Literal["aggregated", "separate", "rest"] | None = Field(
+        None, description="of xDS: one stream (the default), one for each type, or REST-JSON polling"
+    )
     updates: Literal["state", "incremental"] | None = Field(
         None, description="of xDS: the state of the world, or changes (the default)"
     )
--- a/orchidledge/xds/protocol.py
+++ b/orchidledge/xds/protocol.py
@@ -81,8 +81,12 @@
 class XdsClient:
     """Follows the clusters that it is told to want, over one stream at a time."""
 
-    def __init__(self, node_id: str, clusters: Iterable[str], delta: bool, seed: int = 0) -> None:
+    def __init__(
+        self, node_id: str, clusters: Iterable[str], delta: bool, seed: int = 0, separate: bool = False
+    ) -> None:
+        """`separate`: each type has a stream, or a call, of its own; so each is told of the node."""
         self.delta = delta
+        self.separate = separate
         self.node = base_pb2.Node(id=node_id, user_agent_name="orchidledge")
         self.clusters = Subscription(CLUSTER, set(clusters))
         self.endpoints = Subscription(ENDPOINTS)
@@ -190,7 +194,7 @@
             text = "; ".join(map(str, errors))
             detail = status_pb2.Status(code=code_pb2.INVALID_ARGUMENT, message=text)
         # The node's identity goes with the first request of a stream only.
-        node = None if self._node_sent else self.node
+        node = None if self._node_sent and not (self.separate and first) else self.node
         self._node_sent = True
         if not self.delta:
             return discovery_pb2.DiscoveryRequest(
--- a/orchidledge/xds/stream.py
+++ b/orchidledge/xds/stream.py
@@ -1,4 +1,8 @@
-"""An aggregated xDS stream over gRPC (`envoy.service.discovery.v3.AggregatedDiscoveryService`)."""
+"""Ways to a control plane: an aggregated stream, a stream for each type, and polling in REST-JSON.
+
+Source: the xDS protocol's published description, sections "Aggregated Discovery Service", "RPC Services and
+Methods" and "REST-JSON polling subscriptions"; services of `envoy.service`.
+"""
 
 from __future__ import annotations
 
@@ -9,12 +13,22 @@
 from typing import Any
 
 import grpc
-from envoy.service.discovery.v3 import ads_pb2_grpc
+from envoy.service.cluster.v3 import cds_pb2_grpc
+from envoy.service.discovery.v3 import ads_pb2_grpc, discovery_pb2
+from envoy.service.endpoint.v3 import eds_pb2_grpc
+from google.protobuf import json_format
 
+from orchidledge.core.address import parse_address
+from orchidledge.http.client import Awaited, ClientConnection
 from orchidledge.xds.protocol import XdsClient
+from orchidledge.xds.resources import CLUSTER, ENDPOINTS
 
 log = logging.getLogger("orchidledge")
 
+POLL_S = 0.2  # between two polls: a drain has to be kept within 500 ms of being written
+POLL_WAIT_S = 5.0  # for the answer to one
+LARGEST = 64 * 1024 * 1024
+TARGETS = {CLUSTER: "/v3/discovery:clusters", ENDPOINTS: "/v3/discovery:endpoints"}
 TICK_S = 0.5  # between two looks at what waits for its endpoints
 OPTIONS = (
     # HTTP/2 pings tell a dead peer from a quiet one (gRPC's keepalive guide).
@@ -54,24 +68,49 @@
         while True:
             try:
                 await self._once()
-            except (grpc.RpcError, asyncio.InvalidStateError) as error:
+            except (grpc.RpcError, asyncio.InvalidStateError, OSError, json_format.ParseError) as error:
                 log.info("xds: stream to %s is gone: %s", self.address, _said(error))
             await asyncio.sleep(self.client.closed())
 
     async def _once(self) -> None:
-        """One stream, from its opening to its end."""
+        """One stream, or one for each type, from opening to the first end."""
         async with grpc.aio.insecure_channel(self.address, options=OPTIONS) as channel:
-            stub = ads_pb2_grpc.AggregatedDiscoveryServiceStub(channel)
-            call = stub.DeltaAggregatedResources() if self.client.delta else stub.StreamAggregatedResources()
+            calls = self._open(channel)
+            readers = [asyncio.create_task(self._read(call, calls)) for call in dict.fromkeys(calls.values())]
             try:
-                for request in self.client.opened():
-                    await call.write(request)
-                while (response := await call.read()) is not grpc.aio.EOF:
-                    for request in self.client.received(self._now_ms(), response):
-                        await call.write(request)
-                    self._changed()
+                await self._write(calls, self.client.opened())
+                done, _ = await asyncio.wait(readers, return_when=asyncio.FIRST_COMPLETED)
+                for reader in done:
+                    reader.result()
             finally:
-                call.cancel()
+                for call in calls.values():
+                    call.cancel()
+                for reader in readers:
+                    reader.cancel()
+                await asyncio.gather(*readers, return_exceptions=True)
+
+    def _open(self, channel: Any) -> dict[str, Any]:
+        """The call of each type."""
+        delta = self.client.delta
+        if not self.client.separate:
+            stub = ads_pb2_grpc.AggregatedDiscoveryServiceStub(channel)
+            call = stub.DeltaAggregatedResources() if delta else stub.StreamAggregatedResources()
+            return {CLUSTER: call, ENDPOINTS: call}
+        clusters = cds_pb2_grpc.ClusterDiscoveryServiceStub(channel)
+        endpoints = eds_pb2_grpc.EndpointDiscoveryServiceStub(channel)
+        return {
+            CLUSTER: clusters.DeltaClusters() if delta else clusters.StreamClusters(),
+            ENDPOINTS: endpoints.DeltaEndpoints() if delta else endpoints.StreamEndpoints(),
+        }
+
+    async def _write(self, calls: dict[str, Any], requests: list[Any]) -> None:
+        for request in requests:
+            await calls[request.type_url].write(request)
+
+    async def _read(self, call: Any, calls: dict[str, Any]) -> None:
+        while (response := await call.read()) is not grpc.aio.EOF:
+            await self._write(calls, self.client.received(self._now_ms(), response))
+            self._changed()
 
     def _changed(self) -> None:
         try:
@@ -87,6 +126,54 @@
                 self._changed()
 
 
+class XdsPolling(XdsStream):
+    """REST-JSON polling: state of the world, one call for each type at a time."""
+
+    async def _once(self) -> None:
+        host, port = parse_address(self.address)
+        loop = asyncio.get_running_loop()
+        _, connection = await loop.create_connection(
+            lambda: ClientConnection(lambda _: None, LARGEST), host, port
+        )
+        try:
+            due = {request.type_url: request for request in self.client.opened()}
+            while True:
+                for type_url in list(due):
+                    response = await self._poll(connection, type_url, due[type_url])
+                    if response is None:
+                        continue
+                    for request in self.client.received(self._now_ms(), response):
+                        due[request.type_url] = request
+                    self._changed()
+                await asyncio.sleep(POLL_S)
+        finally:
+            connection.abort()
+
+    async def _poll(self, connection: ClientConnection, type_url: str, request: Any) -> Any:
+        """The response; None where nothing is new (304, or the version that is held)."""
+        body = json_format.MessageToJson(request, preserving_proto_field_name=True).encode()
+        head = (
+            f"POST {TARGETS[type_url]} HTTP/1.1\r\nHost: {self.address}\r\nContent-Type: application/json\r\n"
+        )
+        call = Awaited()
+        connection.start(f"{head}Content-Length: {len(body)}\r\n\r\n".encode() + body, call)
+        async with asyncio.timeout(POLL_WAIT_S):
+            answer = await call.done
+        if not connection.usable:
+            raise ConnectionError("the connection was ended after an answer")
+        if answer.status == 304:
+            return None
+        if answer.status != 200:
+            raise ConnectionError(f"answered {answer.status}")
+        response = json_format.Parse(
+            bytes(answer.body), discovery_pb2.DiscoveryResponse(), ignore_unknown_fields=True
+        )
+        if not response.type_url:
+            response.type_url = type_url
+        same = bool(response.version_info) and response.version_info == request.version_info
+        return None if same or response.type_url != type_url else response
+
+
 def _said(error: BaseException) -> str:
     details: Any = getattr(error, "details", None)
     with contextlib.suppress(Exception):
--- a/tests/sidecar/test_drift.py
+++ b/tests/sidecar/test_drift.py
@@ -57,6 +57,7 @@
     (f"{POOL}.list.mode", "push", True, Rule.DRAINS),
     (f"{POOL}.list.path", "/etc/xds.yaml", True, Rule.DRAINS),
     (f"{POOL}.list.cluster", "ledger", True, Rule.DRAINS),
+    (f"{POOL}.list.transport", "rest", True, Rule.DRAINS),
     (f"{POOL}.list.updates", "state", True, Rule.DRAINS),
     (f"{POOL}.list.servers[b2].address", "127.0.0.1:7079", True, Rule.DRAINS),
     (f"{POOL}.list.servers[b2].zone", "arusha", True, Rule.DRAINS),
