--- a/orchidledge/xds/stream.py
+++ b/orchidledge/xds/stream.py
@@ -31,8 +31,9 @@
 TARGETS = {CLUSTER: "/v3/discovery:clusters", ENDPOINTS: "/v3/discovery:endpoints"}
 TICK_S = 0.5  # between two looks at what waits for its endpoints
 OPTIONS = (
-    # HTTP/2 pings tell a dead peer from a quiet one (gRPC's keepalive guide).
-    ("grpc.keepalive_time_ms", 20_000),
+    # HTTP/2 pings tell a dead peer from a quiet one (gRPC's keepalive guide); control planes allow 30 s as a rule, and
+    # the channel doubles it by itself where one does not.
+    ("grpc.keepalive_time_ms", 30_000),
     ("grpc.keepalive_timeout_ms", 5_000),
     ("grpc.keepalive_permit_without_calls", 1),
     ("grpc.http2.max_pings_without_data", 0),
