--- a/benchmarks/throughput.py
+++ b/benchmarks/throughput.py
@@ -120,10 +120,7 @@
 [[pools]]
 name = "box"
 [pools.list]
-source = "static"
-[[pools.list.servers]]
-id = "b0"
-address = "127.0.0.1:{box}"
+{source}
 [[classes]]
 name = "read"
 pool = "box"
@@ -136,6 +133,12 @@
 """
 
 
+STATIC = """source = "static"
+[[pools.list.servers]]
+id = "b0"
+address = "127.0.0.1:{box}\""""
+
+
 def start(
     command: list[str], core: int, cwd: Path, log: Path, env: dict[str, str]
 ) -> subprocess.Popen[bytes]:
@@ -201,7 +204,7 @@
             if not args.no_sidecar:
                 ports["sidecar"] = free_port()
                 path = Path(folder, "sidecar.toml")
-                path.write_text(SIDECAR.format(listen=ports["sidecar"], box=box))
+                path.write_text(SIDECAR.format(listen=ports["sidecar"], source=STATIC.format(box=box)))
                 command = [
                     sys.executable,
                     "-c",
--- a/benchmarks/xds_updates.py
+++ b/benchmarks/xds_updates.py
@@ -20,7 +20,7 @@
 from pathlib import Path
 from typing import Any
 
-from throughput import ROOT, Load, free_port, resident_mb, start, wait_for
+from throughput import ROOT, SIDECAR, Load, free_port, resident_mb, start, wait_for
 
 from orchidledge.standin.xds import ControlPlane, cluster, endpoints
 
@@ -107,7 +107,7 @@
             idle = [row | {"health_status": "DRAINING"} for row in rows(200)]
             plane.put(cluster("box"), endpoints("box", live, *idle))
             path = Path(folder, "sidecar.toml")
-            path.write_text(SIDECAR.format(listen=listen, plane=plane.endpoint))
+            path.write_text(SIDECAR.format(listen=listen, source=XDS.format(plane=plane.endpoint)))
             command = [sys.executable, "-m", "orchidledge.cli", "sidecar", str(path)]
             running.append(start(command, cores[1], ROOT, Path(folder, "sidecar.log"), {}))
             await asyncio.to_thread(wait_for, listen)
@@ -134,30 +134,9 @@
     return found
 
 
-SIDECAR = """kind = "configuration"
-version = 1
-name = "bench"
-[[listeners]]
-name = "application"
-address = "127.0.0.1:{listen}"
-[limits]
-descriptors = 1024
-[[pools]]
-name = "box"
-[pools.list]
-source = "xds"
+XDS = """source = "xds"
 address = "{plane}"
-cluster = "box"
-[[classes]]
-name = "read"
-pool = "box"
-effect = "safe"
-aim_ms = 1000
-give_up_ms = 2500
-[[routes]]
-class = "read"
-path = "/read/{{id}}"
-"""
+cluster = "box\""""
 
 
 def main() -> int:
--- a/orchidledge/cli/sidecar.py
+++ b/orchidledge/cli/sidecar.py
@@ -62,7 +62,11 @@
         return 2
     _allow(configuration.limits.descriptors)
     sidecar = Sidecar(configuration)
-    await sidecar.start()
+    try:
+        await sidecar.start()
+    except ReloadError as error:
+        print(f"{path}: {error}", file=sys.stderr)
+        return 2
     reloading = asyncio.create_task(_reload(sidecar, path, hangup))
     gc.collect()
     gc.freeze()  # what is there for good need not be looked at again
--- a/orchidledge/runtime/sidecar.py
+++ b/orchidledge/runtime/sidecar.py
@@ -155,7 +155,8 @@
     # ------------------------------------------------------------------- life cycle
 
     async def start(self) -> None:
-        """Put the configuration in force. OSError if an address can't be had; then nothing is left open."""
+        """Put the configuration in force. OSError if an address can't be had, ReloadError if what it needs is not
+        installed; then nothing is left open."""
         await self._put(self.configuration)
         self._stats()
 
@@ -201,6 +202,7 @@
 
     async def _put(self, new: Configuration) -> None:
         """First all that may fail, then the change in one step of the loop."""
+        _importable(new)
         usable = new.limits.descriptors - SPARE_DESCRIPTORS
         callers = max(1, int(usable * INBOUND_SHARE) // len(new.listeners))
         boxes = max(1, int(usable * UPSTREAM_SHARE) // len(new.pools))
@@ -391,6 +393,21 @@
         self._stats_timer = self.loop.call_later(STATS_S, self._stats)
 
 
+def _importable(configuration: Configuration) -> None:
+    """ReloadError unless what the lists need is installed.
+
+    Guard: found out while the change is made, it would leave half of it in force.
+    """
+    sources = [pool.servers_from for pool in configuration.pools]
+    if any(source is not None and source.source == "xds" for source in sources):
+        try:
+            import orchidledge.runtime.xds  # noqa: F401
+        except ImportError as error:
+            raise ReloadError(
+                f"a list from xDS needs the extra: pip install 'orchidledge[xds]' ({error})"
+            ) from error
+
+
 def _router(configuration: Configuration) -> Router:
     pools = {item.name: item.pool for item in configuration.classes}
     return Router(
--- a/orchidledge/xds/files.py
+++ b/orchidledge/xds/files.py
@@ -186,8 +186,12 @@
 
     async def _follow(self) -> None:
         while True:
-            if self.look():
-                self._on_change()
+            try:
+                if self.look():
+                    self._on_change()
+            except Exception:
+                # Guard: a fault of ours would end the following for good, and no drain be heard any more.
+                log.exception("xds: %s could not be followed", self.path)
             await asyncio.sleep(LOOK_S)
 
     def look(self) -> bool:
--- a/orchidledge/xds/stream.py
+++ b/orchidledge/xds/stream.py
@@ -71,6 +71,9 @@
                 await self._once()
             except (grpc.RpcError, asyncio.InvalidStateError, OSError, json_format.ParseError) as error:
                 log.info("xds: stream to %s is gone: %s", self.address, _said(error))
+            except Exception:
+                # Guard: a fault of ours would end the following for good, and no drain be heard any more.
+                log.exception("xds: the stream to %s has failed", self.address)
             await asyncio.sleep(self.client.closed())
 
     async def _once(self) -> None:
