Write the stand-in's stream loop once; set a listener's dropped headers up once

The stand-in control plane had its stream loop twice; an endpoint was copied field by field where a replaced field does; two branches of the check did the same; the sidecar's front built a set of header names anew for each request. No behaviour changes; the tests are as they were and pass.

--- a/orchidledge/cli/config.py
+++ b/orchidledge/cli/config.py
@@ -22,7 +22,7 @@
 from orchidledge.sidecar.load import Document, UnusableError, read
 from orchidledge.sidecar.locate import Path as Place
 from orchidledge.sidecar.mistakes import Mistake, shown
-from orchidledge.sidecar.models import KINDS, Configuration, digest, plain
+from orchidledge.sidecar.models import KINDS, Configuration, plain
 from orchidledge.sidecar.toml import scalar
 
 FETCH_S = 3.0
@@ -156,11 +156,9 @@
             document.add(
                 ("catalogue",), f"none of the catalogues given is {wanted!r}", "name the one it is meant for"
             )
-        elif not fitting[0].mistakes and not document.mistakes:
-            derive(fitting[0], document)
         elif fitting[0].mistakes:
             remarks.append(f"{document.name}: not held against {fitting[0].name}, which has mistakes itself")
-        elif document.model is not None and not document.spoilt:
+        elif not document.spoilt:
             derive(fitting[0], document)
     return documents, remarks
 
@@ -320,6 +318,3 @@
     schema = {"$schema": "https://json-schema.org/draft/2020-12/schema"} | schema
     print(orjson.dumps(schema, option=orjson.OPT_INDENT_2).decode())
     return 0
-
-
-__all__ = ["add_arguments", "check_files", "descriptors_here", "digest", "replace_file"]
--- a/orchidledge/runtime/front.py
+++ b/orchidledge/runtime/front.py
@@ -120,6 +120,7 @@
     def configure(self, deadline_header: str, tenant: str | None) -> None:
         self._deadline = deadline_header.lower().encode()
         self._tenant = tenant
+        self._dropped = REQUEST_DROPPED | {self._deadline}
 
     # ------------------------------------------------------------------- requests
 
@@ -162,10 +163,8 @@
             tenant=self._tenant,
             is_retry=call.headers.get(b"req-retry") == b"1",
         )
-        kept = {b"host"} if key is None else {b"host", key}
-        headers = passed_on(
-            call.raw, call.headers.get(b"connection"), REQUEST_DROPPED | {self._deadline}, kept
-        )
+        kept = (b"host",) if key is None else (b"host", key)
+        headers = passed_on(call.raw, call.headers.get(b"connection"), self._dropped, kept)
         message = Message(call, name, route.pool, headers, self._tenant)
         job = pool.take(request, give_up_at, message, self._deliver)
         if not job.done:
--- a/orchidledge/sidecar/checks.py
+++ b/orchidledge/sidecar/checks.py
@@ -14,7 +14,6 @@
 from orchidledge.sidecar.locate import Path
 from orchidledge.sidecar.mistakes import near
 from orchidledge.sidecar.models import (
-    EFFECTS,
     Application,
     Catalogue,
     ClassModel,
@@ -323,6 +322,3 @@
             if item.name not in reached:
                 say(("classes", at), f"no route reaches class {item.name!r}", "add a route, or leave it out")
     _routes([(("routes", at), route, route.service) for at, route in enumerate(model.routes)], say, document)
-
-
-__all__ = ["EFFECTS", "check", "route_of"]
--- a/orchidledge/standin/xds.py
+++ b/orchidledge/standin/xds.py
@@ -5,7 +5,7 @@
 
 import asyncio
 import contextlib
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -67,6 +67,24 @@
     nonce: int = 0
 
 
+def _subscribe_all(stream: _Stream, request: Any) -> None:
+    """State of the world: the request names all that is wanted."""
+    names = set(request.resource_names)
+    if names != stream.names.get(request.type_url):
+        stream.names[request.type_url] = names
+        stream.sent.pop(request.type_url, None)
+
+
+def _subscribe_changes(stream: _Stream, request: Any) -> None:
+    """Incremental: the request names what is wanted anew, and what no longer."""
+    names = stream.names.setdefault(request.type_url, set())
+    names |= set(request.resource_names_subscribe)
+    names -= set(request.resource_names_unsubscribe)
+    sent = stream.sent.setdefault(request.type_url, dict(request.initial_resource_versions))
+    for name in request.resource_names_unsubscribe:
+        sent.pop(name, None)
+
+
 class ControlPlane(
     ads_pb2_grpc.AggregatedDiscoveryServiceServicer,  # type: ignore[misc]
     cds_pb2_grpc.ClusterDiscoveryServiceServicer,  # type: ignore[misc]
@@ -160,44 +178,38 @@
     async def StreamAggregatedResources(  # noqa: N802 - the service's own name
         self, requests: AsyncIterator[Any], context: Any
     ) -> AsyncIterator[Any]:
-        async with self._stream(requests) as stream:
-            while True:
-                request = await stream.queue.get()
-                if isinstance(request, Exception):
-                    return
-                if isinstance(request, discovery_pb2.DiscoveryResponse):
-                    yield request
-                    continue
-                if request is not None:
-                    names = set(request.resource_names)
-                    if names != stream.names.get(request.type_url):
-                        stream.names[request.type_url] = names
-                        stream.sent.pop(request.type_url, None)
-                for type_url in (CLUSTER, ENDPOINTS):
-                    response = self._state(stream, type_url)
-                    if response is not None:
-                        yield response
+        async for response in self._serve(
+            requests, discovery_pb2.DiscoveryResponse, _subscribe_all, self._state
+        ):
+            yield response
 
     async def DeltaAggregatedResources(  # noqa: N802 - the service's own name
         self, requests: AsyncIterator[Any], context: Any
     ) -> AsyncIterator[Any]:
+        kind = discovery_pb2.DeltaDiscoveryResponse
+        async for response in self._serve(requests, kind, _subscribe_changes, self._changes):
+            yield response
+
+    async def _serve(
+        self,
+        requests: AsyncIterator[Any],
+        kind: Any,
+        subscribe: Callable[[_Stream, Any], None],
+        answer: Callable[[_Stream, str], Any],
+    ) -> AsyncIterator[Any]:
+        """One stream: its scripted responses as they are, and else what is new after a request or a change."""
         async with self._stream(requests) as stream:
             while True:
                 request = await stream.queue.get()
                 if isinstance(request, Exception):
                     return
-                if isinstance(request, discovery_pb2.DeltaDiscoveryResponse):
+                if isinstance(request, kind):
                     yield request
                     continue
                 if request is not None:
-                    names = stream.names.setdefault(request.type_url, set())
-                    names |= set(request.resource_names_subscribe)
-                    names -= set(request.resource_names_unsubscribe)
-                    sent = stream.sent.setdefault(request.type_url, dict(request.initial_resource_versions))
-                    for name in request.resource_names_unsubscribe:
-                        sent.pop(name, None)
+                    subscribe(stream, request)
                 for type_url in (CLUSTER, ENDPOINTS):
-                    response = self._changes(stream, type_url)
+                    response = answer(stream, type_url)
                     if response is not None:
                         yield response
 
--- a/orchidledge/xds/resources.py
+++ b/orchidledge/xds/resources.py
@@ -9,7 +9,7 @@
 
 import ipaddress
 from collections.abc import Iterable, Mapping
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from enum import Enum
 from typing import Any
 
@@ -134,23 +134,12 @@
     """What a roster is told of a cluster with these endpoints."""
     entries = assignment.entries
     if not cluster.by_locality:
-        entries = tuple(Entry(_unweighed(entry.server), entry.endpoint) for entry in entries)
+        entries = tuple(
+            Entry(replace(entry.server, locality_weight=None), entry.endpoint) for entry in entries
+        )
     return entries, Levels(assignment.overprovisioning, cluster.panic, assignment.drop)
 
 
-def _unweighed(server: Server) -> Server:
-    return Server(
-        server.address,
-        server.zone,
-        server.cell,
-        server.state,
-        server.launched_ms,
-        server.weight,
-        server.priority,
-        server.locality,
-    )
-
-
 # ----------------------------------------------------------------------------- reading
 
 
