One owner of the list for every source; pools of one control plane share its stream

Need: platform discovery told its pool by itself, each pool had a stream of its own, and no test met a control plane that dies without a word. Change: Roster takes whole lists, changes and cached lists of every source; discovery, static lists and xDS go through it. Planes hold one stream for each control plane and way, with one writer. A message that can't be decoded ends its stream with a line instead of a trace. Tried: spoilt frames met by short pings (the peer throttles them, tests took minutes); the proxy ends the connection instead.

--- a/orchidledge/lists/discovery.py
+++ b/orchidledge/lists/discovery.py
@@ -12,6 +12,7 @@
 from orchidledge.core.address import Address, parse_address
 from orchidledge.http.client import Awaited, ClientConnection
 from orchidledge.interface import ListForm, Server, ServerState
+from orchidledge.lists.membership import Entry, News, Roster
 
 # A call unanswered so long after its wait has failed; 2 s after it, its news counts as told.
 LATE_S = 1.2
@@ -37,6 +38,20 @@
     servers: tuple[Server, ...]
     endpoints: dict[str, Address]
 
+    def entries(self) -> list[Entry]:
+        """Of a server that stands twice the last word counts."""
+        found = {server.address: server for server in self.servers}
+        return [Entry(server, self.endpoints[name]) for name, server in found.items()]
+
+
+def news_of(roster: Roster, now_ms: float, form: ListForm, listing: Listing | None) -> News:
+    """What a list of discovery, or its silence, comes to for a pool."""
+    if listing is None:
+        return News(form)
+    if form is ListForm.DELTA:
+        return roster.change(now_ms, listing.entries())
+    return roster.tell(now_ms, listing.entries(), form=form)
+
 
 def watch_ms(ask_within_ms: float) -> float:
     """How long discovery may hold a call, in ms, where it has to be asked within so long."""
--- a/orchidledge/lists/membership.py
+++ b/orchidledge/lists/membership.py
@@ -1,13 +1,13 @@
-"""Which servers are there: one owner, told by one source at a time, without I/O.
+"""Which servers are there: one owner for each pool, told by one source at a time, without I/O.
 
-A source gives whole lists. What changed, what is new and so cold, and which news is too old are worked out here; the
-decision module gets the whole list each time.
+A source reports whole lists, changes of the list, or that it has nothing to report. What differs from what was there,
+what is new and so cold, and how old the news is are worked out here; a pool is told what comes of it.
 """
 
 from __future__ import annotations
 
-from collections.abc import Iterable
-from dataclasses import dataclass, replace
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass, field, replace
 from enum import Enum
 
 from orchidledge.core.address import Address
@@ -30,39 +30,55 @@
 
 @dataclass(slots=True, frozen=True)
 class News:
-    """What a pool is told: the whole list, and what differs from the last one."""
+    """What a pool is told: the whole list or changes of it, and what differs from before."""
 
     form: ListForm
-    servers: tuple[Server, ...]
-    endpoints: dict[str, Address]
-    levels: Levels | None
-    changes: tuple[tuple[str, Change], ...]
+    servers: tuple[Server, ...] = ()
+    endpoints: Mapping[str, Address] = field(default_factory=dict)
+    levels: Levels | None = None
+    changes: tuple[tuple[str, Change], ...] = ()
+
+    @property
+    def told(self) -> tuple[ListForm, tuple[Server, ...], Mapping[str, Address], Levels | None]:
+        """As `Pool.on_list` takes it."""
+        return self.form, self.servers, self.endpoints, self.levels
 
 
 class Roster:
     """The list of one pool."""
 
-    def __init__(self, stale_after_ms: float | None = None) -> None:
-        """`stale_after_ms`: from its last news on, after which a list counts as stale; None: never."""
-        self.stale_after_ms = stale_after_ms
-        self.entries: dict[str, Entry] = {}
+    def __init__(self, starts_known: bool = False) -> None:
+        """`starts_known`: the source says of each server when it started, or that this was long ago. Of one that
+        does not, what is new counts as started when it was told."""
+        self.starts_known = starts_known
+        self.entries: dict[str, Entry] = {}  # without those that are told to be gone
         self.levels: Levels | None = None
-        self.told_ms: float | None = None  # Unix time of the last whole list
+        self.told_ms: float | None = None  # Unix time of the last news that the source vouches for
         self._launched: dict[str, float | None] = {}
 
     def age_ms(self, now_ms: float) -> float | None:
         """How old the news is; None before the first."""
         return None if self.told_ms is None else max(0.0, now_ms - self.told_ms)
 
-    def stale(self, now_ms: float) -> bool:
-        age = self.age_ms(now_ms)
-        return age is not None and self.stale_after_ms is not None and age > self.stale_after_ms
-
-    def tell(self, now_ms: float, entries: Iterable[Entry], levels: Levels | None = None) -> News:
-        """Take a source's whole list. ValueError if two entries share an id; then nothing has changed.
-
-        What is new counts as started now, unless the list is the first. So does what comes back after it had
-        been removed or sick, and what has moved to another address: it may be another process.
+    def copy(self) -> Roster:
+        """For a pool that takes over from another, so that what that one did not have counts as cold."""
+        found = Roster(self.starts_known)
+        found.entries, found.levels = dict(self.entries), self.levels
+        found.told_ms, found._launched = self.told_ms, dict(self._launched)
+        return found
+
+    def tell(
+        self,
+        now_ms: float,
+        entries: Iterable[Entry],
+        levels: Levels | None = None,
+        form: ListForm = ListForm.FULL,
+    ) -> News:
+        """Take a whole list: a source's word (FULL), or what was held from before (CACHED), which tells nobody
+        that it still holds. ValueError if two entries share an id; then nothing has changed.
+
+        Where starts aren't known, what is new counts as started now, unless the list is the first. So does what comes
+        back after it had been removed or sick, and what has moved to another address: it may be another process.
         """
         given: dict[str, Entry] = {}
         for entry in entries:
@@ -70,34 +86,65 @@
                 raise ValueError(f"{entry.server.address!r} stands twice in a list")
             given[entry.server.address] = entry
         first = self.told_ms is None
-        changes: list[tuple[str, Change]] = []
-        launched: dict[str, float | None] = {}
-        kept: dict[str, Entry] = {}
+        kept = {name: self._since(now_ms, entry, first) for name, entry in given.items()}
+        before, self.entries = self.entries, {}
+        self._launched, self.levels = {}, levels
+        changes = self._hold(kept, before)
+        changes += [(name, Change.REMOVED) for name in before if name not in kept]
+        if form is ListForm.FULL:
+            self.told_ms = now_ms
+        return _news(form, kept, levels, changes)
+
+    def change(self, now_ms: float, entries: Iterable[Entry]) -> News:
+        """Take changes of the list: servers that are new or different, or gone (REMOVED). None of them: the list
+        still holds."""
+        given = {entry.server.address: self._since(now_ms, entry, False) for entry in entries}
+        changes = self._hold(given, self.entries)
+        self.told_ms = now_ms
+        return _news(ListForm.DELTA, given, self.levels, changes)
+
+    def _since(self, now_ms: float, entry: Entry, first: bool) -> Entry:
+        """An entry with the start that counts for it."""
+        server, before = entry.server, self.entries.get(entry.server.address)
+        if server.launched_ms is not None or self.starts_known:
+            return entry
+        if before is None:
+            since = None if first else now_ms
+        elif before.endpoint != entry.endpoint or _recovers(before.server, server):
+            since = now_ms
+        else:
+            since = self._launched.get(server.address)
+        return Entry(replace(server, launched_ms=since), entry.endpoint) if since is not None else entry
+
+    def _hold(self, given: dict[str, Entry], before: dict[str, Entry]) -> list[tuple[str, Change]]:
+        """Hold these beside what is held; returns what they change of the list before."""
+        changes = []
         for name, entry in given.items():
-            before = self.entries.get(name)
-            if entry.server.launched_ms is not None:
-                since: float | None = entry.server.launched_ms
-            elif before is None:
-                since = None if first else now_ms
-            elif before.endpoint != entry.endpoint or _recovers(before.server, entry.server):
-                since = now_ms
-            else:
-                since = self._launched.get(name)
-            launched[name] = since
-            kept[name] = Entry(replace(entry.server, launched_ms=since), entry.endpoint)
-            if before is None:
+            old = before.get(name)
+            if entry.server.state is ServerState.REMOVED:
+                self.entries.pop(name, None)
+                self._launched.pop(name, None)
+                if old is not None:
+                    changes.append((name, Change.REMOVED))
+                continue
+            self.entries[name], self._launched[name] = entry, entry.server.launched_ms
+            if old is None:
                 changes.append((name, Change.ADDED))
-            elif before != kept[name]:
+            elif old != entry:
                 changes.append((name, Change.CHANGED))
-        changes += [(name, Change.REMOVED) for name in self.entries if name not in kept]
-        self.entries, self._launched, self.levels, self.told_ms = kept, launched, levels, now_ms
-        return News(
-            ListForm.FULL,
-            tuple(entry.server for entry in kept.values()),
-            {name: entry.endpoint for name, entry in kept.items()},
-            levels,
-            tuple(changes),
-        )
+        return changes
+
+
+def _news(
+    form: ListForm, given: dict[str, Entry], levels: Levels | None, changes: list[tuple[str, Change]]
+) -> News:
+    return News(
+        form,
+        tuple(entry.server for entry in given.values()),
+        {name: entry.endpoint for name, entry in given.items()},
+        levels,
+        tuple(changes),
+    )
 
 
 def _recovers(before: Server, now: Server) -> bool:
--- a/orchidledge/platform/node.py
+++ b/orchidledge/platform/node.py
@@ -12,7 +12,8 @@
 from orchidledge.core.pool import Pool
 from orchidledge.core.types import Cause, Room
 from orchidledge.http.back import HttpBack
-from orchidledge.lists.discovery import Listing, Watcher, watch_ms
+from orchidledge.lists.discovery import Listing, Watcher, news_of, watch_ms
+from orchidledge.lists.membership import Roster
 from orchidledge.platform.config import Config
 from orchidledge.platform.front import PlatformFront, PlatformWire
 
@@ -39,6 +40,7 @@
             config.connect_timeout_ms / 1000.0,
             PlatformWire(self.settings.report_fields),
         )
+        self.roster = Roster(starts_known=True)
         self.watcher = Watcher(
             config.discovery,
             config.known.revision,
@@ -87,10 +89,8 @@
         self.pool.close()
 
     def _on_list(self, form: api.ListForm, listing: Listing | None) -> None:
-        if listing is None:
-            self.pool.on_list(form)
-        else:
-            self.pool.on_list(form, listing.servers, listing.endpoints)
+        self.pool.on_list(*news_of(self.roster, self.clock.ms(), form, listing).told)
+        if listing is not None:
             self._set_ready()
 
     def _set_ready(self) -> None:
--- a/orchidledge/runtime/sidecar.py
+++ b/orchidledge/runtime/sidecar.py
@@ -8,8 +8,7 @@
 import socket
 import time
 from collections import Counter
-from collections.abc import Iterable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Any
 
 from orchidledge import interface as api
@@ -20,15 +19,24 @@
 from orchidledge.core.types import Cause, Room
 from orchidledge.http.back import HttpBack
 from orchidledge.http.server import FRAMING, Dialect, Server
-from orchidledge.lists.discovery import Listing, Watcher, watch_ms
+from orchidledge.lists.discovery import Listing, Watcher, news_of, watch_ms
+from orchidledge.lists.membership import Entry, Roster
 from orchidledge.router.router import Router
 from orchidledge.runtime.admin import Admin
 from orchidledge.runtime.front import Plan, SidecarFront, SidecarWire
 from orchidledge.sidecar.checks import SPARE_DESCRIPTORS, route_of
-from orchidledge.sidecar.models import ClassModel, Configuration, ListSource, PoolModel, digest, plain
+from orchidledge.sidecar.models import (
+    ClassModel,
+    Configuration,
+    ListSource,
+    PoolModel,
+    Rules,
+    digest,
+    plain,
+)
 
 if TYPE_CHECKING:
-    from orchidledge.runtime.xds import XdsFeed
+    from orchidledge.runtime.xds import Planes, XdsFeed
 
 log = logging.getLogger("orchidledge")
 
@@ -89,6 +97,7 @@
     back: HttpBack
     settings: api.Settings
     model: PoolModel
+    roster: Roster = field(default_factory=Roster)
     watcher: Watcher | XdsFeed | None = None
 
     def close(self) -> None:
@@ -122,6 +131,7 @@
         self._retired: set[asyncio.Task[None]] = set()  # what ends listeners and pools of before
         self._old: list[_Managed] = []  # pools that still hold requests
         self._stats_timer: asyncio.TimerHandle | None = None
+        self._planes: Planes | None = None  # streams to control planes, once there is one
 
     # ----------------------------------------------------------------- what is told
 
@@ -146,7 +156,10 @@
         rows: dict[str, Any] = {}
         for name, item in self.managed.items():
             source = item.model.servers_from
-            rows[name] = {"source": plain(source) if source is not None else None}
+            rows[name] = {
+                "source": plain(source) if source is not None else None,
+                "list_ms_ago": item.roster.age_ms(self.clock.ms()),
+            }
             told = getattr(item.watcher, "row", None)
             if told is not None:
                 rows[name] |= told()
@@ -299,54 +312,47 @@
         managed.model = model
         if source == before:
             return
+        going, managed.watcher = managed.watcher, None
         if source.source == "static":
-            if managed.watcher is not None:
-                managed.watcher.close()
-                managed.watcher = None
-            managed.pool.on_list(api.ListForm.FULL, *_static(source))
-            return
-        if source.source == "xds":
-            if managed.watcher is not None:
-                managed.watcher.close()
-            self._follow_xds(managed, source, new)
-            return
-        address = parse_address(source.address)
-        if isinstance(managed.watcher, Watcher) and before is not None and before.mode == source.mode:
-            managed.watcher.move(address)
-            return
-        if managed.watcher is not None:
-            managed.watcher.close()
-        if old is not None and old is not managed:
-            # Guard: until discovery had answered, a pool made anew knew no box and refused everything.
-            servers = tuple(peer.info for peer in old.pool.balancer.peers.values())
-            managed.pool.on_list(api.ListForm.CACHED, servers, old.back.endpoints)
-        self._watch(managed, address, source.mode == "push", new.rules.told_within_ms)
-
-    def _follow_xds(self, managed: _Managed, source: ListSource, new: Configuration) -> None:
+            managed.roster = Roster(starts_known=True)
+            managed.pool.on_list(*managed.roster.tell(self.clock.ms(), _static(source)).told)
+        elif source.source == "xds":
+            self._follow_xds(managed, source, new, old)
+        elif isinstance(going, Watcher) and before is not None and before.mode == source.mode:
+            going.move(parse_address(source.address))
+            going, managed.watcher = None, going
+        else:
+            managed.roster = Roster(starts_known=True)
+            if old is not None and old is not managed:
+                # Guard: until discovery had answered, a pool made anew knew no box and refused everything.
+                held = old.roster.entries.values()
+                news = managed.roster.tell(self.clock.ms(), held, form=api.ListForm.CACHED)
+                managed.pool.on_list(*news.told)
+            self._watch(managed, parse_address(source.address), source.mode == "push", new.rules)
+        if going is not None:
+            going.close()
+
+    def _follow_xds(
+        self, managed: _Managed, source: ListSource, new: Configuration, old: _Managed | None
+    ) -> None:
         # Imported here: only installations with such a list have what it needs.
-        from orchidledge.runtime.xds import XdsFeed
+        from orchidledge.runtime.xds import Planes, XdsFeed
 
-        assert source.cluster is not None  # as checked
-        roster = managed.watcher.roster if isinstance(managed.watcher, XdsFeed) else None
+        if self._planes is None:
+            self._planes = Planes(self.clock.ms)
         node = f"{new.zone}/{new.name}" if new.zone else new.name
-        managed.watcher = XdsFeed(
-            source,
-            source.cluster,
-            node,
-            managed.pool,
-            managed.back,
-            roster,
-        )
+        # What an xDS list had before is not new to another one; of other lists nothing is known of what is cold.
+        managed.roster = old.roster.copy() if old is not None and not old.roster.starts_known else Roster()
+        managed.watcher = XdsFeed(self._planes, source, node, managed.pool, managed.back, managed.roster)
         managed.watcher.start()
 
-    def _watch(self, managed: _Managed, address: Address, endless: bool, told_within_ms: float) -> None:
+    def _watch(self, managed: _Managed, address: Address, endless: bool, rules: Rules) -> None:
+        roster = managed.roster
+
         def on_news(form: api.ListForm, listing: Listing | None) -> None:
-            if listing is None:
-                managed.pool.on_list(form)
-            else:
-                managed.pool.on_list(form, listing.servers, listing.endpoints)
+            managed.pool.on_list(*news_of(roster, self.clock.ms(), form, listing).told)
 
-        watcher = Watcher(address, None, watch_ms(told_within_ms), endless, on_news)
+        watcher = Watcher(address, None, watch_ms(rules.told_within_ms), endless, on_news)
         managed.watcher = watcher
         managed.pool.watch = watcher.start
         if not managed.pool.up:
@@ -437,6 +443,8 @@
     )
 
 
-def _static(source: ListSource) -> tuple[tuple[api.Server, ...], dict[str, Address]]:
-    servers: Iterable[api.Server] = (api.Server(item.id, item.zone, item.cell) for item in source.servers)
-    return tuple(servers), {item.id: parse_address(item.address) for item in source.servers}
+def _static(source: ListSource) -> list[Entry]:
+    return [
+        Entry(api.Server(item.id, item.zone, item.cell), parse_address(item.address))
+        for item in source.servers
+    ]
--- a/orchidledge/runtime/xds.py
+++ b/orchidledge/runtime/xds.py
@@ -1,8 +1,10 @@
-"""A pool that follows an xDS cluster."""
+"""Pools that follow xDS clusters; those of one control plane share a stream to it."""
 
 from __future__ import annotations
 
 import logging
+import random
+from collections.abc import Callable
 from typing import Any
 
 from orchidledge.core.pool import Pool
@@ -18,56 +20,113 @@
 MOST = 0.5  # of a pool's servers: an update that takes more of them away is told in the log
 
 
+class Plane:
+    """One control plane, by one way: a stream that all pools share which follow clusters of it."""
+
+    def __init__(self, source: ListSource, node: str, now_ms: Callable[[], float]) -> None:
+        assert source.address is not None  # as checked
+        polled = source.transport == "rest"
+        delta = source.updates != "state" and not polled
+        separate = source.transport in ("separate", "rest")
+        self.client = XdsClient(node, (), delta, random.getrandbits(32), separate)
+        kind = XdsPolling if polled else XdsStream
+        self.stream = kind(source.address, self.client, now_ms, self._on_change)
+        self.feeds: list[XdsFeed] = []
+
+    def join(self, feed: XdsFeed) -> None:
+        self.feeds.append(feed)
+        self._want()
+        if len(self.feeds) == 1:
+            self.stream.start()
+
+    def leave(self, feed: XdsFeed) -> bool:
+        """Whether it was the last."""
+        self.feeds.remove(feed)
+        if self.feeds:
+            self._want()
+        else:
+            self.stream.close()
+        return not self.feeds
+
+    def _want(self) -> None:
+        self.stream.want({feed.cluster for feed in self.feeds})
+
+    def _on_change(self) -> None:
+        for feed in list(self.feeds):
+            try:
+                feed.on_change()
+            except Exception:
+                # Guard: a fault at one pool must not keep the others from hearing of a drain.
+                log.exception("xds: cluster %s could not be put in force", feed.cluster)
+
+
+class Planes:
+    """The control planes that a sidecar follows."""
+
+    def __init__(self, now_ms: Callable[[], float]) -> None:
+        self.now_ms = now_ms
+        self._planes: dict[tuple[object, ...], Plane] = {}
+
+    def join(self, source: ListSource, node: str, feed: XdsFeed) -> Plane:
+        key = (source.address, source.transport, source.updates, node)
+        plane = self._planes.get(key)
+        if plane is None:
+            plane = self._planes[key] = Plane(source, node, self.now_ms)
+        plane.join(feed)
+        return plane
+
+    def leave(self, feed: XdsFeed) -> None:
+        for key, plane in list(self._planes.items()):
+            if feed in plane.feeds and plane.leave(feed):
+                del self._planes[key]
+
+
 class XdsFeed:
     """Puts a cluster's endpoints in force at a pool as they come."""
 
     def __init__(
-        self,
-        source: ListSource,
-        cluster: str,
-        node: str,
-        pool: Pool,
-        back: HttpBack,
-        roster: Roster | None = None,
+        self, planes: Planes, source: ListSource, node: str, pool: Pool, back: HttpBack, roster: Roster
     ) -> None:
-        """`roster`: of the feed that it takes over from, so that what that did not have counts as cold."""
-        self.cluster = cluster
-        self.client: XdsClient | FileClient
-        self.stream: XdsStream | FileClient
-        if source.path is not None:
-            self.client = self.stream = FileClient(source.path, cluster, pool.clock.ms, self._on_change)
-        else:
-            assert source.address is not None  # as checked
-            polled = source.transport == "rest"
-            delta = source.updates != "state" and not polled
-            separate = source.transport in ("separate", "rest")
-            self.client = XdsClient(node, [cluster], delta, pool.balancer.rng.getrandbits(32), separate)
-            kind = XdsPolling if polled else XdsStream
-            self.stream = kind(source.address, self.client, pool.clock.ms, self._on_change)
-        self.roster = roster or Roster()
+        """`roster`: empty, or of the list that it takes over from, so that what that did not have is cold."""
+        assert source.cluster is not None  # as checked
+        self.cluster = source.cluster
+        self.roster = roster
+        self.client: XdsClient | FileClient | None = None
+        self._source, self._node = source, node
+        self._planes = planes
+        self._file: FileClient | None = None
         self._pool = pool
         self._back = back
         self._connect_s = back.connect_timeout_s  # the pool's own, of which a cluster may only ask for less
         self._served: Served | None = None
 
     def start(self) -> None:
-        self.stream.start()
+        if self._source.path is not None:
+            now_ms = self._pool.clock.ms
+            self.client = self._file = FileClient(self._source.path, self.cluster, now_ms, self.on_change)
+            self._file.start()
+            return
+        self.client = self._planes.join(self._source, self._node, self).client
+        self.on_change()  # what another pool of the same cluster has been told already
 
     def close(self) -> None:
-        self.stream.close()
+        if self._file is not None:
+            self._file.close()
+        else:
+            self._planes.leave(self)
 
     def row(self) -> dict[str, Any]:
         """For operators: how old the news is, and each resource."""
         now = self._pool.clock.ms()
+        assert self.client is not None  # once it has started
         return {
             "connected": self.client.connected,
             "news_ms_ago": None if self.client.last_news_ms is None else now - self.client.last_news_ms,
-            "list_ms_ago": self.roster.age_ms(now),
             "resources": self.client.rows(now),
         }
 
-    def _on_change(self) -> None:
-        served = self.client.served(self.cluster)
+    def on_change(self) -> None:
+        served = self.client.served(self.cluster) if self.client is not None else None
         if served is None or served == self._served:
             return
         known = len(self.roster.entries)
@@ -89,4 +148,4 @@
                     self._connect_s, served.cluster.connect_timeout_ms / 1000.0
                 )
             self._pool.warm_up(served.cluster.warm_up_ms)
-        self._pool.on_list(news.form, news.servers, news.endpoints, news.levels)
+        self._pool.on_list(*news.told)
--- a/orchidledge/xds/stream.py
+++ b/orchidledge/xds/stream.py
@@ -9,7 +9,7 @@
 import asyncio
 import contextlib
 import logging
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from typing import Any
 
 import grpc
@@ -35,6 +35,8 @@
     # the channel doubles it by itself where one does not.
     ("grpc.keepalive_time_ms", 30_000),
     ("grpc.keepalive_timeout_ms", 5_000),
+    # Guard: an unanswered ping ends a connection by this limit, a minute where it is not set.
+    ("grpc.http2.ping_timeout_ms", 5_000),
     ("grpc.keepalive_permit_without_calls", 1),
     ("grpc.http2.max_pings_without_data", 0),
     ("grpc.max_receive_message_length", 64 * 1024 * 1024),
@@ -57,6 +59,11 @@
         self._now_ms = now_ms
         self._on_change = on_change
         self._tasks: list[asyncio.Task[None]] = []
+        self._out: asyncio.Queue[Any] = asyncio.Queue()  # requests that wait for their turn on the stream
+
+    def want(self, names: Iterable[str]) -> None:
+        """Want these clusters from now on, and no others."""
+        self._send(self.client.want(names))
 
     def start(self) -> None:
         self._tasks = [asyncio.create_task(self._follow()), asyncio.create_task(self._tick())]
@@ -80,18 +87,20 @@
         """One stream, or one for each type, from opening to the first end."""
         async with grpc.aio.insecure_channel(self.address, options=OPTIONS) as channel:
             calls = self._open(channel)
-            readers = [asyncio.create_task(self._read(call, calls)) for call in dict.fromkeys(calls.values())]
+            self._out = asyncio.Queue()
+            self._send(self.client.opened())
+            tasks = [asyncio.create_task(self._read(call)) for call in dict.fromkeys(calls.values())]
+            tasks.append(asyncio.create_task(self._write(calls)))
             try:
-                await self._write(calls, self.client.opened())
-                done, _ = await asyncio.wait(readers, return_when=asyncio.FIRST_COMPLETED)
-                for reader in done:
-                    reader.result()
+                done, _ = await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
+                for task in done:
+                    task.result()
             finally:
                 for call in calls.values():
                     call.cancel()
-                for reader in readers:
-                    reader.cancel()
-                await asyncio.gather(*readers, return_exceptions=True)
+                for task in tasks:
+                    task.cancel()
+                await asyncio.gather(*tasks, return_exceptions=True)
 
     def _open(self, channel: Any) -> dict[str, Any]:
         """The call of each type."""
@@ -107,13 +116,22 @@
             ENDPOINTS: endpoints.DeltaEndpoints() if delta else endpoints.StreamEndpoints(),
         }
 
-    async def _write(self, calls: dict[str, Any], requests: list[Any]) -> None:
+    def _send(self, requests: list[Any]) -> None:
         for request in requests:
+            self._out.put_nowait(request)
+
+    async def _write(self, calls: dict[str, Any]) -> None:
+        # One writer: a call takes one request at a time, and they have to leave in the order of their making.
+        while True:
+            request = await self._out.get()
             await calls[request.type_url].write(request)
 
-    async def _read(self, call: Any, calls: dict[str, Any]) -> None:
+    async def _read(self, call: Any) -> None:
         while (response := await call.read()) is not grpc.aio.EOF:
-            await self._write(calls, self.client.received(self._now_ms(), response))
+            if response is None:
+                # Guard: the library's word for a message that can't be decoded; nothing of it can be rejected by name.
+                raise ConnectionError("a response could not be decoded")
+            self._send(self.client.received(self._now_ms(), response))
             self._changed()
 
     def _changed(self) -> None:
@@ -133,6 +151,16 @@
 class XdsPolling(XdsStream):
     """REST-JSON polling: state of the world, one call for each type at a time."""
 
+    def __init__(
+        self, address: str, client: XdsClient, now_ms: Callable[[], float], on_change: Callable[[], None]
+    ) -> None:
+        super().__init__(address, client, now_ms, on_change)
+        self._due: dict[str, Any] = {}  # by type, what the next poll asks
+
+    def _send(self, requests: list[Any]) -> None:
+        for request in requests:
+            self._due[request.type_url] = request
+
     async def _once(self) -> None:
         host, port = parse_address(self.address)
         loop = asyncio.get_running_loop()
@@ -140,14 +168,15 @@
             lambda: ClientConnection(lambda _: None, LARGEST), host, port
         )
         try:
-            due = {request.type_url: request for request in self.client.opened()}
+            self._due = {}
+            self._send(self.client.opened())
             while True:
-                for type_url in list(due):
-                    response = await self._poll(connection, type_url, due[type_url])
-                    if response is None:
-                        continue
-                    for request in self.client.received(self._now_ms(), response):
-                        due[request.type_url] = request
+                for type_url in list(self._due):
+                    request = self._due[type_url]
+                    response = await self._poll(connection, type_url, request)
+                    if response is None or request.resource_names != self._due[type_url].resource_names:
+                        continue  # nothing new, or an answer to what is no longer asked
+                    self._send(self.client.received(self._now_ms(), response))
                     self._changed()
                 await asyncio.sleep(POLL_S)
         finally:
--- /dev/null
+++ b/tests/runtime/test_xds_shared.py
@@ -0,0 +1,146 @@
+"""Pools that follow clusters of one control plane over one stream."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+from collections.abc import AsyncIterator
+from typing import Any
+
+import pytest
+from beside import LONG, boxes, configuration, row
+from loopback import until
+from test_xds_pool import WAYS, rows_of
+
+from orchidledge.runtime.sidecar import Sidecar
+from orchidledge.runtime.xds import XdsFeed
+from orchidledge.standin.box import Box
+from orchidledge.standin.xds import CLUSTER, ControlPlane, cluster, endpoints
+
+POOLS = ("ledger", "reports")
+
+
+def shape(plane: ControlPlane, way: str, **clusters: str) -> dict[str, Any]:
+    """A configuration's data in which each pool follows a cluster."""
+    address = plane.rest_endpoint if way == "rest" else plane.endpoint
+    source = {"source": "xds", "address": address} | WAYS[way]
+    return row(
+        pools=[{"name": name, "list": source | {"cluster": found}} for name, found in clusters.items()],
+        classes=[{"name": f"read-{name}", "pool": name, "effect": "safe"} | LONG for name in clusters],
+        routes=[{"class": f"read-{name}", "path": f"/{name}/**"} for name in clusters],
+    )
+
+
+@contextlib.asynccontextmanager
+async def following(way: str, *around: Box, **clusters: str) -> AsyncIterator[tuple[ControlPlane, Sidecar]]:
+    """A box for each cluster, named as it is."""
+    plane = await ControlPlane().start()
+    for box in around:
+        await box.start()
+        plane.put(cluster(box.name), endpoints(box.name, *rows_of(box)))
+    sidecar = Sidecar(configuration(shape(plane, way, **clusters)))
+    await sidecar.start()
+    try:
+        await until(lambda: sidecar.ready)
+        yield plane, sidecar
+    finally:
+        sidecar.close()
+        await plane.stop()
+        for box in around:
+            box.stop()
+
+
+def up(sidecar: Sidecar, name: str) -> set[str]:
+    return sidecar.pools[name].up
+
+
+@pytest.mark.parametrize("way", list(WAYS))
+def test_pools_of_one_control_plane_share_its_streams_and_each_hears_of_its_cluster(way):
+    async def main():
+        one, two, three = boxes(3)
+        async with following(way, one, two, three, ledger="box-0", reports="box-1") as (plane, sidecar):
+            assert (up(sidecar, "ledger"), up(sidecar, "reports")) == ({one.endpoint}, {two.endpoint})
+            streams = {asked.stream for asked in plane.asked}
+            assert len(streams) == (2 if way.startswith("separate") else 1)
+            plane.remove(CLUSTER, "box-1")
+            await until(lambda: not up(sidecar, "reports"))
+            assert up(sidecar, "ledger") == {one.endpoint}
+            # Another cluster for one pool is asked for on the stream that is there.
+            await sidecar.reload(configuration(shape(plane, way, ledger="box-0", reports="box-2")))
+            await until(lambda: up(sidecar, "reports") == {three.endpoint})
+            assert up(sidecar, "ledger") == {one.endpoint}
+            assert {asked.stream for asked in plane.asked} == streams
+            last = [asked.request for asked in plane.asked if asked.request.type_url == CLUSTER]
+            if hasattr(last[-1], "resource_names"):
+                await until(
+                    lambda: (
+                        [
+                            list(asked.request.resource_names)
+                            for asked in plane.asked
+                            if asked.request.type_url == CLUSTER
+                        ][-1]
+                        == ["box-0", "box-2"]
+                    )
+                )
+            else:
+                gone = [name for request in last for name in request.resource_names_unsubscribe]
+                assert gone == ["box-1"]
+
+    asyncio.run(main())
+
+
+def test_a_cluster_of_two_pools_is_followed_until_the_last_one_leaves():
+    async def main():
+        one, two = boxes(2)
+        async with following("incremental", one, two, ledger="box-0", reports="box-0") as (plane, sidecar):
+            assert up(sidecar, "ledger") == up(sidecar, "reports") == {one.endpoint}
+            await sidecar.reload(configuration(shape(plane, "incremental", ledger="box-0")))
+            plane.put(endpoints("box-0", *rows_of(two)))
+            await until(lambda: up(sidecar, "ledger") == {two.endpoint})
+            servers = [{"id": "s", "address": one.endpoint}]
+            static = shape(plane, "incremental", ledger="box-0")
+            static["pools"] = [{"name": "ledger", "list": {"source": "static", "servers": servers}}]
+            await sidecar.reload(configuration(static))
+            await until(lambda: not plane.streams)
+
+    asyncio.run(main())
+
+
+def test_a_pool_made_anew_has_its_servers_at_once_though_the_control_plane_is_silent():
+    async def main():
+        (one,) = boxes(1)
+        async with following("incremental", one, ledger="box-0") as (plane, sidecar):
+            plane.silent.update(plane.resources)
+            before = sidecar.pools["ledger"]
+            data = shape(plane, "incremental", ledger="box-0")
+            data["pools"][0]["siblings"] = 7
+            await sidecar.reload(configuration(data))
+            assert sidecar.pools["ledger"] is not before
+            assert up(sidecar, "ledger") == {one.endpoint}
+            # It took over what the other knew: the server is not new, so it is not cold.
+            assert [peer.info.launched_ms for peer in sidecar.pools["ledger"].balancer.peers.values()] == [
+                None
+            ]
+
+    asyncio.run(main())
+
+
+def test_a_fault_at_one_pool_keeps_no_other_from_hearing(monkeypatch):
+    real = XdsFeed.on_change
+
+    def on_change(self: XdsFeed) -> None:
+        if self.cluster == "box-0" and self.roster.entries:
+            raise RuntimeError("a fault")
+        real(self)
+
+    monkeypatch.setattr(XdsFeed, "on_change", on_change)
+
+    async def main():
+        one, two = boxes(2)
+        async with following("incremental", one, two, ledger="box-0", reports="box-1") as (plane, sidecar):
+            plane.put(endpoints("box-0", *rows_of(two)))
+            plane.remove(CLUSTER, "box-1")
+            await until(lambda: not up(sidecar, "reports"))
+            assert up(sidecar, "ledger") == {one.endpoint}
+
+    asyncio.run(main())
--- a/tests/xds/test_protocol.py
+++ b/tests/xds/test_protocol.py
@@ -216,6 +216,27 @@
         assert bed.addresses() == ["127.0.0.1:7002"]
 
 
+def test_incremental_updates_that_come_in_another_order_leave_the_last_word_in_force():
+    """ "Incremental xDS": versions are opaque and a stream keeps its order, so the last word counts, and each of them
+    is acknowledged by its own nonce."""
+    bed = Bed(True)
+    bed.serve(A)
+    nonces = []
+    for version, row in (("3", B), ("2", A), ("3", B)):
+        (ack,) = bed.give(ENDPOINTS, endpoints("ledger", row), version=version)
+        nonces.append(ack.response_nonce)
+        assert bed.addresses() == [row["address"]]
+        assert bed.held("ledger")["name"] == "ledger"
+    assert len(set(nonces)) == 3
+    # Removed before it was told, endpoints come as they are told, and the cluster's removal is kept.
+    bed.give(CLUSTER, removed=["ledger"])
+    bed.give(ENDPOINTS, endpoints("ledger", A), version="4")
+    assert bed.addresses() == []
+    bed.give(CLUSTER, cluster("ledger"), version="5")
+    bed.give(ENDPOINTS, endpoints("ledger", A), version="5")
+    assert bed.addresses() == ["127.0.0.1:7001"]
+
+
 def test_a_new_incremental_stream_tells_what_is_held():
     """ "Incremental xDS": initial_resource_versions."""
     bed = Bed(True)
