Pooled connections and listeners apart from HTTP, for a second protocol beside it

Need: a Thrift front and back want the same limits on descriptors, idle times, drains and one result for each attempt, and code must not stand twice. Change: core/outgoing, core/pooled and core/listener hold what knew nothing of HTTP; http/ derives from them. What carries nothing is retired, which a protocol may do more gently than by a reset.

--- /dev/null
+++ b/orchidledge/core/outgoing.py
@@ -0,0 +1,114 @@
+"""Connections to servers: one exchange at a time, nothing sent twice, whatever is spoken on them."""
+
+from __future__ import annotations
+
+import asyncio
+import select
+from collections.abc import Callable
+from typing import Any, Protocol
+
+
+class Exchange(Protocol):
+    """What a connection tells of the one request that it carries: either of these, once."""
+
+    def answered(self, response: Any) -> None: ...
+
+    def lost(self, written: bool) -> None:
+        """The connection ended with no whole answer; `written`: its request's last byte had left."""
+
+
+def readable(transport: asyncio.BaseTransport) -> bool:
+    """Whether bytes, an end or an error wait in the kernel that the event loop has not delivered yet."""
+    poll = select.poll()
+    poll.register(transport.get_extra_info("socket").fileno(), select.POLLIN | select.POLLRDHUP)
+    return bool(poll.poll(0))
+
+
+class Outgoing(asyncio.Protocol):
+    """The calling end of a connection. `on_closed` is told when it is gone."""
+
+    def __init__(self, on_closed: Callable[[Any], None]) -> None:
+        self._on_closed = on_closed
+        self._transport: asyncio.Transport | None = None
+        self._exchange: Exchange | None = None
+        self._spoilt = False
+        self._written = True
+        self.idle_since = 0.0
+
+    # -------------------------------------------------------------- for the owner
+
+    @property
+    def usable(self) -> bool:
+        """Whether a new request may go out on it."""
+        # Guard: an end that has come but not been read yet would turn the request into a reset.
+        transport = self._transport
+        return (
+            transport is not None
+            and not self._spoilt
+            and self._exchange is None
+            and not transport.is_closing()
+            and not readable(transport)
+        )
+
+    @property
+    def written(self) -> bool:
+        """Whether the last byte of the current request has left."""
+        return self._written
+
+    def abort(self) -> None:
+        """Close at once, unsent bytes included. The exchange, if any, hears nothing."""
+        self._exchange = None
+        self._spoilt = True
+        if self._transport is not None:
+            self._transport.abort()
+
+    def retire(self) -> None:
+        """Close a connection that carries nothing."""
+        self.abort()
+
+    # ------------------------------------------------------------------ for protocols
+
+    def _send(self, data: bytes, exchange: Exchange) -> None:
+        assert self._transport is not None
+        assert self._exchange is None
+        self._exchange = exchange
+        self._transport.write(data)
+        # Guard: a write that fails at once empties the buffer and closes; nothing of it has left.
+        self._written = not self._transport.is_closing() and not self._transport.get_write_buffer_size()
+
+    def _answer(self, response: Any) -> None:
+        """The exchange is over; its owner may use the connection again before this returns."""
+        exchange, self._exchange = self._exchange, None
+        # A server that answers before it has the whole request leaves the rest on the connection.
+        if not self._written:
+            self._spoilt = True
+        if self._spoilt:
+            self.abort()
+        if exchange is not None:
+            exchange.answered(response)
+
+    def _lose(self, written: bool) -> None:
+        exchange = self._exchange
+        self.abort()
+        if exchange is not None:
+            exchange.lost(written)
+
+    # ---------------------------------------------------------- asyncio.Protocol
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        assert isinstance(transport, asyncio.Transport)
+        self._transport = transport
+        # Guard: asyncio drops its buffer before connection_lost; with limits of 0 it tells when all has left.
+        transport.set_write_buffer_limits(high=0)
+
+    def resume_writing(self) -> None:
+        self._written = True
+
+    def eof_received(self) -> bool:
+        self._spoilt = True
+        return False
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self._spoilt = True
+        self._on_closed(self)
+        self._lose(self._written)
--- a/orchidledge/http/back.py
+++ b/orchidledge/http/back.py
@@ -1,21 +1,13 @@
-"""The servers' side: pooled connections to each server, and attempts that end with exactly one result.
-
-`HttpBack` is a `core.types.Back`; what a message is and what an answer stands for, its `Wire` says.
-"""
+"""Attempts in HTTP/1.1; what a message is and what an answer stands for, a `Wire` says."""
 
 from __future__ import annotations
 
-import asyncio
-from dataclasses import dataclass, field
 from typing import Any, Protocol
 
-from orchidledge.core.address import Address
-from orchidledge.core.types import OnEnd
+from orchidledge.core.pooled import Attempt, PooledBack
 from orchidledge.http.client import ClientConnection, Response
 from orchidledge.interface import Result
 
-IDLE_SHARE = 0.5  # of the time after which a server closes an idle connection: ours goes well before
-
 
 class Wire(Protocol):
     """How a message goes to a server, and what its answer stands for."""
@@ -33,231 +25,17 @@
         """The outcome that a whole answer stands for, and the load report that it holds."""
 
 
-@dataclass(slots=True, eq=False)
-class _Server:
-    endpoint: Address
-    launched_ms: float | None
-    idle: list[ClientConnection] = field(default_factory=list)  # newest last
-    waiting: set[Attempt] = field(default_factory=set)  # attempts whose connection is not up yet
-
-
-class Attempt:
-    """One request on its way to one server."""
-
-    def __init__(
-        self,
-        pool: HttpBack,
-        message: Any,
-        timeout_s: float,
-        on_end: OnEnd,
-    ) -> None:
-        self._pool = pool
-        self._message = message
-        self._on_end = on_end
-        self._over = False
-        self._server: _Server | None = None
-        self._connection: ClientConnection | None = None
-        self._connect: asyncio.Task[None] | None = None
-        loop = asyncio.get_running_loop()
-        self._end_at = loop.time() + timeout_s
-        self._timer = loop.call_at(self._end_at, self._time_out)
-
-    def cancel(self) -> None:
-        self._finish(Result.CANCELLED)
-
-    def withdraw(self) -> None:
-        """Give up before anything was sent."""
-        self._finish(Result.CONNECT_FAILED)
-
-    # ----------------------------------------------------------- for the connection
-
-    def answered(self, response: Response) -> None:
-        connection, self._connection = self._connection, None
-        if connection is not None and self._server is not None:
-            self._pool.give_back(self._server, connection)
-        result, report = self._pool.wire.read(response)
-        self._finish(result, response, report)
-
-    def lost(self, written: bool) -> None:
-        self._connection = None
-        self._finish(Result.RESET if written else Result.CONNECT_FAILED)
-
-    # -------------------------------------------------------------------- inside
-
-    def begin(self, server: _Server) -> None:
-        self._server = server
-        connection = self._pool.take_idle(server)
-        if connection is not None:
-            self._write(connection)
-        elif self._pool.make_room():
-            server.waiting.add(self)
-            self._connect = asyncio.create_task(self._open(server))
-            self._pool.count_opening(self._connect)
-        else:
-            # Told later, as every result is, so that the action that asked for the attempt is over by then.
-            asyncio.get_running_loop().call_soon(self.withdraw)
-
-    async def _open(self, server: _Server) -> None:
-        try:
-            async with asyncio.timeout(self._pool.connect_timeout_s):
-                connection = await self._pool.open(server.endpoint)
-        except (OSError, TimeoutError):
-            self._connect = None
-            self.withdraw()
-            return
-        self._connect = None
-        server.waiting.discard(self)
-        if self._over:
-            connection.abort()
-        else:
-            self._write(connection)
-
-    def _write(self, connection: ClientConnection) -> None:
-        self._connection = connection
-        left = self._end_at - asyncio.get_running_loop().time()
-        wire = self._pool.wire
-        connection.start(wire.encode(self._message, left), self, wire.bodiless(self._message))
-
-    def _time_out(self) -> None:
-        # Guard: what has not been written whole has never run, and a refusal may then say so.
-        sent = self._connection is not None and self._connection.written
-        self._finish(Result.TIMEOUT if sent else Result.CONNECT_FAILED)
-
-    def _finish(
-        self, result: Result, response: Response | None = None, report: dict[str, float] | None = None
-    ) -> None:
-        if self._over:
-            return
-        self._over = True
-        self._timer.cancel()
-        if self._server is not None:
-            self._server.waiting.discard(self)
-        if self._connect is not None:
-            self._connect.cancel()
-        if self._connection is not None:  # closing is how an attempt is given up
-            self._connection.abort()
-        self._on_end(result, response, report)
-
-
-class HttpBack:
-    """Connections to all servers, at most `limit` of them, the newest idle one used first."""
-
+class HttpBack(PooledBack):
     def __init__(self, limit: int, server_idle_s: float, connect_timeout_s: float, wire: Wire) -> None:
+        super().__init__(limit, server_idle_s, connect_timeout_s)
         self.wire = wire
-        self.limit = limit
-        self.connect_timeout_s = connect_timeout_s
-        self._idle_s = server_idle_s * IDLE_SHARE
-        self._servers: dict[str, _Server] = {}
-        self._open: set[ClientConnection] = set()
-        self._opening: set[asyncio.Task[None]] = set()
-        self._sweep_timer: asyncio.TimerHandle | None = None
-
-    @property
-    def size(self) -> int:
-        return len(self._open) + len(self._opening)
-
-    @property
-    def endpoints(self) -> dict[str, Address]:
-        """The servers that are named, and where each is."""
-        return {name: server.endpoint for name, server in self._servers.items()}
-
-    def add(self, name: str, endpoint: Address, launched_ms: float | None = None) -> None:
-        """Name a server, its new endpoint or its latest start."""
-        # Guard: a machine that vanished and is back resets what is written to connections from before.
-        known = self._servers.get(name)
-        if known is None or (known.endpoint, known.launched_ms) != (endpoint, launched_ms):
-            self.remove(name)
-            self._servers[name] = _Server(endpoint, launched_ms)
-
-    def remove(self, name: str) -> None:
-        """Nothing new goes to this server: what waits for a connection to it is given up unsent."""
-        # Guard: an attempt that waits to connect as the drain is told could send its first byte too late.
-        server = self._servers.pop(name, None)
-        if server is None:
-            return
-        for connection in server.idle:
-            connection.abort()
-        server.idle.clear()
-        for attempt in list(server.waiting):
-            attempt.withdraw()
-
-    def send(
-        self,
-        name: str,
-        message: Any,
-        timeout_s: float,
-        on_end: OnEnd,
-    ) -> Attempt | None:
-        """Start an attempt; None if no such server is named."""
-        server = self._servers.get(name)
-        if server is None:
-            return None
-        attempt = Attempt(self, message, timeout_s, on_end)
-        attempt.begin(server)
-        return attempt
-
-    def close(self) -> None:
-        for name in list(self._servers):
-            self.remove(name)
-        for connection in list(self._open):
-            connection.abort()
-        if self._sweep_timer is not None:
-            self._sweep_timer.cancel()
-
-    # -------------------------------------------------------------- for attempts
-
-    def take_idle(self, server: _Server) -> ClientConnection | None:
-        now = asyncio.get_running_loop().time()
-        while server.idle:
-            connection = server.idle.pop()
-            if now - connection.idle_since < self._idle_s and connection.usable:
-                return connection
-            connection.abort()
-        return None
-
-    def give_back(self, server: _Server, connection: ClientConnection) -> None:
-        if not connection.usable or server not in self._servers.values():
-            connection.abort()
-            return
-        connection.idle_since = asyncio.get_running_loop().time()
-        server.idle.append(connection)
-        if self._sweep_timer is None:
-            self._sweep_timer = asyncio.get_running_loop().call_later(self._idle_s / 4, self._sweep)
-
-    def make_room(self) -> bool:
-        """Whether one more connection may be opened; closes the one idle for longest if need be."""
-        if self.size < self.limit:
-            return True
-        idle = [(server.idle[0].idle_since, server) for server in self._servers.values() if server.idle]
-        if not idle:
-            return False
-        _, server = min(idle, key=lambda pair: pair[0])
-        connection = server.idle.pop(0)
-        self._open.discard(connection)
-        connection.abort()
-        return True
 
-    def count_opening(self, task: asyncio.Task[None]) -> None:
-        # Guard: counted from its start, as several sends of one turn of the loop would all see the same room.
-        self._opening.add(task)
-        task.add_done_callback(self._opening.discard)
+    def connection(self) -> ClientConnection:
+        return ClientConnection(self.forget, self.wire.max_body, self.wire.raw)
 
-    async def open(self, endpoint: Address) -> ClientConnection:
-        loop = asyncio.get_running_loop()
+    def start(self, connection: ClientConnection, message: Any, wait_s: float, attempt: Attempt) -> None:
         wire = self.wire
-        _, connection = await loop.create_connection(
-            lambda: ClientConnection(self._open.discard, wire.max_body, wire.raw), *endpoint
-        )
-        self._open.add(connection)
-        return connection
+        connection.start(wire.encode(message, wait_s), attempt, wire.bodiless(message))
 
-    def _sweep(self) -> None:
-        """Close what has been idle too long."""
-        loop = asyncio.get_running_loop()
-        self._sweep_timer = None
-        oldest_kept = loop.time() - self._idle_s
-        for server in self._servers.values():
-            while server.idle and server.idle[0].idle_since < oldest_kept:
-                server.idle.pop(0).abort()
-        if any(server.idle for server in self._servers.values()):
-            self._sweep_timer = loop.call_later(self._idle_s / 4, self._sweep)
+    def outcome(self, message: Any, reply: Response) -> tuple[Result, dict[str, float] | None]:
+        return self.wire.read(reply)
--- a/orchidledge/http/client.py
+++ b/orchidledge/http/client.py
@@ -3,13 +3,13 @@
 from __future__ import annotations
 
 import asyncio
-import select
 from collections.abc import Callable
 from dataclasses import dataclass, field
-from typing import Protocol
 
 import httptools
 
+from orchidledge.core.outgoing import Exchange, Outgoing
+
 MAX_BODY = 64 * 1024
 MAX_HEAD = 16 * 1024
 NO_BODY = frozenset((204, 304))  # answers that have none, whatever their head says (RFC 9110, section 6.4.1)
@@ -25,15 +25,6 @@
     body: bytearray = field(default_factory=bytearray)
 
 
-class Exchange(Protocol):
-    """What a connection tells of the one request that it carries: either of these, once."""
-
-    def answered(self, response: Response) -> None: ...
-
-    def lost(self, written: bool) -> None:
-        """The connection ended with no whole answer; `written`: its request's last byte had left."""
-
-
 class Awaited:
     """An exchange as a future: the whole answer, or ConnectionError without one."""
 
@@ -49,85 +40,34 @@
             self.done.set_exception(ConnectionError("the connection ended without a whole answer"))
 
 
-def readable(transport: asyncio.BaseTransport) -> bool:
-    """Whether bytes, an end or an error wait in the kernel that the event loop has not delivered yet."""
-    poll = select.poll()
-    poll.register(transport.get_extra_info("socket").fileno(), select.POLLIN | select.POLLRDHUP)
-    return bool(poll.poll(0))
-
-
-class ClientConnection(asyncio.Protocol):
+class ClientConnection(Outgoing):
     """The calling end of a connection. `on_closed` is told when it is gone."""
 
     def __init__(
         self, on_closed: Callable[[ClientConnection], None], max_body: int = MAX_BODY, raw: bool = False
     ) -> None:
-        self._on_closed = on_closed
+        super().__init__(on_closed)
         self._max_body = max_body
         self._raw = raw
         self._bodiless = False  # the answer to the current request has no body
-        self._transport: asyncio.Transport | None = None
         self._parser = httptools.HttpResponseParser(self)
-        self._exchange: Exchange | None = None
         self._response = Response()
         self._size = 0
         self._in_head = True
         self._head = 0  # bytes that have come of heads that were not whole yet
         self._whole = False
-        self._spoilt = False
-        self._written = True
-        self.idle_since = 0.0
 
     # -------------------------------------------------------------- for the owner
 
-    @property
-    def usable(self) -> bool:
-        """Whether a new request may go out on it."""
-        # Guard: an end that has come but not been read yet would turn the request into a reset.
-        transport = self._transport
-        return (
-            transport is not None
-            and not self._spoilt
-            and self._exchange is None
-            and not transport.is_closing()
-            and not readable(transport)
-        )
-
-    @property
-    def written(self) -> bool:
-        """Whether the last byte of the current request has left."""
-        return self._written
-
     def start(self, data: bytes, exchange: Exchange, bodiless: bool = False) -> None:
         """Send a request; `bodiless`: its method is HEAD."""
-        assert self._transport is not None
-        assert self._exchange is None
-        self._exchange = exchange
         self._bodiless = bodiless
         self._response, self._size, self._whole = Response(), 0, False
         self._in_head, self._head = True, 0
-        self._transport.write(data)
-        # Guard: a write that fails at once empties the buffer and closes; nothing of it has left.
-        self._written = not self._transport.is_closing() and not self._transport.get_write_buffer_size()
-
-    def abort(self) -> None:
-        """Close at once, unsent bytes included. The exchange, if any, hears nothing."""
-        self._exchange = None
-        self._spoilt = True
-        if self._transport is not None:
-            self._transport.abort()
+        self._send(data, exchange)
 
     # ---------------------------------------------------------- asyncio.Protocol
 
-    def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        assert isinstance(transport, asyncio.Transport)
-        self._transport = transport
-        # Guard: asyncio drops its buffer before connection_lost; with limits of 0 it tells when all has left.
-        transport.set_write_buffer_limits(high=0)
-
-    def resume_writing(self) -> None:
-        self._written = True
-
     def data_received(self, data: bytes) -> None:
         if self._exchange is None:  # nothing was asked: what follows would not belong to the next request
             self.abort()
@@ -144,33 +84,15 @@
         if self._whole:
             if self._bodiless or self._response.status in NO_BODY:
                 self._parser = httptools.HttpResponseParser(self)  # the old one may wait for a body
-            exchange, self._exchange = self._exchange, None
-            # A server that answers before it has the whole request leaves the rest on the connection.
-            if not self._written:
-                self._spoilt = True
-            if self._spoilt:
-                self.abort()
-            exchange.answered(self._response)
+            self._answer(self._response)
         elif self._spoilt:
             self._lose(self._written)
 
-    def eof_received(self) -> bool:
-        self._spoilt = True
-        return False
-
     def connection_lost(self, exc: Exception | None) -> None:
-        self._spoilt = True
-        self._on_closed(self)
-        self._lose(self._written)
+        super().connection_lost(exc)
         # Guard: parser and connection hold each other; the collector comes for such old pairs hardly ever.
         del self._parser
 
-    def _lose(self, written: bool) -> None:
-        exchange = self._exchange
-        self.abort()
-        if exchange is not None:
-            exchange.lost(written)
-
     # --------------------------------------------------------- httptools callbacks
 
     def on_message_begin(self) -> None:
--- a/orchidledge/http/server.py
+++ b/orchidledge/http/server.py
@@ -4,24 +4,19 @@
 
 import asyncio
 import re
-import socket
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from http import HTTPStatus
-from itertools import islice
 
 import httptools
 
-from orchidledge.http.client import MAX_BODY, MAX_HEAD, NO_BODY, Header, readable
+from orchidledge.core.listener import Listener
+from orchidledge.core.outgoing import readable
+from orchidledge.http.client import MAX_BODY, MAX_HEAD, NO_BODY, Header
 
-BACKLOG = 1024
 REQUEST_S = 2.5  # within which a request has to come in whole, from connecting or from its first byte
 IDLE_S = 8.0  # after which a connection that carries nothing is closed
-SPARED_S = 2.0  # of which it is spared where room is short and no request waits for it
-LINGER_S = 0.5  # how long what a caller still sends after a fatal answer is read and dropped
-SWEEP_S = 0.1
-LOOKED_AT = 16  # connections that are looked at, at most, to make room for one
 PIPELINE = 32  # whole requests that may wait on one connection
 
 # Guard: of a repeated header the node could read one and a server another, so these may stand once only.
@@ -304,117 +299,21 @@
             self._server.stage(self, self._server.lingering)
 
 
-Stage = dict[ServerConnection, None]  # in the order of coming into it
-
-
-class Server:
-    """Listens, and keeps the callers' connections within their share of the descriptors.
-
-    A connection without an open request is in a stage: it owes a request, idles, or lingers after its end.
-    """
+class Server(Listener):
+    """Listens to callers of HTTP/1.1."""
 
     def __init__(self, limit: int, on_call: Callable[[Call], None], dialect: Dialect) -> None:
-        self.loop = asyncio.get_running_loop()
-        self.limit = limit
+        super().__init__(limit)
         self.on_call = on_call
         self.dialect = dialect
-        self.ready = False
-        self.stopping = False
-        self.connections: dict[ServerConnection, Stage | None] = {}
-        self.waiting: Stage = {}
-        self.idle: Stage = {}
-        self.lingering: Stage = {}
-        self._listener: asyncio.Server | None = None
-        self._sweep_timer: asyncio.TimerHandle | None = None
 
-    @property
-    def crowded(self) -> bool:
-        return len(self.connections) > self.limit
+    def connection(self) -> ServerConnection:
+        return ServerConnection(self)
 
     @property
-    def address(self) -> tuple[str, int]:
-        assert self._listener is not None
-        host, port = self._listener.sockets[0].getsockname()[:2]
-        return host, port
-
-    @staticmethod
-    def bind(host: str, port: int) -> socket.socket:
-        """A socket that callers can connect to, though nothing is taken from it yet; OSError without one."""
-        family = socket.AF_INET6 if ":" in host else socket.AF_INET
-        return socket.create_server((host, port), family=family, backlog=BACKLOG)
-
-    async def listen(self, host: str, port: int) -> None:
-        await self.serve(self.bind(host, port))
-
-    async def serve(self, raw: socket.socket) -> None:
-        """Take callers' connections from a bound socket."""
-        # Guard: asyncio accepts as many as its `backlog` before it looks at any, and closed ones go a turn or
-        # two later: a small one keeps a burst within the descriptors. The kernel's queue is then made long.
-        self._listener = await self.loop.create_server(
-            lambda: ServerConnection(self), sock=raw, backlog=max(1, self.limit // 20)
-        )
-        raw.listen(BACKLOG)
-        self._sweep()
-
-    def opened(self, connection: ServerConnection) -> None:
-        self.connections[connection] = None
-        self.make_room()  # Guard: accepting never stops
-        self.stage(connection, self.waiting)
-
-    def closed(self, connection: ServerConnection) -> None:
-        self.stage(connection, None)
-        self.connections.pop(connection, None)
-
-    def stage(self, connection: ServerConnection, stage: Stage | None) -> None:
-        """Move a connection to a stage, None while a request is open. To stay in one changes nothing."""
-        was = self.connections.get(connection)
-        if connection in self.connections and was is not stage:
-            if was is not None:
-                del was[connection]
-            if stage is not None:
-                stage[connection] = None
-            self.connections[connection] = stage
-            connection.since = self.loop.time()
-
-    def close_idle(self) -> None:
-        """Close what carries nothing."""
-        for connection in [*self.waiting, *self.idle]:
-            connection.close_if_idle()
-
-    def close(self) -> None:
-        if self._listener is not None:
-            self._listener.close()
-        if self._sweep_timer is not None:
-            self._sweep_timer.cancel()
-
-    def make_room(self, spared_s: float = SPARED_S) -> bool:
-        """Come within the limit by closing what carries nothing; False if that is not enough."""
-        while self.crowded:
-            if not self._close_one(spared_s):
-                return False
-        return True
-
-    def _close_one(self, spared_s: float) -> bool:
-        """What has had its last answer goes first, then what never asked, then what idles longest."""
-        for connection in self.lingering:
-            connection.abort()
-            return True
-        for connection in islice(self.waiting, LOOKED_AT):
-            if not connection.known and connection.close_if_idle():
-                return True
-        spared = self.loop.time() - spared_s
-        for connection in islice(self.idle, LOOKED_AT):
-            if connection.since <= spared and connection.close_if_idle():
-                return True
-        return False
+    def request_s(self) -> float:
+        return self.dialect.request_s or REQUEST_S
 
-    def _sweep(self) -> None:
-        """End what has been in its stage for too long."""
-        now = self.loop.time()
-        request_s, idle_s = self.dialect.request_s or REQUEST_S, self.dialect.idle_s or IDLE_S
-        for stage, limit_s in ((self.waiting, request_s), (self.idle, idle_s), (self.lingering, LINGER_S)):
-            for connection in list(stage):
-                if connection.since > now - limit_s:
-                    break
-                connection.expire()
-        self._sweep_timer = self.loop.call_later(SWEEP_S, self._sweep)
+    @property
+    def idle_s(self) -> float:
+        return self.dialect.idle_s or IDLE_S
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -10,8 +10,9 @@
 import pytest
 from loopback import Held, Message, Peer, reply, until
 
+from orchidledge.core.outgoing import readable
 from orchidledge.http.back import HttpBack
-from orchidledge.http.client import ClientConnection, Response, readable
+from orchidledge.http.client import ClientConnection, Response
 from orchidledge.interface import Result
 from orchidledge.platform.front import PlatformWire
 
