Thrift callers and boxes at the sidecar: listeners, routes by method, oneway, a stand-in box

Need: Thrift systems pick boxes with their own logic and ignore the node's promises. Change: a Thrift front and back on the core's listener and pooled connections; class by method or service:method, key and tenant by a path of field ids; every answer of ours is a TApplicationException of a stated type and form; oneway calls are over once their last byte has left and count as in flight for a stated time; pools may speak HTTP, Thrift, or both on two ports. Catalogue, configuration, checks and drift know them. Found by its tests: callers' sockets were made without naming their protocol, so asyncio left Nagle's algorithm on and a second small answer waited 40 ms to be acknowledged, over HTTP too. Refusals after an attempt of a safe call no longer claim that it never ran.

--- a/orchidledge/core/listener.py
+++ b/orchidledge/core/listener.py
@@ -83,7 +83,19 @@
     def bind(host: str, port: int) -> socket.socket:
         """A socket that callers can connect to, though nothing is taken from it yet; OSError without one."""
         family = socket.AF_INET6 if ":" in host else socket.AF_INET
-        return socket.create_server((host, port), family=family, backlog=BACKLOG)
+        # Guard: only of a socket that names its protocol does asyncio turn Nagle's algorithm off, which would hold a
+        # second small answer back until the first one has been acknowledged, for 40 ms.
+        found = socket.socket(family, socket.SOCK_STREAM, socket.IPPROTO_TCP)
+        try:
+            found.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            if family == socket.AF_INET6:
+                found.setsockopt(socket.IPPROTO_IPV6, socket.IPV6_V6ONLY, 1)
+            found.bind((host, port))
+            found.listen(BACKLOG)
+        except OSError:
+            found.close()
+            raise
+        return found
 
     async def listen(self, host: str, port: int) -> None:
         await self.serve(self.bind(host, port))
--- /dev/null
+++ b/orchidledge/runtime/backs.py
@@ -0,0 +1,119 @@
+"""The servers' side of a sidecar's pools: HTTP, Thrift, or both beside one another."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from orchidledge.core.address import Address
+from orchidledge.core.pooled import PooledBack
+from orchidledge.core.types import Attempt, OnEnd
+from orchidledge.http.back import HttpBack
+from orchidledge.runtime.front import SidecarWire
+from orchidledge.sidecar.models import Configuration, PoolModel, ThriftModel
+from orchidledge.thrift.back import ThriftBack
+from orchidledge.thrift.client import Outbound, ThriftWire
+from orchidledge.thrift.types import Form
+
+
+class BothBack:
+    """Boxes that speak both, on two ports of one address: one pool, one load, one drain. A `core.types.Back`."""
+
+    def __init__(self, http: HttpBack, thrift: ThriftBack, port_offset: int) -> None:
+        """`port_offset`: from a box's listed port to its Thrift port."""
+        self.http, self.thrift = http, thrift
+        self._offset = port_offset
+
+    @property
+    def parts(self) -> tuple[PooledBack, PooledBack]:
+        return self.http, self.thrift
+
+    @property
+    def size(self) -> int:
+        return self.http.size + self.thrift.size
+
+    @property
+    def limit(self) -> int:
+        """Connections; half of them of each protocol."""
+        return self.http.limit + self.thrift.limit
+
+    @limit.setter
+    def limit(self, limit: int) -> None:
+        self.http.limit = max(1, limit - limit // 2)
+        self.thrift.limit = max(1, limit // 2)
+
+    @property
+    def connect_timeout_s(self) -> float:
+        return self.http.connect_timeout_s
+
+    @connect_timeout_s.setter
+    def connect_timeout_s(self, seconds: float) -> None:
+        self.http.connect_timeout_s = self.thrift.connect_timeout_s = seconds
+
+    def add(self, name: str, endpoint: Address, launched_ms: float | None = None) -> None:
+        host, port = endpoint
+        self.http.add(name, endpoint, launched_ms)
+        self.thrift.add(name, (host, port + self._offset), launched_ms)
+
+    def remove(self, name: str) -> None:
+        for part in self.parts:
+            part.remove(name)
+
+    def send(self, name: str, message: Any, timeout_s: float, on_end: OnEnd) -> Attempt | None:
+        part = self.thrift if isinstance(message, Outbound) else self.http
+        return part.send(name, message, timeout_s, on_end)
+
+    def close(self) -> None:
+        for part in self.parts:
+            part.close()
+
+
+AnyBack = HttpBack | ThriftBack | BothBack
+
+
+def thrift_of(model: PoolModel) -> ThriftModel:
+    return model.thrift or ThriftModel()
+
+
+def form_of(model: PoolModel) -> Form:
+    """What the boxes of a pool are spoken to in."""
+    return Form(thrift_of(model).form)
+
+
+def _http_wire(new: Configuration, model: PoolModel) -> SidecarWire:
+    return SidecarWire(new.limits.max_body_bytes, tuple(model.report_fields))
+
+
+def _thrift_wire(new: Configuration, model: PoolModel) -> ThriftWire:
+    found = thrift_of(model)
+    return ThriftWire(
+        form_of(model),
+        found.transport == "framed",
+        max(1024, new.limits.max_body_bytes),
+        frozenset(found.full_types),
+    )
+
+
+def back_of(new: Configuration, model: PoolModel, limit: int) -> AnyBack:
+    """A pool's back, with at most `limit` connections."""
+    times = model.server_idle_ms / 1000.0, model.connect_timeout_ms / 1000.0
+    if model.protocol == "http":
+        return HttpBack(limit, *times, _http_wire(new, model))
+    if model.protocol == "thrift":
+        return ThriftBack(limit, *times, _thrift_wire(new, model))
+    both = BothBack(
+        HttpBack(limit, *times, _http_wire(new, model)),
+        ThriftBack(limit, *times, _thrift_wire(new, model)),
+        thrift_of(model).port_offset,
+    )
+    both.limit = limit
+    return both
+
+
+def rewire(back: AnyBack, new: Configuration, model: PoolModel, limit: int) -> None:
+    """Put the limits of another configuration in force at a back that stays."""
+    back.limit = limit
+    for part in back.parts if isinstance(back, BothBack) else (back,):
+        if isinstance(part, HttpBack):
+            part.wire = _http_wire(new, model)
+        elif isinstance(part, ThriftBack):
+            part.wire = _thrift_wire(new, model)
--- a/orchidledge/runtime/sidecar.py
+++ b/orchidledge/runtime/sidecar.py
@@ -15,16 +15,19 @@
 from orchidledge.core.address import Address, parse_address
 from orchidledge.core.clock import Clock
 from orchidledge.core.leaving import finish
+from orchidledge.core.listener import Listener
 from orchidledge.core.pool import Pool
 from orchidledge.core.types import Cause, Room
-from orchidledge.http.back import HttpBack
-from orchidledge.http.server import FRAMING, Dialect, Server
+from orchidledge.http.server import FRAMING, Dialect
 from orchidledge.lists.discovery import Listing, Watcher, news_of, watch_ms
 from orchidledge.lists.membership import Entry, Roster
+from orchidledge.router.calls import CallTable
 from orchidledge.router.router import Router
 from orchidledge.runtime.admin import Admin
-from orchidledge.runtime.front import Plan, SidecarFront, SidecarWire
-from orchidledge.sidecar.checks import SPARE_DESCRIPTORS, route_of
+from orchidledge.runtime.backs import AnyBack, back_of, form_of, rewire
+from orchidledge.runtime.front import Plan, SidecarFront
+from orchidledge.runtime.thrift import ThriftFront, ThriftPlan
+from orchidledge.sidecar.checks import SPARE_DESCRIPTORS, call_route_of, route_of
 from orchidledge.sidecar.models import (
     ClassModel,
     Configuration,
@@ -34,6 +37,7 @@
     digest,
     plain,
 )
+from orchidledge.thrift.server import Limits as ThriftLimits
 
 if TYPE_CHECKING:
     from orchidledge.runtime.xds import Planes, XdsFeed
@@ -94,7 +98,7 @@
     """A pool with what feeds it, and what of the configuration it was made from."""
 
     pool: Pool
-    back: HttpBack
+    back: AnyBack
     settings: api.Settings
     model: PoolModel
     roster: Roster = field(default_factory=Roster)
@@ -110,8 +114,8 @@
 class _Open:
     """A listener, and what its socket was bound by."""
 
-    key: tuple[str, str]
-    front: SidecarFront
+    key: tuple[str, str, str]
+    front: SidecarFront | ThriftFront
 
 
 class Sidecar:
@@ -230,6 +234,20 @@
                 if item.effect == "keyed"
             },
         )
+        thrift_plan = ThriftPlan(
+            table=_calls(new),
+            pools=plan.pools,
+            forms={model.name: form_of(model) for model in new.pools},
+            key_fields={item.name: ids(item.key_field) for item in new.classes if item.key_field is not None},
+            oneway_s={
+                item.name: item.oneway_ms / 1000.0 for item in new.classes if item.oneway_ms is not None
+            },
+        )
+        limits = ThriftLimits(
+            message=max(1024, new.limits.max_body_bytes),
+            request_s=new.limits.request_ms / 1000.0,
+            idle_s=new.limits.caller_idle_ms / 1000.0,
+        )
         dialect = Dialect(
             once=_decisive(new),
             max_body=new.limits.max_body_bytes,
@@ -238,24 +256,28 @@
             idle_s=new.limits.caller_idle_ms / 1000.0,
         )
         listeners: dict[str, _Open] = {}
-        bound: list[tuple[Server, socket.socket]] = []
+        bound: list[tuple[Listener, socket.socket]] = []
         admin, admin_key = self.admin, new.admin.address if new.admin else ""
         kept = {item.key: item for item in self.listeners.values()}
         try:
             for model in new.listeners:
                 host, port = parse_address(model.address)
                 # A free port is another one each time, so such a listener is known by its name.
-                key = (model.address, model.name if port == 0 else "")
+                key = (model.address, model.name if port == 0 else "", model.protocol)
                 found = kept.get(key)
                 if found is None:
-                    front = SidecarFront(callers, dialect, plan, model.deadline_header, model.tenant)
-                    bound.append((front.server, Server.bind(host, port)))
+                    front: SidecarFront | ThriftFront
+                    if model.protocol == "thrift":
+                        front = ThriftFront(callers, limits, thrift_plan)
+                    else:
+                        front = SidecarFront(callers, dialect, plan, model.deadline_header, model.tenant)
+                    bound.append((front.server, Listener.bind(host, port)))
                     found = _Open(key, front)
                 listeners[model.name] = found
             if admin_key != self._admin_key:
                 admin = Admin(self) if new.admin else None
                 if admin is not None:
-                    bound.append((admin.server, Server.bind(*parse_address(admin_key))))
+                    bound.append((admin.server, Listener.bind(*parse_address(admin_key))))
         except OSError:
             for _, raw in bound:
                 raw.close()
@@ -266,9 +288,13 @@
         # From here on nothing fails, and nothing waits until all is in force.
         for model in new.listeners:
             front = listeners[model.name].front
-            front.plan = plan
-            front.configure(model.deadline_header, model.tenant)
-            front.server.limit, front.server.dialect = callers, dialect
+            front.server.limit = callers
+            if isinstance(front, ThriftFront):
+                front.plan, front.server.limits = thrift_plan, limits
+                front.configure(model.tenant, None if model.tenant_field is None else ids(model.tenant_field))
+            else:
+                front.plan, front.server.dialect = plan, dialect
+                front.configure(model.deadline_header, model.tenant)
         going = [item for item in self.listeners.values() if item not in listeners.values()]
         old_pools = [item for name, item in self.managed.items() if item is not pools.get(name)]
         old_admin = self.admin if admin is not self.admin else None
@@ -292,10 +318,9 @@
         """The pool that is there if its decisions would be the same, else a new one."""
         settings = settings_of(new, model)
         known = self.managed.get(model.name)
-        wire = SidecarWire(new.limits.max_body_bytes, tuple(model.report_fields))
         if known is not None and known.settings == settings and _connects_alike(known.model, model):
             return known
-        back = HttpBack(boxes, model.server_idle_ms / 1000.0, model.connect_timeout_ms / 1000.0, wire)
+        back = back_of(new, model, boxes)
         pool = Pool(settings, random.getrandbits(64), self.clock, back, self.room)
         return _Managed(pool, back, settings, model)
 
@@ -305,8 +330,7 @@
         """Have a pool follow the list that its configuration names; `old` is the one it takes over from."""
         source = model.servers_from
         assert source is not None  # as checked
-        managed.back.limit = boxes
-        managed.back.wire = SidecarWire(new.limits.max_body_bytes, tuple(model.report_fields))
+        rewire(managed.back, new, model, boxes)
         fed = bool(managed.pool.up) or managed.watcher is not None
         before = managed.model.servers_from if fed else None
         managed.model = model
@@ -366,7 +390,7 @@
         self._retired.add(task)
         task.add_done_callback(self._retired.discard)
 
-    async def _end_listener(self, front: SidecarFront) -> None:
+    async def _end_listener(self, front: SidecarFront | ThriftFront) -> None:
         """Take no more connections, answer what is open, and let each connection end between requests."""
         front.server.close()
         front.server.stopping = True
@@ -419,9 +443,24 @@
     return Router(
         route_of(route, route.service, pools[route.service], route.deadline_ms)
         for route in configuration.routes
+        if route.path is not None
+    )
+
+
+def _calls(configuration: Configuration) -> CallTable:
+    pools = {item.name: item.pool for item in configuration.classes}
+    return CallTable(
+        call_route_of(route, route.service, pools[route.service], route.deadline_ms)
+        for route in configuration.routes
+        if route.call is not None
     )
 
 
+def ids(path: str) -> tuple[int, ...]:
+    """A path of field ids from its text, as in 1.3."""
+    return tuple(int(word) for word in path.split("."))
+
+
 def _decisive(configuration: Configuration) -> frozenset[bytes]:
     """The headers that something is decided by, by lower-case name.
 
@@ -437,9 +476,9 @@
     # What an xDS list states of levels and limits does not hold for another kind of list.
     kinds = {item.servers_from.source for item in (one, other) if item.servers_from is not None}
     alike = "xds" not in kinds or len(kinds) == 1
-    return alike and (one.server_idle_ms, one.connect_timeout_ms) == (
-        other.server_idle_ms,
-        other.connect_timeout_ms,
+    return alike and all(
+        getattr(one, key) == getattr(other, key)
+        for key in ("server_idle_ms", "connect_timeout_ms", "protocol", "thrift")
     )
 
 
--- /dev/null
+++ b/orchidledge/runtime/thrift.py
@@ -0,0 +1,197 @@
+"""Callers that speak Thrift and know nothing of us, and the boxes that answer them.
+
+What a caller hears of our own is a `TApplicationException`; its message begins with one of
+
+    refused; never ran; retry-after-ms=N; WHY     type LOADSHEDDING (11): the same call may be made again
+    refused; may have run; retry-after-ms=N; WHY  the same, of a class whose calls may be repeated
+    failed; never ran; WHY                        type INTERNAL_ERROR (6): given up before its last byte had left
+    failed; may have run; WHY                     type INTERNAL_ERROR (6), TIMEOUT (12) where no answer came in time
+    bad call; never ran; WHY                      type UNKNOWN_METHOD (1) or PROTOCOL_ERROR (7)
+
+and anything else is a box's word.
+"""
+
+from __future__ import annotations
+
+import math
+import secrets
+from collections import Counter
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+from itertools import count
+
+from orchidledge import interface as api
+from orchidledge.core.pool import Job, Pool
+from orchidledge.core.types import Answer, Cause, Kind
+from orchidledge.router.calls import CallTable
+from orchidledge.thrift.client import Outbound
+from orchidledge.thrift.codec import check, field_at, transcode
+from orchidledge.thrift.server import Limits, ThriftCall, ThriftServer, bad_call
+from orchidledge.thrift.types import ExceptionKind, Form, Message, MessageKind, ProtocolError
+
+WAY_BACK_S = 0.002  # a reply leaves this long before the caller's time is up: it is on this machine
+LEAST_S = 0.001  # with less time left nothing is begun
+WORDS = {
+    Cause.TIMEOUT: (ExceptionKind.TIMEOUT, "no answer in time"),
+    Cause.LATE: (ExceptionKind.TIMEOUT, "no answer in time"),
+    Cause.LEAVING: (ExceptionKind.INTERNAL_ERROR, "this process ends"),
+    Cause.BROKEN: (ExceptionKind.INTERNAL_ERROR, "the box's answer broke off"),
+    Cause.FAULT: (ExceptionKind.INTERNAL_ERROR, "a fault of this process"),
+}
+
+
+@dataclass(slots=True, frozen=True)
+class ThriftPlan:
+    """What is in force for Thrift callers: replaced as a whole."""
+
+    table: CallTable
+    pools: Mapping[str, Pool]
+    forms: Mapping[str, Form]  # what the boxes of each pool are spoken to in
+    key_fields: Mapping[str, tuple[int, ...]] = field(default_factory=dict)  # of keyed classes
+    oneway_s: Mapping[str, float] = field(default_factory=dict)  # by class: how long a oneway call runs
+
+
+@dataclass(slots=True, eq=False)
+class Carried(Outbound):
+    """A call on its way, and the one that it answers."""
+
+    call: ThriftCall | None = None
+
+
+class ThriftFront:
+    """One listener. Its plan is asked for anew with each call, so that a reload changes it in one step."""
+
+    def __init__(
+        self,
+        limit: int,
+        limits: Limits,
+        plan: ThriftPlan,
+        tenant: str | None = None,
+        tenant_field: tuple[int, ...] | None = None,
+    ) -> None:
+        self.plan = plan
+        self.server = ThriftServer(limit, self._on_call, limits, self._on_fault)
+        self.counts: Counter[str] = Counter()
+        self.configure(tenant, tenant_field)
+        self._ids = count(1)
+        self._mark = secrets.token_hex(6)  # ids of other sidecars and starts differ in this
+
+    def configure(self, tenant: str | None, tenant_field: tuple[int, ...] | None) -> None:
+        """`tenant_field`: a path of field ids in the arguments; `tenant` counts where it names none that is known."""
+        self._tenant = tenant
+        self._tenant_field = tenant_field
+
+    # ----------------------------------------------------------------------- calls
+
+    def _on_fault(self, text: str) -> None:
+        self.counts["thrift unreadable"] += 1
+
+    def _on_call(self, call: ThriftCall) -> None:
+        plan, asked = self.plan, call.message
+        self.counts["taken"] += 1
+        name = asked.name.decode()
+        route = plan.table.match(name)
+        if route is None:
+            self._deny(call, ExceptionKind.UNKNOWN_METHOD, f"no route takes {name}")
+            return
+        pool = plan.pools[route.pool]
+        form = plan.forms[route.pool]
+        kind = pool.classes[route.service]
+        try:
+            # What can't be read here would only be learnt by a box that goes to pieces over it.
+            if form.compact == asked.form.compact:
+                check(asked.body, asked.form)
+                body = asked.body
+            else:
+                body = transcode(asked.body, asked.form, form)
+            key = plan.key_fields.get(kind.name)
+            if key is not None and field_at(asked.body, asked.form, key) in (None, b""):
+                # Guard: sent on without a key, a repeat of it would not be dropped by any box.
+                self._deny(call, ExceptionKind.PROTOCOL_ERROR, f"class {kind.name} needs its key")
+                return
+            tenant = self._tenant_of(pool, asked)
+        except ProtocolError as error:
+            self._deny(call, ExceptionKind.PROTOCOL_ERROR, str(error))
+            return
+        wanted = kind.give_up_ms if route.deadline_ms is None else min(kind.give_up_ms, route.deadline_ms)
+        give_up_at = call.arrived + wanted / 1000.0 - WAY_BACK_S
+        if give_up_at - pool.loop.time() < LEAST_S:
+            # It waited behind another on its connection. None of it has gone anywhere.
+            self._refuse(call, 0.0, "its time was up before its turn came")
+            return
+        if pool.full or not self.server.make_room(spared_s=0.0):
+            self._refuse(call, 0.0, "too many calls are open")
+            return
+        request = api.Request(
+            id=f"{self._mark}-{next(self._ids):x}",
+            service=kind.name,
+            give_up_at_ms=pool.clock.ms(give_up_at),
+            tenant=tenant,
+        )
+        message = Carried(asked.kind, asked.name, body, call=call)
+        if call.oneway:
+            message.oneway_s = plan.oneway_s.get(kind.name, kind.aim_ms / 1000.0)
+        job = pool.take(request, give_up_at, message, self._deliver)
+        if call.oneway:
+            # A oneway call is over for its caller, and is never sent again, once its last byte has left; the attempt
+            # goes on to count as in flight.
+            def sent() -> None:
+                pool.answer(job, Answer(Kind.SERVED, Cause.ANSWERED))
+
+            message.on_sent = sent
+            if message.sent:
+                sent()
+        elif not job.done:
+            call.on_gone = lambda: pool.leave(job)
+
+    def _tenant_of(self, pool: Pool, asked: Message) -> str | None:
+        if self._tenant_field is None:
+            return self._tenant
+        found = field_at(asked.body, asked.form, self._tenant_field)
+        name = found.decode(errors="replace") if isinstance(found, bytes) else str(found)
+        known = any(tenant.name == name for tenant in pool.settings.tenants)
+        return name if known else self._tenant
+
+    # --------------------------------------------------------------------- replies
+
+    def _deliver(self, job: Job, answer: Answer) -> None:
+        message: Carried = job.message
+        call = message.call
+        assert call is not None
+        if answer.reply is not None:
+            self._pass_on(call, answer.reply)
+        elif answer.kind is Kind.SERVED:
+            self.counts["oneway sent"] += 1
+            call.reply(MessageKind.REPLY, call.message.name, b"")
+        elif answer.kind is Kind.REFUSED:
+            self._refuse(call, answer.retry_after_ms, "no box takes it now", message.sent > 0)
+        else:
+            kind, why = WORDS[answer.cause]
+            if message.sent:
+                self._say(call, kind, f"failed; may have run; {why}", "failed")
+            else:
+                self._say(call, ExceptionKind.INTERNAL_ERROR, f"failed; never ran; {why}", "failed unrun")
+
+    def _pass_on(self, call: ThriftCall, reply: Message) -> None:
+        form: Form = call.message.form
+        try:
+            body = transcode(reply.body, reply.form, form)
+        except ProtocolError as error:
+            # It has been gone through once, so only what the two protocols tell differently is left.
+            self._say(call, ExceptionKind.INTERNAL_ERROR, f"failed; may have run; {error}", "failed")
+            return
+        self.counts[f"answered {reply.kind.name.lower()}"] += 1
+        call.reply(reply.kind, reply.name, body)
+
+    def _deny(self, call: ThriftCall, kind: int, why: str) -> None:
+        self._say(call, kind, bad_call(why), "bad call")
+
+    def _refuse(self, call: ThriftCall, retry_after_ms: float, why: str, sent: bool = False) -> None:
+        # A safe call may be refused after an attempt of which nothing is known; a repeat of it does no harm either.
+        ran = "may have run" if sent else "never ran"
+        text = f"refused; {ran}; retry-after-ms={math.ceil(retry_after_ms)}; {why}"
+        self._say(call, ExceptionKind.LOADSHEDDING, text, "refused")
+
+    def _say(self, call: ThriftCall, kind: int, text: str, counted: str) -> None:
+        self.counts[f"oneway {counted}" if call.oneway else f"own {counted}"] += 1
+        call.fail(kind, text)
--- a/orchidledge/runtime/xds.py
+++ b/orchidledge/runtime/xds.py
@@ -8,8 +8,8 @@
 from typing import Any
 
 from orchidledge.core.pool import Pool
-from orchidledge.http.back import HttpBack
 from orchidledge.lists.membership import Change, Roster
+from orchidledge.runtime.backs import AnyBack
 from orchidledge.sidecar.models import ListSource
 from orchidledge.xds.files import FileClient
 from orchidledge.xds.protocol import Served, XdsClient
@@ -85,7 +85,7 @@
     """Puts a cluster's endpoints in force at a pool as they come."""
 
     def __init__(
-        self, planes: Planes, source: ListSource, node: str, pool: Pool, back: HttpBack, roster: Roster
+        self, planes: Planes, source: ListSource, node: str, pool: Pool, back: AnyBack, roster: Roster
     ) -> None:
         """`roster`: empty, or of the list that it takes over from, so that what that did not have is cold."""
         assert source.cluster is not None  # as checked
--- a/orchidledge/sidecar/checks.py
+++ b/orchidledge/sidecar/checks.py
@@ -8,6 +8,7 @@
 from typing import Any
 
 from orchidledge.core.address import parse_address
+from orchidledge.router.calls import CallPattern, CallRoute, CallTable
 from orchidledge.router.paths import PathPattern
 from orchidledge.router.router import HeaderMatch, Route, Router
 from orchidledge.sidecar.load import Document
@@ -75,6 +76,10 @@
         here: Path = ("pools", at)
         if pool.name not in wanted and wanted <= named:  # else a class may mean it by another name
             say((*here, "name"), f"no class uses pool {pool.name!r}", "leave it out, or name it in a class")
+        if pool.thrift is not None and pool.protocol == "http":
+            say((*here, "thrift"), f"pool {pool.name!r} speaks HTTP", "leave it out, or protocol = 'thrift'")
+        if pool.report_fields and pool.protocol == "thrift":
+            say((*here, "report_fields"), "no load report comes over Thrift", "leave it out")
         source = pool.servers_from
         if source is None:
             say(here, f"pool {pool.name!r} has no list", "add list, with source = 'static' or 'discovery'")
@@ -137,11 +142,24 @@
             say(
                 (*here, "attempts"), f"{item.attempts} is over the rules' max_attempts", f"at most {attempts}"
             )
+        if item.oneway_ms is not None and item.oneway_ms > item.give_up_ms:
+            say(
+                (*here, "oneway_ms"), f"{item.oneway_ms:g} is over give_up_ms", f"at most {item.give_up_ms:g}"
+            )
+        if pool is not None and pool.protocol != "both":
+            strange = ("key_header",) if pool.protocol == "thrift" else ("key_field", "oneway_ms")
+            for key in strange:
+                if getattr(item, key) is not None:
+                    say((*here, key), f"pool {pool.name!r} speaks {pool.protocol} only", "leave it out")
         if item.effect == "keyed":
             if item.memory_ms is None:
                 say(here, f"keyed class {item.name!r} has no memory_ms", "add how long boxes know a key")
+            if pool is not None and pool.protocol != "http" and item.key_field is None:
+                say(
+                    here, f"keyed class {item.name!r} has no key_field", "add where its key stands, as in 1.3"
+                )
         else:
-            for key in ("key_header", "key_scope", "memory_ms"):
+            for key in ("key_header", "key_scope", "memory_ms", "key_field"):
                 if getattr(item, key) is not None:
                     say(
                         (*here, key),
@@ -151,6 +169,8 @@
 
 
 def route_of(model: RouteModel, service: str, pool: str, deadline_ms: float | None = None) -> Route:
+    """A route of HTTP requests."""
+    assert model.path is not None  # as checked
     return Route(
         service=service,
         pool=pool,
@@ -166,9 +186,28 @@
     )
 
 
-def _routes(found: list[tuple[Path, RouteModel, str]], say: Say, document: Document) -> None:
-    """Routes in the order in which they are asked, each with its path and class."""
-    for path, model, _ in found:
+def call_route_of(model: RouteModel, service: str, pool: str, deadline_ms: float | None = None) -> CallRoute:
+    """A route of Thrift calls."""
+    assert model.call is not None  # as checked
+    return CallRoute(service, pool, CallPattern.parse(model.call), deadline_ms)
+
+
+Found = list[tuple[Path, RouteModel, str]]  # routes in the order in which they are asked: path, model, class
+
+
+def _routes(found: Found, protocols: dict[str, str], say: Say, document: Document) -> None:
+    """`protocols`: of the pool of each class, by the class's name."""
+    for path, model, service in found:
+        if (model.path is None) == (model.call is None):
+            say(path, "a route has a path or a call, and this one has both or neither", "give one of them")
+            return
+        for key in ("methods", "headers"):
+            if model.call is not None and getattr(model, key):
+                say((*path, key), "belongs to HTTP, not to a Thrift call", "leave it out")
+        speaks, key = ("http", "path") if model.call is None else ("thrift", "call")
+        pool = protocols.get(service, "both")
+        if pool not in (speaks, "both"):
+            say((*path, key), f"the pool of class {service!r} speaks {pool}, not {speaks}", "another class")
         for at, item in enumerate(model.headers):
             if item.value is not None and not (item.value.isascii() and item.value.isprintable()):
                 say(
@@ -177,14 +216,23 @@
                     "a value that a header can have",
                 )
                 return
-    router = Router(route_of(model, service, "") for _, model, service in found)
-    for at, by in router.shadowed():
-        before, _, service = found[by]
-        say(
-            (*found[at][0], "path"),
-            f"no request reaches this route: the one at {document.at(before)} ({service}) takes all of them",
-            "put the narrower route first, or leave it out",
-        )
+    paths = [item for item in found if item[1].path is not None]
+    calls = [item for item in found if item[1].call is not None]
+    router = Router(route_of(model, service, "") for _, model, service in paths)
+    table = CallTable(call_route_of(model, service, "") for _, model, service in calls)
+    for rows, shadowed, key in ((paths, router.shadowed(), "path"), (calls, table.shadowed(), "call")):
+        for at, by in shadowed:
+            before, _, service = rows[by]
+            say(
+                (*rows[at][0], key),
+                f"no request reaches this route: the one at {document.at(before)} ({service}) takes all of them",
+                "put the narrower route first, or leave it out",
+            )
+
+
+def _protocols(classes: Sequence[ClassModel], pools: list[PoolModel]) -> dict[str, str]:
+    by_name = {pool.name: pool.protocol for pool in pools}
+    return {item.name: by_name[item.pool] for item in classes if item.pool in by_name}
 
 
 def _limits(descriptors: int, parts: int, most: int | None, path: Path, say: Say) -> None:
@@ -212,7 +260,7 @@
     _unique(("tenants",), [item.name for item in model.tenants], say)
     _pools(model.pools, (item.pool for item in model.classes), say)
     _classes(model.classes, model.pools, model.rules.max_attempts, say)
-    found: list[tuple[Path, RouteModel, str]] = []
+    found: Found = []
     for at, item in enumerate(model.classes):
         if item.hedge and item.effect != "safe":
             say(
@@ -223,12 +271,18 @@
         found += [
             (("classes", at, "routes", number), route, item.name) for number, route in enumerate(item.routes)
         ]
-    _routes(found, say, document)
+    _routes(found, _protocols(model.classes, model.pools), say, document)
     _limits(model.limits.descriptors, 1 + len(model.pools), descriptors, ("limits", "descriptors"), say)
 
 
 def _application(model: Application, say: Say) -> None:
     _on_loopback(("listen",), model.listen, say)
+    if model.thrift_listen is not None:
+        _on_loopback(("thrift_listen",), model.thrift_listen, say)
+        if _same(model.thrift_listen, model.listen):
+            say(("thrift_listen",), f"{model.thrift_listen} is listen's address too", "another port")
+    elif model.tenant_field is not None:
+        say(("tenant_field",), "belongs to Thrift calls, and there is no thrift_listen", "leave it out")
     if model.admin is not None:
         _on_loopback(("admin",), model.admin, say)
         if _same(model.admin, model.listen):
@@ -321,4 +375,26 @@
         for at, item in enumerate(model.classes):
             if item.name not in reached:
                 say(("classes", at), f"no route reaches class {item.name!r}", "add a route, or leave it out")
-    _routes([(("routes", at), route, route.service) for at, route in enumerate(model.routes)], say, document)
+    found: Found = [(("routes", at), route, route.service) for at, route in enumerate(model.routes)]
+    _routes(found, _protocols(model.classes, model.pools), say, document)
+    _listened(model, say, document)
+
+
+def _listened(model: Configuration, say: Say, document: Document) -> None:
+    """Each protocol that routes are of needs a listener, and the other way round."""
+    spoken = {"http" if route.call is None else "thrift" for route in model.routes}
+    for at, listener in enumerate(model.listeners):
+        if listener.protocol not in spoken:
+            say(
+                ("listeners", at, "protocol"),
+                f"no route is of {listener.protocol}",
+                "add one, with path for http and call for thrift",
+            )
+        if listener.tenant_field is not None and listener.protocol != "thrift":
+            say(("listeners", at, "tenant_field"), "belongs to a Thrift listener", "leave it out")
+    heard = {listener.protocol for listener in model.listeners}
+    if not any(path[0] == "listeners" for path in document.spoilt):
+        for at, route in enumerate(model.routes):
+            protocol = "http" if route.call is None else "thrift"
+            if protocol not in heard:
+                say(("routes", at), f"no listener is of {protocol}", f"add one, with protocol = '{protocol}'")
--- a/orchidledge/sidecar/derive.py
+++ b/orchidledge/sidecar/derive.py
@@ -90,6 +90,20 @@
             zones |= {zone for pool in cat.pools if pool.name == found[1].pool for zone in pool.zones}
         if zones and app.zone not in zones:
             say(("zone",), f"zone {app.zone!r} is not one of the pools'", near(app.zone, zones))
+        spoken = {
+            "http" if route.call is None else "thrift"
+            for call in app.calls
+            if call.service in by_name
+            for route in (call.routes if call.routes is not None else by_name[call.service][1].routes)
+        }
+        if spoken == {"http", "thrift"} and app.thrift_listen is None:
+            say(
+                (),
+                "some calls are of HTTP and some of Thrift, and one address hears one of them",
+                "add thrift_listen",
+            )
+        elif "thrift" not in spoken and app.thrift_listen is not None:
+            say(("thrift_listen",), "no call is of Thrift", "leave it out")
         self.application.mistakes.sort()
 
     def _over(self, path: Path, wanted: str, where: str, most: str) -> None:
@@ -159,12 +173,7 @@
         calls = {call.service: (at, call) for at, call in enumerate(app.calls)}
         classes = [(at, item) for at, item in enumerate(cat.classes) if item.name in calls]
         used = {item.pool for _, item in classes}
-        listener: Path = ("listeners", 0)
-        put((*listener, "name"), "application", "")
-        put((*listener, "address"), app.listen, self._app(("listen",)))
-        put((*listener, "deadline_header"), "Req-Deadline-Ms", "default")
-        if app.tenant is not None:
-            put((*listener, "tenant"), app.tenant, self._app(("tenant",)))
+        self._listeners()
         if app.admin is not None:
             put(("admin", "address"), app.admin, self._app(("admin",)))
         else:
@@ -189,6 +198,34 @@
             number = self._routes(number, ("classes", at), item, *calls[item.name])
         return self._out
 
+    def _listeners(self) -> None:
+        """One for each protocol that its calls are of."""
+        put, app = self._put, self.app
+        spoken = set()
+        for call in app.calls:
+            own = next(item for item in self.cat.classes if item.name == call.service).routes
+            for route in call.routes if call.routes is not None else own:
+                spoken.add("http" if route.call is None else "thrift")
+        rows = (("application", "http", "listen"), ("thrift", "thrift", "thrift_listen"))
+        for name, protocol, key in rows:
+            if protocol not in spoken:
+                continue
+            at: Path = ("listeners", len(self._out.data.get("listeners", ())))
+            put((*at, "name"), name, "")
+            put(
+                (*at, "address"),
+                getattr(app, key) or app.listen,
+                self._app((key if getattr(app, key) else "listen",)),
+            )
+            if protocol == "http":
+                put((*at, "deadline_header"), "Req-Deadline-Ms", "default")
+            else:
+                put((*at, "protocol"), protocol, "")
+                if app.tenant_field is not None:
+                    put((*at, "tenant_field"), app.tenant_field, self._app(("tenant_field",)))
+            if app.tenant is not None:
+                put((*at, "tenant"), app.tenant, self._app(("tenant",)))
+
     def _app(self, path: Path) -> str:
         return self._from(self.application, path)
 
@@ -259,7 +296,7 @@
         if effect != item.effect:
             changed["effect"] = where
         if effect != "keyed":
-            for key in ("key_header", "key_scope", "memory_ms"):
+            for key in ("key_header", "key_scope", "memory_ms", "key_field"):
                 data.pop(key, None)
         data["effect"] = effect
         for key in ("worth", "attempts"):
--- a/orchidledge/sidecar/drift.py
+++ b/orchidledge/sidecar/drift.py
@@ -54,7 +54,7 @@
     ),
     _setting(r"pools\[.*", True, None, "they treat the pool's boxes differently"),
     _setting(
-        r"classes\[[^]]*\]\.(effect|pool|key_scope|key_header|memory_ms)",
+        r"classes\[[^]]*\]\.(effect|pool|key_scope|key_header|key_field|memory_ms)",
         True,
         Rule.TWICE,
         "what one never repeats may run twice through the other",
--- a/orchidledge/sidecar/models.py
+++ b/orchidledge/sidecar/models.py
@@ -13,6 +13,7 @@
 from pydantic import AfterValidator, BaseModel, ConfigDict, Field
 
 from orchidledge.core.address import parse_address
+from orchidledge.router.calls import CallPattern
 from orchidledge.router.paths import PathPattern
 
 VERSION = 1  # of all three files
@@ -31,10 +32,18 @@
     return text
 
 
+def _call(text: str) -> str:
+    CallPattern.parse(text)
+    return text
+
+
 Name = Annotated[str, Field(pattern=r"^[A-Za-z0-9][A-Za-z0-9._-]{0,63}$")]
 HeaderName = Annotated[str, Field(pattern=r"^[A-Za-z0-9!#$%&'*+.^_`|~-]{1,64}$")]  # RFC 9110, section 5.6.2
 Method = Annotated[str, Field(pattern=r"^[A-Z]{1,16}$")]
 PathText = Annotated[str, AfterValidator(_path)]
+CallText = Annotated[str, AfterValidator(_call)]
+FieldPath = Annotated[str, Field(pattern=r"^[1-9][0-9]{0,4}(\.[1-9][0-9]{0,4}){0,7}$")]  # ids, as in 1.3
+Protocol = Literal["http", "thrift"]
 AddressText = Annotated[str, AfterValidator(_address)]
 Milliseconds = Annotated[float, Field(gt=0, le=86_400_000)]
 Share = Annotated[float, Field(ge=0, le=1)]
@@ -99,9 +108,23 @@
     servers: list[ListedServer] = Field([], description="of a static list")
 
 
+class ThriftModel(Model):
+    """How the boxes of a pool speak Thrift."""
+
+    form: Literal["binary", "compact"] = "binary"
+    transport: Literal["framed", "unframed"] = "framed"
+    full_types: list[int] = Field(
+        [11], description="of a TApplicationException: the box has turned the call away unrun"
+    )
+    port_offset: int = Field(
+        1, ge=-65535, le=65535, description="of both: from a box's listed port to its Thrift port"
+    )
+
+
 class PoolModel(Model):
     name: Name
-    protocol: Literal["http"] = "http"
+    protocol: Literal["http", "thrift", "both"] = Field("http", description="what its boxes speak")
+    thrift: ThriftModel | None = None
     siblings: int = Field(
         1, ge=1, le=100_000, description="sidecars and nodes that use the pool, this one too"
     )
@@ -129,6 +152,12 @@
         None, description="of a keyed class: all by default"
     )
     memory_ms: Milliseconds | None = Field(None, description="of a keyed class: how long boxes know a key")
+    key_field: FieldPath | None = Field(
+        None, description="of a keyed class over Thrift: where its key stands in the arguments"
+    )
+    oneway_ms: Milliseconds | None = Field(
+        None, description="how long a oneway call over Thrift counts as running: aim_ms by default"
+    )
 
 
 class HeaderModel(Model):
@@ -138,7 +167,8 @@
 
 class RouteModel(Model):
     methods: list[Method] = Field([], description="any, if none is given")
-    path: PathText = Field(description="segments: literal, {name}, or a last **")
+    path: PathText | None = Field(None, description="of HTTP: segments: literal, {name}, or a last **")
+    call: CallText | None = Field(None, description="of Thrift: method, service:method, or a last *")
     headers: list[HeaderModel] = []
 
 
@@ -195,6 +225,10 @@
     zone: str = ""
     catalogue: Name | None = Field(None, description="the name of the catalogue that it is held against")
     listen: AddressText
+    thrift_listen: AddressText | None = Field(None, description="for its Thrift calls, where it has any")
+    tenant_field: FieldPath | None = Field(
+        None, description="where the arguments of a Thrift call name a tenant"
+    )
     admin: AddressText | None = Field(None, description="the next port after the listener's by default")
     tenant: Name | None = None
     limits: OwnLimits = OwnLimits()
@@ -204,8 +238,12 @@
 class ListenerModel(Model):
     name: Name
     address: AddressText
+    protocol: Protocol = "http"
     deadline_header: HeaderName = Field("Req-Deadline-Ms", description="a caller's deadline in whole ms")
     tenant: Name | None = None
+    tenant_field: FieldPath | None = Field(
+        None, description="of Thrift: where the arguments name the tenant, if it is one that is known"
+    )
 
 
 class AdminModel(Model):
--- a/orchidledge/thrift/codec.py
+++ b/orchidledge/thrift/codec.py
@@ -314,9 +314,9 @@
         return Form.COMPACT, _kind(data[1] >> 5), name, seqid - ((seqid & 0x80000000) << 1), at
 
     def _name(self, data: bytes | bytearray, at: int, size: int) -> tuple[bytes, int]:
-        if not 0 < size <= MAX_NAME:
+        if not 0 <= size <= MAX_NAME:
             raise ProtocolError(
-                f"a method's name of {size} bytes is announced, and 1 to {MAX_NAME} are taken"
+                f"a method's name of {size} bytes is announced, and up to {MAX_NAME} are taken"
             )
         if len(data) < at + size:
             raise IncompleteError
--- a/tests/sidecar/test_drift.py
+++ b/tests/sidecar/test_drift.py
@@ -28,6 +28,8 @@
     (f"{LISTENER}.address", "127.0.0.1:9000", False, None),
     (f"{LISTENER}.deadline_header", "X-Deadline", False, None),
     (f"{LISTENER}.tenant", "imports", False, None),
+    (f"{LISTENER}.protocol", "thrift", False, None),
+    (f"{LISTENER}.tenant_field", "1.2", False, None),
     ("admin.address", "127.0.0.1:9001", False, None),
     ("limits.descriptors", 300, False, None),
     ("limits.max_open", 10, False, None),
@@ -46,6 +48,10 @@
     ("rules.over_share_worth", 0.5, True, None),
     ("tenants[hotels].quota_per_s", 1.0, True, None),
     (f"{POOL}.protocol", "other", True, None),
+    (f"{POOL}.thrift.form", "compact", True, None),
+    (f"{POOL}.thrift.transport", "unframed", True, None),
+    (f"{POOL}.thrift.full_types", [9], True, None),
+    (f"{POOL}.thrift.port_offset", 9, True, None),
     (f"{POOL}.siblings", 9, True, Rule.COLD),
     (f"{POOL}.round_trip_ms", 1.0, True, None),
     (f"{POOL}.connect_timeout_ms", 1.0, True, None),
@@ -67,6 +73,8 @@
     (f"{KIND}.key_header", "X-Key", True, Rule.TWICE),
     (f"{KIND}.key_scope", "cell", True, Rule.TWICE),
     (f"{KIND}.memory_ms", 1.0, True, Rule.TWICE),
+    (f"{KIND}.key_field", "1.9", True, Rule.TWICE),
+    (f"{KIND}.oneway_ms", 9.0, True, None),
     (f"{KIND}.give_up_ms", 9000.0, True, Rule.LOST),
     (f"{KIND}.aim_ms", 1.0, True, None),
     (f"{KIND}.late_worth", 0.5, True, None),
@@ -77,7 +85,7 @@
     (f"{ROUTE}.effect", "keyed", False, None),
 ]
 # What names an element, or tells the form of the file: another value makes another element or no file at all.
-IDENTITY = {"kind", "version", "id", "name", "path", "methods", "headers", "value"}
+IDENTITY = {"kind", "version", "id", "name", "path", "call", "methods", "headers", "value"}
 
 
 def changed(path: str, value: Any) -> dict[str, Any]:
@@ -94,7 +102,7 @@
             here[word] = value
             return data
         else:
-            here = here[word]
+            here = here.setdefault(word, {})
         rest = after
 
 
