--- a/orchidledge/cli/config.py
+++ b/orchidledge/cli/config.py
@@ -19,6 +19,7 @@
 from orchidledge.sidecar.checks import check
 from orchidledge.sidecar.derive import Derived, derive, text_of
 from orchidledge.sidecar.drift import Difference, compare
+from orchidledge.sidecar.idl import hold, methods_of
 from orchidledge.sidecar.load import Document, UnusableError, read
 from orchidledge.sidecar.locate import Path as Place
 from orchidledge.sidecar.mistakes import Mistake, shown
@@ -47,7 +48,8 @@
         "check",
         help="find all mistakes in catalogues, descriptions and configurations",
         description="Each mistake is one line, `file:line: path: what is wrong; what would be right`. A description "
-        "is held against the catalogue among the files. JSON and YAML files are xDS resources. No file is changed.",
+        "is held against the catalogue among the files. JSON and YAML files are xDS resources; "
+        "Thrift routes are held against the IDL files (.thrift) among the files. No file is changed.",
         epilog=EXITS,
     )
     checks.add_argument("files", nargs="+", metavar="FILE")
@@ -140,7 +142,12 @@
 
 def check_files(paths: list[str], descriptors: int) -> tuple[list[Document], list[str]]:
     """All files, checked alone and together, and remarks on what was not checked."""
-    documents = _documents(paths, descriptors)
+    methods = {path: methods_of(path) for path in paths if path.endswith(".thrift")}
+    documents = _documents([path for path in paths if path not in methods], descriptors)
+    for path, found in methods.items():
+        for document in documents:
+            if not document.mistakes:
+                hold(document, found, path)
     catalogues = [item for item in documents if item.kind == "catalogue"]
     remarks = []
     for document in documents:
