Binary Thrift bodies gone past in a loop of their own; refusals say only what is known

Need: every body is walked before it is sent or passed on, and a message of 70 kB held the loop for 17 ms. HTTP's refusals said 'it never ran' of safe requests that an attempt had been made of.

--- a/benchmarks/thrift_kill.py
+++ b/benchmarks/thrift_kill.py
@@ -1,6 +1,6 @@
 """Thrift boxes killed and replaced at random under pipelined calls: what ran how often, and what callers heard.
 
-    python benchmarks/thrift_kill.py --seconds 60
+    python -m benchmarks.thrift_kill --seconds 60
 
 Sidecars, boxes and callers share this process and speak over loopback. Ends by itself. Exit code 1 if a rule broke.
 """
--- a/orchidledge/core/pool.py
+++ b/orchidledge/core/pool.py
@@ -17,6 +17,7 @@
 
 log = logging.getLogger("orchidledge")
 
+NEVER_RAN = frozenset((api.Result.CONNECT_FAILED, api.Result.FULL, api.Result.MOOT))
 BACKSTOP_S = 0.005  # after which a request that the module left unanswered is answered for it
 FAULT_PAUSE_S = 0.5  # before an alarm or a watch is tried again that a fault of the module has lost
 
@@ -35,6 +36,7 @@
     attempts: list[Attempt | None] = field(default_factory=list)
     out: int = 0
     last: api.Result | None = None
+    may_have_run: bool = False  # by an attempt that has ended
     reply: Any = None  # the last error that a server answered with
 
 
@@ -242,6 +244,7 @@
         self.counts[result.value] += 1
         if job is not None:
             job.last = result
+            job.may_have_run = job.may_have_run or result not in NEVER_RAN
             if result is api.Result.OK and reply is not None:
                 self.answer(job, Answer(Kind.SERVED, Cause.ANSWERED, reply))
             elif result is api.Result.ERROR:
--- a/orchidledge/runtime/front.py
+++ b/orchidledge/runtime/front.py
@@ -177,7 +177,7 @@
         if answer.reply is not None:  # a box's word, its errors too
             self._pass_on(call, answer.reply)
         elif answer.kind is Kind.REFUSED:
-            self._refuse(call, answer.retry_after_ms, "destination_unavailable")
+            self._refuse(call, answer.retry_after_ms, "destination_unavailable", job.may_have_run)
         else:
             status, error = FAILURES[answer.cause]
             self._say(call, status, error, "failed: it may have run")
@@ -193,9 +193,11 @@
     def _deny(self, call: Call, status: int, error: str, why: str) -> None:
         self._say(call, status, error, f"refused: {why}")
 
-    def _refuse(self, call: Call, retry_after_ms: float, error: str) -> None:
+    def _refuse(self, call: Call, retry_after_ms: float, error: str, ran: bool = False) -> None:
+        # A safe request may be refused after an attempt of which nothing is known; a repeat of it does no harm.
+        why = "refused: it may be repeated" if ran else "refused: it never ran"
         # Retry-After has whole seconds (RFC 9110, section 10.2.3); with nothing to say, none is sent.
-        self._say(call, 503, error, "refused: it never ran", math.ceil(retry_after_ms / 1000.0))
+        self._say(call, 503, error, why, math.ceil(retry_after_ms / 1000.0))
 
     def _say(self, call: Call, status: int, error: str, details: str, retry_after_s: int = 0) -> None:
         self.counts[f"own {status}"] += 1
--- a/orchidledge/thrift/codec.py
+++ b/orchidledge/thrift/codec.py
@@ -33,6 +33,7 @@
     Reader,
     Walker,
     Writer,
+    past_binary,
     varint,
 )
 
@@ -90,6 +91,9 @@
 
 def check(body: bytes, form: Form) -> None:
     """ProtocolError unless the body is one whole struct and nothing else."""
+    if not form.compact:
+        _ends(past_binary(body), len(body))
+        return
     reader = reader_of(form, body)
     _whole(reader, Walker(reader))
 
@@ -99,8 +103,12 @@
         walker.run()
     except IncompleteError as error:
         raise ProtocolError(f"the message ends too early, at byte {reader.at}") from error
-    if reader.at != len(reader.data):
-        raise ProtocolError(f"{len(reader.data) - reader.at} bytes stand behind the message's body")
+    _ends(reader.at, len(reader.data))
+
+
+def _ends(at: int, size: int) -> None:
+    if at != size:
+        raise ProtocolError(f"{size - at} bytes stand behind the message's body")
 
 
 def application_exception(form: Form, kind: int, text: str) -> bytes:
--- a/orchidledge/thrift/values.py
+++ b/orchidledge/thrift/values.py
@@ -523,3 +523,74 @@
             reader.need(size)
         reader.at += there * size
         frame[2] -= there
+
+
+def past_binary(data: bytes) -> int:
+    """Where the struct at the beginning of a whole message ends, in binary; ProtocolError on what `Walker` refuses.
+
+    The same as it finds, sooner: every body that goes through is gone past at least once.
+    """
+    end, at = len(data), 0
+    fixed, least, field_head, sized_head = BINARY_FIXED, BINARY_LEAST, _FIELD, _SIZED
+    stack: list[
+        tuple[int, int, int]
+    ] = []  # key type or STOP, value type, values left; a struct: STOP, STOP, -1
+    keys, values, left = STOP, STOP, -1
+    try:
+        while True:
+            if left < 0:
+                kind = data[at]
+                if kind == STOP:
+                    at += 1
+                    if not stack:
+                        return at
+                    keys, values, left = stack.pop()
+                    continue
+                field_head.unpack_from(data, at)
+                at += 3
+            elif left == 0:
+                keys, values, left = stack.pop()
+                continue
+            else:
+                left -= 1
+                kind = keys if keys and left % 2 else values
+            size = fixed.get(kind)
+            if size is not None:
+                if left > 0 and not keys:  # all of a list or a set
+                    size += size * left
+                    left = 0
+                at += size
+                if at > end:
+                    raise ProtocolError(f"{size} bytes are wanted at byte {at - size} of {end}")
+                continue
+            if kind == STRING:
+                (size,) = _I32.unpack_from(data, at)
+                at += 4
+                if not 0 <= size <= end - at:
+                    raise ProtocolError(f"a string of {size} does not fit into {end - at} bytes")
+                at += size
+                continue
+            if kind not in TYPE_NAMES:
+                raise ProtocolError(f"type {kind} is unknown")
+            if len(stack) + 1 >= MAX_DEPTH:
+                raise ProtocolError(f"more than {MAX_DEPTH} structs and containers within one another")
+            stack.append((keys, values, left))
+            if kind == STRUCT:
+                keys, values, left = STOP, STOP, -1
+            elif kind == MAP:
+                keys, values, left = _MAP.unpack_from(data, at)
+                at += 6
+                if left:
+                    each = least[_type(keys)] + least[_type(values)]
+                    if left < 0 or left * each > end - at:
+                        raise ProtocolError(f"a map of {left} does not fit into {end - at} bytes")
+                    left *= 2
+                elif keys or values:
+                    _type(keys), _type(values)
+            else:
+                values, left = sized_head.unpack_from(data, at)
+                keys, at = STOP, at + 5
+                if (left or values) and not 0 <= left * least[_type(values)] <= end - at:
+                    raise ProtocolError(f"a {TYPE_NAMES[kind]} of {left} does not fit into {end - at} bytes")
+    except (IndexError, struct.error):
+        raise ProtocolError(f"bytes are wanted at byte {at} of {end}") from None
--- a/tests/runtime/test_front.py
+++ b/tests/runtime/test_front.py
@@ -490,3 +490,16 @@
 
 def test_the_shipped_row_is_a_valid_configuration():
     assert row()["kind"] == "configuration"
+
+
+def test_a_refusal_after_an_attempt_that_may_have_run_does_not_say_that_it_never_did():
+    async def main():
+        (box,) = boxes(1)
+        async with running(box) as sidecar:
+            box.behaviour.die_mid_answer = 10
+            answer = await application(sidecar).ask("GET", "/x")
+            assert box.taken >= 1
+            assert answer.status in (502, 503)
+            assert b"never ran" not in bytes(answer.body)
+
+    asyncio.run(main())
