--- a/orchidledge/sidecar/drift.py
+++ b/orchidledge/sidecar/drift.py
@@ -110,7 +110,9 @@
 
 
 def _label(path: str, item: Mapping[str, Any]) -> str:
-    if path == "routes":
+    if path == "routes" and "call" in item:
+        text = f"call {item['call']}"
+    elif path == "routes":
         headers = "".join(f" {row['name']}:{row.get('value', '*')}" for row in item.get("headers") or ())
         text = f"{'|'.join(sorted(item.get('methods') or ['*']))} {item['path']}{headers}"
     else:
--- a/tests/sidecar/test_idl.py
+++ b/tests/sidecar/test_idl.py
@@ -142,6 +142,22 @@
     assert main(["config", "check", str(out)]) == 0
 
 
+def test_drift_and_explain_know_thrift_routes(tmp_path, capsys):
+    (tmp_path / "catalogue.toml").write_text(GOOD)
+    (tmp_path / "clerk.toml").write_text(APPLICATION)
+    files = [str(tmp_path / "catalogue.toml"), str(tmp_path / "clerk.toml")]
+    one, two = tmp_path / "one.toml", tmp_path / "two.toml"
+    assert main(["config", "explain", *files]) == 0
+    assert 'call = "Ledger:post"' in capsys.readouterr().out.replace("call: ", "call = ").replace("'", '"')
+    for path in (one, two):
+        assert main(["config", "write", *files, "--output", str(path)]) == 0
+    assert main(["config", "drift", str(one), str(two)]) == 0
+    two.write_text(two.read_text().replace('form = "compact"', 'form = "binary"'))
+    capsys.readouterr()
+    assert main(["config", "drift", str(one), str(two)]) == 1
+    assert "pools[boxes].thrift.form" in capsys.readouterr().out
+
+
 def test_thrift_listen_without_a_thrift_call_is_told(tmp_path, capsys):
     (tmp_path / "catalogue.toml").write_text(
         GOOD.replace('"thrift"\nthrift = { form = "compact" }', '"both"')
