Callers' connections, stand-ins' and the benchmarks' load share what stood twice

Need: the second protocol had brought copies of how a connection begins, ends and lingers. Change: IncomingConnection in core/listener, Counting in standin/listening, one Load in the benchmarks.

--- a/benchmarks/thrift_speed.py
+++ b/benchmarks/thrift_speed.py
@@ -212,48 +212,29 @@
         self.held += data
         if len(self.held) < 4 or len(self.held) < 4 + struct.unpack_from(">i", self.held)[0]:
             return
-        load = self.load
         (found,) = Decoder(1 << 20).feed(self.held)
         assert isinstance(found, Message)
         self.held = b""
-        load.latencies.append(time.perf_counter() - self.began)
-        load.bad += found.kind is not MessageKind.REPLY
-        if time.perf_counter() < load.until:
+        if self.load.told(found.kind.name, self.began):
             self.ask()
-            return
-        self.transport.close()
-        load.left -= 1
-        if not load.left:
-            load.over.set_result(None)
+        else:
+            self.transport.close()
+
 
+class ThriftLoad(Load):
+    good = "REPLY"
 
-class ThriftLoad:
     def __init__(self, connections: int, seconds: float, form: Form) -> None:
-        self.connections, self.seconds = connections, seconds
+        super().__init__(connections, seconds)
         out = CompactWriter() if form.compact else BinaryWriter()
         out.begin_struct()
         out.field(STRING, 1)
         out.value(STRING, b"general")
         out.end_struct()
         self.call = encode(Message(form, MessageKind.CALL, b"balance", 9, bytes(out.out)), True)
-        self.latencies: list[float] = []
-        self.bad = 0
-        self.left = connections
-
-    async def run(self, port: int) -> tuple[float, float, float]:
-        """Calls a second, median and 99th percentile in ms."""
-        loop = asyncio.get_running_loop()
-        self.over = loop.create_future()
-        began = time.perf_counter()
-        self.until = began + self.seconds
-        for _ in range(self.connections):
-            await loop.create_connection(lambda: Caller(self), "127.0.0.1", port)
-        await asyncio.wait_for(self.over, self.seconds + 30)
-        took = time.perf_counter() - began
-        if self.bad:
-            print(f"  not replies: {self.bad}", file=sys.stderr)
-        found = sorted(self.latencies)
-        return len(found) / took, found[len(found) // 2] * 1e3, found[len(found) * 99 // 100] * 1e3
+
+    def caller(self) -> asyncio.Protocol:
+        return Caller(self)
 
 
 @contextlib.contextmanager
--- a/benchmarks/throughput.py
+++ b/benchmarks/throughput.py
@@ -59,18 +59,15 @@
         if len(body) < int(head[at:].split(b"\r\n", 1)[0]):
             return
         self.held = b""
-        self.load.latencies.append(time.perf_counter() - self.began)
-        self.load.statuses[head[9:12].decode()] = self.load.statuses.get(head[9:12].decode(), 0) + 1
-        if time.perf_counter() < self.load.until:
+        if self.load.told(head[9:12].decode(), self.began):
             self.ask()
         else:
             self.transport.close()
-            self.load.left -= 1
-            if not self.load.left:
-                self.load.over.set_result(None)
 
 
 class Load:
+    good = "200"  # the status that counts as served
+
     def __init__(self, connections: int, seconds: float) -> None:
         self.connections, self.seconds = connections, seconds
         self.latencies: list[float] = []
@@ -78,6 +75,21 @@
         self.asked = 0
         self.left = connections
 
+    def caller(self) -> asyncio.Protocol:
+        return Caller(self)
+
+    def told(self, status: str, began: float) -> bool:
+        """An answer has come to what was asked then; whether to ask again."""
+        now = time.perf_counter()
+        self.latencies.append(now - began)
+        self.statuses[status] = self.statuses.get(status, 0) + 1
+        if now < self.until:
+            return True
+        self.left -= 1
+        if not self.left:
+            self.over.set_result(None)
+        return False
+
     async def run(self, port: int) -> tuple[float, float, float]:
         """Requests a second, median and 99th percentile in ms."""
         loop = asyncio.get_running_loop()
@@ -85,12 +97,12 @@
         began = time.perf_counter()
         self.until = began + self.seconds
         for _ in range(self.connections):
-            await loop.create_connection(lambda: Caller(self), "127.0.0.1", port)
+            await loop.create_connection(self.caller, "127.0.0.1", port)
         await asyncio.wait_for(self.over, self.seconds + 30)
         took = time.perf_counter() - began
-        bad = {status: count for status, count in self.statuses.items() if status != "200"}
+        bad = {status: count for status, count in self.statuses.items() if status != self.good}
         if bad:
-            print(f"  not 200: {bad}", file=sys.stderr)
+            print(f"  not {self.good}: {bad}", file=sys.stderr)
         served = sorted(self.latencies)
         return len(served) / took, served[len(served) // 2] * 1e3, served[len(served) * 99 // 100] * 1e3
 
--- a/orchidledge/core/listener.py
+++ b/orchidledge/core/listener.py
@@ -6,7 +6,6 @@
 import asyncio
 import socket
 from itertools import islice
-from typing import Protocol
 
 BACKLOG = 1024
 SPARED_S = 2.0  # of which an idle connection is spared where room is short and no request waits for it
@@ -15,22 +14,47 @@
 LOOKED_AT = 16  # connections that are looked at, at most, to make room for one
 
 
-class Incoming(Protocol):
-    """A caller's connection, as its listener sees it."""
+class IncomingConnection(asyncio.Protocol):
+    """What callers' connections have in common, whatever is spoken on them."""
 
-    known: bool  # a request that could be used has come on it
-    since: float  # the loop's time at which it came into the stage that it is in
+    def __init__(self, server: Listener) -> None:
+        self._server = server
+        self._transport: asyncio.Transport
+        self._closing = False  # the last answer has been written, or will be with what is in hand
+        self.known = False  # a request that could be used has come on it
+        self.since = 0.0  # the loop's time at which it came into the stage that it is in
 
-    def abort(self) -> None: ...
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        assert isinstance(transport, asyncio.Transport)
+        self._transport = transport
+        self._server.opened(self)
+
+    def eof_received(self) -> bool:
+        return False
+
+    def abort(self) -> None:
+        self._closing = True
+        self._server.closed(self)
+        self._transport.abort()
 
     def close_if_idle(self) -> bool:
         """Close where no request is open, but not with bytes already waiting in the kernel."""
+        raise NotImplementedError
 
     def expire(self) -> None:
         """Its time in this stage is over."""
+        raise NotImplementedError
+
+    def _end(self) -> None:
+        """Close, reading on for a moment: closing over unread bytes would reset the answer away."""
+        self._closing = True
+        if not self._transport.is_closing():
+            if self._transport.can_write_eof():
+                self._transport.write_eof()
+            self._server.stage(self, self._server.lingering)
 
 
-Stage = dict[Incoming, None]  # in the order of coming into it
+Stage = dict[IncomingConnection, None]  # in the order of coming into it
 
 
 class Listener:
@@ -44,7 +68,7 @@
         self.limit = limit
         self.ready = False
         self.stopping = False
-        self.connections: dict[Incoming, Stage | None] = {}
+        self.connections: dict[IncomingConnection, Stage | None] = {}
         self.waiting: Stage = {}
         self.idle: Stage = {}
         self.lingering: Stage = {}
@@ -110,16 +134,16 @@
         raw.listen(BACKLOG)
         self._sweep()
 
-    def opened(self, connection: Incoming) -> None:
+    def opened(self, connection: IncomingConnection) -> None:
         self.connections[connection] = None
         self.make_room()  # Guard: accepting never stops
         self.stage(connection, self.waiting)
 
-    def closed(self, connection: Incoming) -> None:
+    def closed(self, connection: IncomingConnection) -> None:
         self.stage(connection, None)
         self.connections.pop(connection, None)
 
-    def stage(self, connection: Incoming, stage: Stage | None) -> None:
+    def stage(self, connection: IncomingConnection, stage: Stage | None) -> None:
         """Move a connection to a stage, None while a request is open. To stay in one changes nothing."""
         was = self.connections.get(connection)
         if connection in self.connections and was is not stage:
--- a/orchidledge/http/server.py
+++ b/orchidledge/http/server.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import asyncio
 import re
 from collections import deque
 from collections.abc import Callable
@@ -11,7 +10,7 @@
 
 import httptools
 
-from orchidledge.core.listener import Listener
+from orchidledge.core.listener import IncomingConnection, Listener
 from orchidledge.core.outgoing import readable
 from orchidledge.http.client import MAX_BODY, MAX_HEAD, NO_BODY, Header
 
@@ -89,13 +88,13 @@
     return ("\r\n".join(lines) + "\r\n").encode()
 
 
-class ServerConnection(asyncio.Protocol):
+class ServerConnection(IncomingConnection):
     """One caller's connection. Requests that come at once are answered in turn."""
 
     def __init__(self, server: Server) -> None:
-        self._server = server
+        super().__init__(server)
+        self._server: Server = server
         self._dialect = server.dialect
-        self._transport: asyncio.Transport
         self._parser = httptools.HttpRequestParser(self)
         self._calls: deque[Call] = deque()  # whole requests, the first of them being answered
         self._partial: Call | None = None
@@ -104,9 +103,6 @@
         self._head = 0  # bytes that have come of a head that is not whole
         self._owes_continue = False  # a caller waits to be told to send its body
         self._fault = 0  # the status that ends this connection, once something was wrong on it
-        self._closing = False  # the last answer has been written, or will be with what is in hand
-        self.known = False  # a request that could be used has come on it
-        self.since = 0.0  # the loop's time at which it came into the stage that it is in
 
     def close_if_idle(self) -> bool:
         """Close where no request is open, but not with bytes already waiting in the kernel."""
@@ -115,11 +111,6 @@
         self.abort()
         return True
 
-    def abort(self) -> None:
-        self._closing = True
-        self._server.closed(self)
-        self._transport.abort()
-
     def expire(self) -> None:
         """Its time in this stage is over."""
         if self._closing:
@@ -131,11 +122,6 @@
 
     # ---------------------------------------------------------- asyncio.Protocol
 
-    def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        assert isinstance(transport, asyncio.Transport)
-        self._transport = transport
-        self._server.opened(self)
-
     def data_received(self, data: bytes) -> None:
         if self._closing or (self._fault and self._calls):
             return  # read and dropped, so that no answer is lost to a reset and a caller's leaving is seen
@@ -157,9 +143,6 @@
             # Guard: one deadline for a whole request; no byte but its first moves it.
             self._server.stage(self, self._server.waiting)
 
-    def eof_received(self) -> bool:
-        return False
-
     def connection_lost(self, exc: Exception | None) -> None:
         self._closing = True
         self._server.closed(self)
@@ -290,14 +273,6 @@
         self._transport.write(_head(status, 0, 0.0) + b"Connection: close\r\n\r\n")
         self._end()
 
-    def _end(self) -> None:
-        """Close, reading on for a moment: closing over unread bytes would reset the answer away."""
-        self._closing = True
-        if not self._transport.is_closing():
-            if self._transport.can_write_eof():
-                self._transport.write_eof()
-            self._server.stage(self, self._server.lingering)
-
 
 class Server(Listener):
     """Listens to callers of HTTP/1.1."""
--- a/orchidledge/standin/box.py
+++ b/orchidledge/standin/box.py
@@ -20,7 +20,7 @@
 
 import httptools
 
-from orchidledge.standin.listening import Listening
+from orchidledge.standin.listening import Counted, Counting
 
 POSTING = b"x-posting"  # the header by which a posting is counted; else its idempotency key, else its id
 REASONS = {200: b"OK", 204: b"No Content", 304: b"Not Modified", 500: b"Error", 503: b"Unavailable"}
@@ -54,21 +54,12 @@
         return next((value for key, value in reversed(self.headers) if key.lower() == name), None)
 
 
-class _Connection(asyncio.Protocol):
+class _Connection(Counted):
     def __init__(self, box: Box) -> None:
+        super().__init__(box)
         self._box = box
         self._parser = httptools.HttpRequestParser(self)
         self._now = Seen()
-        self.transport: asyncio.Transport
-
-    def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        assert isinstance(transport, asyncio.Transport)
-        self.transport = transport
-        self._box.connections.add(self)
-        self._box.accepted += 1
-
-    def connection_lost(self, exc: Exception | None) -> None:
-        self._box.connections.discard(self)
 
     def data_received(self, data: bytes) -> None:
         try:
@@ -93,7 +84,7 @@
         self._box.take(self, self._now)
 
 
-class Box(Listening):
+class Box(Counting):
     """One box. `ran` counts, for each posting, how often its work was begun."""
 
     def __init__(
@@ -103,14 +94,14 @@
         answer: Callable[[Seen], bytes | None] | None = None,
     ) -> None:
         """`answer`, if given, makes the whole answer's bytes; None closes the connection instead."""
+        super().__init__()
         self.name = name
         self.behaviour = behaviour or Behaviour()
         self.answer = answer
         self.ran: Counter[str] = Counter()
         self.classes: Counter[str] = Counter()  # first path segment: how many were begun
         self.seen: deque[Seen] = deque(maxlen=1000)
-        self.taken = self.served = self.declined = self.accepted = 0
-        self.connections: set[_Connection] = set()
+        self.taken = self.served = self.declined = 0
         self._queue: deque[tuple[_Connection, Seen]] = deque()
         self._busy = 0
         self._loop: asyncio.AbstractEventLoop
--- a/orchidledge/standin/thrift.py
+++ b/orchidledge/standin/thrift.py
@@ -15,7 +15,7 @@
 from collections import Counter, deque
 from dataclasses import dataclass
 
-from orchidledge.standin.listening import Listening
+from orchidledge.standin.listening import Counted, Counting
 from orchidledge.thrift.codec import Decoder, application_exception, encode, field_at
 from orchidledge.thrift.types import I64, STRING, STRUCT, Form, Message, MessageKind, ProtocolError
 from orchidledge.thrift.values import BinaryWriter, CompactWriter, Writer
@@ -46,22 +46,13 @@
     answer_oneway: int = 0  # a reply to a oneway call
 
 
-class _Connection(asyncio.Protocol):
+class _Connection(Counted):
     def __init__(self, box: ThriftBox) -> None:
+        super().__init__(box)
         self._box = box
         self._decoder = Decoder(LIMIT)
         self._calls: deque[Message] = deque()
         self._busy = False
-        self.transport: asyncio.Transport
-
-    def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        assert isinstance(transport, asyncio.Transport)
-        self.transport = transport
-        self._box.connections.add(self)
-        self._box.accepted += 1
-
-    def connection_lost(self, exc: Exception | None) -> None:
-        self._box.connections.discard(self)
 
     def data_received(self, data: bytes) -> None:
         for found in self._decoder.feed(data):
@@ -150,17 +141,17 @@
     return left > 0
 
 
-class ThriftBox(Listening):
+class ThriftBox(Counting):
     """One box. `ran` counts, for each posting, how often its work was begun."""
 
     def __init__(self, name: str = "box", behaviour: ThriftBehaviour | None = None) -> None:
+        super().__init__()
         self.name = name
         self.behaviour = behaviour or ThriftBehaviour()
         self.ran: Counter[str] = Counter()
         self.methods: Counter[str] = Counter()  # how many calls were begun
-        self.taken = self.served = self.declined = self.accepted = self.unreadable = 0
+        self.taken = self.served = self.declined = self.unreadable = 0
         self.forms: set[tuple[Form, bytes]] = set()  # what it was spoken to in, and the names that were asked
-        self.connections: set[_Connection] = set()
         self.dead = False
 
     async def start(self, port: int = 0) -> ThriftBox:
--- a/orchidledge/thrift/server.py
+++ b/orchidledge/thrift/server.py
@@ -11,7 +11,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from orchidledge.core.listener import Listener
+from orchidledge.core.listener import IncomingConnection, Listener
 from orchidledge.core.outgoing import readable
 from orchidledge.thrift.codec import Decoder, application_exception, encode
 from orchidledge.thrift.types import ExceptionKind, Form, Message, MessageKind, ProtocolError
@@ -50,24 +50,21 @@
         self.reply(MessageKind.EXCEPTION, self.message.name, body)
 
 
-class ThriftServerConnection(asyncio.Protocol):
+class ThriftServerConnection(IncomingConnection):
     """One caller's connection."""
 
     def __init__(self, server: ThriftServer) -> None:
-        self._server = server
-        self._transport: asyncio.Transport
+        super().__init__(server)
+        self._server: ThriftServer = server
         self._decoder = Decoder(server.limits.message)
         self._calls: deque[ThriftCall] = deque()  # whole calls, the first of them being served
         self._held = 0  # bytes of their bodies
         self._fault: tuple[int, str] | None = (
             None  # what ends this connection, once something was wrong on it
         )
-        self._closing = False
         self._gone = False  # the caller is
         self._stuck = False  # the caller does not read what has been written to it
         self._reading = True
-        self.known = False
-        self.since = 0.0
 
     # ----------------------------------------------------------------- for the listener
 
@@ -77,11 +74,6 @@
         self.abort()
         return True
 
-    def abort(self) -> None:
-        self._closing = True
-        self._server.closed(self)
-        self._transport.abort()
-
     def expire(self) -> None:
         # Guard: a caller that does not read its replies would hold them, and its place, for ever.
         if self._closing or self._stuck or self._decoder.pending:
@@ -92,12 +84,8 @@
     # ---------------------------------------------------------- asyncio.Protocol
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        assert isinstance(transport, asyncio.Transport)
-        self._transport = transport
-        transport.set_write_buffer_limits(
-            high=0
-        )  # so that a reply that has not been read holds the next call
-        self._server.opened(self)
+        super().connection_made(transport)
+        self._transport.set_write_buffer_limits(high=0)  # a reply that has not been read holds the next call
 
     def data_received(self, data: bytes) -> None:
         if self._closing or self._fault is not None:
@@ -132,9 +120,6 @@
         if not self._closing:
             self._go_on()
 
-    def eof_received(self) -> bool:
-        return False
-
     def connection_lost(self, exc: Exception | None) -> None:
         self._closing = self._gone = True
         self._server.closed(self)
@@ -208,14 +193,6 @@
             self._transport.write(encode(message, decoder.framed is not False))
         self._end()
 
-    def _end(self) -> None:
-        """Close, reading on for a moment: closing over unread bytes would reset the reply away."""
-        self._closing = True
-        if not self._transport.is_closing():
-            if self._transport.can_write_eof():
-                self._transport.write_eof()
-            self._server.stage(self, self._server.lingering)
-
 
 def bad_call(why: str) -> str:
     """The form of the message that says so."""
