Read-over: boxes, fronts, readers and tests share what the Thrift work wrote twice

Found: a reader's state that nothing read; THeader told by a word of its error's text; writers and readers chosen by form in seven places; a message's limit, ids and patience worked out twice; tenants gone through for each call; two equal commands of stand-in boxes, and five ways in the tests to put a sidecar beside boxes. Change: one piece of each. Behaviour is as it was. Also: two drain tests took their count while requests could still be on the way to the box; they now wait for all that was open when the drain came into force.

--- a/benchmarks/thrift_kill.py
+++ b/benchmarks/thrift_kill.py
@@ -21,9 +21,8 @@
 from orchidledge.runtime.sidecar import Sidecar
 from orchidledge.sidecar.models import Configuration
 from orchidledge.standin.thrift import ThriftBehaviour, ThriftBox
-from orchidledge.thrift.codec import Decoder, encode, read_exception
+from orchidledge.thrift.codec import Decoder, encode, read_exception, writer_of
 from orchidledge.thrift.types import STRING, STRUCT, Form, Message, MessageKind
-from orchidledge.thrift.values import BinaryWriter, CompactWriter
 
 PATIENCE_S = 30.0  # for a reply that has to come: longer than any deadline here
 
@@ -79,7 +78,7 @@
 
 
 def posting(name: str, form: Form) -> bytes:
-    writer = CompactWriter() if form.compact else BinaryWriter()
+    writer = writer_of(form)
     writer.begin_struct()
     writer.field(STRUCT, 1)
     writer.begin_struct()
--- a/benchmarks/thrift_speed.py
+++ b/benchmarks/thrift_speed.py
@@ -24,16 +24,15 @@
 from typing import Any
 
 from benchmarks.throughput import Load, free_port
-from orchidledge.thrift.codec import Decoder, check, encode, transcode
+from orchidledge.thrift.codec import Decoder, check, encode, transcode, writer_of
 from orchidledge.thrift.types import I32, I64, LIST, STRING, STRUCT, Form, Message, MessageKind
-from orchidledge.thrift.values import BinaryWriter, CompactWriter
 
 ROOT = Path(__file__).resolve().parent.parent
 
 
 def body(form: Form, rows: int) -> bytes:
     """A posting with this many lines."""
-    out = CompactWriter() if form.compact else BinaryWriter()
+    out = writer_of(form)
     out.begin_struct()
     out.field(STRUCT, 1)
     out.begin_struct()
@@ -226,7 +225,7 @@
 
     def __init__(self, connections: int, seconds: float, form: Form) -> None:
         super().__init__(connections, seconds)
-        out = CompactWriter() if form.compact else BinaryWriter()
+        out = writer_of(form)
         out.begin_struct()
         out.field(STRING, 1)
         out.value(STRING, b"general")
--- a/orchidledge/runtime/backs.py
+++ b/orchidledge/runtime/backs.py
@@ -79,6 +79,11 @@
     return Form(thrift_of(model).form)
 
 
+def message_limit(new: Configuration) -> int:
+    """Bytes of a Thrift message: room for its head is left however small a body may be."""
+    return max(1024, new.limits.max_body_bytes)
+
+
 def _http_wire(new: Configuration, model: PoolModel) -> SidecarWire:
     return SidecarWire(new.limits.max_body_bytes, tuple(model.report_fields))
 
@@ -88,7 +93,7 @@
     return ThriftWire(
         form_of(model),
         found.transport == "framed",
-        max(1024, new.limits.max_body_bytes),
+        message_limit(new),
         frozenset(found.full_types),
     )
 
--- a/orchidledge/runtime/front.py
+++ b/orchidledge/runtime/front.py
@@ -8,11 +8,9 @@
 
 import math
 import re
-import secrets
 from collections import Counter
 from collections.abc import Collection, Mapping
 from dataclasses import dataclass, field
-from itertools import count
 
 from orchidledge import interface as api
 from orchidledge.core.pool import Job, Pool
@@ -20,9 +18,9 @@
 from orchidledge.http.client import NO_BODY, Header, Response
 from orchidledge.http.server import Call, Dialect, Server
 from orchidledge.router.router import Router
+from orchidledge.runtime.taking import WAY_BACK_S, ids, patience_ms
 from orchidledge.settings import report_from
 
-WAY_BACK_S = 0.002  # an answer leaves this long before the caller's time is up: it is on this machine
 DEADLINE = re.compile(rb"[0-9]{1,9}")
 
 HOP_BY_HOP = frozenset(
@@ -114,8 +112,7 @@
         self.server = Server(limit, self._on_call, dialect)
         self.counts: Counter[str] = Counter()
         self.configure(deadline_header, tenant)
-        self._ids = count(1)
-        self._mark = secrets.token_hex(6)  # ids of other sidecars and starts differ in this
+        self._ids = ids()
 
     def configure(self, deadline_header: str, tenant: str | None) -> None:
         self._deadline = deadline_header.lower().encode()
@@ -138,7 +135,7 @@
             return
         pool = plan.pools[route.pool]
         kind = pool.classes[route.service]
-        wanted = kind.give_up_ms if route.deadline_ms is None else min(kind.give_up_ms, route.deadline_ms)
+        wanted = patience_ms(kind, route.deadline_ms)
         given = call.headers.get(self._deadline)
         if given is not None:
             if not DEADLINE.fullmatch(given):
@@ -155,7 +152,7 @@
             self._refuse(call, 0.0, "connection_limit_reached")
             return
         give_up_at = call.arrived + wanted / 1000.0 - WAY_BACK_S
-        name = f"{self._mark}-{next(self._ids):x}"
+        name = next(self._ids)
         request = api.Request(
             id=name,
             service=kind.name,
--- a/orchidledge/runtime/sidecar.py
+++ b/orchidledge/runtime/sidecar.py
@@ -24,7 +24,7 @@
 from orchidledge.router.calls import CallTable
 from orchidledge.router.router import Router
 from orchidledge.runtime.admin import Admin
-from orchidledge.runtime.backs import AnyBack, back_of, form_of, rewire
+from orchidledge.runtime.backs import AnyBack, back_of, form_of, message_limit, rewire
 from orchidledge.runtime.front import Plan, SidecarFront
 from orchidledge.runtime.thrift import ThriftFront, ThriftPlan
 from orchidledge.sidecar.checks import SPARE_DESCRIPTORS, call_route_of, route_of
@@ -238,13 +238,14 @@
             table=_calls(new),
             pools=plan.pools,
             forms={model.name: form_of(model) for model in new.pools},
+            tenants=frozenset(item.name for item in new.tenants),
             key_fields={item.name: ids(item.key_field) for item in new.classes if item.key_field is not None},
             oneway_s={
                 item.name: item.oneway_ms / 1000.0 for item in new.classes if item.oneway_ms is not None
             },
         )
         limits = ThriftLimits(
-            message=max(1024, new.limits.max_body_bytes),
+            message=message_limit(new),
             request_s=new.limits.request_ms / 1000.0,
             idle_s=new.limits.caller_idle_ms / 1000.0,
         )
--- a/orchidledge/runtime/thrift.py
+++ b/orchidledge/runtime/thrift.py
@@ -14,22 +14,20 @@
 from __future__ import annotations
 
 import math
-import secrets
 from collections import Counter
 from collections.abc import Mapping
 from dataclasses import dataclass, field
-from itertools import count
 
 from orchidledge import interface as api
 from orchidledge.core.pool import Job, Pool
 from orchidledge.core.types import Answer, Cause, Kind
 from orchidledge.router.calls import CallTable
+from orchidledge.runtime.taking import WAY_BACK_S, ids, patience_ms
 from orchidledge.thrift.client import Outbound
 from orchidledge.thrift.codec import check, field_at, transcode
 from orchidledge.thrift.server import Limits, ThriftCall, ThriftServer, bad_call
 from orchidledge.thrift.types import ExceptionKind, Form, Message, MessageKind, ProtocolError
 
-WAY_BACK_S = 0.002  # a reply leaves this long before the caller's time is up: it is on this machine
 LEAST_S = 0.001  # with less time left nothing is begun
 WORDS = {
     Cause.TIMEOUT: (ExceptionKind.TIMEOUT, "no answer in time"),
@@ -47,6 +45,7 @@
     table: CallTable
     pools: Mapping[str, Pool]
     forms: Mapping[str, Form]  # what the boxes of each pool are spoken to in
+    tenants: frozenset[str] = frozenset()  # those that are known
     key_fields: Mapping[str, tuple[int, ...]] = field(default_factory=dict)  # of keyed classes
     oneway_s: Mapping[str, float] = field(default_factory=dict)  # by class: how long a oneway call runs
 
@@ -61,20 +60,12 @@
 class ThriftFront:
     """One listener. Its plan is asked for anew with each call, so that a reload changes it in one step."""
 
-    def __init__(
-        self,
-        limit: int,
-        limits: Limits,
-        plan: ThriftPlan,
-        tenant: str | None = None,
-        tenant_field: tuple[int, ...] | None = None,
-    ) -> None:
+    def __init__(self, limit: int, limits: Limits, plan: ThriftPlan) -> None:
         self.plan = plan
         self.server = ThriftServer(limit, self._on_call, limits, self._on_fault)
         self.counts: Counter[str] = Counter()
-        self.configure(tenant, tenant_field)
-        self._ids = count(1)
-        self._mark = secrets.token_hex(6)  # ids of other sidecars and starts differ in this
+        self.configure(None, None)
+        self._ids = ids()
 
     def configure(self, tenant: str | None, tenant_field: tuple[int, ...] | None) -> None:
         """`tenant_field`: a path of field ids in the arguments; `tenant` counts where it names none that is known."""
@@ -109,12 +100,11 @@
                 # Guard: sent on without a key, a repeat of it would not be dropped by any box.
                 self._deny(call, ExceptionKind.PROTOCOL_ERROR, f"class {kind.name} needs its key")
                 return
-            tenant = self._tenant_of(pool, asked)
+            tenant = self._tenant_of(asked)
         except ProtocolError as error:
             self._deny(call, ExceptionKind.PROTOCOL_ERROR, str(error))
             return
-        wanted = kind.give_up_ms if route.deadline_ms is None else min(kind.give_up_ms, route.deadline_ms)
-        give_up_at = call.arrived + wanted / 1000.0 - WAY_BACK_S
+        give_up_at = call.arrived + patience_ms(kind, route.deadline_ms) / 1000.0 - WAY_BACK_S
         if give_up_at - pool.loop.time() < LEAST_S:
             # It waited behind another on its connection. None of it has gone anywhere.
             self._refuse(call, 0.0, "its time was up before its turn came")
@@ -123,7 +113,7 @@
             self._refuse(call, 0.0, "too many calls are open")
             return
         request = api.Request(
-            id=f"{self._mark}-{next(self._ids):x}",
+            id=next(self._ids),
             service=kind.name,
             give_up_at_ms=pool.clock.ms(give_up_at),
             tenant=tenant,
@@ -144,13 +134,12 @@
         elif not job.done:
             call.on_gone = lambda: pool.leave(job)
 
-    def _tenant_of(self, pool: Pool, asked: Message) -> str | None:
+    def _tenant_of(self, asked: Message) -> str | None:
         if self._tenant_field is None:
             return self._tenant
         found = field_at(asked.body, asked.form, self._tenant_field)
         name = found.decode(errors="replace") if isinstance(found, bytes) else str(found)
-        known = any(tenant.name == name for tenant in pool.settings.tenants)
-        return name if known else self._tenant
+        return name if name in self.plan.tenants else self._tenant
 
     # --------------------------------------------------------------------- replies
 
--- a/orchidledge/standin/box.py
+++ b/orchidledge/standin/box.py
@@ -10,9 +10,7 @@
 
 from __future__ import annotations
 
-import argparse
 import asyncio
-import contextlib
 import sys
 from collections import Counter, deque
 from collections.abc import Callable
@@ -20,7 +18,7 @@
 
 import httptools
 
-from orchidledge.standin.listening import Counted, Counting
+from orchidledge.standin.listening import Counted, Counting, command, run
 
 POSTING = b"x-posting"  # the header by which a posting is counted; else its idempotency key, else its id
 REASONS = {200: b"OK", 204: b"No Content", 304: b"Not Modified", 500: b"Error", 503: b"Unavailable"}
@@ -199,24 +197,11 @@
         return b"\r\n".join(lines) + b"\r\n\r\n" + body
 
 
-async def _serve(args: argparse.Namespace) -> None:
-    box = await Box(args.name, Behaviour(work_ms=args.work_ms, cores=args.cores)).start(args.port)
-    print(f"{args.name} listens on {box.endpoint}", flush=True)
-    with contextlib.suppress(asyncio.CancelledError):
-        await asyncio.sleep(args.seconds)
-    box.stop()
-
-
 def main(argv: list[str] | None = None) -> int:
-    parser = argparse.ArgumentParser(prog="python -m orchidledge.standin.box", description="A stand-in box.")
-    parser.add_argument("--name", default="box")
-    parser.add_argument("--port", type=int, default=0, help="on 127.0.0.1; 0 takes a free one")
-    parser.add_argument("--work-ms", type=float, default=0.0)
+    parser = command("orchidledge.standin.box", "A stand-in box.")
     parser.add_argument("--cores", type=int, default=64)
-    parser.add_argument("--seconds", type=float, default=3600.0, help="after which it ends by itself")
-    with contextlib.suppress(KeyboardInterrupt):
-        asyncio.run(_serve(parser.parse_args(argv)))
-    return 0
+    args = parser.parse_args(argv)
+    return run(Box(args.name, Behaviour(work_ms=args.work_ms, cores=args.cores)), args)
 
 
 if __name__ == "__main__":
--- a/orchidledge/standin/listening.py
+++ b/orchidledge/standin/listening.py
@@ -2,7 +2,10 @@
 
 from __future__ import annotations
 
+import argparse
 import asyncio
+import contextlib
+from typing import Any, Protocol
 
 
 class Listening:
@@ -39,3 +42,41 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         self._peer.connections.discard(self)
+
+
+class Box(Protocol):
+    """A box that can be started and ended."""
+
+    name: str
+
+    @property
+    def endpoint(self) -> str: ...
+
+    async def start(self, port: int) -> Any: ...
+
+    def stop(self) -> None: ...
+
+
+def command(module: str, description: str) -> argparse.ArgumentParser:
+    """The options that all boxes have."""
+    parser = argparse.ArgumentParser(prog=f"python -m {module}", description=description)
+    parser.add_argument("--name", default="box")
+    parser.add_argument("--port", type=int, default=0, help="on 127.0.0.1; 0 takes a free one")
+    parser.add_argument("--work-ms", type=float, default=0.0)
+    parser.add_argument("--seconds", type=float, default=3600.0, help="after which it ends by itself")
+    return parser
+
+
+def run(box: Box, args: argparse.Namespace) -> int:
+    """Serve until it is ended, or for as long as the options say."""
+
+    async def serve() -> None:
+        await box.start(args.port)
+        print(f"{box.name} listens on {box.endpoint}", flush=True)
+        with contextlib.suppress(asyncio.CancelledError):
+            await asyncio.sleep(args.seconds)
+        box.stop()
+
+    with contextlib.suppress(KeyboardInterrupt):
+        asyncio.run(serve())
+    return 0
--- a/orchidledge/standin/thrift.py
+++ b/orchidledge/standin/thrift.py
@@ -8,17 +8,14 @@
 
 from __future__ import annotations
 
-import argparse
 import asyncio
-import contextlib
 import sys
 from collections import Counter, deque
 from dataclasses import dataclass
 
-from orchidledge.standin.listening import Counted, Counting
-from orchidledge.thrift.codec import Decoder, application_exception, encode, field_at
+from orchidledge.standin.listening import Counted, Counting, command, run
+from orchidledge.thrift.codec import Decoder, application_exception, encode, field_at, writer_of
 from orchidledge.thrift.types import I64, STRING, STRUCT, Form, Message, MessageKind, ProtocolError
-from orchidledge.thrift.values import BinaryWriter, CompactWriter, Writer
 
 POSTING = (1, 1)  # the path of a posting's id in the arguments
 LIMIT = 16 * 1024 * 1024
@@ -178,7 +175,7 @@
 
     def result(self, call: Message) -> bytes:
         """The result's struct: field 0 is what the method returns."""
-        writer = _writer(call.form)
+        writer = writer_of(call.form)
         writer.begin_struct()
         method = call.name.rpartition(b":")[2]
         posting = field_at(call.body, call.form, POSTING)
@@ -201,7 +198,7 @@
 
     def declared(self, call: Message) -> bytes:
         """The result's struct with the declared exception, field 1."""
-        writer = _writer(call.form)
+        writer = writer_of(call.form)
         writer.begin_struct()
         writer.field(STRUCT, 1)
         writer.begin_struct()
@@ -212,29 +209,10 @@
         return bytes(writer.out)
 
 
-def _writer(form: Form) -> Writer:
-    return CompactWriter() if form.compact else BinaryWriter()
-
-
-async def _serve(args: argparse.Namespace) -> None:
-    box = await ThriftBox(args.name, ThriftBehaviour(work_ms=args.work_ms)).start(args.port)
-    print(f"{args.name} listens on {box.endpoint}", flush=True)
-    with contextlib.suppress(asyncio.CancelledError):
-        await asyncio.sleep(args.seconds)
-    box.stop()
-
-
 def main(argv: list[str] | None = None) -> int:
-    parser = argparse.ArgumentParser(
-        prog="python -m orchidledge.standin.thrift", description="A stand-in box that speaks Thrift."
-    )
-    parser.add_argument("--name", default="box")
-    parser.add_argument("--port", type=int, default=0, help="on 127.0.0.1; 0 takes a free one")
-    parser.add_argument("--work-ms", type=float, default=0.0)
-    parser.add_argument("--seconds", type=float, default=3600.0, help="after which it ends by itself")
-    with contextlib.suppress(KeyboardInterrupt):
-        asyncio.run(_serve(parser.parse_args(argv)))
-    return 0
+    parser = command("orchidledge.standin.thrift", "A stand-in box that speaks Thrift.")
+    args = parser.parse_args(argv)
+    return run(ThriftBox(args.name, ThriftBehaviour(work_ms=args.work_ms)), args)
 
 
 if __name__ == "__main__":
--- a/orchidledge/thrift/codec.py
+++ b/orchidledge/thrift/codec.py
@@ -52,10 +52,14 @@
     """The caller speaks THeader, which is known by its first bytes and not supported."""
 
 
-def reader_of(form: Form, data: bytes | bytearray, at: int = 0) -> Reader:
-    """A reader of values that are all there."""
+def reader_of(form: Form, data: bytes | bytearray, at: int = 0, end: int | None = None) -> Reader:
+    """A reader of values; `end`: where they end at the latest, if they need not be all there."""
     kind = CompactReader if form.compact else BinaryReader
-    return kind(data, at, len(data), True)
+    return kind(data, at, len(data) if end is None else end)
+
+
+def writer_of(form: Form) -> Writer:
+    return CompactWriter() if form.compact else BinaryWriter()
 
 
 def envelope(form: Form, kind: MessageKind, name: bytes, seqid: int) -> bytes:
@@ -83,7 +87,7 @@
     """
     if source.compact == target.compact:
         return body
-    writer: Writer = CompactWriter() if target.compact else BinaryWriter()
+    writer = writer_of(target)
     reader = reader_of(source, body)
     _whole(reader, Walker(reader, STRUCT, writer))
     return bytes(writer.out)
@@ -113,7 +117,7 @@
 
 def application_exception(form: Form, kind: int, text: str) -> bytes:
     """The body of a `TApplicationException`: its message is field 1, its type is field 2."""
-    writer: Writer = CompactWriter() if form.compact else BinaryWriter()
+    writer = writer_of(form)
     writer.begin_struct()
     writer.field(STRING, 1)
     writer.value(STRING, text.encode())
@@ -215,6 +219,7 @@
             raise ProtocolError("this is HTTP, not Thrift")
         behind = bytes(buffer[4:6])
         if behind == HEADER_MAGIC:
+            self.framed = True
             raise HeaderTransportError("THeader is not supported; use framed or unframed binary or compact")
         # The length of an unframed old message's name is followed by the name, which has no byte of these.
         self.framed = behind[0] in (0x80, COMPACT_ID, 0x00)
@@ -252,7 +257,7 @@
                 form, kind, name, seqid, at = self._envelope(buffer, self.limit)
                 self._same(form)
                 self._head = kind, name, seqid
-                reader = (CompactReader if form.compact else BinaryReader)(buffer, at, self.limit, False)
+                reader = reader_of(form, buffer, at, self.limit)
                 self._reader, self._walker = reader, Walker(reader)
                 self._body_at = at
             assert self._walker is not None
@@ -315,7 +320,7 @@
             raise IncompleteError
         if data[1] & 0x1F != COMPACT_VERSION:
             raise ProtocolError(f"version {data[1] & 0x1F} of the compact protocol is unknown")
-        reader = CompactReader(data, 2, end, False)
+        reader = CompactReader(data, 2, end)
         seqid, reader.at = reader.varint(32)
         size, at = reader.varint(32)
         name, at = self._name(data, at, size)
--- a/orchidledge/thrift/server.py
+++ b/orchidledge/thrift/server.py
@@ -186,11 +186,11 @@
         kind, text = self._fault
         self._server.on_fault(text)
         decoder = self._decoder
-        if decoder.framed is not None or b"THeader" in text.encode():
+        if decoder.framed is not None:
             form = decoder.form or Form.BINARY
             body = application_exception(form, kind, bad_call(text))
             message = Message(form, MessageKind.EXCEPTION, b"", 0, body)
-            self._transport.write(encode(message, decoder.framed is not False))
+            self._transport.write(encode(message, decoder.framed))
         self._end()
 
 
--- a/orchidledge/thrift/values.py
+++ b/orchidledge/thrift/values.py
@@ -70,14 +70,14 @@
 class Reader:
     """Steps through the bytes of one message. Each method takes all it needs or nothing.
 
-    `end` is where the message ends at the latest; `whole`: all of it is there.
+    `end` is where the message ends at the latest.
     """
 
     fixed: dict[int, int]
     least: dict[int, int]
 
-    def __init__(self, data: bytes | bytearray, at: int, end: int, whole: bool) -> None:
-        self.data, self.at, self.end, self.whole = data, at, end, whole
+    def __init__(self, data: bytes | bytearray, at: int, end: int) -> None:
+        self.data, self.at, self.end = data, at, end
         self.bool_value: bool | None = None  # of a compact field, which has it in its head
 
     def need(self, size: int) -> int:
--- a/tests/runtime/beside.py
+++ b/tests/runtime/beside.py
@@ -4,9 +4,11 @@
 
 import asyncio
 import contextlib
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable, Sequence
 from typing import Any
 
+from loopback import until
+
 from orchidledge.runtime.sidecar import Sidecar
 from orchidledge.sidecar.checks import check
 from orchidledge.sidecar.load import parse
@@ -58,10 +60,11 @@
 
 
 @contextlib.asynccontextmanager
-async def running(*around: Box, **more: Any) -> AsyncIterator[Sidecar]:
+async def alongside(around: Sequence[Any], data: Callable[[], dict[str, Any]]) -> AsyncIterator[Sidecar]:
+    """Started boxes and a sidecar; `data` is asked for once the boxes have addresses."""
     for box in around:
         await box.start()
-    sidecar = Sidecar(configuration(row(*around, **more)))
+    sidecar = Sidecar(configuration(data()))
     await sidecar.start()
     try:
         yield sidecar
@@ -71,6 +74,17 @@
             box.stop()
 
 
+def running(*around: Box, **more: Any) -> contextlib.AbstractAsyncContextManager[Sidecar]:
+    return alongside(around, lambda: row(*around, **more))
+
+
+async def what_is_open_ends(sidecar: Sidecar, pool: str = "boxes") -> None:
+    """Wait for the requests that are open now: what had left for a drained box before the drain came into force may be
+    on its way to it still, though the box knows nothing of it yet."""
+    held = set(sidecar.pools[pool].jobs)
+    await until(lambda: held.isdisjoint(sidecar.pools[pool].jobs))
+
+
 def address(sidecar: Sidecar, name: str = "application") -> tuple[str, int]:
     return sidecar.listeners[name].front.server.address
 
--- a/tests/runtime/test_xds_pool.py
+++ b/tests/runtime/test_xds_pool.py
@@ -6,12 +6,12 @@
 import contextlib
 import socket
 from collections import Counter
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable, Sequence
 from typing import Any
 
 import orjson
 import pytest
-from beside import application, boxes, configuration, operator, row
+from beside import alongside, application, boxes, configuration, operator, row, what_is_open_ends
 from envoy.config.endpoint.v3 import endpoint_pb2
 from loopback import until
 
@@ -39,21 +39,27 @@
 
 
 @contextlib.asynccontextmanager
-async def following(updates: str, *around: Box, **more: Any) -> AsyncIterator[tuple[ControlPlane, Sidecar]]:
+async def planned(
+    around: Sequence[Box], told: Callable[[ControlPlane], dict[str, Any]]
+) -> AsyncIterator[tuple[ControlPlane, Sidecar]]:
+    """A control plane, boxes, and a sidecar that is ready; `told` fills the plane and gives the sidecar's data."""
     plane = await ControlPlane().start()
-    for box in around:
-        await box.start()
-    plane.put(cluster("ledger", **more), endpoints("ledger", *rows_of(*around)))
-    sidecar = Sidecar(configuration(row(pools=pools_of(plane, updates))))
-    await sidecar.start()
     try:
-        await until(lambda: sidecar.ready)
-        yield plane, sidecar
+        async with alongside(around, lambda: told(plane)) as sidecar:
+            await until(lambda: sidecar.ready)
+            yield plane, sidecar
     finally:
-        sidecar.close()
         await plane.stop()
-        for box in around:
-            box.stop()
+
+
+def following(
+    updates: str, *around: Box, **more: Any
+) -> contextlib.AbstractAsyncContextManager[tuple[ControlPlane, Sidecar]]:
+    def told(plane: ControlPlane) -> dict[str, Any]:
+        plane.put(cluster("ledger", **more), endpoints("ledger", *rows_of(*around)))
+        return row(pools=pools_of(plane, updates))
+
+    return planned(around, told)
 
 
 GONE = {
@@ -96,7 +102,7 @@
                 plane.put(endpoints("ledger", *others, {"address": last.endpoint} | GONE[form]))
             # What had left for the box before it came into force may still begin.
             await until(lambda: last.endpoint not in sidecar.pools["boxes"].up)
-            await until(lambda: sum(last.ran.values()) == last.served)
+            await what_is_open_ends(sidecar)
             begun, told = last.taken, sum(statuses.values())
             await until(lambda: sum(statuses.values()) > told + 200)
             assert last.taken == begun
--- a/tests/runtime/test_xds_shared.py
+++ b/tests/runtime/test_xds_shared.py
@@ -4,13 +4,12 @@
 
 import asyncio
 import contextlib
-from collections.abc import AsyncIterator
 from typing import Any
 
 import pytest
 from beside import LONG, boxes, configuration, row
 from loopback import until
-from test_xds_pool import WAYS, rows_of
+from test_xds_pool import WAYS, planned, rows_of
 
 from orchidledge.runtime.sidecar import Sidecar
 from orchidledge.runtime.xds import XdsFeed
@@ -31,23 +30,17 @@
     )
 
 
-@contextlib.asynccontextmanager
-async def following(way: str, *around: Box, **clusters: str) -> AsyncIterator[tuple[ControlPlane, Sidecar]]:
+def following(
+    way: str, *around: Box, **clusters: str
+) -> contextlib.AbstractAsyncContextManager[tuple[ControlPlane, Sidecar]]:
     """A box for each cluster, named as it is."""
-    plane = await ControlPlane().start()
-    for box in around:
-        await box.start()
-        plane.put(cluster(box.name), endpoints(box.name, *rows_of(box)))
-    sidecar = Sidecar(configuration(shape(plane, way, **clusters)))
-    await sidecar.start()
-    try:
-        await until(lambda: sidecar.ready)
-        yield plane, sidecar
-    finally:
-        sidecar.close()
-        await plane.stop()
+
+    def told(plane: ControlPlane) -> dict[str, Any]:
         for box in around:
-            box.stop()
+            plane.put(cluster(box.name), endpoints(box.name, *rows_of(box)))
+        return shape(plane, way, **clusters)
+
+    return planned(around, told)
 
 
 def up(sidecar: Sidecar, name: str) -> set[str]:
--- a/tests/thrift/test_both_protocols.py
+++ b/tests/thrift/test_both_protocols.py
@@ -9,7 +9,7 @@
 from typing import Any
 
 import pytest
-from beside import application, configuration, row
+from beside import alongside, application, configuration, row, what_is_open_ends
 from loopback import until
 from thrifty import Caller, address, box_of, posting, said, shape
 
@@ -65,16 +65,8 @@
 @contextlib.asynccontextmanager
 async def serving(spoken: Any, count: int, **more: Any) -> AsyncIterator[tuple[Sidecar, list[Any]]]:
     around = [spoken.box(f"box-{at}") for at in range(count)]
-    for box in around:
-        await box.start()
-    sidecar = Sidecar(configuration(spoken.data(*around, **more)))
-    await sidecar.start()
-    try:
+    async with alongside(around, lambda: spoken.data(*around, **more)) as sidecar:
         yield sidecar, around
-    finally:
-        sidecar.close()
-        for box in around:
-            box.stop()
 
 
 @SPOKEN
@@ -97,7 +89,7 @@
             last = around[-1]
             await sidecar.reload(configuration(spoken.data(*around[:-1])))
             # The list is in force: what had left for the box before may still begin.
-            await until(lambda: sum(last.ran.values()) == last.served)
+            await what_is_open_ends(sidecar)
             taken, told = last.taken, len(heard)
             await until(lambda: len(heard) > told + 100)
             over.set()
--- a/tests/thrift/thrifty.py
+++ b/tests/thrift/thrifty.py
@@ -4,10 +4,9 @@
 
 import asyncio
 import contextlib
-from collections.abc import AsyncIterator
 from typing import Any
 
-from beside import configuration, row
+from beside import address, alongside, row
 from trees import body_of
 
 from orchidledge.runtime.sidecar import Sidecar
@@ -16,6 +15,8 @@
 from orchidledge.thrift.codec import Decoder, encode, field_at, read_exception
 from orchidledge.thrift.types import Form, Message, MessageKind, ProtocolError
 
+__all__ = ["address"]  # for those that import it from here
+
 LONG = {"aim_ms": 20000, "give_up_ms": 30000}
 CLASSES = [
     {"name": "read", "pool": "boxes", "effect": "safe", "worth": 12} | LONG,
@@ -50,22 +51,8 @@
     return [ThriftBox(f"box-{at}") for at in range(count)]
 
 
-@contextlib.asynccontextmanager
-async def running(*around: ThriftBox, **more: Any) -> AsyncIterator[Sidecar]:
-    for box in around:
-        await box.start()
-    sidecar = Sidecar(configuration(shape(*around, **more)))
-    await sidecar.start()
-    try:
-        yield sidecar
-    finally:
-        sidecar.close()
-        for box in around:
-            box.stop()
-
-
-def address(sidecar: Sidecar, name: str = "application") -> tuple[str, int]:
-    return sidecar.listeners[name].front.server.address
+def running(*around: ThriftBox, **more: Any) -> contextlib.AbstractAsyncContextManager[Sidecar]:
+    return alongside(around, lambda: shape(*around, **more))
 
 
 def posting(name: str, form: Form = Form.BINARY, tenant: str = "") -> bytes:
