Read-over: a route says its protocol, paths of field ids are read in one place

Found: 'http unless it has a call' worked out in five places, the protocols of an application's calls in two, and a path of ids read in two packages. Change: RouteModel.protocol, Deriver._spoken, models.field_ids. Behaviour is as it was.

--- a/orchidledge/runtime/sidecar.py
+++ b/orchidledge/runtime/sidecar.py
@@ -35,6 +35,7 @@
     PoolModel,
     Rules,
     digest,
+    field_ids,
     plain,
 )
 from orchidledge.thrift.server import Limits as ThriftLimits
@@ -239,7 +240,9 @@
             pools=plan.pools,
             forms={model.name: form_of(model) for model in new.pools},
             tenants=frozenset(item.name for item in new.tenants),
-            key_fields={item.name: ids(item.key_field) for item in new.classes if item.key_field is not None},
+            key_fields={
+                item.name: field_ids(item.key_field) for item in new.classes if item.key_field is not None
+            },
             oneway_s={
                 item.name: item.oneway_ms / 1000.0 for item in new.classes if item.oneway_ms is not None
             },
@@ -292,7 +295,9 @@
             front.server.limit = callers
             if isinstance(front, ThriftFront):
                 front.plan, front.server.limits = thrift_plan, limits
-                front.configure(model.tenant, None if model.tenant_field is None else ids(model.tenant_field))
+                front.configure(
+                    model.tenant, None if model.tenant_field is None else field_ids(model.tenant_field)
+                )
             else:
                 front.plan, front.server.dialect = plan, dialect
                 front.configure(model.deadline_header, model.tenant)
@@ -457,11 +462,6 @@
     )
 
 
-def ids(path: str) -> tuple[int, ...]:
-    """A path of field ids from its text, as in 1.3."""
-    return tuple(int(word) for word in path.split("."))
-
-
 def _decisive(configuration: Configuration) -> frozenset[bytes]:
     """The headers that something is decided by, by lower-case name.
 
--- a/orchidledge/sidecar/checks.py
+++ b/orchidledge/sidecar/checks.py
@@ -204,7 +204,7 @@
         for key in ("methods", "headers"):
             if model.call is not None and getattr(model, key):
                 say((*path, key), "belongs to HTTP, not to a Thrift call", "leave it out")
-        speaks, key = ("http", "path") if model.call is None else ("thrift", "call")
+        speaks, key = model.protocol, "path" if model.call is None else "call"
         pool = protocols.get(service, "both")
         if pool not in (speaks, "both"):
             say((*path, key), f"the pool of class {service!r} speaks {pool}, not {speaks}", "another class")
@@ -382,7 +382,7 @@
 
 def _listened(model: Configuration, say: Say, document: Document) -> None:
     """Each protocol that routes are of needs a listener, and the other way round."""
-    spoken = {"http" if route.call is None else "thrift" for route in model.routes}
+    spoken = {route.protocol for route in model.routes}
     for at, listener in enumerate(model.listeners):
         if listener.protocol not in spoken:
             say(
@@ -395,6 +395,6 @@
     heard = {listener.protocol for listener in model.listeners}
     if not any(path[0] == "listeners" for path in document.spoilt):
         for at, route in enumerate(model.routes):
-            protocol = "http" if route.call is None else "thrift"
-            if protocol not in heard:
-                say(("routes", at), f"no listener is of {protocol}", f"add one, with protocol = '{protocol}'")
+            if route.protocol not in heard:
+                right = f"add one, with protocol = '{route.protocol}'"
+                say(("routes", at), f"no listener is of {route.protocol}", right)
--- a/orchidledge/sidecar/derive.py
+++ b/orchidledge/sidecar/derive.py
@@ -90,12 +90,7 @@
             zones |= {zone for pool in cat.pools if pool.name == found[1].pool for zone in pool.zones}
         if zones and app.zone not in zones:
             say(("zone",), f"zone {app.zone!r} is not one of the pools'", near(app.zone, zones))
-        spoken = {
-            "http" if route.call is None else "thrift"
-            for call in app.calls
-            if call.service in by_name
-            for route in (call.routes if call.routes is not None else by_name[call.service][1].routes)
-        }
+        spoken = self._spoken()
         if spoken == {"http", "thrift"} and app.thrift_listen is None:
             say(
                 (),
@@ -106,6 +101,15 @@
             say(("thrift_listen",), "no call is of Thrift", "leave it out")
         self.application.mistakes.sort()
 
+    def _spoken(self) -> set[str]:
+        """The protocols that the application's calls are of."""
+        own = {item.name: item.routes for item in self.cat.classes}
+        return {
+            route.protocol
+            for call in self.app.calls
+            for route in (call.routes if call.routes is not None else own.get(call.service, []))
+        }
+
     def _over(self, path: Path, wanted: str, where: str, most: str) -> None:
         self.application.add(path, f"{wanted} is looser than {where} allows", f"at most {most}")
 
@@ -201,11 +205,7 @@
     def _listeners(self) -> None:
         """One for each protocol that its calls are of."""
         put, app = self._put, self.app
-        spoken = set()
-        for call in app.calls:
-            own = next(item for item in self.cat.classes if item.name == call.service).routes
-            for route in call.routes if call.routes is not None else own:
-                spoken.add("http" if route.call is None else "thrift")
+        spoken = self._spoken()
         rows = (("application", "http", "listen"), ("thrift", "thrift", "thrift_listen"))
         for name, protocol, key in rows:
             if protocol not in spoken:
--- a/orchidledge/sidecar/idl.py
+++ b/orchidledge/sidecar/idl.py
@@ -13,7 +13,7 @@
 from orchidledge.sidecar.load import Document, UnusableError
 from orchidledge.sidecar.locate import Path
 from orchidledge.sidecar.mistakes import near
-from orchidledge.sidecar.models import Catalogue, ClassModel, Configuration, RouteModel
+from orchidledge.sidecar.models import Catalogue, ClassModel, Configuration, RouteModel, field_ids
 
 STRUCT = 12  # as thriftpy2 and the binary protocol number it
 SINGLE = {2, 3, 6, 8, 10, 11}  # types of which a field can name a key or a tenant: bool, integers, string
@@ -121,14 +121,12 @@
                 f"{method.name} of {idl} is oneway, which is never sent again, and {kind.name!r} is {kind.effect}",
                 "an unsafe class for it",
             )
-        if kind.key_field is not None:
-            ids = tuple(int(word) for word in kind.key_field.split("."))
-            if method.field(ids) not in SINGLE:
-                document.add(
-                    (*path, "key_field"),
-                    f"{method.name} of {idl} has no string or number at {kind.key_field}",
-                    "where its key stands, as in 1.3",
-                )
+        if kind.key_field is not None and method.field(field_ids(kind.key_field)) not in SINGLE:
+            document.add(
+                (*path, "key_field"),
+                f"{method.name} of {idl} has no string or number at {kind.key_field}",
+                "where its key stands, as in 1.3",
+            )
     if kind.oneway_ms is not None and methods and not any(method.oneway for method in methods):
         document.add(
             (*path, "oneway_ms"), f"no method of class {kind.name!r} is oneway in {idl}", "leave it out"
--- a/orchidledge/sidecar/models.py
+++ b/orchidledge/sidecar/models.py
@@ -32,6 +32,11 @@
     return text
 
 
+def field_ids(path: str) -> tuple[int, ...]:
+    """The ids of a path of fields, as of 1.3."""
+    return tuple(int(word) for word in path.split("."))
+
+
 def _call(text: str) -> str:
     CallPattern.parse(text)
     return text
@@ -171,6 +176,10 @@
     call: CallText | None = Field(None, description="of Thrift: method, service:method, or a last *")
     headers: list[HeaderModel] = []
 
+    @property
+    def protocol(self) -> Protocol:
+        return "http" if self.call is None else "thrift"
+
 
 class TenantModel(Model):
     name: Name
