--- /dev/null
+++ b/benchmarks/retry_storm.py
@@ -0,0 +1,359 @@
+"""Attempts that reach the last of three tiers for each client request, with budgets and without, through troubles.
+
+    python benchmarks/retry_storm.py
+
+Twelve sidecars, each a process of its own, four of them beside clients, four beside applications of the second tier and
+four beside those of the third; behind them four boxes. Applications, boxes and clients are in this process, all on
+loopback. Applications work on when their own caller leaves, as blocking ones do, unless `--notice` is given.
+Clients ask at a steady rate, wait 0.7 s, and ask again up to three times at once after any failure; half of
+them mark that, half state how long they wait. Each phase of trouble is followed by a calm one.
+
+For each variant: attempts that the boxes got for each client request, in the mean and in the worst 10 s, the most for
+one request, work that was begun when its caller had given up, how long after each trouble good answers were back, and
+what the four rules say by the boxes' counts.
+"""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import contextlib
+import os
+import platform
+import socket
+import statistics
+import subprocess
+import sys
+import tempfile
+import time
+from collections import Counter
+from dataclasses import dataclass, field
+from pathlib import Path
+from random import Random
+from typing import Any
+
+from orchidledge.core.address import parse_address
+from orchidledge.sidecar.toml import dumps
+from orchidledge.standin.box import Behaviour, Box, Seen
+from orchidledge.standin.caller import Application
+from orchidledge.standin.tier import OWN, TRACE, TierApplication
+
+WIDE = 4  # instances in each tier
+PATIENCE_S = 0.7
+TRIES = 4
+GIVE_UP_MS = (2000.0, 1000.0, 500.0)
+WORK_MS, CORES = 10.0, 4  # of a box
+BACK = 0.95  # of the calm share of good answers that counts as back
+WINDOW_S = 10
+MIX = (("GET", "balance", 0.7), ("POST", "journal", 0.15), ("POST", "invoice", 0.15))
+
+
+@dataclass
+class Tally:
+    """What was seen; times are seconds of the monotonic clock."""
+
+    began: float = 0.0
+    firsts: list[float] = field(default_factory=list)
+    reached: list[tuple[float, int]] = field(default_factory=list)  # at a box: when, for which request
+    good: list[float] = field(default_factory=list)  # when its first try began, of each request answered well
+    begun: int = 0
+    begun_for_nobody: int = 0
+    ended: dict[str, float] = field(
+        default_factory=dict
+    )  # by try: when its client gave it up or had its answer
+    answers: Counter[str] = field(default_factory=Counter)
+    postings: Counter[str] = field(default_factory=Counter)  # of unsafe tries, at boxes
+    late: float = 0.0  # the longest that this process's loop was late
+    phases: list[tuple[str, float, float]] = field(default_factory=list)
+
+
+class Counted(Box):
+    """Tells the tally of each attempt that comes."""
+
+    tally: Tally
+
+    def take(self, connection: Any, seen: Seen) -> None:
+        name = (seen.header(b"x-posting") or b"0-0").decode()
+        self.tally.reached.append((time.monotonic(), int(name.split("-")[0])))
+        super().take(connection, seen)
+
+    def note(self, seen: Seen) -> None:
+        name = (seen.header(b"x-posting") or b"0-0").decode()
+        self.tally.begun += 1
+        self.tally.begun_for_nobody += name in self.tally.ended
+        if seen.target.startswith(b"/journal"):
+            self.tally.postings[name] += 1
+
+
+def free_port() -> int:
+    with socket.socket() as found:
+        found.bind(("127.0.0.1", 0))
+        port: int = found.getsockname()[1]
+        return port
+
+
+def configuration(
+    name: str, tier: int, port: int, servers: list[tuple[str, str]], budget: dict[str, Any] | None
+) -> dict[str, Any]:
+    limit = {"aim_ms": GIVE_UP_MS[tier], "give_up_ms": GIVE_UP_MS[tier]}
+    listener: dict[str, Any] = {"name": "application", "address": f"127.0.0.1:{port}"}
+    if budget is not None:
+        listener["trust"] = "edge" if tier == 0 else "inside"
+    data: dict[str, Any] = {
+        "kind": "configuration",
+        "version": 1,
+        "name": name,
+        "listeners": [listener],
+        "limits": {"descriptors": 1024, "max_open": 2000},
+        "pools": [
+            {
+                "name": "next",
+                "siblings": WIDE,
+                "list": {
+                    "source": "static",
+                    "servers": [{"id": one, "address": address} for one, address in servers],
+                },
+            }
+        ],
+        "classes": [
+            {"name": "balance", "pool": "next", "effect": "safe", "worth": 12.0} | limit,
+            {"name": "invoice", "pool": "next", "effect": "keyed", "memory_ms": 60000.0} | limit,
+            {"name": "journal", "pool": "next", "effect": "unsafe"} | limit,
+        ],
+        "routes": [{"class": name, "path": f"/{name}/**"} for name in ("balance", "invoice", "journal")],
+    }
+    return data if budget is None else data | {"budget": budget}
+
+
+@contextlib.asynccontextmanager
+async def sidecars(rows: list[dict[str, Any]], folder: Path) -> Any:
+    """Processes that run these configurations, ready."""
+    running = []
+    try:
+        for number, row in enumerate(rows):
+            path = folder / f"{number}.toml"
+            path.write_text(dumps(row, {}))
+            command = [sys.executable, "-m", "orchidledge.cli", "sidecar", str(path)]
+            running.append(subprocess.Popen(command, stderr=subprocess.DEVNULL, stdout=subprocess.DEVNULL))
+        async with asyncio.timeout(30):
+            for row in rows:
+                host, port = parse_address(row["listeners"][0]["address"])
+                while True:
+                    try:
+                        _, writer = await asyncio.open_connection(host, port)
+                        writer.close()
+                        break
+                    except OSError:
+                        await asyncio.sleep(0.05)
+        yield
+    finally:
+        for process in running:
+            process.kill()
+        for process in running:
+            process.wait()
+
+
+async def client(tally: Tally, app: Application, number: int, rng: Random) -> None:
+    """One request with all its tries."""
+    method, kind, _ = rng.choices(MIX, [share for *_, share in MIX])[0]
+    marks, states = rng.random() < 0.5, rng.random() < 0.5
+    began = time.monotonic()
+    tally.firsts.append(began)
+    for at in range(TRIES):
+        name = f"{number}-{at}"
+        headers = {"X-Posting": name}
+        if states:
+            headers["Req-Deadline-Ms"] = str(int(PATIENCE_S * 1000))
+        if kind == "invoice":
+            headers["Idempotency-Key"] = f"key-{number}"
+        if marks and at:
+            headers["Req-Retry"] = "1"
+        caller = Application(app.address, PATIENCE_S, app.idle)
+        try:
+            async with asyncio.timeout(PATIENCE_S):
+                reply = await caller.ask(
+                    method, f"/{kind}/{number}", b"x" if method == "POST" else b"", headers
+                )
+            outcome = str(reply.status)
+        except TimeoutError:
+            outcome = "none in time"
+        except OSError:
+            outcome = "broken"
+        tally.ended[name] = time.monotonic()
+        tally.answers[outcome] += 1
+        if outcome == "200":
+            tally.good.append(began)
+            return
+
+
+async def load(tally: Tally, apps: list[Application], rate: float, until: float, seed: int) -> None:
+    rng, number, pending = Random(seed), 0, set()
+    due = time.monotonic()
+    while due < until:
+        await asyncio.sleep(max(0.0, due - time.monotonic()))
+        tally.late = max(tally.late, time.monotonic() - due)
+        number += 1
+        task = asyncio.create_task(
+            client(tally, apps[number % len(apps)], number, Random(seed * 10**6 + number))
+        )
+        pending.add(task)
+        task.add_done_callback(pending.discard)
+        due += rng.expovariate(rate)
+    await asyncio.gather(*pending)
+
+
+def trouble(name: str, boxes: list[Counted], tiers: list[TierApplication], begins: bool) -> None:
+    """Begin or end one."""
+    good = Behaviour(work_ms=WORK_MS, cores=CORES)
+    for at, box in enumerate(boxes):
+        bad = Behaviour(work_ms=WORK_MS, cores=CORES)
+        if name == "last tier stalled" or (name == "box stalled" and at == 0):
+            bad.hang = True
+        elif name == "last tier fails":
+            bad.work_ms, bad.error = 0.0, 10**9
+        elif name == "last tier slow":
+            bad.slow = 40.0
+        box.behaviour = bad if begins else good
+    for tier in tiers:
+        tier.behaviour.hang = begins and name == "tier two stalled"
+
+
+TROUBLES = ("box stalled", "last tier stalled", "last tier fails", "last tier slow", "tier two stalled")
+
+
+async def play(args: argparse.Namespace, budget: dict[str, Any] | None, folder: Path) -> Tally:
+    tally = Tally()
+    boxes = [Counted(f"box-{at}", Behaviour(work_ms=WORK_MS, cores=CORES)) for at in range(WIDE)]
+    for box in boxes:
+        box.tally, box.on_begin = tally, box.note
+        await box.start()
+    tiers = [[TierApplication(f"tier{tier}-{at}") for at in range(WIDE)] for tier in (2, 3)]
+    for app in (*tiers[0], *tiers[1]):
+        app.behaviour.passes = TRACE | OWN
+        app.behaviour.notices = args.notice
+        await app.start()
+    behind: list[list[tuple[str, str]]] = [
+        [(app.name, app.endpoint) for app in tiers[0]],
+        [(app.name, app.endpoint) for app in tiers[1]],
+        [(box.name, box.endpoint) for box in boxes],
+    ]
+    rows, entries = [], []
+    for tier in range(3):
+        for at in range(WIDE):
+            port = free_port()
+            # The name is the application's: instances of one are one place in a path.
+            rows.append(configuration(f"tier{tier}", tier, port, behind[tier], budget))
+            if tier == 0:
+                entries.append(Application(("127.0.0.1", port), PATIENCE_S))
+            else:
+                tiers[tier - 1][at].next = ("127.0.0.1", port)
+    phases: list[tuple[str, float]] = [("calm", args.calm)]
+    for name in args.troubles.split(","):
+        phases += [(name, args.trouble), ("calm", args.calm)]
+    async with sidecars(rows, folder):
+        tally.began = time.monotonic()
+        whole = sum(length for _, length in phases)
+        asking = asyncio.create_task(load(tally, entries, args.rate, tally.began + whole, args.seed))
+        for name, length in phases:
+            began = time.monotonic()
+            if name != "calm":
+                trouble(name, boxes, tiers[0], True)
+            await asyncio.sleep(length)
+            if name != "calm":
+                trouble(name, boxes, tiers[0], False)
+            tally.phases.append((name, began, time.monotonic()))
+        await asking
+    for stand_in in (*boxes, *tiers[0], *tiers[1]):
+        stand_in.stop()
+    return tally
+
+
+def windows(tally: Tally) -> list[float]:
+    """Attempts for each client request in each 10 s, a second apart."""
+    first, last = int(tally.began), int(tally.phases[-1][2])
+    asked = Counter(int(at) for at in tally.firsts)
+    reached = Counter(int(at) for at, _ in tally.reached)
+    found = []
+    for begin in range(first, max(first + 1, last - WINDOW_S)):
+        span = range(begin, begin + WINDOW_S)
+        requests = sum(asked[second] for second in span)
+        if requests:
+            found.append(sum(reached[second] for second in span) / requests)
+    return found
+
+
+def back_after(tally: Tally) -> dict[str, float | None]:
+    """Seconds after each trouble's end from when on requests are answered as in calm times; None: never."""
+    good = set(tally.good)
+    calm = [at for at in tally.firsts if at < tally.phases[0][2]][20:]
+    usual = sum(at in good for at in calm) / max(1, len(calm))
+    found: dict[str, float | None] = {}
+    for (name, _, end), (_, _, until) in zip(tally.phases[1::2], tally.phases[2::2], strict=True):
+        answer = None
+        for tenth in range(int((until - end - 2.0) * 10)):
+            start = end + tenth / 10
+            asked = [at for at in tally.firsts if start <= at < start + 2.0]
+            if asked and sum(at in good for at in asked) >= BACK * usual * len(asked):
+                answer = tenth / 10
+                break
+        found[name] = answer
+    return found
+
+
+def report(name: str, tally: Tally) -> bool:
+    """Print it; whether the rules were kept."""
+    each = Counter(number for _, number in tally.reached)
+    rolled = windows(tally)
+    twice = sum(1 for count in tally.postings.values() if count > 1)
+    tries = sum(tally.answers.values())
+    print(
+        f"\n{name}: {len(tally.firsts)} requests, {tries} tries, loop late {tally.late * 1000:.0f} ms at most"
+    )
+    mean = len(tally.reached) / len(tally.firsts)
+    print(f"  attempts at the boxes for a request: mean {mean:.3f}, worst 10 s {max(rolled):.3f}, ", end="")
+    print(f"median 10 s {statistics.median(rolled):.3f}, most for one {max(each.values())}")
+    share = tally.begun_for_nobody / tally.begun
+    print(f"  begun for callers who had given up: {tally.begun_for_nobody} of {tally.begun} ({share:.2%})")
+    for (trouble_name, begin, end), after in zip(tally.phases[1::2], back_after(tally).values(), strict=True):
+        asked = [at for at in tally.firsts if begin <= at < end]
+        got = sum(1 for at in tally.good if begin <= at < end)
+        reached = sum(1 for at, _ in tally.reached if begin <= at < end)
+        back = "not" if after is None else f"{after:.1f} s after"
+        print(
+            f"  {trouble_name:<18} {got / len(asked):>6.1%} answered well, "
+            f"{reached / len(asked):>6.2f} attempts a request, back {back}"
+        )
+    print(f"  answers: {', '.join(f'{key} {count}' for key, count in sorted(tally.answers.items()))}")
+    print(f"  unsafe tries that ran twice: {twice}")
+    return twice == 0
+
+
+def main() -> int:
+    parser = argparse.ArgumentParser(
+        description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter
+    )
+    parser.add_argument("--rate", type=float, default=40.0, help="client requests a second (up to 500)")
+    parser.add_argument("--calm", type=float, default=10.0, help="seconds of each calm phase")
+    parser.add_argument("--trouble", type=float, default=10.0, help="seconds of each trouble")
+    parser.add_argument("--troubles", default=",".join(TROUBLES))
+    parser.add_argument("--share", type=float, default=0.08, help="of the retry budget")
+    parser.add_argument("--floor", type=float, default=0.1, help="of the retry budget, attempts a second")
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--notice", action="store_true", help="applications notice when their callers leave")
+    parser.add_argument("--only", choices=["plain", "budgets"])
+    args = parser.parse_args()
+    args.rate = min(args.rate, 500.0)
+    budget = {"share": args.share, "floor_per_s": args.floor}
+    print(
+        f"{platform.machine()}, {os.cpu_count()} cores, Python {platform.python_version()}; {args.rate:g}/s"
+    )
+    kept = True
+    with tempfile.TemporaryDirectory() as folder:
+        for name, found in (("plain", None), ("budgets", budget)):
+            if args.only in (None, name):
+                kept = report(name, asyncio.run(play(args, found, Path(folder)))) and kept
+    return 0 if kept else 1
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/orchidledge/brain.py
+++ b/orchidledge/brain.py
@@ -58,8 +58,8 @@
 COLD_SHARE = 0.4  # of the overload factor: what a cold server may get of its present capacity
 HEDGE_SHARE = 0.95  # of a class's answers come before a second copy of a call may go out
 BACKOFF_MAX_MS = 1000.0  # the longest wait before a retry
-SOUR = 0.5  # smoothed share of failed attempts of the pool, from which a retry waits before it goes out
-SOUR_GAIN = 0.05  # smoothing of it, per outcome
+SOUR = 0.2  # smoothed share of failed attempts of the pool, from which a retry waits before it goes out
+SOUR_GAIN = 0.1  # smoothing of it, per outcome
 USEFUL = 2.0  # a retry waits no longer than leaves this many mean latencies of its class
 AIM_MARGIN = 0.98  # attempts worth nothing late are given up at this share of the aim
 
--- a/orchidledge/interface.py
+++ b/orchidledge/interface.py
@@ -110,7 +110,7 @@
     retry_floor_per_s: float = 0.0  # and so many more
     retry_window_ms: float = 10_000.0  # over which both are counted
     backoff_ms: float = (
-        0.0  # ceiling of the first wait before a retry in a pool that mostly fails; doubled each time
+        0.0  # ceiling of the first wait before a retry in a pool that fails; doubled each time
     )
 
     def __post_init__(self) -> None:
--- a/orchidledge/sidecar/models.py
+++ b/orchidledge/sidecar/models.py
@@ -93,13 +93,13 @@
     share: Share = Field(
         0.08, description="attempts beyond first ones, as a share of the first ones of a pool"
     )
-    floor_per_s: float = Field(0.2, ge=0, le=1000, description="and so many more")
+    floor_per_s: float = Field(0.1, ge=0, le=1000, description="and so many more")
     window_ms: float = Field(10_000.0, ge=100, le=600_000, description="over which both are counted")
     backoff_ms: float = Field(
         25.0,
         ge=0,
         le=10_000,
-        description="ceiling of the first wait before a retry in a pool that mostly fails",
+        description="ceiling of the first wait before a retry in a pool that fails",
     )
     extra: int | None = Field(
         None,
--- a/orchidledge/standin/tier.py
+++ b/orchidledge/standin/tier.py
@@ -8,7 +8,9 @@
 
 import asyncio
 from collections import Counter
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
+from typing import Any
 
 from orchidledge.core.address import Address
 from orchidledge.http.server import Call, Dialect, Server
@@ -26,7 +28,9 @@
     work_ms: float = 0.0  # before it calls
     hang: bool = False  # take requests and answer none
     fail: bool = False  # answer 500 at once, and call nobody
-    tries: int = 1  # calls that it makes itself, until one has a good answer
+    tries: int = 1  # calls that it makes itself, until one has a good answer,
+    tried: frozenset[bytes] = frozenset((b"GET", b"POST"))  # of these methods
+    notices: bool = True  # that its caller has gone, and gives up what it asked for on its behalf
     passes: frozenset[bytes] = TRACE | OWN  # header fields, by lower-case name, that go on
     timeout_s: float = 30.0
 
@@ -46,6 +50,7 @@
         self.paths: Counter[str] = Counter()
         self.seen: list[dict[bytes, bytes]] = []
         self.answers: Counter[int] = Counter()  # what the sidecar answered it, by status
+        self.before_call: Callable[[], Awaitable[Any]] | None = None  # waited for before it calls
         self._tasks: set[asyncio.Task[None]] = set()
 
     async def start(self, port: int = 0) -> TierApplication:
@@ -79,9 +84,9 @@
         task.add_done_callback(self._tasks.discard)
 
         def gone() -> None:
-            # Its caller has given up, so what it asks for on that caller's behalf is given up too.
             self.gone += 1
-            task.cancel()
+            if self.behaviour.notices:
+                task.cancel()
 
         call.on_gone = gone
 
@@ -94,6 +99,8 @@
             await asyncio.sleep(how.work_ms / 1000.0)
         if how.hang:
             await asyncio.Event().wait()
+        if self.before_call is not None:
+            await self.before_call()
         if self.next is None:
             call.pass_on(200, [(b"X-Box", self.name.encode())], b"done\n")
             return
@@ -106,7 +113,7 @@
             self._caller = Application(self.next, how.timeout_s)
         target = self.target or call.target.decode("latin-1")
         status, body = 504, b"no answer\n"
-        for _ in range(how.tries):
+        for _ in range(how.tries if call.method in how.tried else 1):
             try:
                 reply = await self._caller.ask(call.method.decode(), target, bytes(call.body), headers)
             except (OSError, TimeoutError):
