--- a/orchidledge/cli/__init__.py
+++ b/orchidledge/cli/__init__.py
@@ -9,6 +9,10 @@
 COMMANDS = {
     "try": ("trial", "run a sidecar against stand-in boxes for some seconds and show what happened"),
     "sidecar": ("sidecar", "run a sidecar from a configuration"),
+    "budgets": (
+        "budgets",
+        "show what running sidecars spend on retries, and how much time requests have left",
+    ),
     "xds": ("xds", "see what an xDS control plane would tell a sidecar"),
     "config": ("config", "write, check, explain and compare configurations"),
 }
--- a/orchidledge/cli/config.py
+++ b/orchidledge/cli/config.py
@@ -7,15 +7,13 @@
 import os
 import resource
 import sys
-import urllib.error
-import urllib.request
 from pathlib import Path
 from tempfile import NamedTemporaryFile
 from typing import Any
 
 import orjson
 
-from orchidledge.core.address import parse_address
+from orchidledge.cli.fetching import admin_url, fetch
 from orchidledge.sidecar.checks import check
 from orchidledge.sidecar.derive import Derived, derive, text_of
 from orchidledge.sidecar.drift import Difference, compare
@@ -27,7 +25,6 @@
 from orchidledge.sidecar.models import KINDS, Configuration, plain
 from orchidledge.sidecar.toml import scalar
 
-FETCH_S = 3.0
 RESOURCES = (".json", ".yaml", ".yml")  # files of xDS resources
 EXITS = "Exit codes: 0 none found, 1 mistakes or drift, 2 the call itself can't be carried out."
 
@@ -270,15 +267,13 @@
 
 def _source(source: str) -> dict[str, Any]:
     """A configuration's plain data from a file or a running sidecar; UnusableError if there is none."""
-    if not source.startswith(("http://", "https://")) and not Path(source).exists():
+    if not Path(source).exists():
         with contextlib.suppress(ValueError):
-            host, port = parse_address(source)
-            source = f"http://{f'[{host}]' if ':' in host else host}:{port}"
+            source = admin_url(source)
     if source.startswith(("http://", "https://")):
         try:
-            with urllib.request.urlopen(f"{source.rstrip('/')}/config", timeout=FETCH_S) as answer:
-                data = orjson.loads(answer.read())["configuration"]
-        except (OSError, urllib.error.URLError, ValueError, KeyError, TypeError) as error:
+            data = fetch(source, "/config")["configuration"]
+        except (KeyError, TypeError) as error:
             raise UnusableError(f"{source}: no configuration to be had: {error}") from error
         model = Configuration.model_validate(data)
     else:
