--- a/benchmarks/throughput.py
+++ b/benchmarks/throughput.py
@@ -1,6 +1,6 @@
 """Requests a second and latencies through one node on one core, against asking the stand-in box directly.
 
-    python benchmarks/throughput.py                         # this checkout's platform node and sidecar
+    python benchmarks/throughput.py                  # this checkout's platform node, sidecar, sidecar with budgets
     python benchmarks/throughput.py --node before=/some/checkout --node after=.   # pairs, in turns, in one run
 
 All on 127.0.0.1. The box, the node and the load have a core each; each case is played `--rounds` times in turns, so
@@ -213,17 +213,17 @@
                 running.append(
                     start(command, cores[1], Path(root).resolve(), log, {"PROXY_CONFIG": str(path)})
                 )
-            if not args.no_sidecar:
-                ports["sidecar"] = free_port()
-                path = Path(folder, "sidecar.toml")
-                path.write_text(SIDECAR.format(listen=ports["sidecar"], source=STATIC.format(box=box)))
+            for label, more in () if args.no_sidecar else (("sidecar", ""), ("budgets", "[budget]\n")):
+                ports[label] = free_port()
+                path = Path(folder, f"{label}.toml")
+                path.write_text(SIDECAR.format(listen=ports[label], source=STATIC.format(box=box)) + more)
                 command = [
                     sys.executable,
                     "-c",
                     "import sys; from orchidledge.cli import main; sys.exit(main())",
                 ]
                 command += ["sidecar", str(path)]
-                running.append(start(command, cores[1], ROOT, Path(folder, "sidecar.log"), {}))
+                running.append(start(command, cores[1], ROOT, Path(folder, f"{label}.log"), {}))
             for port in ports.values():
                 wait_for(port)
             rows: dict[str, list[tuple[float, float, float]]] = {label: [] for label in ports}
--- a/orchidledge/brain.py
+++ b/orchidledge/brain.py
@@ -424,8 +424,10 @@
 
     def _spent(self, job: _Job) -> bool:
         """Whether it has had all its attempts."""
-        given = (self.cfg.max_attempts, job.kind.max_attempts, job.request.attempts)
-        return len(job.tries) >= min(number for number in given if number)
+        most = min(self.cfg.max_attempts, job.kind.max_attempts or self.cfg.max_attempts)
+        # Guard: a request that brings one attempt was refused when a drain came before its first byte had left.
+        reached = sum(1 for item in job.tries if item.result is not api.Result.CONNECT_FAILED)
+        return len(job.tries) >= most or 0 < job.request.attempts <= reached
 
     def _wait(self, now: float, job: _Job) -> float:
         """How long to wait before a retry: nothing while others of the pool work, as they are better now;
--- a/tests/test_retries.py
+++ b/tests/test_retries.py
@@ -167,6 +167,15 @@
     assert kinds(acts)[-1] is api.Refuse
 
 
+def test_a_request_that_brings_one_attempt_goes_elsewhere_when_a_drain_comes_before_its_first_byte():
+    one = bed()
+    name, acts = one.ask(attempts=1)
+    acts = one.end(name, sent(acts)[0].server, api.Result.CONNECT_FAILED, 1.0)
+    assert sent(acts)
+    acts = one.end(name, sent(acts)[0].server, api.Result.ERROR, 1.0, attempt=1)
+    assert kinds(acts) == [api.Refuse]
+
+
 def test_a_carried_worth_lowers_the_row_and_never_raises_it():
     one = bed()
     kind = one.brain.kinds["post"]
