--- a/benchmarks/retry_waves.py
+++ b/benchmarks/retry_waves.py
@@ -264,6 +264,7 @@
     parser.add_argument("--troubles", default=",".join(TROUBLES))
     args = parser.parse_args()
     budget = {"retry_share": args.share, "retry_floor_per_s": args.floor, "backoff_ms": args.backoff_ms}
+    budget["retry_after_spread"] = 0.5
     print(
         f"{platform.machine()}, {os.cpu_count()} cores, Python {platform.python_version()}; {args.nodes} nodes, "
         f"{SERVERS} servers, {args.rate:g} requests a second of {SERVERS * CORES / WORK_MS * 1000:g}"
--- a/orchidledge/brain.py
+++ b/orchidledge/brain.py
@@ -488,9 +488,9 @@
             wait = 0.0
             if self.cfg.retry_after and self.cfg.tier == 0:
                 wait = self.period_ms * self.cursor
-                if self.budget is not None:
+                if self.cfg.retry_after_spread > 0.0:
                     # Guard: callers that were turned away together were all told to come back at one moment.
-                    wait *= self.rng.uniform(0.5, 1.5)
+                    wait *= 1.0 + self.cfg.retry_after_spread * self.rng.uniform(-1.0, 1.0)
                 wait = min(self.cfg.max_retry_after_ms, wait)
             acts.append(api.Refuse(job.request.id, wait))
         else:
--- a/orchidledge/interface.py
+++ b/orchidledge/interface.py
@@ -109,6 +109,7 @@
     )
     retry_floor_per_s: float = 0.0  # and so many more
     retry_window_ms: float = 10_000.0  # over which both are counted
+    retry_after_spread: float = 0.0  # share by which a told time to come back is drawn shorter or longer
     backoff_ms: float = (
         0.0  # ceiling of the first wait before a retry in a pool that fails; doubled each time
     )
@@ -130,6 +131,7 @@
         if self.retry_share is not None:
             _within("retry_share", self.retry_share, 0, 1)
         _within("retry_window_ms", self.retry_window_ms, 1)
+        _within("retry_after_spread", self.retry_after_spread, 0, 1)
         for at, item in enumerate(self.classes):
             if item.hedge and (item.effect is not Effect.SAFE or self.retry_share is None):
                 raise ValueError(
--- a/orchidledge/runtime/sidecar.py
+++ b/orchidledge/runtime/sidecar.py
@@ -53,6 +53,7 @@
 STATS_S = 10.0
 RETIRE_S = 0.05  # between two looks at what a reload has retired
 EFFECTS = {"safe": api.Effect.SAFE, "keyed": api.Effect.KEYED, "unsafe": api.Effect.UNSAFE}
+SPREAD = 0.5  # of Retry-After, where there is a budget
 DEFAULT_KEY = "Idempotency-Key"
 
 
@@ -91,6 +92,7 @@
         "retry_share": budget.share,
         "retry_floor_per_s": budget.floor_per_s,
         "retry_window_ms": budget.window_ms,
+        "retry_after_spread": SPREAD,
         "backoff_ms": budget.backoff_ms,
     }
 
--- a/tests/test_retries.py
+++ b/tests/test_retries.py
@@ -248,6 +248,20 @@
     assert kinds(acts) == [api.Refuse]
 
 
+def test_callers_that_are_turned_away_together_are_told_different_times():
+    def told(spread: float) -> list[float]:
+        one = bed(retry_after=True, max_retry_after_ms=9000.0, retry_after_spread=spread)
+        one.brain.cursor = 4
+        acts = [one.ask(is_retry=True)[1][-1] for _ in range(40)]
+        return [act.retry_after_ms for act in acts if isinstance(act, api.Refuse)]
+
+    assert set(told(0.0)) == {4 * 150.0}
+    waits = told(0.5)
+    assert len(set(waits)) == len(waits) == 40
+    assert min(waits) >= 300.0
+    assert max(waits) <= 900.0
+
+
 # ---------------------------------------------------------------------- second copies
 
 
