--- a/orchidledge/brain.py
+++ b/orchidledge/brain.py
@@ -404,15 +404,15 @@
         """Another attempt after those that have ended, now or, where that is better, a little later."""
         if self.budget is None:
             return self._send(now, job, acts)
-        # Nothing is taken, and no answer held back, for an attempt that can't follow.
-        if job.request.give_up_at_ms - now <= 1.0 or self._spent(job) or self._pick(now, job) is None:
+        if job.request.give_up_at_ms - now <= 1.0 or self._spent(job):
             return False
         # A connection that never came up has cost no server anything, so it costs no budget.
         free = job.tries[-1].result is api.Result.CONNECT_FAILED
         if not free and not self.budget.take(now, job.kind.name, Spent.RETRY):
             return False
         wait = 0.0 if free else self._wait(now, job)
-        if wait > 0.0:
+        # No answer is held back for an attempt that can't follow.
+        if wait > 0.0 and self._pick(now, job) is not None:
             job.waits = True
             acts.append(api.Wake(wait, f"retry {job.request.id}"))
             return True
