--- a/benchmarks/retry_storm.py
+++ b/benchmarks/retry_storm.py
@@ -56,8 +56,9 @@
     firsts: list[float] = field(default_factory=list)
     reached: list[tuple[float, int]] = field(default_factory=list)  # at a box: when, for which request
     good: list[float] = field(default_factory=list)  # when its first try began, of each request answered well
-    begun: int = 0
-    begun_for_nobody: int = 0
+    begun: list[tuple[float, bool]] = field(
+        default_factory=list
+    )  # at a box: when, whether for a caller still there
     ended: dict[str, float] = field(
         default_factory=dict
     )  # by try: when its client gave it up or had its answer
@@ -79,8 +80,7 @@
 
     def note(self, seen: Seen) -> None:
         name = (seen.header(b"x-posting") or b"0-0").decode()
-        self.tally.begun += 1
-        self.tally.begun_for_nobody += name in self.tally.ended
+        self.tally.begun.append((time.monotonic(), name not in self.tally.ended))
         if seen.target.startswith(b"/journal"):
             self.tally.postings[name] += 1
 
@@ -216,9 +216,17 @@
         box.behaviour = bad if begins else good
     for tier in tiers:
         tier.behaviour.hang = begins and name == "tier two stalled"
+        tier.behaviour.work_ms = 1000.0 if begins and name == "tier two late" else 0.0
 
 
-TROUBLES = ("box stalled", "last tier stalled", "last tier fails", "last tier slow", "tier two stalled")
+TROUBLES = (
+    "box stalled",
+    "last tier stalled",
+    "last tier fails",
+    "last tier slow",
+    "tier two stalled",
+    "tier two late",
+)
 
 
 async def play(args: argparse.Namespace, budget: dict[str, Any] | None, folder: Path) -> Tally:
@@ -312,16 +320,19 @@
     mean = len(tally.reached) / len(tally.firsts)
     print(f"  attempts at the boxes for a request: mean {mean:.3f}, worst 10 s {max(rolled):.3f}, ", end="")
     print(f"median 10 s {statistics.median(rolled):.3f}, most for one {max(each.values())}")
-    share = tally.begun_for_nobody / tally.begun
-    print(f"  begun for callers who had given up: {tally.begun_for_nobody} of {tally.begun} ({share:.2%})")
+    nobody = sum(1 for _, wanted in tally.begun if not wanted)
+    share = nobody / len(tally.begun)
+    print(f"  begun for callers who had given up: {nobody} of {len(tally.begun)} ({share:.2%})")
     for (trouble_name, begin, end), after in zip(tally.phases[1::2], back_after(tally).values(), strict=True):
         asked = [at for at in tally.firsts if begin <= at < end]
         got = sum(1 for at in tally.good if begin <= at < end)
         reached = sum(1 for at, _ in tally.reached if begin <= at < end)
+        begun = [wanted for at, wanted in tally.begun if begin <= at < end + PATIENCE_S]
+        nobody = begun.count(False) / len(begun) if begun else 0.0
         back = "not" if after is None else f"{after:.1f} s after"
         print(
             f"  {trouble_name:<18} {got / len(asked):>6.1%} answered well, "
-            f"{reached / len(asked):>6.2f} attempts a request, back {back}"
+            f"{reached / len(asked):>6.2f} attempts a request, {nobody:>6.1%} for nobody, back {back}"
         )
     print(f"  answers: {', '.join(f'{key} {count}' for key, count in sorted(tally.answers.items()))}")
     print(f"  unsafe tries that ran twice: {twice}")
