--- a/orchidledge/budget/carried.py
+++ b/orchidledge/budget/carried.py
@@ -22,7 +22,7 @@
 from __future__ import annotations
 
 import re
-from collections.abc import Iterable, Sequence
+from collections.abc import Mapping, Sequence
 from dataclasses import dataclass, replace
 from urllib.parse import quote, unquote
 
@@ -47,7 +47,8 @@
 TRACE = re.compile(rb"[0-9a-f]{2}-([0-9a-f]{32})-[0-9a-f]{16}-[0-9a-f]{2}")
 
 READ = frozenset(
-    b"baggage grpc-timeout x-envoy-expected-rq-timeout-ms x-envoy-attempt-count via traceparent tracestate".split()
+    b"req-retry baggage grpc-timeout x-envoy-expected-rq-timeout-ms x-envoy-attempt-count".split()
+    + b"via traceparent tracestate".split()
 )
 # Written anew for each attempt, where a budget is carried.
 WRITTEN = frozenset(b"baggage grpc-timeout x-envoy-expected-rq-timeout-ms via tracestate".split())
@@ -139,26 +140,28 @@
     return Carried(**found, unreadable=tuple(bad)), others  # type: ignore[arg-type]
 
 
-def write_baggage(carried: Carried, others: Iterable[str] = ()) -> str:
+def write_baggage(carried: Carried, others: Sequence[str] = ()) -> str:
     """The value of a baggage header: ours first, then as many members of others as there is room for."""
-    values: dict[str, str] = {}
+    members: list[str] = []
     if carried.ms is not None:
-        values["ms"] = str(int(carried.ms))
+        members.append(f"{PREFIX}ms={int(carried.ms)}")
     if carried.at is not None:
-        values["at"] = f"{carried.at.mark}:{carried.at.ms}"
+        members.append(f"{PREFIX}at={carried.at.mark}:{carried.at.ms}")
     if carried.extra is not None:
-        values["extra"] = str(carried.extra)
+        members.append(f"{PREFIX}extra={carried.extra}")
     if carried.worth is not None:
-        values["worth"] = f"{carried.worth:.6f}".rstrip("0").rstrip(".")
+        worth = f"{carried.worth:.6f}".rstrip("0").rstrip(".")
+        members.append(f"{PREFIX}worth={worth}")
     if carried.tenant is not None:
-        values["tenant"] = quote(carried.tenant, safe="")
+        members.append(f"{PREFIX}tenant={quote(carried.tenant, safe='')}")
     if carried.attempt is not None:
-        values["try"] = str(carried.attempt)
+        members.append(f"{PREFIX}try={carried.attempt}")
     if carried.id is not None:
-        values["id"] = carried.id
+        members.append(f"{PREFIX}id={carried.id}")
     if carried.path:
-        values["path"] = "/".join(carried.path)
-    members = [f"{PREFIX}{name}={value}" for name, value in values.items()]
+        members.append(f"{PREFIX}path={'/'.join(carried.path)}")
+    if not others:
+        return ",".join(members)
     size = sum(len(member) + 1 for member in members)
     for member in others:
         size += len(member) + 1
@@ -172,10 +175,15 @@
     return ",".join(value.decode("latin-1") for key, value in headers if key.lower() == name)
 
 
-def read_http(headers: Sequence[Header]) -> Carried:
-    """What a request's header fields say, in order and as they came."""
-    by_name = {name: value for name, value in ((key.lower(), value) for key, value in headers)}
-    if READ.isdisjoint(by_name) and b"req-retry" not in by_name:
+def by_lower_name(headers: Sequence[Header]) -> dict[bytes, bytes]:
+    """The last field of each name."""
+    return {key.lower(): value for key, value in headers}
+
+
+def read_http(headers: Sequence[Header], by_name: Mapping[bytes, bytes] | None = None) -> Carried:
+    """What a request's header fields say, in order and as they came; `by_name`: the same by lower-case name."""
+    by_name = by_lower_name(headers) if by_name is None else by_name
+    if READ.isdisjoint(by_name):
         return NOTHING
     carried, _ = read_baggage(_joined(headers, b"baggage"))
     bad = list(carried.unreadable)
@@ -227,13 +235,21 @@
     return ()
 
 
-def write_http(headers: Sequence[Header], carried: Carried, name: str, wait_ms: float) -> list[Header]:
+def write_http(
+    headers: Sequence[Header],
+    carried: Carried,
+    name: str,
+    wait_ms: float,
+    by_name: Mapping[bytes, bytes] | None = None,
+) -> list[Header]:
     """The fields of `WRITTEN` that go with a request whose own fields are these, through the node of this name.
 
     Times in others' forms are told anew only where the caller used them; `tracestate` only beside a `traceparent`.
     """
+    by_name = by_lower_name(headers) if by_name is None else by_name
+    if READ.isdisjoint(by_name):
+        return [(b"Baggage", write_baggage(carried).encode("latin-1")), (b"Via", f"1.1 {name}".encode())]
     _, others = read_baggage(_joined(headers, b"baggage"))
-    by_name = {key.lower(): value for key, value in headers}
     rows = [(b"Baggage", write_baggage(carried, others).encode("latin-1"))]
     via = _joined(headers, b"via")
     rows.append((b"Via", f"{via}, 1.1 {name}".removeprefix(", ").encode("latin-1")))
--- a/orchidledge/budget/figures.py
+++ b/orchidledge/budget/figures.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from bisect import bisect_right
 from collections import Counter
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
@@ -18,8 +19,7 @@
     total: float = 0.0
 
     def add(self, ms: float) -> None:
-        at = sum(1 for bound in BOUNDS_MS if ms >= bound)
-        self.counts[at] += 1
+        self.counts[bisect_right(BOUNDS_MS, ms)] += 1
         self.total += max(0.0, ms)
 
     def row(self) -> dict[str, Any]:
--- a/orchidledge/budget/patience.py
+++ b/orchidledge/budget/patience.py
@@ -13,7 +13,7 @@
 LEAST = 8  # callers that left, or that stated their time, under which nothing is told
 STAY = 0.1  # share of callers that are still there at the time that is told
 MARGIN = 1.05  # times it
-EVERY = 16  # observations after which it is told anew
+EVERY = 8  # observations after which it is told anew
 
 
 class Patience:
@@ -22,6 +22,7 @@
     def __init__(self) -> None:
         self._seen: deque[tuple[float, bool]] = deque(maxlen=OBSERVED)  # waited, whether it left then
         self._stated: deque[float] = deque(maxlen=OBSERVED)
+        self._leaves = 0  # among those seen
         self._told: float | None = None
         self._since = 0
 
@@ -39,12 +40,15 @@
         self._count()
 
     def _add(self, waited_ms: float, left: bool) -> None:
+        if len(self._seen) == OBSERVED:
+            self._leaves -= self._seen[0][1]
         self._seen.append((waited_ms, left))
+        self._leaves += left
         self._count()
 
     def _count(self) -> None:
         self._since += 1
-        if self._since >= EVERY or self._told is None:
+        if self._since >= EVERY:
             self._since = 0
             self._told = self._learn()
 
@@ -54,7 +58,7 @@
         return self._told
 
     def _learn(self) -> float | None:
-        if sum(1 for _, left in self._seen if left) >= LEAST:
+        if self._leaves >= LEAST:
             staying, at_risk = 1.0, len(self._seen)
             for waited, left in sorted(self._seen):
                 if left:
--- a/orchidledge/budget/repeats.py
+++ b/orchidledge/budget/repeats.py
@@ -32,11 +32,16 @@
 
     service: str
     effect: Effect
-    asked: bytes  # a digest of all that it asks, tenant too
+    parts: tuple[bytes, ...]  # all that it asks, tenant too
     key: bytes | None = None  # of a keyed class
     carried: str | None = None  # what a node before called it, where that is believed
     marked: bool = False  # somebody says that it is a repeat
 
+    @property
+    def asked(self) -> bytes:
+        """A digest of all that it asks; made when it is needed, as most requests are never asked again."""
+        return digest(*self.parts)
+
     @property
     def same(self) -> tuple[str, bytes, bytes | str] | None:
         """Equal for two that are surely one; None if nothing can be sure."""
@@ -109,7 +114,7 @@
                 return Verdict(Kind.REPLAY, token=entry.answer)
         if entry is not None and entry.earlier is not None:
             return Verdict(Kind.REPEAT, earlier=entry.earlier)
-        failed = self._failures.get((who.service, who.asked))
+        failed = self._failures.get((who.service, who.asked)) if self._failures else None
         if failed is not None and not who.marked:
             self.counts["taken for a repeat"] += 1
         if failed is not None:
--- a/orchidledge/runtime/budgets.py
+++ b/orchidledge/runtime/budgets.py
@@ -4,7 +4,7 @@
 
 import secrets
 from collections import Counter
-from collections.abc import Iterable, Mapping
+from collections.abc import Mapping
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -12,7 +12,7 @@
 from orchidledge.budget.carried import Carried
 from orchidledge.budget.decider import Decider, Denial, Grant, Terms, Trust
 from orchidledge.budget.figures import ClassFigures, Figures
-from orchidledge.budget.repeats import Identity, Kind, Repeats, Verdict, digest
+from orchidledge.budget.repeats import Identity, Kind, Repeats, Verdict
 from orchidledge.core.pool import Job, Pool
 from orchidledge.core.types import Answer
 from orchidledge.core.types import Kind as AnswerKind
@@ -82,7 +82,7 @@
         asked_ms: float | None,
         carried: Carried,
         arrived: float,
-        asked: Iterable[bytes],
+        asked: tuple[bytes, ...],
         key: bytes | None,
     ) -> Ticket | Denial:
         """Let a request in, or say why it is not begun. `asked`: all that tells it from another one."""
@@ -101,7 +101,7 @@
                 figures.at_arrival.add(-1.0)
             return grant
         figures.at_arrival.add(grant.wait_ms)
-        who = Identity(kind.name, kind.effect, digest(*asked), key, grant.id, grant.is_retry)
+        who = Identity(kind.name, kind.effect, asked, key, grant.id, grant.is_retry)
         verdict = shared.repeats.arrive(now, who)
         if verdict.guessed and not pool.balancer.failing:
             verdict = Verdict(Kind.NEW)  # nothing has to be spared, so nobody has to be suspected
--- a/orchidledge/runtime/front.py
+++ b/orchidledge/runtime/front.py
@@ -71,7 +71,7 @@
         if self.ticket is None or self.budget is None or not self.budget.model.carry:
             return []
         carried = self.budget.carry(self.ticket, self.pool, wait_s, self.tenant)
-        return write_http(self.call.raw, carried, self.node, wait_s * 1000.0)
+        return write_http(self.call.raw, carried, self.node, wait_s * 1000.0, self.call.headers)
 
 
 @dataclass(slots=True, frozen=True)
@@ -182,7 +182,7 @@
                 kind,
                 wanted,
                 asked,
-                read_http(call.raw),
+                read_http(call.raw, call.headers),
                 call.arrived,
                 ((tenant or "").encode(), call.method, call.target, bytes(call.body)),
                 None if key is None else call.headers.get(key),
--- a/tests/budget/test_repeats.py
+++ b/tests/budget/test_repeats.py
@@ -9,9 +9,9 @@
 from orchidledge.budget.repeats import FAILURES, TRIES, Identity, Kind, Repeats, digest
 from orchidledge.interface import Earlier, Effect
 
-KEYED = Identity("move", Effect.KEYED, b"asked", key=b"k1")
-READ = Identity("read", Effect.SAFE, b"asked", carried="id-1")
-POST = Identity("post", Effect.UNSAFE, b"asked", carried="id-1", marked=True)
+KEYED = Identity("move", Effect.KEYED, (b"asked",), key=b"k1")
+READ = Identity("read", Effect.SAFE, (b"asked",), carried="id-1")
+POST = Identity("post", Effect.UNSAFE, (b"asked",), carried="id-1", marked=True)
 
 
 def test_a_second_copy_with_the_key_joins_the_running_one_and_then_has_its_answer():
@@ -31,7 +31,7 @@
 def test_the_same_key_with_another_request_or_class_is_another_request():
     repeats = Repeats()
     repeats.begin(KEYED, "job")
-    for other in (replace(KEYED, asked=b"other"), replace(KEYED, service="x"), replace(KEYED, key=b"k2")):
+    for other in (replace(KEYED, parts=(b"other",)), replace(KEYED, service="x"), replace(KEYED, key=b"k2")):
         assert repeats.arrive(0.0, other).kind is Kind.NEW
 
 
@@ -94,7 +94,7 @@
         repeats.arrive(float(at), who)
         repeats.begin(who, at)
         repeats.end(float(at), who, at, "answer", 100)
-        repeats.end(float(at), replace(POST, asked=b"%d" % at), at)
+        repeats.end(float(at), replace(POST, parts=(b"%d" % at,)), at)
         assert repeats.held <= 1000
     assert len(repeats._entries) <= 500
     assert len(repeats._failures) <= FAILURES
