--- a/benchmarks/throughput.py
+++ b/benchmarks/throughput.py
@@ -1,6 +1,6 @@
 """Requests a second and latencies through one node on one core, against asking the stand-in box directly.
 
-    python benchmarks/throughput.py                         # this checkout's platform node and sidecar
+    python benchmarks/throughput.py                  # this checkout's platform node, sidecar, sidecar with budgets
     python benchmarks/throughput.py --node before=/some/checkout --node after=.   # pairs, in turns, in one run
 
 All on 127.0.0.1. The box, the node and the load have a core each; each case is played `--rounds` times in turns, so
@@ -68,7 +68,8 @@
 class Load:
     good = "200"  # the status that counts as served
 
-    def __init__(self, connections: int, seconds: float) -> None:
+    def __init__(self, connections: int, seconds: float, label: str = "") -> None:
+        self.label = label
         self.connections, self.seconds = connections, seconds
         self.latencies: list[float] = []
         self.statuses: dict[str, int] = {}
@@ -102,7 +103,7 @@
         took = time.perf_counter() - began
         bad = {status: count for status, count in self.statuses.items() if status != self.good}
         if bad:
-            print(f"  not {self.good}: {bad}", file=sys.stderr)
+            print(f"  {self.label}: not {self.good}: {bad}", file=sys.stderr)
         served = sorted(self.latencies)
         return len(served) / took, served[len(served) // 2] * 1e3, served[len(served) * 99 // 100] * 1e3
 
@@ -213,23 +214,23 @@
                 running.append(
                     start(command, cores[1], Path(root).resolve(), log, {"PROXY_CONFIG": str(path)})
                 )
-            if not args.no_sidecar:
-                ports["sidecar"] = free_port()
-                path = Path(folder, "sidecar.toml")
-                path.write_text(SIDECAR.format(listen=ports["sidecar"], source=STATIC.format(box=box)))
+            for label, more in () if args.no_sidecar else (("sidecar", ""), ("budgets", "[budget]\n")):
+                ports[label] = free_port()
+                path = Path(folder, f"{label}.toml")
+                path.write_text(SIDECAR.format(listen=ports[label], source=STATIC.format(box=box)) + more)
                 command = [
                     sys.executable,
                     "-c",
                     "import sys; from orchidledge.cli import main; sys.exit(main())",
                 ]
                 command += ["sidecar", str(path)]
-                running.append(start(command, cores[1], ROOT, Path(folder, "sidecar.log"), {}))
+                running.append(start(command, cores[1], ROOT, Path(folder, f"{label}.log"), {}))
             for port in ports.values():
                 wait_for(port)
             rows: dict[str, list[tuple[float, float, float]]] = {label: [] for label in ports}
             for _ in range(args.rounds):
                 for label, port in ports.items():
-                    rows[label].append(asyncio.run(Load(args.connections, args.seconds).run(port)))
+                    rows[label].append(asyncio.run(Load(args.connections, args.seconds, label).run(port)))
             memory = {label: resident_mb(process.pid) for label, process in zip(ports, running, strict=True)}
         finally:
             for process in running:
--- a/orchidledge/brain.py
+++ b/orchidledge/brain.py
@@ -58,8 +58,8 @@
 COLD_SHARE = 0.4  # of the overload factor: what a cold server may get of its present capacity
 HEDGE_SHARE = 0.95  # of a class's answers come before a second copy of a call may go out
 BACKOFF_MAX_MS = 1000.0  # the longest wait before a retry
-SOUR = 0.5  # smoothed share of failed attempts of the pool, from which a retry waits before it goes out
-SOUR_GAIN = 0.05  # smoothing of it, per outcome
+SOUR = 0.2  # smoothed share of failed attempts of the pool, from which a retry waits before it goes out
+SOUR_GAIN = 0.1  # smoothing of it, per outcome
 USEFUL = 2.0  # a retry waits no longer than leaves this many mean latencies of its class
 AIM_MARGIN = 0.98  # attempts worth nothing late are given up at this share of the aim
 
@@ -361,6 +361,11 @@
         length = (peer.load + queue + 1.0 + far) / peer.info.weight
         return slow * length / failing * (1.0 + JITTER * (self.rng.random() - 0.5))
 
+    @property
+    def failing(self) -> bool:
+        """Whether so many attempts fail that retries are better made a little later."""
+        return self.sour >= SOUR
+
     def survey(self, now: float) -> list[tuple[api.Server, float, float, float]]:
         """Each server's line of the list, rank (less goes first), calls in flight and share of errors."""
         state = self.rng.getstate()  # Guard: to look must not change what is drawn next.
@@ -404,15 +409,15 @@
         """Another attempt after those that have ended, now or, where that is better, a little later."""
         if self.budget is None:
             return self._send(now, job, acts)
-        # Nothing is taken, and no answer held back, for an attempt that can't follow.
-        if job.request.give_up_at_ms - now <= 1.0 or self._spent(job) or self._pick(now, job) is None:
+        if job.request.give_up_at_ms - now <= 1.0 or self._spent(job):
             return False
         # A connection that never came up has cost no server anything, so it costs no budget.
         free = job.tries[-1].result is api.Result.CONNECT_FAILED
         if not free and not self.budget.take(now, job.kind.name, Spent.RETRY):
             return False
         wait = 0.0 if free else self._wait(now, job)
-        if wait > 0.0:
+        # No answer is held back for an attempt that can't follow.
+        if wait > 0.0 and self._pick(now, job) is not None:
             job.waits = True
             acts.append(api.Wake(wait, f"retry {job.request.id}"))
             return True
@@ -424,8 +429,10 @@
 
     def _spent(self, job: _Job) -> bool:
         """Whether it has had all its attempts."""
-        given = (self.cfg.max_attempts, job.kind.max_attempts, job.request.attempts)
-        return len(job.tries) >= min(number for number in given if number)
+        most = min(self.cfg.max_attempts, job.kind.max_attempts or self.cfg.max_attempts)
+        # Guard: a request that brings one attempt was refused when a drain came before its first byte left.
+        reached = sum(1 for item in job.tries if item.result is not api.Result.CONNECT_FAILED)
+        return len(job.tries) >= most or 0 < job.request.attempts <= reached
 
     def _wait(self, now: float, job: _Job) -> float:
         """How long to wait before a retry: nothing while others of the pool work, as they are better now;
@@ -433,7 +440,7 @@
 
         Guard: servers that answer 500 at once got the retries of a whole tier within milliseconds.
         """
-        if self.cfg.backoff_ms <= 0.0 or self.sour < SOUR:
+        if self.cfg.backoff_ms <= 0.0 or not self.failing:
             return 0.0
         room = job.request.give_up_at_ms - now - USEFUL * self.class_ms.get(job.kind.name, 0.0)
         if room <= 0.0:
@@ -486,9 +493,9 @@
             wait = 0.0
             if self.cfg.retry_after and self.cfg.tier == 0:
                 wait = self.period_ms * self.cursor
-                if self.budget is not None:
+                if self.cfg.retry_after_spread > 0.0:
                     # Guard: callers that were turned away together were all told to come back at one moment.
-                    wait *= self.rng.uniform(0.5, 1.5)
+                    wait *= 1.0 + self.cfg.retry_after_spread * self.rng.uniform(-1.0, 1.0)
                 wait = min(self.cfg.max_retry_after_ms, wait)
             acts.append(api.Refuse(job.request.id, wait))
         else:
