One owner of who waits for a request's answer, for both protocols; a key alone makes no two requests one

Need: the fronts of HTTP and Thrift each had the joining, leaving and ending of a request; and two users who chose the same key for the same body, or two tenants that were carried, would have had one answer. Change: Asked holds the callers, the ticket and the job; the tenant in force and every field of the head that is not known to differ from try to try belong to what makes two requests one.

--- a/orchidledge/budget/repeats.py
+++ b/orchidledge/budget/repeats.py
@@ -16,12 +16,19 @@
 
 import hashlib
 from collections import Counter, OrderedDict
+from collections.abc import Sequence
 from dataclasses import dataclass, field
 from enum import Enum
 from typing import Any
 
 from orchidledge.interface import Earlier, Effect
 
+# Fields that may differ between two tries of one request; any other that does makes them two.
+VARYING = frozenset(
+    b"baggage traceparent tracestate via forwarded x-forwarded-for x-request-id x-correlation-id date".split()
+    + b"grpc-timeout x-envoy-expected-rq-timeout-ms x-envoy-attempt-count".split()
+    + b"req-id req-retry req-deadline-ms connection keep-alive content-length transfer-encoding".split()
+)
 FAILURES = 4096  # of which the repeats are looked for
 TRIES = 3  # repeats that are looked for after each
 
@@ -36,6 +43,7 @@
     key: bytes | None = None  # of a keyed class
     carried: str | None = None  # what a node before called it, where that is believed
     marked: bool = False  # somebody says that it is a repeat
+    fields: Sequence[tuple[bytes, bytes]] = ()  # of its head
 
     @property
     def asked(self) -> bytes:
@@ -44,13 +52,23 @@
 
     @property
     def same(self) -> tuple[str, bytes, bytes | str] | None:
-        """Equal for two that are surely one; None if nothing can be sure."""
+        """Equal for two that are surely one; None if nothing can be sure.
+
+        Guard: two users who chose one key for one body would have had one answer, which the first was entitled to.
+        """
         if self.effect is Effect.KEYED and self.key is not None:
-            return self.service, self.asked, self.key
+            return self.service, self._exact(), self.key
         if self.effect is Effect.SAFE and self.carried is not None:
-            return self.service, self.asked, self.carried
+            return self.service, self._exact(), self.carried
         return None
 
+    def _exact(self) -> bytes:
+        """A digest of what it asks and of the fields that tell on whose behalf and in which form."""
+        fields = [
+            part for name, value in self.fields if name.lower() not in VARYING for part in (name, value)
+        ]
+        return digest(*self.parts, *fields)
+
 
 def digest(*parts: bytes) -> bytes:
     """Of parts in order, told apart."""
@@ -104,7 +122,8 @@
     def arrive(self, now_ms: float, who: Identity) -> Verdict:
         """What a request is that has come now."""
         self._forget(now_ms)
-        entry = self._entries.get(who.same) if who.same is not None else None
+        same = who.same
+        entry = self._entries.get(same) if same is not None else None
         if entry is not None and (who.effect is Effect.KEYED or who.marked):
             if entry.running:
                 self.counts["joined"] += 1
--- a/orchidledge/runtime/budgets.py
+++ b/orchidledge/runtime/budgets.py
@@ -2,11 +2,12 @@
 
 from __future__ import annotations
 
+import asyncio
 import secrets
 from collections import Counter
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping, Sequence
 from dataclasses import dataclass, field
-from typing import Any
+from typing import Any, Protocol
 
 from orchidledge import interface as api
 from orchidledge.budget.carried import Carried
@@ -19,20 +20,6 @@
 from orchidledge.sidecar.models import BudgetModel
 
 
-@dataclass(slots=True)
-class Ticket:
-    """A request that was let in: what it got, and who it is."""
-
-    pool: Pool
-    kind: api.ServiceClass
-    grant: Grant
-    who: Identity
-    verdict: Verdict
-    arrived: float
-    figures: ClassFigures
-    name: str = ""  # of the request here
-
-
 class Budgets:
     """One sidecar's. What it has learned stays over reloads."""
 
@@ -82,10 +69,12 @@
         asked_ms: float | None,
         carried: Carried,
         arrived: float,
+        tenant: str | None,
         asked: tuple[bytes, ...],
-        key: bytes | None,
+        fields: Sequence[tuple[bytes, bytes]] = (),
+        key: bytes | None = None,
     ) -> Ticket | Denial:
-        """Let a request in, or say why it is not begun. `asked`: all that tells it from another one."""
+        """Let a request in, or say why it is not begun. `asked` and `fields`: all that tells it from another one."""
         shared = self.shared
         figures = shared.figures.of(pool_name, kind.name)
         figures.counts["came"] += 1
@@ -101,7 +90,9 @@
                 figures.at_arrival.add(-1.0)
             return grant
         figures.at_arrival.add(grant.wait_ms)
-        who = Identity(kind.name, kind.effect, asked, key, grant.id, grant.is_retry)
+        tenant = tenant or grant.tenant
+        parts = ((tenant or "").encode(), *asked)
+        who = Identity(kind.name, kind.effect, parts, key, grant.id, grant.is_retry, fields)
         verdict = shared.repeats.arrive(now, who)
         if verdict.guessed and not pool.balancer.failing:
             verdict = Verdict(Kind.NEW)  # nothing has to be spared, so nobody has to be suspected
@@ -110,60 +101,150 @@
             grant.allowance.kept = grant.allowance.handed = 0
             grant.allowance.attempt = max(2, grant.allowance.attempt)
         figures.counts[verdict.kind.value] += 1
-        return Ticket(pool, kind, grant, who, verdict, arrived, figures)
+        return Ticket(self, pool_name, pool, kind, grant, who, verdict, tenant, arrived, figures)
+
 
-    def request(self, ticket: Ticket, name: str, give_up_at: float, tenant: str | None) -> api.Request:
+@dataclass(slots=True)
+class Ticket:
+    """A request that was let in: what it got, and who it is."""
+
+    budget: FrontBudget
+    pool_name: str
+    pool: Pool
+    kind: api.ServiceClass
+    grant: Grant
+    who: Identity
+    verdict: Verdict
+    tenant: str | None
+    arrived: float
+    figures: ClassFigures
+
+    def left(self) -> None:
+        """Its caller has gone without an answer."""
+        if not self.grant.stated:
+            waited = self.pool.loop.time() - self.arrived
+            self.budget.shared.decider.of(self.kind.name).left(waited * 1000.0)
+        self.figures.counts["left"] += 1
+
+    def answered(self) -> None:
+        """Its caller has its answer."""
+        waited = (self.pool.loop.time() - self.arrived) * 1000.0
+        if not self.grant.stated:
+            self.budget.shared.decider.of(self.kind.name).answered(waited)
+        self.figures.at_end.add(self.grant.wait_ms - waited)
+
+
+class Caller(Protocol):
+    """Who waits for an answer: a call of either protocol."""
+
+    on_gone: Callable[[], None] | None
+
+
+class Asked:
+    """One request that is under way, whatever it is spoken in: the callers that wait for its answer, the one that asked
+    first and those that joined it, and what it may spend."""
+
+    def __init__(self, pool: Pool, name: str, ticket: Ticket | None = None) -> None:
+        """`name`: of the request here; `ticket`: where there are budgets."""
+        self.pool = pool
+        self.name = name
+        self.ticket = ticket
+        self._job: Job | None = None
+        self._callers: dict[int, tuple[Any, Ticket | None, asyncio.TimerHandle | None]] = {}
+
+    def request(
+        self, kind: api.ServiceClass, give_up_at: float, tenant: str | None, is_retry: bool = False
+    ) -> api.Request:
         """What the decision module is told of it."""
-        grant = ticket.grant
-        ticket.name = name
-        return api.Request(
-            id=name,
-            service=ticket.kind.name,
-            give_up_at_ms=ticket.pool.clock.ms(give_up_at),
-            tenant=tenant,
-            is_retry=grant.is_retry,
-            paid=grant.paid,
-            attempts=grant.attempts,
-            worth=grant.worth,
-            earlier=ticket.verdict.earlier,
-        )
+        found = api.Request(self.name, kind.name, self.pool.clock.ms(give_up_at), tenant, is_retry=is_retry)
+        if self.ticket is not None:
+            grant = self.ticket.grant
+            found.is_retry, found.paid = grant.is_retry, grant.paid
+            found.attempts, found.worth = grant.attempts, grant.worth
+            found.earlier = self.ticket.verdict.earlier
+        return found
+
+    def take(
+        self,
+        caller: Caller,
+        request: api.Request,
+        give_up_at: float,
+        message: Any,
+        deliver: Callable[[Job, Answer], None],
+        joinable: bool = True,
+    ) -> Job:
+        """Hand it to the pool. `deliver` asks `answered` who waits."""
+        self._callers[id(caller)] = caller, self.ticket, None
+        if joinable and self.ticket is not None:
+            self.ticket.budget.shared.repeats.begin(self.ticket.who, self)
+        self._job = job = self.pool.take(request, give_up_at, message, deliver)
+        if joinable and not job.done:
+            caller.on_gone = lambda: self._gone(caller)
+        return job
+
+    def join(self, caller: Caller, ticket: Ticket, until: float, late: Callable[[], None]) -> None:
+        """Have one more caller wait for the same answer; `late` answers it if its own time, by the loop's clock, ends
+        first."""
 
-    def begin(self, ticket: Ticket, token: Any) -> None:
-        self.shared.repeats.begin(ticket.who, token)
+        def over() -> None:
+            self._remove(caller)
+            late()
 
-    def carry(self, ticket: Ticket, pool_name: str, wait_s: float, tenant: str | None) -> Carried:
-        """What goes with an attempt that is written now."""
-        clock = ticket.pool.clock
-        left = wait_s * 1000.0 - self.half_trip_ms.get(pool_name, 0.0)
+        timer = self.pool.loop.call_at(until, over)
+        self._callers[id(caller)] = caller, ticket, timer
+        caller.on_gone = lambda: self._gone(caller)
+
+    def answered(self, job: Job, answer: Answer, size: int) -> list[Any]:
+        """It is over, with an answer whose reply has `size` bytes: all that wait; none of them waits any longer."""
+        waiting = list(self._callers.values())
+        self._callers.clear()
+        for _, ticket, timer in waiting:
+            if timer is not None:
+                timer.cancel()
+            if ticket is not None:
+                ticket.answered()
+        self._ended(job, answer, size)
+        return [caller for caller, _, _ in waiting]
+
+    def carried(self, wait_s: float) -> Carried | None:
+        """What goes with an attempt that is written now and waited for this long; None where nothing is carried."""
+        ticket = self.ticket
+        if ticket is None or not ticket.budget.model.carry:
+            return None
         if ticket.grant.worth is None:
             ticket.grant.worth = ticket.kind.worth
-        return ticket.grant.carry(clock.ms(), self.shared.mark, left, tenant, ticket.name)
-
-    def left(self, ticket: Ticket) -> None:
-        """A caller has gone without an answer."""
-        if not ticket.grant.stated:
-            waited = ticket.pool.loop.time() - ticket.arrived
-            self.shared.decider.of(ticket.kind.name).left(waited * 1000.0)
-        ticket.figures.counts["left"] += 1
-
-    def answered(self, ticket: Ticket) -> None:
-        """A caller has its answer."""
-        waited = (ticket.pool.loop.time() - ticket.arrived) * 1000.0
-        if not ticket.grant.stated:
-            self.shared.decider.of(ticket.kind.name).answered(waited)
-        ticket.figures.at_end.add(ticket.grant.wait_ms - waited)
-
-    def ended(self, ticket: Ticket, token: Any, job: Job, answer: Answer | None, size: int = 0) -> None:
-        """The request is over, with an answer or as its last caller has left; `size`: of the answer, in bytes."""
+        left = wait_s * 1000.0 - ticket.budget.half_trip_ms.get(ticket.pool_name, 0.0)
+        mark = ticket.budget.shared.mark
+        return ticket.grant.carry(self.pool.clock.ms(), mark, left, ticket.tenant, self.name)
+
+    def _gone(self, caller: Caller) -> None:
+        """A caller has closed its connection."""
+        _, ticket, _ = self._callers.get(id(caller), (None, None, None))
+        if ticket is not None:
+            ticket.left()
+        self._remove(caller)
+
+    def _remove(self, caller: Caller) -> None:
+        _, _, timer = self._callers.pop(id(caller), (None, None, None))
+        if timer is not None:
+            timer.cancel()
+        job = self._job
+        if not self._callers and job is not None and not job.done:  # nobody waits for it any more
+            self._ended(job, None, 0)
+            self.pool.leave(job)
+
+    def _ended(self, job: Job, answer: Answer | None, size: int) -> None:
+        if self.ticket is None:
+            return
         served = answer is not None and answer.kind is AnswerKind.SERVED and answer.reply is not None
-        self.shared.repeats.end(
-            ticket.pool.clock.ms(),
-            ticket.who,
-            token,
+        self.ticket.budget.shared.repeats.end(
+            self.pool.clock.ms(),
+            self.ticket.who,
+            self,
             answer.reply if served and answer is not None else None,
             size,
             earlier=job.first,
-            memory_ms=ticket.kind.memory_ms,
+            memory_ms=self.ticket.kind.memory_ms,
             sent=bool(job.attempts),
         )
 
--- a/orchidledge/runtime/front.py
+++ b/orchidledge/runtime/front.py
@@ -21,8 +21,8 @@
 from orchidledge.http.client import NO_BODY, Header, Response
 from orchidledge.http.server import Call, Dialect, Server
 from orchidledge.router.router import Router
-from orchidledge.runtime.budgets import FrontBudget, Ticket
-from orchidledge.runtime.taking import WAY_BACK_S, Waiting, ids, patience_ms
+from orchidledge.runtime.budgets import Asked, FrontBudget, Ticket
+from orchidledge.runtime.taking import WAY_BACK_S, ids, patience_ms
 from orchidledge.settings import report_from
 
 DEADLINE = re.compile(rb"[0-9]{1,9}")
@@ -60,17 +60,14 @@
     host: str  # for a caller that named none
     headers: list[Header] = field(default_factory=list)
     tenant: str | None = None
-    waiting: Waiting | None = None  # who gets its answer
-    ticket: Ticket | None = None  # where there are budgets
-    budget: FrontBudget | None = None
+    asked: Asked | None = None
     node: str = ""
-    pool: str = ""
 
     def carried(self, wait_s: float) -> list[Header]:
         """The fields that tell a box of the budget that this attempt has."""
-        if self.ticket is None or self.budget is None or not self.budget.model.carry:
+        carried = None if self.asked is None else self.asked.carried(wait_s)
+        if carried is None:
             return []
-        carried = self.budget.carry(self.ticket, self.pool, wait_s, self.tenant)
         return write_http(self.call.raw, carried, self.node, wait_s * 1000.0, self.call.headers)
 
 
@@ -184,7 +181,9 @@
                 asked,
                 read_http(call.raw, call.headers),
                 call.arrived,
-                ((tenant or "").encode(), call.method, call.target, bytes(call.body)),
+                tenant,
+                (call.method, call.target, bytes(call.body)),
+                call.raw,
                 None if key is None else call.headers.get(key),
             )
             if found is Denial.LOOP:
@@ -194,8 +193,7 @@
             if isinstance(found, Denial):
                 self._refuse(call, 0.0, "http_request_timeout", why=found.value)
                 return
-            ticket, wanted = found, found.grant.wait_ms
-            tenant = tenant or found.grant.tenant
+            ticket, wanted, tenant = found, found.grant.wait_ms, found.tenant
             if self._known(call, ticket):
                 return
         if pool.full or not self.server.make_room(spared_s=0.0):
@@ -203,44 +201,13 @@
             self._refuse(call, 0.0, "connection_limit_reached")
             return
         give_up_at = call.arrived + wanted / 1000.0 - WAY_BACK_S
-        name = next(self._ids)
-        if ticket is not None and budget is not None:
-            request = budget.request(ticket, name, give_up_at, tenant)
-        else:
-            request = api.Request(
-                id=name,
-                service=kind.name,
-                give_up_at_ms=pool.clock.ms(give_up_at),
-                tenant=tenant,
-                is_retry=call.headers.get(b"req-retry") == b"1",
-            )
+        asked_here = Asked(pool, next(self._ids), ticket)
+        again = call.headers.get(b"req-retry") == b"1"
+        request = asked_here.request(kind, give_up_at, tenant, again)
         kept = (b"host",) if key is None else (b"host", key)
         headers = passed_on(call.raw, call.headers.get(b"connection"), self._dropped, kept)
-        message = Message(call, name, route.pool, headers, tenant, node=plan.name, pool=route.pool)
-        message.ticket, message.budget = ticket, budget
-        message.waiting = Waiting(lambda: self._abandon(pool, job))
-        message.waiting.add(call)
-        if ticket is not None and budget is not None:
-            budget.begin(ticket, message)
-        job = pool.take(request, give_up_at, message, self._deliver)
-        if not job.done:
-            call.on_gone = lambda: self._gone(message, call, ticket)
-
-    # ------------------------------------------------------------- who waits for what
-
-    def _gone(self, message: Message, call: Call, ticket: Ticket | None) -> None:
-        """A caller has closed its connection."""
-        if ticket is not None and message.budget is not None:
-            message.budget.left(ticket)
-        if message.waiting is not None:
-            message.waiting.gone(call)
-
-    def _abandon(self, pool: Pool, job: Job) -> None:
-        """Nobody waits for it any more."""
-        message: Message = job.message
-        if message.ticket is not None and message.budget is not None:
-            message.budget.ended(message.ticket, message, job, None)
-        pool.leave(job)
+        message = Message(call, request.id, route.pool, headers, tenant, asked_here, plan.name)
+        asked_here.take(call, request, give_up_at, message, self._deliver)
 
     def _known(self, call: Call, ticket: Ticket) -> bool:
         """Whether it is one that runs, whose answer it then waits for, or that has just been answered."""
@@ -248,17 +215,10 @@
         if verdict.kind is Repeat.REPLAY:
             self._pass_on(call, verdict.token)
         elif verdict.kind is Repeat.JOIN:
-            message: Message = verdict.token
-            waiting = message.waiting
-            assert waiting is not None
-
-            def late() -> None:
-                waiting.gone(call)
-                self._say(call, *FAILURES[Cause.LATE], "failed: it may have run")
-
+            running: Asked = verdict.token
             until = call.arrived + ticket.grant.wait_ms / 1000.0 - WAY_BACK_S
-            waiting.add(call, self.server.loop.call_at(until, late))
-            call.on_gone = lambda: self._gone(message, call, ticket)
+            why = "failed: it may have run"
+            running.join(call, ticket, until, lambda: self._say(call, *FAILURES[Cause.LATE], why))
         else:
             return False
         return True
@@ -266,13 +226,9 @@
     # -------------------------------------------------------------------- answers
 
     def _deliver(self, job: Job, answer: Answer) -> None:
-        message: Message = job.message
-        if message.ticket is not None and message.budget is not None:
-            size = 0 if answer.reply is None else len(answer.reply.body)
-            message.budget.answered(message.ticket)
-            message.budget.ended(message.ticket, message, job, answer, size)
-        assert message.waiting is not None
-        for call in message.waiting.take():
+        asked: Asked = job.message.asked
+        size = 0 if answer.reply is None else len(answer.reply.body)
+        for call in asked.answered(job, answer, size):
             if answer.reply is not None:  # a box's word, its errors too
                 self._pass_on(call, answer.reply)
             elif answer.kind is Kind.REFUSED:
--- a/orchidledge/runtime/thrift.py
+++ b/orchidledge/runtime/thrift.py
@@ -18,15 +18,14 @@
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 
-from orchidledge import interface as api
 from orchidledge.budget.carried import NOTHING, Carried, read_baggage, write_baggage
 from orchidledge.budget.decider import Denial
 from orchidledge.budget.repeats import Kind as Repeat
 from orchidledge.core.pool import Job, Pool
 from orchidledge.core.types import Answer, Cause, Kind
 from orchidledge.router.calls import CallTable
-from orchidledge.runtime.budgets import FrontBudget, Ticket
-from orchidledge.runtime.taking import WAY_BACK_S, Waiting, ids, patience_ms
+from orchidledge.runtime.budgets import Asked, FrontBudget, Ticket
+from orchidledge.runtime.taking import WAY_BACK_S, ids, patience_ms
 from orchidledge.thrift.client import Outbound
 from orchidledge.thrift.codec import check, field_at, transcode, with_text
 from orchidledge.thrift.server import Limits, ThriftCall, ThriftServer, bad_call
@@ -61,21 +60,18 @@
 class Passing(Outbound):
     """A call on its way, and the ones that it answers."""
 
-    call: ThriftCall | None = None
-    waiting: Waiting | None = None  # who gets its reply
-    ticket: Ticket | None = None  # where there are budgets
-    budget: FrontBudget | None = None
-    pool: str = ""
-    tenant: str | None = None
+    asked: Asked | None = None
     form: Form = Form.BINARY  # of the body
     budget_field: int | None = None  # the argument that says so; None: nothing is carried
     others: list[str] = field(default_factory=list)  # members of baggage that are not ours
 
     def carried(self, wait_s: float) -> bytes:
         """The body of an attempt that is waited for this long, its budget in it where boxes read one."""
-        if self.ticket is None or self.budget is None or self.budget_field is None:
+        if self.asked is None or self.budget_field is None:
+            return self.body
+        carried = self.asked.carried(wait_s)
+        if carried is None:
             return self.body
-        carried = self.budget.carry(self.ticket, self.pool, wait_s, self.tenant)
         text = write_baggage(carried, self.others).encode("latin-1")
         return with_text(self.body, self.form, self.budget_field, text)
 
@@ -148,8 +144,9 @@
                 None,
                 carried,
                 call.arrived,
-                ((tenant or "").encode(), asked.name, self._without_budget(asked)),
-                None if key is None or call.oneway else str(key).encode(),
+                tenant,
+                (asked.name, self._without_budget(asked)),
+                key=None if key is None or call.oneway else str(key).encode(),
             )
             if found is Denial.LOOP:
                 self._deny(call, ExceptionKind.UNKNOWN_METHOD, found.value)
@@ -157,8 +154,7 @@
             if isinstance(found, Denial):
                 self._refuse(call, 0.0, found.value)
                 return
-            ticket, wanted = found, found.grant.wait_ms
-            tenant = tenant or found.grant.tenant
+            ticket, wanted, tenant = found, found.grant.wait_ms, found.tenant
             if not call.oneway and self._known(call, ticket):
                 return
         give_up_at = call.arrived + wanted / 1000.0 - WAY_BACK_S
@@ -169,23 +165,13 @@
         if pool.full or not self.server.make_room(spared_s=0.0):
             self._refuse(call, 0.0, "too many calls are open")
             return
-        name_here = next(self._ids)
-        if ticket is not None and budget is not None:
-            request = budget.request(ticket, name_here, give_up_at, tenant)
-        else:
-            request = api.Request(name_here, kind.name, pool.clock.ms(give_up_at), tenant)
-        message = Passing(asked.kind, asked.name, body, call=call)
-        message.waiting = Waiting(lambda: self._abandon(pool, job))
-        message.waiting.add(call)
-        if ticket is not None and budget is not None:
-            message.ticket, message.budget, message.tenant = ticket, budget, tenant
-            message.pool, message.form, message.others = route.pool, form, others
-            message.budget_field = plan.budget_fields.get(route.pool) if budget.model.carry else None
-            if not call.oneway:
-                budget.begin(ticket, message)
+        asked_here = Asked(pool, next(self._ids), ticket)
+        request = asked_here.request(kind, give_up_at, tenant)
+        message = Passing(asked.kind, asked.name, body, asked=asked_here, form=form, others=others)
+        message.budget_field = plan.budget_fields.get(route.pool)
         if call.oneway:
             message.oneway_s = plan.oneway_s.get(kind.name, kind.aim_ms / 1000.0)
-        job = pool.take(request, give_up_at, message, self._deliver)
+        job = asked_here.take(call, request, give_up_at, message, self._deliver, joinable=not call.oneway)
         if call.oneway:
             # A oneway call is over for its caller, and is never sent again, once its last byte has left; the attempt
             # goes on to count as in flight.
@@ -195,24 +181,6 @@
             message.on_sent = sent
             if message.sent:
                 sent()
-        elif not job.done:
-            call.on_gone = lambda: self._gone(message, call, ticket)
-
-    # ------------------------------------------------------------- who waits for what
-
-    def _gone(self, message: Passing, call: ThriftCall, ticket: Ticket | None) -> None:
-        """A caller has closed its connection."""
-        if ticket is not None and message.budget is not None:
-            message.budget.left(ticket)
-        if message.waiting is not None:
-            message.waiting.gone(call)
-
-    def _abandon(self, pool: Pool, job: Job) -> None:
-        """Nobody waits for it any more."""
-        message: Passing = job.message
-        if message.ticket is not None and message.budget is not None:
-            message.budget.ended(message.ticket, message, job, None)
-        pool.leave(job)
 
     def _known(self, call: ThriftCall, ticket: Ticket) -> bool:
         """Whether it is one that runs, whose reply it then waits for, or that has just been answered."""
@@ -220,18 +188,12 @@
         if verdict.kind is Repeat.REPLAY:
             self._pass_on(call, verdict.token)
         elif verdict.kind is Repeat.JOIN:
-            message: Passing = verdict.token
-            waiting = message.waiting
-            assert waiting is not None
-
-            def late() -> None:
-                waiting.gone(call)
-                kind, why = WORDS[Cause.LATE]
-                self._say(call, kind, f"failed; may have run; {why}", "failed")
-
+            running: Asked = verdict.token
+            kind, why = WORDS[Cause.LATE]
             until = call.arrived + ticket.grant.wait_ms / 1000.0 - WAY_BACK_S
-            waiting.add(call, self.server.loop.call_at(until, late))
-            call.on_gone = lambda: self._gone(message, call, ticket)
+            running.join(
+                call, ticket, until, lambda: self._say(call, kind, f"failed; may have run; {why}", "failed")
+            )
         else:
             return False
         return True
@@ -260,12 +222,9 @@
 
     def _deliver(self, job: Job, answer: Answer) -> None:
         message: Passing = job.message
-        if message.ticket is not None and message.budget is not None:
-            size = 0 if answer.reply is None else len(answer.reply.body)
-            message.budget.answered(message.ticket)
-            message.budget.ended(message.ticket, message, job, answer, size)
-        assert message.waiting is not None
-        for call in message.waiting.take():
+        assert message.asked is not None
+        size = 0 if answer.reply is None else len(answer.reply.body)
+        for call in message.asked.answered(job, answer, size):
             self._reply(call, message, answer)
 
     def _reply(self, call: ThriftCall, message: Passing, answer: Answer) -> None:
--- a/tests/runtime/test_budgets.py
+++ b/tests/runtime/test_budgets.py
@@ -284,6 +284,37 @@
     asyncio.run(main())
 
 
+@pytest.mark.parametrize(
+    "other",
+    [
+        {"Authorization": "Bearer two"},
+        {"Cookie": "session=two"},
+        {"Accept": "text/csv"},
+        baggage(tenant="zanzibar", ms=20_000.0),
+    ],
+    ids=["authorization", "cookie", "accept", "tenant"],
+)
+def test_nobody_is_given_the_answer_of_another_who_chose_the_same_key(other):
+    async def main():
+        (box,) = boxes(1)
+        box.behaviour = Behaviour(hang=True)
+        tenants = [{"name": "kilimanjaro", "quota_per_s": 100.0}, {"name": "zanzibar", "quota_per_s": 100.0}]
+        async with alongside([box], lambda: data(box, tenants=tenants)) as sidecar:
+            app = application(sidecar)
+            mine = {"Idempotency-Key": "1", "Authorization": "Bearer one", "Accept": "*/*"}
+            mine |= baggage(tenant="kilimanjaro", ms=20_000.0)
+            asked = [
+                asyncio.create_task(app.ask("POST", "/move/1", b"a", headers))
+                for headers in (mine, mine | other, mine | {"X-Request-Id": "again"})
+            ]
+            await until(lambda: box.taken == 2 and sidecar.budgets.repeats.counts["joined"] == 1)
+            for task in asked:
+                task.cancel()
+            app.close()
+
+    asyncio.run(main())
+
+
 def test_the_first_caller_may_leave_without_taking_the_second_ones_answer():
     async def main():
         (box,) = boxes(1)
