--- a/tests/runtime/test_budgets.py
+++ b/tests/runtime/test_budgets.py
@@ -371,6 +371,61 @@
     asyncio.run(main())
 
 
+def test_a_second_try_with_its_key_goes_where_the_first_may_have_run():
+    async def main():
+        around = boxes(4)
+        kind = {"name": "move", "pool": "boxes", "effect": "keyed", "memory_ms": 60_000, "key_scope": "cell"}
+        again = {"classes": [kind | LONG], "routes": [{"class": "move", "path": "/move/**"}]}
+
+        def celled() -> dict[str, Any]:
+            found = data(*around, **again, budget=BUDGET | {"share": 1.0, "floor_per_s": 100.0})
+            for cell, server in enumerate(found["pools"][0]["list"]["servers"]):
+                server["cell"] = cell
+            return found
+
+        async with alongside(around, celled) as sidecar:
+            app = application(sidecar)
+            for at in range(8):
+                key = {"Idempotency-Key": f"k{at}"}
+                for box in around:
+                    box.behaviour = Behaviour(error=1)
+                first = await app.ask("POST", "/move/1", b"a", key)
+                for box in around:
+                    box.behaviour = Behaviour()
+                second = await app.ask("POST", "/move/1", b"a", key)
+                assert (first.status, second.status) == (500, 200)
+                assert first.headers[b"x-box"] == second.headers[b"x-box"]
+            app.close()
+
+    asyncio.run(main())
+
+
+def test_a_second_try_that_comes_after_the_boxes_memory_is_neither_sent_nor_called_harmless():
+    async def main():
+        (box,) = boxes(1)
+        kind = {"name": "move", "pool": "boxes", "effect": "keyed", "memory_ms": 1.0}
+        again = {"classes": [kind | LONG], "routes": [{"class": "move", "path": "/move/**"}]}
+        async with alongside([box], lambda: data(box, **again)) as sidecar:
+            app = application(sidecar)
+            key = {"Idempotency-Key": "k"}
+            box.behaviour = Behaviour(error=1)
+            assert (await app.ask("POST", "/move/1", b"a", key)).status == 500
+            sent = next(iter(sidecar.budgets.repeats._entries.values())).earlier
+            assert sent is not None
+            # Its memory is over, and it is still known that it ran: boxes forget at twice that only.
+            await until(lambda: sidecar.clock.ms() > sent.sent_ms + kind["memory_ms"])
+            sidecar.budgets.repeats._entries[
+                next(iter(sidecar.budgets.repeats._entries))
+            ].until_ms += 60_000.0
+            answer = await app.ask("POST", "/move/1", b"a", key)
+            assert answer.status == 502
+            assert b"may have run" in answer.headers[b"proxy-status"]
+            assert box.taken == 1
+            app.close()
+
+    asyncio.run(main())
+
+
 def test_an_unsafe_request_is_never_joined_and_a_safe_one_only_by_its_id_and_mark():
     async def main():
         (box,) = boxes(1)
