--- a/orchidledge/runtime/budgets.py
+++ b/orchidledge/runtime/budgets.py
@@ -17,6 +17,7 @@
 from orchidledge.core.pool import Job, Pool
 from orchidledge.core.types import Answer
 from orchidledge.core.types import Kind as AnswerKind
+from orchidledge.runtime.taking import WAY_BACK_S
 from orchidledge.sidecar.models import BudgetModel
 
 
@@ -119,6 +120,20 @@
     arrived: float
     figures: ClassFigures
 
+    def settle(self, caller: Caller, replay: Callable[[Any], None], late: Callable[[], None]) -> bool:
+        """Whether nothing has to be sent for it: it waits for one that runs, or has the answer of one that has ended.
+
+        `replay` is given that answer's reply; `late` answers it if its own time ends before the other's answer.
+        """
+        if self.verdict.kind is Kind.REPLAY:
+            replay(self.verdict.token)
+        elif self.verdict.kind is Kind.JOIN:
+            running: Asked = self.verdict.token
+            running.join(caller, self, late)
+        else:
+            return False
+        return True
+
     def left(self) -> None:
         """Its caller has gone without an answer."""
         if not self.grant.stated:
@@ -182,14 +197,14 @@
             caller.on_gone = lambda: self._gone(caller)
         return job
 
-    def join(self, caller: Caller, ticket: Ticket, until: float, late: Callable[[], None]) -> None:
-        """Have one more caller wait for the same answer; `late` answers it if its own time, by the loop's clock, ends
-        first."""
+    def join(self, caller: Caller, ticket: Ticket, late: Callable[[], None]) -> None:
+        """Have one more caller wait for the same answer; `late` answers it if its own time ends first."""
 
         def over() -> None:
             self._remove(caller)
             late()
 
+        until = ticket.arrived + ticket.grant.wait_ms / 1000.0 - WAY_BACK_S
         timer = self.pool.loop.call_at(until, over)
         self._callers[id(caller)] = caller, ticket, timer
         caller.on_gone = lambda: self._gone(caller)
--- a/orchidledge/runtime/front.py
+++ b/orchidledge/runtime/front.py
@@ -11,17 +11,17 @@
 from collections import Counter
 from collections.abc import Collection, Mapping
 from dataclasses import dataclass, field
+from functools import partial
 
 from orchidledge import interface as api
 from orchidledge.budget.carried import WRITTEN, read_http, write_http
 from orchidledge.budget.decider import Denial
-from orchidledge.budget.repeats import Kind as Repeat
 from orchidledge.core.pool import Job, Pool
 from orchidledge.core.types import Answer, Cause, Kind
 from orchidledge.http.client import NO_BODY, Header, Response
 from orchidledge.http.server import Call, Dialect, Server
 from orchidledge.router.router import Router
-from orchidledge.runtime.budgets import Asked, FrontBudget, Ticket
+from orchidledge.runtime.budgets import Asked, FrontBudget
 from orchidledge.runtime.taking import WAY_BACK_S, ids, patience_ms
 from orchidledge.settings import report_from
 
@@ -194,7 +194,8 @@
                 self._refuse(call, 0.0, "http_request_timeout", why=found.value)
                 return
             ticket, wanted, tenant = found, found.grant.wait_ms, found.tenant
-            if self._known(call, ticket):
+            late = partial(self._say, call, *FAILURES[Cause.LATE], "failed: it may have run")
+            if ticket.settle(call, partial(self._pass_on, call), late):
                 return
         if pool.full or not self.server.make_room(spared_s=0.0):
             # Guard: too many to hold. None of it has gone anywhere, so it is a refusal.
@@ -209,20 +210,6 @@
         message = Message(call, request.id, route.pool, headers, tenant, asked_here, plan.name)
         asked_here.take(call, request, give_up_at, message, self._deliver)
 
-    def _known(self, call: Call, ticket: Ticket) -> bool:
-        """Whether it is one that runs, whose answer it then waits for, or that has just been answered."""
-        verdict = ticket.verdict
-        if verdict.kind is Repeat.REPLAY:
-            self._pass_on(call, verdict.token)
-        elif verdict.kind is Repeat.JOIN:
-            running: Asked = verdict.token
-            until = call.arrived + ticket.grant.wait_ms / 1000.0 - WAY_BACK_S
-            why = "failed: it may have run"
-            running.join(call, ticket, until, lambda: self._say(call, *FAILURES[Cause.LATE], why))
-        else:
-            return False
-        return True
-
     # -------------------------------------------------------------------- answers
 
     def _deliver(self, job: Job, answer: Answer) -> None:
--- a/orchidledge/runtime/thrift.py
+++ b/orchidledge/runtime/thrift.py
@@ -17,14 +17,14 @@
 from collections import Counter
 from collections.abc import Mapping
 from dataclasses import dataclass, field
+from functools import partial
 
 from orchidledge.budget.carried import NOTHING, Carried, read_baggage, write_baggage
 from orchidledge.budget.decider import Denial
-from orchidledge.budget.repeats import Kind as Repeat
 from orchidledge.core.pool import Job, Pool
 from orchidledge.core.types import Answer, Cause, Kind
 from orchidledge.router.calls import CallTable
-from orchidledge.runtime.budgets import Asked, FrontBudget, Ticket
+from orchidledge.runtime.budgets import Asked, FrontBudget
 from orchidledge.runtime.taking import WAY_BACK_S, ids, patience_ms
 from orchidledge.thrift.client import Outbound
 from orchidledge.thrift.codec import check, field_at, transcode, with_text
@@ -155,7 +155,9 @@
                 self._refuse(call, 0.0, found.value)
                 return
             ticket, wanted, tenant = found, found.grant.wait_ms, found.tenant
-            if not call.oneway and self._known(call, ticket):
+            late_kind, late_why = WORDS[Cause.LATE]
+            late = partial(self._say, call, late_kind, f"failed; may have run; {late_why}", "failed")
+            if not call.oneway and ticket.settle(call, partial(self._pass_on, call), late):
                 return
         give_up_at = call.arrived + wanted / 1000.0 - WAY_BACK_S
         if give_up_at - pool.loop.time() < LEAST_S:
@@ -182,22 +184,6 @@
             if message.sent:
                 sent()
 
-    def _known(self, call: ThriftCall, ticket: Ticket) -> bool:
-        """Whether it is one that runs, whose reply it then waits for, or that has just been answered."""
-        verdict = ticket.verdict
-        if verdict.kind is Repeat.REPLAY:
-            self._pass_on(call, verdict.token)
-        elif verdict.kind is Repeat.JOIN:
-            running: Asked = verdict.token
-            kind, why = WORDS[Cause.LATE]
-            until = call.arrived + ticket.grant.wait_ms / 1000.0 - WAY_BACK_S
-            running.join(
-                call, ticket, until, lambda: self._say(call, kind, f"failed; may have run; {why}", "failed")
-            )
-        else:
-            return False
-        return True
-
     def _carried(self, asked: Message) -> tuple[Carried, list[str]]:
         """What the arguments say of a budget, and the members of baggage beside it."""
         if self._budget is None or self._budget_field is None:
--- a/tests/runtime/test_budgets.py
+++ b/tests/runtime/test_budgets.py
@@ -42,6 +42,17 @@
     return row(*around, **({"name": name, "budget": BUDGET, "listeners": INSIDE} | more))
 
 
+@contextlib.asynccontextmanager
+async def served(*around: Any, **more: Any) -> AsyncIterator[tuple[Sidecar, Application]]:
+    """A sidecar with a budget beside started boxes, and an application that asks it."""
+    async with alongside(around, lambda: data(*around, **more)) as sidecar:
+        app = application(sidecar)
+        try:
+            yield sidecar, app
+        finally:
+            app.close()
+
+
 def baggage(**values: Any) -> dict[str, str]:
     return {"Baggage": write_baggage(Carried(**values))}
 
@@ -59,10 +70,8 @@
 def test_a_box_is_told_what_is_left_of_a_request():
     async def main():
         (box,) = boxes(1)
-        async with alongside([box], lambda: data(box)) as sidecar:
-            app = application(sidecar)
+        async with served(box) as (_, app):
             await app.ask("GET", "/balance/7", headers={"Baggage": "user=amina"} | {"grpc-timeout": "5S"})
-            app.close()
         headers = box.seen[0].headers
         carried, others = read_baggage(box.seen[0].header(b"baggage").decode())
         assert others == ["user=amina"]
@@ -95,11 +104,9 @@
     async def main():
         (box,) = boxes(1)
         edge = [{"name": "application", "address": "127.0.0.1:0"}]
-        async with alongside([box], lambda: data(box, listeners=edge)) as sidecar:
-            app = application(sidecar)
+        async with served(box, listeners=edge) as (sidecar, app):
             rich = baggage(ms=8e7, worth=1e6, extra=50, id="forged", tenant="hotels", attempt=7, path=("x",))
             assert (await app.ask("GET", "/balance/7", headers=rich)).status in (200, 503)
-            app.close()
             rows = await page(sidecar)
         carried = read_http(box.seen[0].headers)
         assert carried.ms <= 30_000.0
@@ -126,10 +133,8 @@
 def test_odd_times_are_refused_unrun_or_count_as_not_said(headers, status):
     async def main():
         (box,) = boxes(1)
-        async with alongside([box], lambda: data(box)) as sidecar:
-            app = application(sidecar)
+        async with served(box) as (_, app):
             answer = await app.ask("GET", "/balance/7", headers=headers)
-            app.close()
         assert answer.status == status
         assert box.taken == (status == 200)
         if status == 503:
@@ -259,8 +264,7 @@
     async def main():
         (box,) = boxes(1)
         box.behaviour = Behaviour(hang=True)
-        async with alongside([box], lambda: data(box)) as sidecar:
-            app = application(sidecar)
+        async with served(box) as (sidecar, app):
             key = {"Idempotency-Key": "k1"}
             first = asyncio.create_task(app.ask("POST", "/move/1", b"a", key))
             await until(lambda: box.taken == 1)
@@ -279,7 +283,6 @@
             assert (await app.ask("POST", "/move/1", b"a", key)).status == 200
             assert sidecar.budgets.repeats.counts["replayed"] == 1
             assert box.taken == 2
-            app.close()
 
     asyncio.run(main())
 
@@ -299,8 +302,7 @@
         (box,) = boxes(1)
         box.behaviour = Behaviour(hang=True)
         tenants = [{"name": "kilimanjaro", "quota_per_s": 100.0}, {"name": "zanzibar", "quota_per_s": 100.0}]
-        async with alongside([box], lambda: data(box, tenants=tenants)) as sidecar:
-            app = application(sidecar)
+        async with served(box, tenants=tenants) as (sidecar, app):
             mine = {"Idempotency-Key": "1", "Authorization": "Bearer one", "Accept": "*/*"}
             mine |= baggage(tenant="kilimanjaro", ms=20_000.0)
             asked = [
@@ -310,7 +312,6 @@
             await until(lambda: box.taken == 2 and sidecar.budgets.repeats.counts["joined"] == 1)
             for task in asked:
                 task.cancel()
-            app.close()
 
     asyncio.run(main())
 
@@ -341,8 +342,7 @@
     async def main():
         (box,) = boxes(1)
         box.behaviour = Behaviour(hang=True)
-        async with alongside([box], lambda: data(box)) as sidecar:
-            app = application(sidecar)
+        async with served(box) as (sidecar, app):
             key = {"Idempotency-Key": "k1"}
             asked = [asyncio.create_task(app.ask("POST", "/move/1", b"a", key)) for _ in range(3)]
             await until(lambda: sidecar.budgets.repeats.counts["joined"] == 2)
@@ -357,8 +357,7 @@
     async def main():
         (box,) = boxes(1)
         box.behaviour = Behaviour(hang=True)
-        async with alongside([box], lambda: data(box)) as sidecar:
-            app = application(sidecar)
+        async with served(box) as (_, app):
             key = {"Idempotency-Key": "k1"}
             first = asyncio.create_task(app.ask("POST", "/move/1", b"a", key))
             await until(lambda: box.taken == 1)
@@ -366,7 +365,6 @@
             assert hasty.status == 504
             assert not first.done()
             first.cancel()
-            app.close()
 
     asyncio.run(main())
 
@@ -405,8 +403,7 @@
         (box,) = boxes(1)
         kind = {"name": "move", "pool": "boxes", "effect": "keyed", "memory_ms": 1.0}
         again = {"classes": [kind | LONG], "routes": [{"class": "move", "path": "/move/**"}]}
-        async with alongside([box], lambda: data(box, **again)) as sidecar:
-            app = application(sidecar)
+        async with served(box, **again) as (sidecar, app):
             key = {"Idempotency-Key": "k"}
             box.behaviour = Behaviour(error=1)
             assert (await app.ask("POST", "/move/1", b"a", key)).status == 500
@@ -421,7 +418,6 @@
             assert answer.status == 502
             assert b"may have run" in answer.headers[b"proxy-status"]
             assert box.taken == 1
-            app.close()
 
     asyncio.run(main())
 
@@ -430,8 +426,7 @@
     async def main():
         (box,) = boxes(1)
         box.behaviour = Behaviour(hang=True)
-        async with alongside([box], lambda: data(box)) as sidecar:
-            app = application(sidecar)
+        async with served(box) as (sidecar, app):
             same = baggage(id="one", ms=20_000.0)
             asked = [
                 asyncio.create_task(app.ask(*call, headers=same | more))
@@ -442,7 +437,6 @@
             assert [seen.method for seen in box.seen].count(b"POST") == 2
             for task in asked:
                 task.cancel()
-            app.close()
 
     asyncio.run(main())
 
@@ -469,8 +463,7 @@
 def test_a_failing_box_is_asked_no_more_than_the_request_brings():
     async def main():
         around = boxes(4)
-        async with alongside(around, lambda: data(*around)) as sidecar:
-            app = application(sidecar)
+        async with served(*around) as (_, app):
             for box in around:
                 box.behaviour = Behaviour(error=1000)
             for extra, most in ((0, 1), (1, 2), (2, 2)):
@@ -478,7 +471,6 @@
                 mine = baggage(extra=extra, ms=20_000.0, path=("front",))
                 assert (await app.ask("GET", f"/balance/{extra}", headers=mine)).status == 500
                 assert sum(box.taken for box in around) - before <= most
-            app.close()
 
     asyncio.run(main())
 
@@ -516,12 +508,10 @@
 def test_operators_see_budgets_by_pool_and_class():
     async def main():
         (box,) = boxes(1)
-        async with alongside([box], lambda: data(box)) as sidecar:
-            app = application(sidecar)
+        async with served(box) as (sidecar, app):
             for at in range(5):
                 await app.ask("GET", f"/balance/{at}", headers={"Req-Deadline-Ms": "4000"})
             rows = await page(sidecar)
-            app.close()
         read = rows["pools"]["boxes"]["read"]
         assert read["attempts"] == {"first": 5}
         assert read["amplification"] == 1.0
@@ -663,13 +653,11 @@
     # The clock of the writer is an hour off; what counts is how much later than its quickest call this one came.
     async def main():
         (box,) = boxes(1)
-        async with alongside([box], lambda: data(box)) as sidecar:
-            app = application(sidecar)
+        async with served(box) as (sidecar, app):
             clock = sidecar.clock.ms() - 3_600_000.0
             for back, status in ((0, 200), (0, 200), (5000, 503)):
                 mine = baggage(ms=4000.0, at=Stamp("other", int(clock - back)))
                 assert (await app.ask("GET", "/balance/1", headers=mine)).status == status
-            app.close()
 
     asyncio.run(main())
 
