--- a/tests/budget/test_chain.py
+++ b/tests/budget/test_chain.py
@@ -79,7 +79,9 @@
             stand_in.stop()
 
 
-async def ask(caller: Application, rng: Random, number: int, answers: Counter[str]) -> str:
+async def ask(
+    caller: Application, rng: Random, number: int, answers: Counter[str], deadline_ms: int | None = None
+) -> str:
     """One request with all its tries; its class."""
     kind = rng.choice(["read", "post", "move"])
     method, path = ("GET", "/balance") if kind == "read" else ("POST", f"/{kind}")
@@ -90,6 +92,8 @@
             headers["Idempotency-Key"] = f"key-{number}"
         if marks and at:
             headers["Req-Retry"] = "1"
+        if deadline_ms is not None:
+            headers["Req-Deadline-Ms"] = str(deadline_ms)
         body = b"" if method == "GET" else b"%d" % number
         reply = await caller.ask(method, f"{path}/{number}", body, headers)
         answers[f"{kind}-{number}-{at}"] += 1
@@ -186,6 +190,34 @@
     asyncio.run(main())
 
 
+@pytest.mark.parametrize("seed", range(2))
+@pytest.mark.parametrize("stalled", ["one box", "all boxes", "a tier"])
+def test_what_stalls_is_given_up_in_time_and_no_rule_breaks(seed, stalled):
+    async def main():
+        async with chain() as found:
+            rng, answers = Random(seed), Counter()
+            callers = [application(sidecar) for sidecar in found.sidecars[0]]
+            for number in range(12):  # the shortest ways are seen, and connections are there
+                await ask(callers[number % WIDE], rng, number, answers)
+            if stalled == "a tier":
+                for app in found.apps[1]:
+                    app.behaviour.hang = True
+            else:
+                for box in found.boxes[: 1 if stalled == "one box" else None]:
+                    box.behaviour = Behaviour(hang=True)
+            for number in range(12, 18):
+                # Every try has its one answer, which no time-out of the caller's own cuts short.
+                await ask(callers[number % WIDE], rng, number, answers, deadline_ms=120)
+            hold_to_the_rules(found, answers)
+            assert max(attempts(found).values()) <= TRIES * (1 + EXTRA)
+            for caller in callers:
+                caller.close()
+            # Nothing is left behind by what was given up.
+            await until(lambda: not any(s.pools["boxes"].jobs for group in found.sidecars for s in group))
+
+    asyncio.run(main())
+
+
 async def reloaded(found: Chain, rows: list[dict[str, Any]]) -> None:
     for sidecar, data in zip(found.sidecars[2], rows, strict=True):
         await sidecar.reload(configuration(data))
