--- a/orchidledge/budget/decider.py
+++ b/orchidledge/budget/decider.py
@@ -40,7 +40,6 @@
     """What the configuration says."""
 
     name: str  # by which this node is known in paths
-    mark: str  # new with each start
     trust: Trust = Trust.EDGE
     extra: int = 2  # attempts beyond the first that a request without word of its own may take in all tiers
     revisits: int = 0  # how often a request may come back here before that is a loop
--- a/orchidledge/runtime/budgets.py
+++ b/orchidledge/runtime/budgets.py
@@ -276,7 +276,6 @@
     """From the configuration's words; `attempts`: the rules' max_attempts."""
     terms = Terms(
         name=name,
-        mark=shared.mark,
         trust=Trust(trust or "edge"),
         extra=attempts - 1 if model.extra is None else model.extra,
         revisits=model.revisits,
--- a/tests/budget/test_decider.py
+++ b/tests/budget/test_decider.py
@@ -13,8 +13,8 @@
 from orchidledge.budget.patience import LEAST, Patience
 
 KIND = api.ServiceClass("read", aim_ms=1000, give_up_ms=2500, worth=12, effect=api.Effect.SAFE)
-INSIDE = Terms("post", "m0", Trust.INSIDE, extra=2, tenants=frozenset({"hotels"}))
-EDGE = Terms("post", "m0", Trust.EDGE, extra=2, tenants=frozenset({"hotels"}))
+INSIDE = Terms("post", Trust.INSIDE, extra=2, tenants=frozenset({"hotels"}))
+EDGE = Terms("post", Trust.EDGE, extra=2, tenants=frozenset({"hotels"}))
 
 
 def decide(carried: Carried = NOTHING, terms: Terms = INSIDE, asked=None, decider=None, now=0.0, **more):
@@ -87,7 +87,7 @@
 
 def tree(rng: Random, carried: Carried, depth: int) -> int:
     """Attempts at the last tier of a call for which every attempt fails and each tier does all it may."""
-    granted = decide(carried, Terms(f"n{depth}-{rng.random()}", "m", Trust.INSIDE, extra=rng.randint(0, 9)))
+    granted = decide(carried, Terms(f"n{depth}-{rng.random()}", Trust.INSIDE, extra=rng.randint(0, 9)))
     assert isinstance(granted, Grant)
     total = 0
     for _ in range(granted.attempts):
@@ -164,7 +164,7 @@
 
 
 def test_coming_back_can_be_meant():
-    twice = Terms("post", "m", Trust.INSIDE, revisits=1)
+    twice = Terms("post", Trust.INSIDE, revisits=1)
     assert isinstance(decide(Carried(path=("post", "front")), twice), Grant)
     assert decide(Carried(path=("post", "front", "post")), twice) is Denial.LOOP
 
@@ -218,7 +218,7 @@
         decider.of("read").left(700.0)
     assert decide(decider=decider).wait_ms == pytest.approx(735.0)
     assert decide(asked=1500.0, decider=decider).wait_ms == 1500.0
-    assert decide(terms=Terms("post", "m", learn=False), decider=decider).wait_ms == 2500.0
+    assert decide(terms=Terms("post", learn=False), decider=decider).wait_ms == 2500.0
     for _ in range(600):
         decider.of("read").left(60_000.0)
     assert decide(decider=decider).wait_ms == 2500.0
