Read-over: what a request asks is digested once, not at its arrival, begin and end

Need: for a keyed class the whole body was hashed three times on the way of each request. Change: the digests are kept with the identity.

--- a/orchidledge/budget/repeats.py
+++ b/orchidledge/budget/repeats.py
@@ -19,6 +19,7 @@
 from collections.abc import Sequence
 from dataclasses import dataclass, field
 from enum import Enum
+from functools import cached_property
 from typing import Any
 
 from orchidledge.interface import Earlier, Effect
@@ -33,7 +34,7 @@
 TRIES = 3  # repeats that are looked for after each
 
 
-@dataclass(slots=True, frozen=True)
+@dataclass(frozen=True)
 class Identity:
     """What tells a request from others."""
 
@@ -45,12 +46,12 @@
     marked: bool = False  # somebody says that it is a repeat
     fields: Sequence[tuple[bytes, bytes]] = ()  # of its head
 
-    @property
+    @cached_property
     def asked(self) -> bytes:
         """A digest of all that it asks; made when it is needed, as most requests are never asked again."""
         return digest(*self.parts)
 
-    @property
+    @cached_property
     def same(self) -> tuple[str, bytes, bytes | str] | None:
         """Equal for two that are surely one; None if nothing can be sure.
 
