--- a/benchmarks/retry_storm.py
+++ b/benchmarks/retry_storm.py
@@ -33,6 +33,7 @@
 from typing import Any
 
 from orchidledge.core.address import parse_address
+from orchidledge.sidecar.models import BudgetModel
 from orchidledge.sidecar.toml import dumps
 from orchidledge.standin.box import Behaviour, Box, Seen
 from orchidledge.standin.caller import Application
@@ -354,8 +355,11 @@
     parser.add_argument("--calm", type=float, default=10.0, help="seconds of each calm phase")
     parser.add_argument("--trouble", type=float, default=10.0, help="seconds of each trouble")
     parser.add_argument("--troubles", default=",".join(TROUBLES))
-    parser.add_argument("--share", type=float, default=0.08, help="of the retry budget")
-    parser.add_argument("--floor", type=float, default=0.1, help="of the retry budget, attempts a second")
+    ours = BudgetModel()  # what a catalogue has that says nothing of its own
+    parser.add_argument("--share", type=float, default=ours.share, help="of the retry budget")
+    parser.add_argument(
+        "--floor", type=float, default=ours.floor_per_s, help="of the retry budget, attempts a second"
+    )
     parser.add_argument("--seed", type=int, default=1)
     parser.add_argument("--notice", action="store_true", help="applications notice when their callers leave")
     parser.add_argument("--only", choices=["plain", "budgets"])
--- a/benchmarks/retry_waves.py
+++ b/benchmarks/retry_waves.py
@@ -33,6 +33,7 @@
 
 from orchidledge import interface as api
 from orchidledge.brain import Balancer
+from orchidledge.sidecar.models import BudgetModel
 
 QUIET_S, TAIL_S = 15.0, 14.0
 TROUBLES = {"cut": 0.9, "fails": 4.0, "stalls": 4.0}
@@ -257,9 +258,10 @@
     )
     parser.add_argument("--nodes", type=int, default=1000)
     parser.add_argument("--rate", type=float, default=5000.0, help="requests a second, over all nodes")
-    parser.add_argument("--share", type=float, default=0.08)
-    parser.add_argument("--floor", type=float, default=0.1)
-    parser.add_argument("--backoff-ms", type=float, default=50.0)
+    ours = BudgetModel()  # what a catalogue has that says nothing of its own
+    parser.add_argument("--share", type=float, default=ours.share)
+    parser.add_argument("--floor", type=float, default=ours.floor_per_s)
+    parser.add_argument("--backoff-ms", type=float, default=ours.backoff_ms)
     parser.add_argument("--seed", type=int, default=1)
     parser.add_argument("--troubles", default=",".join(TROUBLES))
     args = parser.parse_args()
--- a/orchidledge/standin/tier.py
+++ b/orchidledge/standin/tier.py
@@ -37,19 +37,15 @@
 
 @dataclass(eq=False)
 class TierApplication:
-    """One instance. `begun` counts its requests, `seen` keeps their headers, the latest last."""
+    """One instance. `begun` counts its requests, `paths` by what they asked."""
 
     name: str
     behaviour: TierBehaviour = field(default_factory=TierBehaviour)
     next: Address | None = None  # the sidecar beside it; None: it answers by itself
-    target: str | None = None  # what it asks of it, instead of what it was asked
 
     def __post_init__(self) -> None:
         self.begun = 0
-        self.gone = 0
         self.paths: Counter[str] = Counter()
-        self.seen: list[dict[bytes, bytes]] = []
-        self.answers: Counter[int] = Counter()  # what the sidecar answered it, by status
         self.before_call: Callable[[], Awaitable[Any]] | None = None  # waited for before it calls
         self._tasks: set[asyncio.Task[None]] = set()
 
@@ -77,14 +73,11 @@
     def _on_call(self, call: Call) -> None:
         self.begun += 1
         self.paths[call.target.decode("latin-1")] += 1
-        self.seen.append(call.headers)
-        del self.seen[:-1000]
         task = asyncio.create_task(self._serve(call))
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
         def gone() -> None:
-            self.gone += 1
             if self.behaviour.notices:
                 task.cancel()
 
@@ -111,7 +104,7 @@
         }
         if self._caller is None:
             self._caller = Application(self.next, how.timeout_s)
-        target = self.target or call.target.decode("latin-1")
+        target = call.target.decode("latin-1")
         status, body = 504, b"no answer\n"
         for _ in range(how.tries if call.method in how.tried else 1):
             try:
@@ -119,7 +112,6 @@
             except (OSError, TimeoutError):
                 continue
             status, body = reply.status, bytes(reply.body)
-            self.answers[status] += 1
             if status < 500:
                 break
         call.pass_on(status, [(b"X-Box", self.name.encode())], body)
--- a/tests/budget/test_chain.py
+++ b/tests/budget/test_chain.py
@@ -39,7 +39,6 @@
         self.boxes = [Box(f"box-{at}") for at in range(3)]
         self.apps = [[TierApplication(f"app-{tier}-{at}") for at in range(WIDE)] for tier in range(1, TIERS)]
         self.sidecars: list[list[Sidecar]] = []
-        self.reached: Counter[str] = Counter()  # attempts at boxes, by request
 
     def row(self, tier: int, around: list[Any], budget: dict[str, Any] | None) -> dict[str, Any]:
         listener = {"name": "application", "address": "127.0.0.1:0"}
