--- a/orchidledge/brain.py
+++ b/orchidledge/brain.py
@@ -28,9 +28,10 @@
 RETRY_WORTH = 0.5  # a marked retry counts as this share of its class's worth
 T1_SLACK = 0.30  # T1 holds what completes in the quiet latency plus this share of what is left to the aim
 ROOTS = 2.0  # and this many of its square roots, for chance (small pools vary more)
-START = 7.0  # but no less than this for each ready server, over all siblings, until rates are known
-START_MS = 3000.0  # which takes this long
+START_MS = 3000.0  # but no less than the settings' start for each ready server until rates are known
 FLOOR = 2.0  # and this much afterwards
+QUIET = 0.1  # share of the aim under which no latency is load, whatever it was before
+BORNE = 2.0  # T1 holds so many times what the pool has borne in quiet
 SLACK = 0.11  # target: quiet latency plus this share of the way from there to the aim
 SLACK_ROOM = 0.3  # the same while the servers are far from crowded: latency is then mostly chance
 CROWD = 5.0  # calls in flight a server, all siblings' taken to be like ours, from which they may be crowded
@@ -109,6 +110,7 @@
     tries: list[_Try] = field(default_factory=list)
     done: bool = False
     streaming: bool = False
+    beside: float = 0.0  # calls in flight when it was taken, with it
     waits: bool = False  # for the moment of its next attempt, which the budget has given
 
     def out(self) -> int:
@@ -124,6 +126,15 @@
     return zone, peer.info.cell if kind.scope is api.Scope.CELL else 0
 
 
+def _ratio(latency_ms: float, mean_ms: float, near_ms: float) -> float:
+    """How much slower than the mean; `near_ms` on both sides has small differences count little.
+
+    Guard: beside a mean of a fraction of a millisecond any hitch made a server look a hundred times slower.
+    """
+    whole = mean_ms + near_ms
+    return max(0.0, latency_ms + near_ms) / whole if whole > 0.0 else 1.0
+
+
 def _middle(values: list[float]) -> float | None:
     return sorted(values)[len(values) // 2] if values else None
 
@@ -151,8 +162,13 @@
         self.first: list[float] = []  # the first latencies over their aims, up to BASE_LEAST or a few more
         self.base: float | None = None  # quiet latency as a share of the aim
         self.level = 0.0  # smoothed latency as a share of the aim
+        self.load, self.target = 0.0, 1.0  # of the last period; the level from which latency is load
         self.completed = self.ended = self.full = 0.0
         self.rate = self.peak = 0.0  # completed units per ms
+        self.borne = (
+            0.0  # the most calls in flight beside which one was answered in quiet, since there was load
+        )
+        self.lag = 0.0  # ms: what came within it may not have been read yet
         self.mean_aim = sum(kind.aim_ms for kind in settings.classes) / len(settings.classes)
         self.mean_hint = 0.0
         self.class_ms: dict[str, float] = {}
@@ -166,8 +182,10 @@
         self.hedged = {kind.name: Quantile(HEDGE_SHARE) for kind in settings.classes if kind.hedge}
         self.sour = 0.0  # smoothed share of attempts that failed
 
-    def handle(self, now: float, event: api.Event) -> list[api.Action]:
+    def handle(self, now: float, event: api.Event, lag_ms: float = 0.0) -> list[api.Action]:
+        """What follows from an event; what came within `lag_ms` may not have been read yet."""
         acts: list[api.Action] = []
+        self.lag = lag_ms
         if not self.started:
             self.started = True
             acts.append(api.Wake(self.period_ms, "period"))
@@ -255,12 +273,20 @@
         base = 0.5 if self.base is None else self.base
         first = self.peak * self.mean_aim * (base + T1_SLACK * (1.0 - base))
         # Guard: all siblings share the floor; one for each balancer summed to a T1 that never bound at size.
-        floor = START if self.periods * self.period_ms < START_MS else FLOOR
-        first = max(first, ready * floor / self.cfg.siblings)
+        starting = self.periods * self.period_ms < START_MS
+        # Guard: a pool that was asked seldom was held to be slow, and a burst on idle servers was refused.
+        floor = self.cfg.quiet_calls if self.quiet else FLOOR
+        floor = self.cfg.start_calls if starting else floor
+        first = max(first, ready * floor / self.cfg.siblings, BORNE * self.borne if self.quiet else 0.0)
         first += ROOTS * math.sqrt(first)
         first *= 1.0 - ROW_GAP * below
         return max(LEAST, first * math.pow(self.shape[self.cursor], TOP_BEND + (1.0 - TOP_BEND) * below))
 
+    @property
+    def quiet(self) -> bool:
+        """Whether latency is known and is no load, however it compares with what it was."""
+        return self.base is not None and self.level < QUIET
+
     def _on_request(self, now: float, request: api.Request, acts: list[api.Action]) -> None:
         kind = self.kinds[request.service]
         units, hint = 1.0, request.cost_hint_ms
@@ -269,6 +295,7 @@
             units = min(4.0, max(0.25, hint / self.mean_hint))
         job = self.jobs[request.id] = _Job(request, kind, now, units)
         queue = sum([peer.load for peer in self.ready])
+        job.beside = queue + units
         room = self.threshold(self._worth(now, request, kind), len(self.ready)) - queue
         # Guard: one call from each of hundreds of balancers kept a jam alive, so a fraction of one is drawn.
         full = room < 1.0 and self.rng.random() >= room
@@ -354,7 +381,9 @@
             # Guard: a server that hangs shows in its oldest unanswered attempt long before a time-out.
             (name, _), sent_ms = next(iter(peer.out.items()))
             mean = self.class_ms.get(self.jobs[name].kind.name) if peer.heard_ms <= sent_ms else None
-            slow = max(slow, (now - sent_ms) / mean) if mean else slow
+            if mean:
+                # Guard: while the host was busy every server looked as if it hung.
+                slow = max(slow, _ratio(now - self.lag - sent_ms, mean, self.cfg.near_ms))
         failing = 1.0 - min(0.9, peer.errs)
         queue = peer.queue * math.exp((peer.told_ms - now) / STALE_MS) if peer.queue else 0.0
         far = ZONE_WEIGHT * self.cfg.cross_zone_price if peer.info.zone != self.cfg.zone else 0.0
@@ -483,6 +512,9 @@
             self._end(job, acts)
         elif job.done:
             self._end(job, acts)
+        elif event.result is api.Result.NO_ROOM and not job.out():
+            # Guard: tried again, it went round all servers within a turn, and each was told to have failed.
+            self._answer(job, acts)
         elif not job.out() and not job.waits and not self._again(now, job, acts):
             self._answer(job, acts)
 
@@ -527,7 +559,7 @@
         if result is api.Result.CANCELLED and event.latency_ms > self.class_ms.get(job.kind.name, math.inf):
             # Guard: the calls that callers leave are the slow ones; without them a jam looked quick.
             self.ratios.append(event.latency_ms / job.kind.aim_ms)
-        if result in (api.Result.CANCELLED, api.Result.MOOT):
+        if result in (api.Result.CANCELLED, api.Result.MOOT, api.Result.NO_ROOM):
             return
         self.ended += 1
         self.sour += SOUR_GAIN * ((result is not api.Result.OK) - self.sour)
@@ -545,10 +577,12 @@
                 self.class_ms[job.kind.name] = mean
                 if job.kind.name in self.hedged:
                     self.hedged[job.kind.name].add(event.latency_ms)
-            ratio = event.latency_ms / mean if mean else 1.0
+            ratio = 1.0 if mean is None else _ratio(event.latency_ms, mean, self.cfg.near_ms)
             peer.slow = ratio if peer.slow is None else peer.slow + GAIN * (ratio - peer.slow)
             peer.heard_ms = now
         if result is api.Result.OK:
+            if event.latency_ms < QUIET * job.kind.aim_ms:
+                self.borne = max(self.borne, job.beside)
             self.completed += job.units
             self.mean_aim += CLASS_GAIN * (job.kind.aim_ms - self.mean_aim)
 
@@ -584,7 +618,8 @@
             crowd = self.cfg.siblings * sum([peer.load for peer in ready])
             slack = SLACK if crowd >= CROWD * len(ready) else SLACK_ROOM
             slack = slack if utils is None else SLACK_SEEN
-            load = self.level / (self.base + slack * (1.0 - self.base))
+            self.target = self.base + slack * (1.0 - self.base)
+            load = self.level / self.target
         if utils is not None:
             # Guard: at size the servers over the median were jammed one by one while it was under 0.97.
             room = UTIL_ROOM * (1.0 - min(1.0, FEW / self.cfg.siblings))
@@ -592,6 +627,7 @@
         if self.ended:
             load = max(load, self.full / self.ended / FULL_TARGET)
         self.heard += self.ended
+        self.load = load
         step = 1 if load > 1.0 else -1
         if step > 0 and self.level <= JAM:
             # Guard: answers tell of calls sent before; where few come in a period, the cursor went 6 to 10
@@ -600,7 +636,7 @@
             # of load, and hurts where load grows faster than answers come: a jam doesn't wait.
             step = int(self.heard >= WEIGHTY)
         if step > 0:
-            self.heard = 0.0
+            self.heard = self.borne = 0.0
         self.cursor = max(0, min(len(self.shape) - 1, self.cursor + step))
         gain = min(1.0, self.period_ms / RATE_MS)
         self.rate += gain * (self.completed / self.period_ms - self.rate)
--- a/orchidledge/cli/sidecar.py
+++ b/orchidledge/cli/sidecar.py
@@ -11,7 +11,9 @@
 
 from orchidledge.cli.config import descriptors_here
 from orchidledge.core.leaving import signals
-from orchidledge.runtime.sidecar import ReloadError, Sidecar
+from orchidledge.core.turns import TurnLoop
+from orchidledge.runtime.building import ReloadError, descriptors_of
+from orchidledge.runtime.sidecar import PlacedError, Sidecar
 from orchidledge.sidecar.checks import check
 from orchidledge.sidecar.load import UnusableError, read
 from orchidledge.sidecar.models import Configuration
@@ -60,7 +62,7 @@
     except BadConfigurationError as error:
         print(error, file=sys.stderr)
         return 2
-    _allow(configuration.limits.descriptors)
+    _allow(descriptors_of(configuration))
     sidecar = Sidecar(configuration)
     try:
         await sidecar.start()
@@ -95,7 +97,7 @@
         try:
             # Read aside: a large file checked on the loop would hold up requests.
             configuration = await asyncio.to_thread(load, path)
-            _allow(configuration.limits.descriptors)
+            _allow(descriptors_of(configuration))
             await sidecar.reload(configuration)
         except (BadConfigurationError, ReloadError, OSError) as error:
             sidecar.reject(str(error))
@@ -107,7 +109,11 @@
 def run(args: argparse.Namespace) -> int:
     logging.basicConfig(stream=sys.stderr, level=logging.INFO, format="%(asctime)s %(levelname)s %(message)s")
     try:
-        return asyncio.run(serve(args.configuration))
+        with asyncio.Runner(loop_factory=TurnLoop) as runner:
+            return runner.run(serve(args.configuration))
+    except PlacedError as error:
+        print(f"{args.configuration}: {error}", file=sys.stderr)
+        return 1
     except OSError as error:
         print(f"orchidledge: {error}", file=sys.stderr)
         return 1
--- a/orchidledge/core/listener.py
+++ b/orchidledge/core/listener.py
@@ -5,13 +5,36 @@
 
 import asyncio
 import socket
+import struct
 from itertools import islice
 
+from orchidledge.core.outgoing import OWN, readable
+from orchidledge.core.turns import turns_of
+from orchidledge.limits.connections import SILENT_S, Door
+
 BACKLOG = 1024
 SPARED_S = 2.0  # of which an idle connection is spared where room is short and no request waits for it
 LINGER_S = 0.5  # how long what a caller still sends after a fatal answer is read and dropped
 SWEEP_S = 0.1
 LOOKED_AT = 16  # connections that are looked at, at most, to make room for one
+TCP_INFO = getattr(socket, "TCP_INFO", None)
+LAST_DATA_RECEIVED = struct.Struct("@52xI")  # of Linux's struct tcp_info, in ms: tcpi_last_data_recv
+
+
+def waited_s(transport: asyncio.Transport) -> float:
+    """Since the kernel had the latest bytes of a connection, to some ms; 0 where it does not tell (Linux does).
+
+    Guard: what comes on a connection that has yet to be accepted waits unseen by the loop, and its time runs.
+    """
+    sock = transport.get_extra_info("socket")
+    if TCP_INFO is None or sock is None:
+        return 0.0
+    try:
+        data = sock.getsockopt(socket.IPPROTO_TCP, TCP_INFO, LAST_DATA_RECEIVED.size)
+    except OSError:
+        return 0.0
+    waited: int = LAST_DATA_RECEIVED.unpack(data)[0] if len(data) == LAST_DATA_RECEIVED.size else 0
+    return waited / 1000.0
 
 
 class IncomingConnection(asyncio.Protocol):
@@ -23,6 +46,7 @@
         self._closing = False  # the last answer has been written, or will be with what is in hand
         self.known = False  # a request that could be used has come on it
         self.since = 0.0  # the loop's time at which it came into the stage that it is in
+        self.silent = True  # nothing has come on it
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         assert isinstance(transport, asyncio.Transport)
@@ -32,6 +56,20 @@
     def eof_received(self) -> bool:
         return False
 
+    def arrived(self) -> float:
+        """The loop's time at which what is handled now came, at the earliest; called for each part that comes."""
+        now = self._server.loop.time()
+        came = self._server.turns.came(now)
+        if self.silent and self._server.orderly:
+            came = min(came, now - waited_s(self._transport))
+        self.silent = False
+        return came
+
+    @property
+    def drained(self) -> bool:
+        """Whether closing it now loses nothing that was written, nor resets it by what is unread."""
+        return not self._transport.get_write_buffer_size() and not readable(self._transport)
+
     def abort(self) -> None:
         self._closing = True
         self._server.closed(self)
@@ -63,16 +101,24 @@
     A connection without an open request is in a stage: it owes a request, idles, or lingers after its end.
     """
 
-    def __init__(self, limit: int) -> None:
+    def __init__(self, limit: int, orderly: bool = False) -> None:
+        """`orderly`: beyond the limit, connections wait in the kernel, and none is closed but with its answer. Else
+        accepting never stops, and what carries nothing is closed to make room."""
         self.loop = asyncio.get_running_loop()
-        self.limit = limit
+        self.turns = turns_of(self.loop)
+        self.door = Door(limit)
+        self.orderly = orderly
+        self.short = 0  # times that the process had no descriptor for a connection
         self.ready = False
         self.stopping = False
         self.connections: dict[IncomingConnection, Stage | None] = {}
         self.waiting: Stage = {}
         self.idle: Stage = {}
         self.lingering: Stage = {}
-        self._listener: asyncio.Server | None = None
+        self._listener: socket.socket | None = None
+        self._address: tuple[str, int] | None = None
+        self._accepting = False
+        self._coming: set[asyncio.Task[None]] = set()  # accepted, with no protocol yet
         self._sweep_timer: asyncio.TimerHandle | None = None
 
     # ------------------------------------------------------------- for protocols
@@ -93,15 +139,45 @@
 
     # ------------------------------------------------------------------- for fronts
 
+    @property
+    def limit(self) -> int:
+        """Connections that are kept, at most."""
+        return self.door.limit
+
+    @limit.setter
+    def limit(self, limit: int) -> None:
+        self.door.limit = limit
+
     @property
     def crowded(self) -> bool:
+        """Whether a connection is closed with its answer."""
+        if self.orderly:
+            return not self.door.keeps(len(self.connections) + len(self._coming))
         return len(self.connections) > self.limit
 
+    @property
+    def paused(self) -> bool:
+        """Whether new connections are left in the kernel for now."""
+        return self._listener is not None and not self._accepting
+
+    @property
+    def under_way(self) -> int:
+        """Connections with an open request."""
+        return len(self.connections) - len(self.waiting) - len(self.idle) - len(self.lingering)
+
+    def begins(self) -> bool:
+        """Whether the request that has come on a connection may be taken, one being counted as under way already."""
+        if self.orderly:
+            return self.door.begins(self.under_way - 1)
+        # Guard: while a sibling restarted, 200 connections idle for under 2 s held all the room, and requests
+        # were refused beside 10 open ones. So a whole request takes the place of the one idle for longest,
+        # however short; a mere connection doesn't. It would hurt where connecting costs callers much.
+        return self.make_room(spared_s=0.0)
+
     @property
     def address(self) -> tuple[str, int]:
-        assert self._listener is not None
-        host, port = self._listener.sockets[0].getsockname()[:2]
-        return host, port
+        assert self._address is not None
+        return self._address
 
     @staticmethod
     def bind(host: str, port: int) -> socket.socket:
@@ -126,22 +202,80 @@
 
     async def serve(self, raw: socket.socket) -> None:
         """Take callers' connections from a bound socket."""
-        # Guard: asyncio accepts as many as its `backlog` before it looks at any, and closed ones go a turn or
-        # two later: a small one keeps a burst within the descriptors. The kernel's queue is then made long.
-        self._listener = await self.loop.create_server(
-            self.connection, sock=raw, backlog=max(1, self.limit // 20)
-        )
-        raw.listen(BACKLOG)
+        raw.setblocking(False)
+        self._listener = raw
+        self._address = raw.getsockname()[:2]
+        self._go_on()
         self._sweep()
 
+    def _go_on(self) -> None:
+        """Accept, if that was paused."""
+        if self._listener is not None and not self._accepting:
+            self._accepting = True
+            self.loop.add_reader(self._listener.fileno(), self._accept)
+
+    def _pause(self) -> None:
+        if self._listener is not None and self._accepting:
+            self._accepting = False
+            self.loop.remove_reader(self._listener.fileno())
+
+    def _accept(self) -> None:
+        """Take some of those that wait in the kernel, as far as there is room."""
+        assert self._listener is not None
+        # Guard: closed ones go a turn or two later: a few at a time keep a burst within the descriptors.
+        most = max(1, self.limit // 20)
+        if self.orderly:
+            held = len(self.connections) + len(self._coming)
+            most = min(most, self.door.may_accept(held))
+            if not most and not self._clear():
+                self._pause()
+                return
+        for _ in range(max(1, most)):
+            try:
+                found, _ = self._listener.accept()
+            except (BlockingIOError, InterruptedError, ConnectionAbortedError):
+                return
+            except OSError as error:
+                if error.errno not in OWN:
+                    raise
+                # Guard: a listener that is readable and can't be accepted from has the loop turn without end.
+                self.short += 1
+                self._pause()
+                return
+            found.setblocking(False)
+            task = self.loop.create_task(self._take(found))
+            self._coming.add(task)
+            task.add_done_callback(self._coming.discard)
+
+    async def _take(self, found: socket.socket) -> None:
+        try:
+            await self.loop.connect_accepted_socket(self.connection, found)
+        except OSError:
+            found.close()
+
+    def _clear(self) -> bool:
+        """Make room for one in an orderly way: what has had its answer, else what has long said nothing, is told."""
+        for connection in islice(self.lingering, LOOKED_AT):
+            if connection.drained:
+                connection.abort()
+                return True
+        since = self.loop.time() - SILENT_S
+        for connection in list(islice(self.waiting, LOOKED_AT)):
+            if connection.since <= since and connection.silent:
+                connection.expire()
+        return False
+
     def opened(self, connection: IncomingConnection) -> None:
         self.connections[connection] = None
-        self.make_room()  # Guard: accepting never stops
+        if not self.orderly:
+            self.make_room()  # Guard: accepting never stops
         self.stage(connection, self.waiting)
 
     def closed(self, connection: IncomingConnection) -> None:
         self.stage(connection, None)
         self.connections.pop(connection, None)
+        if self.orderly and self.door.may_accept(len(self.connections) + len(self._coming)):
+            self._go_on()
 
     def stage(self, connection: IncomingConnection, stage: Stage | None) -> None:
         """Move a connection to a stage, None while a request is open. To stay in one changes nothing."""
@@ -161,7 +295,11 @@
 
     def close(self) -> None:
         if self._listener is not None:
+            self._pause()
             self._listener.close()
+            self._listener = None
+        for task in self._coming:
+            task.cancel()
         if self._sweep_timer is not None:
             self._sweep_timer.cancel()
 
@@ -195,4 +333,5 @@
                 if connection.since > now - limit_s:
                     break
                 connection.expire()
+        self._go_on()
         self._sweep_timer = self.loop.call_later(SWEEP_S, self._sweep)
--- a/orchidledge/core/outgoing.py
+++ b/orchidledge/core/outgoing.py
@@ -3,10 +3,15 @@
 from __future__ import annotations
 
 import asyncio
+import errno
 import select
 from collections.abc import Callable
 from typing import Any, Protocol
 
+OWN = frozenset(
+    (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
+)  # this process or machine lacks something
+
 
 class Exchange(Protocol):
     """What a connection tells of the one request that it carries: either of these, once."""
--- a/orchidledge/core/pool.py
+++ b/orchidledge/core/pool.py
@@ -13,11 +13,11 @@
 from orchidledge.brain import Balancer
 from orchidledge.core.address import Address
 from orchidledge.core.clock import Clock
+from orchidledge.core.turns import turns_of
 from orchidledge.core.types import Answer, Attempt, Back, Cause, Kind, Room
 
 log = logging.getLogger("orchidledge")
 
-NEVER_RAN = frozenset((api.Result.CONNECT_FAILED, api.Result.FULL, api.Result.MOOT))
 BACKSTOP_S = 0.005  # after which a request that the module left unanswered is answered for it
 FAULT_PAUSE_S = 0.5  # before an alarm or a watch is tried again that a fault of the module has lost
 
@@ -55,6 +55,7 @@
     ) -> None:
         """`watch` is called when the module wants news of the server list."""
         self.loop = asyncio.get_running_loop()
+        self.turns = turns_of(self.loop)
         self.settings = settings
         self.classes = {kind.name: kind for kind in settings.classes}
         self.clock = clock
@@ -68,6 +69,9 @@
         self.up: set[str] = set()
         self.counts: Counter[str] = Counter()
         self.timers: dict[str, asyncio.TimerHandle] = {}
+        self.own_ms = self.server_ms = (
+            0.0  # of all good answers: what this process took, and what servers did
+        )
         self._events: deque[api.Event] = deque()
         self._deciding = False
 
@@ -94,7 +98,8 @@
 
     def _decide(self, event: api.Event) -> list[api.Action]:
         try:
-            return self.balancer.handle(self.clock.ms(), event)
+            now = self.loop.time()
+            return self.balancer.handle(self.clock.ms(now), event, self.turns.lag(now) * 1000.0)
         except Exception:
             # Guard: a fault of the module must leave no caller without an answer, nor stop its clockwork.
             log.exception("the decision module failed on %s", type(event).__name__)
@@ -118,7 +123,7 @@
                 job = self.jobs.get(action.id)
                 if job is not None:
                     reply = job.reply if job.last is api.Result.ERROR else None
-                    self.answer(job, Answer(Kind.REFUSED, Cause.SHED, reply, action.retry_after_ms))
+                    self.answer(job, Answer(Kind.REFUSED, self._why(job), reply, action.retry_after_ms))
             case api.Fail():
                 job = self.jobs.get(action.id)
                 if job is not None:
@@ -135,6 +140,12 @@
             case api.Watch():
                 self.watch()
 
+    def _why(self, job: Job) -> Cause:
+        """Whose limit a refusal comes from."""
+        if job.last is api.Result.NO_ROOM:
+            return Cause.NO_ROOM
+        return Cause.SHED if self.up else Cause.NO_SERVER
+
     def _wake(self, delay_s: float, name: str) -> None:
         self.timers[name] = self.loop.call_later(delay_s, self._on_alarm, name)
 
@@ -227,12 +238,14 @@
         sent = api.Earlier(action.server, self.clock.ms(began))
         job.first = job.first or sent
 
-        def on_end(result: api.Result, reply: Any, report: dict[str, float] | None) -> None:
+        def on_end(
+            result: api.Result, reply: Any, report: dict[str, float] | None, own_s: float = 0.0
+        ) -> None:
             job.out -= 1
             job.attempts[number] = None
             if result.never_ran and job.first is sent:
                 job.first = None
-            self._outcome(action, number, job, result, began, reply, report)
+            self._outcome(action, number, job, result, began, reply, report, own_s)
 
         attempt = self.back.send(action.server, job.message, timeout, on_end)
         if attempt is None:
@@ -249,20 +262,25 @@
         began: float,
         reply: Any = None,
         report: dict[str, float] | None = None,
+        own_s: float = 0.0,
     ) -> None:
         """The one outcome of a send. The first good answer goes to the caller and ends its request."""
         self.counts[result.value] += 1
         if job is not None:
             job.last = result
-            job.may_have_run = job.may_have_run or result not in NEVER_RAN
+            job.may_have_run = job.may_have_run or not result.never_ran
             if result is api.Result.OK and reply is not None:
                 self.answer(job, Answer(Kind.SERVED, Cause.ANSWERED, reply))
             elif result is api.Result.ERROR:
                 job.reply = reply
             self._forget(job)
         done = job is None or job.done
-        latency = (self.loop.time() - began) * 1000.0
-        self.tell(api.Outcome(action.id, number, action.server, result, latency, done, report))
+        own_ms = own_s * 1000.0
+        latency = max(0.0, (self.loop.time() - began) * 1000.0 - own_ms)
+        if result is api.Result.OK:
+            self.own_ms += own_ms
+            self.server_ms += latency
+        self.tell(api.Outcome(action.id, number, action.server, result, latency, done, report, own_ms))
 
     # ------------------------------------------------------------ the server list
 
--- a/orchidledge/core/pooled.py
+++ b/orchidledge/core/pooled.py
@@ -8,15 +8,20 @@
 from __future__ import annotations
 
 import asyncio
+from collections import deque
 from dataclasses import dataclass, field
 from typing import Any
 
 from orchidledge.core.address import Address
-from orchidledge.core.outgoing import Outgoing
+from orchidledge.core.outgoing import OWN, Outgoing
+from orchidledge.core.turns import turns_of
 from orchidledge.core.types import OnEnd
 from orchidledge.interface import Result
+from orchidledge.limits.connections import Line
 
 IDLE_SHARE = 0.5  # of the time after which a server closes an idle connection: ours goes well before
+LOOKED_AT = 16  # of those in line, for one that goes to the server whose connection has become free
+OVERDUE = 4.0  # holds of a connection, after which the first in line is no longer passed
 
 
 @dataclass(slots=True, eq=False)
@@ -44,10 +49,22 @@
         self._server: _Server | None = None
         self._connection: Outgoing | None = None
         self._connect: asyncio.Task[None] | None = None
+        self._lined = False  # it stands in line for a connection
+        self._sent: float | None = None  # when its message was written
+        self._connect_s = 0.0  # of connecting, what was not this process's own
         loop = asyncio.get_running_loop()
-        self._end_at = loop.time() + timeout_s
+        self.began = loop.time()
+        self._end_at = self.began + timeout_s
         self._timer = loop.call_at(self._end_at, self._time_out)
 
+    @property
+    def over(self) -> bool:
+        return self._over
+
+    @property
+    def server(self) -> _Server | None:
+        return self._server
+
     def cancel(self) -> None:
         self._finish(Result.CANCELLED)
 
@@ -60,7 +77,8 @@
     def answered(self, response: Any) -> None:
         connection, self._connection = self._connection, None
         if connection is not None and self._server is not None:
-            self._pool.give_back(self._server, connection)
+            held_s = asyncio.get_running_loop().time() - (self._sent or self.began)
+            self._pool.give_back(self._server, connection, held_s)
         result, report = self._pool.outcome(self._message, response)
         self._finish(result, response, report)
 
@@ -72,26 +90,54 @@
 
     def begin(self, server: _Server) -> None:
         self._server = server
+        if self._pool.may_go_at_once and self.go():
+            return
+        if self._pool.stand_in_line(self, self._end_at - self.began):
+            server.waiting.add(self)
+            self._lined = True
+        else:
+            # Told later, as every result is, so that the action that asked for the attempt is over by then.
+            asyncio.get_running_loop().call_soon(self._finish, Result.NO_ROOM)
+
+    def go(self) -> bool:
+        """Have a connection, an idle one or one that is opened now; False if there is none to be had."""
+        server = self._server
+        assert server is not None
         connection = self._pool.take_idle(server)
         if connection is not None:
-            self._write(connection)
+            self.use(connection)
         elif self._pool.make_room():
+            self._lined = False
             server.waiting.add(self)
             self._connect = asyncio.create_task(self._open(server))
             self._pool.count_opening(self._connect)
         else:
-            # Told later, as every result is, so that the action that asked for the attempt is over by then.
-            asyncio.get_running_loop().call_soon(self.withdraw)
+            return False
+        return True
+
+    def use(self, connection: Outgoing) -> None:
+        """Go out on this connection."""
+        self._lined = False
+        if self._server is not None:
+            self._server.waiting.discard(self)
+        self._write(connection)
 
     async def _open(self, server: _Server) -> None:
+        loop, turns = asyncio.get_running_loop(), self._pool.turns
+        began, busy = loop.time(), turns.busy_s + turns.away_s
         try:
             async with asyncio.timeout(self._pool.connect_timeout_s):
                 connection = await self._pool.open(server.endpoint)
-        except (OSError, TimeoutError):
+        except (OSError, TimeoutError) as error:
             self._connect = None
-            self.withdraw()
+            # Guard: a descriptor that this process lacked was taken for a server that could not be reached.
+            own = isinstance(error, OSError) and error.errno in OWN
+            self._finish(Result.NO_ROOM if own else Result.CONNECT_FAILED)
             return
         self._connect = None
+        # While the loop had something to do it can't be told whether the server had answered already.
+        busy = turns.busy_s + turns.away_s - busy
+        self._connect_s = max(0.0, loop.time() - began - busy)
         server.waiting.discard(self)
         if self._over:
             connection.abort()
@@ -100,11 +146,15 @@
 
     def _write(self, connection: Outgoing) -> None:
         self._connection = connection
-        left = self._end_at - asyncio.get_running_loop().time()
+        self._sent = asyncio.get_running_loop().time()
+        left = self._end_at - self._sent
         self._pool.start(connection, self._message, left, self)
 
     def _time_out(self) -> None:
         # Guard: what has not been written whole has never run, and a refusal may then say so.
+        if self._lined:
+            self._finish(Result.NO_ROOM)
+            return
         sent = self._connection is not None and self._connection.written
         self._finish(Result.TIMEOUT if sent else Result.CONNECT_FAILED)
 
@@ -119,7 +169,13 @@
             self._connect.cancel()
         if self._connection is not None:  # closing is how an attempt is given up
             self._connection.abort()
-        self._on_end(result, response, report)
+        now = asyncio.get_running_loop().time()
+        server_s = self._connect_s
+        if self._sent is not None:
+            server_s += max(0.0, self._pool.turns.came(now) - self._sent)
+        if self._lined:
+            self._pool.leave_line()
+        self._on_end(result, response, report, max(0.0, now - self.began - server_s))
 
 
 class PooledBack:
@@ -133,6 +189,12 @@
         self._open: set[Outgoing] = set()
         self._opening: set[asyncio.Task[None]] = set()
         self._sweep_timer: asyncio.TimerHandle | None = None
+        self.turns = turns_of(asyncio.get_running_loop())
+        self.line = Line()
+        self._standing: deque[Attempt] = (
+            deque()
+        )  # those without a connection for want of room; some may be over
+        self._in_line = 0
 
     # ------------------------------------------------------------- for protocols
 
@@ -150,6 +212,7 @@
 
     def forget(self, connection: Outgoing) -> None:
         self._open.discard(connection)
+        self.advance()
 
     # ------------------------------------------------------------------- for pools
 
@@ -197,6 +260,11 @@
         attempt.begin(server)
         return attempt
 
+    @property
+    def waiting(self) -> int:
+        """Attempts that stand in line for a connection."""
+        return self._in_line
+
     def close(self) -> None:
         for name in list(self._servers):
             self.remove(name)
@@ -216,12 +284,62 @@
             connection.retire()
         return None
 
-    def give_back(self, server: _Server, connection: Outgoing) -> None:
+    @property
+    def may_go_at_once(self) -> bool:
+        return not self._in_line
+
+    def stand_in_line(self, attempt: Attempt, left_s: float) -> bool:
+        """Whether an attempt may wait for a connection: where it can be expected to get one in time."""
+        if not self.line.may_wait(self._in_line, self.limit, left_s):
+            return False
+        self._standing.append(attempt)
+        self._in_line += 1
+        return True
+
+    def leave_line(self) -> None:
+        """One that stood in line is over; it is passed when its turn comes."""
+        self._in_line -= 1
+
+    def advance(self) -> None:
+        """Let those in line go on for whom there is room now."""
+        while self._standing:
+            first = self._standing[0]
+            if first.over:
+                self._standing.popleft()
+            elif first.go():
+                self._standing.popleft()
+                self._in_line -= 1
+            else:
+                return
+
+    def _next_for(self, server: _Server, now: float) -> Attempt | None:
+        """Who in line gets a free connection to this server, unless the first one has waited for too long."""
+        while self._standing and self._standing[0].over:
+            self._standing.popleft()
+        if not self._standing or now - self._standing[0].began > OVERDUE * self.line.hold_s:
+            return None
+        for at in range(min(LOOKED_AT, len(self._standing))):
+            attempt = self._standing[at]
+            if attempt.server is server and not attempt.over:
+                del self._standing[at]
+                self._in_line -= 1
+                return attempt
+        return None
+
+    def give_back(self, server: _Server, connection: Outgoing, held_s: float) -> None:
+        now = asyncio.get_running_loop().time()
+        self.line.held(held_s)
+        if self._in_line and connection.usable and server in self._servers.values():
+            following = self._next_for(server, now)
+            if following is not None:
+                following.use(connection)
+                return
         if not connection.usable or server not in self._servers.values():
             connection.retire()
             return
         connection.idle_since = asyncio.get_running_loop().time()
         server.idle.append(connection)
+        self.advance()
         if self._sweep_timer is None:
             self._sweep_timer = asyncio.get_running_loop().call_later(self._idle_s / 4, self._sweep)
 
@@ -241,7 +359,11 @@
     def count_opening(self, task: asyncio.Task[None]) -> None:
         # Guard: counted from its start, as several sends of one turn of the loop would all see the same room.
         self._opening.add(task)
-        task.add_done_callback(self._opening.discard)
+        task.add_done_callback(self._opened)
+
+    def _opened(self, task: asyncio.Task[None]) -> None:
+        self._opening.discard(task)
+        self.advance()
 
     async def open(self, endpoint: Address) -> Outgoing:
         loop = asyncio.get_running_loop()
--- a/orchidledge/core/types.py
+++ b/orchidledge/core/types.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
 from dataclasses import dataclass
 from enum import Enum
 from typing import Any, Protocol
@@ -24,6 +23,8 @@
 
     ANSWERED = "answered"
     SHED = "shed"  # the decision module gave it up
+    NO_ROOM = "no room"  # the same, as this process could open no connection in time
+    NO_SERVER = "no server"  # the same, as no server is known
     TIMEOUT = "timeout"  # the last attempt got no answer in time
     BROKEN = "broken"  # the last attempt failed in another way
     LATE = "late"  # its time was up before the decision module had said anything
@@ -57,8 +58,14 @@
         return self.open >= self.limit
 
 
-# How an attempt ended: the result, the server's reply if one came, and the load report that it held.
-OnEnd = Callable[[Result, Any, dict[str, float] | None], None]
+class OnEnd(Protocol):
+    """Told how an attempt ended."""
+
+    def __call__(
+        self, result: Result, reply: Any, report: dict[str, float] | None, own_s: float = 0.0
+    ) -> None:
+        """The result, the server's reply if one came, the load report that it held, and what of the attempt's time
+        this process took itself: waiting for a connection of its own, for its loop to write and to read."""
 
 
 class Attempt(Protocol):
@@ -75,6 +82,10 @@
     def size(self) -> int:
         """Connections to servers, those that are being opened too."""
 
+    @property
+    def waiting(self) -> int:
+        """Attempts that wait for a connection, for want of room in this process."""
+
     def add(self, name: str, endpoint: Address, launched_ms: float | None = None) -> None:
         """Name a server, its new endpoint or its latest start (Unix time; None: long ago)."""
 
--- a/orchidledge/http/server.py
+++ b/orchidledge/http/server.py
@@ -21,6 +21,17 @@
 # Guard: of a repeated header the node could read one and a server another, so these may stand once only.
 FRAMING = frozenset(b"host content-length transfer-encoding expect".split())
 TARGET = re.compile(rb"/[\x21-\x7e]*")
+ABSOLUTE = re.compile(
+    rb"https?://(?P<authority>[\x21-\x2e\x30-\x3e\x40-\x7e]+)(?P<rest>[/?][\x21-\x7e]*)?", re.IGNORECASE
+)
+# What a Host may hold (RFC 3986, section 3.2, but for userinfo).
+HOST = re.compile(rb"[A-Za-z0-9._~%!$&'()*+,;=:\[\]-]*")
+UNREAD_BODY = 16 * 1024  # bytes of a body from which it is not waited for only to be refused
+PLAIN = (
+    b"GET ",
+    b"HEAD ",
+    b"DELETE ",
+)  # methods of requests that end with their head, where it speaks of no body
 
 
 @dataclass(slots=True, frozen=True)
@@ -33,6 +44,7 @@
     raw: bool = False  # whether the headers are kept as they came, beside those by name
     request_s: float | None = None  # instead of REQUEST_S
     idle_s: float | None = None  # instead of IDLE_S
+    standard: bool = False  # whether Host and the target follow RFC 9112, section 3.2
 
 
 @dataclass(slots=True, eq=False)
@@ -101,7 +113,9 @@
         self._size = 0
         self._in_head = False
         self._head = 0  # bytes that have come of a head that is not whole
+        self._came = self._server.loop.time()  # when what is handled came, at the earliest
         self._owes_continue = False  # a caller waits to be told to send its body
+        self._stuck = False  # the caller does not read what has been written to it
         self._fault = 0  # the status that ends this connection, once something was wrong on it
 
     def close_if_idle(self) -> bool:
@@ -113,9 +127,10 @@
 
     def expire(self) -> None:
         """Its time in this stage is over."""
-        if self._closing:
+        # Guard: a caller that does not read its answers would hold them, and its place, for ever.
+        if self._closing or self._stuck:
             self.abort()
-        elif self._partial is not None:
+        elif self._partial is not None or (self.silent and self._server.orderly):
             self._fail(408)
         else:
             self.close_if_idle()
@@ -125,6 +140,9 @@
     def data_received(self, data: bytes) -> None:
         if self._closing or (self._fault and self._calls):
             return  # read and dropped, so that no answer is lost to a reset and a caller's leaving is seen
+        self._came = self.arrived()
+        if self._server.refusal is not None and self._refused_unread(data):
+            return
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
@@ -135,14 +153,60 @@
             if self._head > MAX_HEAD + self._dialect.max_body:
                 self._fault = self._fault or 400
         if self._calls:
-            self._server.stage(self, None)
-            self._serve()
+            if not self._stuck:
+                self._server.stage(self, None)
+                self._serve()
         elif self._fault:
             self._fail(self._fault)
         elif self._partial is not None:
             # Guard: one deadline for a whole request; no byte but its first moves it.
             self._server.stage(self, self._server.waiting)
 
+    def _refused_unread(self, data: bytes) -> bool:
+        """Turn a whole request away without reading it, where none could be answered in time.
+
+        Guard: reading, routing and writing a refusal cost the core that answers needed.
+        """
+        assert self._server.refusal is not None
+        if self._calls or self._partial is not None or self._stuck:
+            return False
+        found = self._server.refusal(self._came)
+        if found is None or not data.startswith(PLAIN) or data.find(b"\r\n\r\n") != len(data) - 4:
+            return False
+        head = data.lower()
+        if (
+            b" http/1.1\r\n" not in head
+            or b"\r\ncontent-length:" in head
+            or b"\r\ntransfer-encoding:" in head
+        ):
+            return False
+        close = self._server.stopping or self._server.crowded or b"\r\nconnection:" in head
+        self._transport.write(found + (b"Connection: close\r\n\r\n" if close else b"\r\n"))
+        self.known = True
+        if close:
+            self._end()
+        else:
+            self._server.stage(self, self._server.idle)
+        return True
+
+    def pause_writing(self) -> None:
+        # Guard: a caller that asks on and never reads had its answers piled up here without end.
+        self._stuck = True
+        self._transport.pause_reading()
+        if not self._calls or not self._calls[0].begun:
+            self._server.stage(self, self._server.waiting)
+
+    def resume_writing(self) -> None:
+        self._stuck = False
+        if self._closing:
+            return
+        self._transport.resume_reading()
+        if self._calls:
+            self._server.stage(self, None)
+            self._serve()
+        else:
+            self._server.stage(self, self._server.idle)
+
     def connection_lost(self, exc: Exception | None) -> None:
         self._closing = True
         self._server.closed(self)
@@ -187,20 +251,53 @@
             return
         self._size = 0
         headers = self._partial.headers
+        version = self._parser.get_http_version()
+        hosted = self._has_host(headers)
+        if self._dialect.standard and (found := ABSOLUTE.fullmatch(self._partial.target)):
+            self._authority(self._partial, found)
         length, coding = headers.get(b"content-length"), headers.get(b"transfer-encoding")
         # Guard: a length beside a coding may hide a second request from one of two readers.
-        if coding is not None and (length is not None or coding.lower() != b"chunked"):
+        if coding is not None and (length is not None or coding.lower() != b"chunked" or version == "1.0"):
             self._fault = 400
+        elif self._dialect.standard and version == "1.1" and not hosted:
+            self._fault = 400  # RFC 9112, section 3.2
         elif length is not None and int(length) > self._dialect.max_body:
             self._fault = 413
         elif not TARGET.fullmatch(self._partial.target):
             self._fault = 400
-        elif self._parser.get_http_version() not in ("1.1", "1.0"):
+        elif version not in ("1.1", "1.0"):
             self._fault = 505
+        elif self._server.refusal is not None and self._too_long_to_refuse(headers):
+            self._fault = 503
         elif headers.get(b"expect", b"").lower() == b"100-continue":
             self._owes_continue = True
             self._continue()
 
+    @staticmethod
+    def _has_host(headers: dict[bytes, bytes]) -> bool:
+        """Whether the one Host that a request of 1.1 owes is there and could be one; it may be empty."""
+        host = headers.get(b"host")
+        return host is not None and HOST.fullmatch(host.strip(b" \t")) is not None
+
+    def _authority(self, call: Call, found: re.Match[bytes]) -> None:
+        """A target in absolute form: its authority stands in place of Host (RFC 9112, section 3.2.2)."""
+        rest, host = found["rest"] or b"/", found["authority"]
+        call.target = rest if rest.startswith(b"/") else b"/" + rest
+        if b"@" in host:  # RFC 9110, section 4.2.4: userinfo is an error in what comes from outside
+            self._fault = 400
+        call.headers[b"host"] = host
+        if self._dialect.raw:
+            call.raw = [
+                (b"Host", host),
+                *((name, value) for name, value in call.raw if name.lower() != b"host"),
+            ]
+
+    def _too_long_to_refuse(self, headers: dict[bytes, bytes]) -> bool:
+        """Whether no request can be answered in time, and this one's body would have to be waited for to say so."""
+        assert self._server.refusal is not None
+        long = b"transfer-encoding" in headers or int(headers.get(b"content-length", 0)) > UNREAD_BODY
+        return long and not self._calls and self._server.refusal(self._came) is not None
+
     def _continue(self) -> None:
         """Have the body come that a caller holds back, once the answers before it have gone."""
         if self._owes_continue and not self._calls:
@@ -217,7 +314,7 @@
         call, self._partial = self._partial, None
         if call is None or self._fault:
             return
-        call.arrived = self._server.loop.time()
+        call.arrived = self._came
         call.method = self._parser.get_method()
         call.keep_alive = self._parser.should_keep_alive()
         # Guard: a caller sends one request at a time; of one that sends more, only so much is held.
@@ -255,6 +352,8 @@
         self._calls.popleft()
         if close:
             self._end()
+        elif self._stuck:
+            self._server.stage(self, self._server.waiting)
         elif self._calls:
             self._server.loop.call_soon(self._next)
         elif self._fault:
@@ -265,21 +364,27 @@
             self._server.stage(self, self._server.waiting if owing else self._server.idle)
 
     def _next(self) -> None:
-        if self._calls and not self._closing:
+        if self._calls and not self._closing and not self._stuck:
             self._serve()
 
     def _fail(self, status: int) -> None:
         """Answer what can't be read as a request, and end the connection."""
-        self._transport.write(_head(status, 0, 0.0) + b"Connection: close\r\n\r\n")
+        refusal = self._server.refusal
+        head = refusal(self._came) if status == 503 and refusal is not None else None
+        self._transport.write((head or _head(status, 0, 0.0)) + b"Connection: close\r\n\r\n")
         self._end()
 
 
 class Server(Listener):
     """Listens to callers of HTTP/1.1."""
 
-    def __init__(self, limit: int, on_call: Callable[[Call], None], dialect: Dialect) -> None:
-        super().__init__(limit)
+    def __init__(
+        self, limit: int, on_call: Callable[[Call], None], dialect: Dialect, orderly: bool = False
+    ) -> None:
+        super().__init__(limit, orderly)
         self.on_call = on_call
+        # What a request that came then is to be refused with, unread: a head but for its last line; None: it is read.
+        self.refusal: Callable[[float], bytes | None] | None = None
         self.dialect = dialect
 
     def connection(self) -> ServerConnection:
--- a/orchidledge/interface.py
+++ b/orchidledge/interface.py
@@ -38,10 +38,11 @@
     RESET = "reset"
     CANCELLED = "cancelled"
     MOOT = "moot"
+    NO_ROOM = "no_room"  # this balancer had no connection to send it on: nothing is said of the server
 
     @property
     def never_ran(self) -> bool:
-        return self in (Result.FULL, Result.CONNECT_FAILED, Result.MOOT)
+        return self in (Result.FULL, Result.CONNECT_FAILED, Result.MOOT, Result.NO_ROOM)
 
 
 class ServerState(Enum):
@@ -92,6 +93,9 @@
     zone: str = ""
     tier: int = 0  # 0 is the tier that clients reach
     siblings: int = 1  # balancers that send to this tier, this one included
+    start_calls: float = 7.0  # in flight for each ready server, over all siblings, until its rate is known
+    quiet_calls: float = 2.0  # the same once it is, while latency is no load
+    near_ms: float = 0.0  # latencies that differ by less differ by little
     ask_discovery: bool = False
     worth_by_work: bool = False
     over_share_worth: float = 1.0
@@ -126,7 +130,7 @@
             _within(f"tenants[{at}].quota_per_s", tenant.quota_per_s, 0)
         for key in ("tier", "max_retry_after_ms", "cross_zone_price", "cold_ms"):
             _within(key, getattr(self, key), 0)
-        for key in ("retry_floor_per_s", "backoff_ms"):
+        for key in ("retry_floor_per_s", "backoff_ms", "near_ms"):
             _within(key, getattr(self, key), 0)
         if self.retry_share is not None:
             _within("retry_share", self.retry_share, 0, 1)
@@ -137,7 +141,7 @@
                 raise ValueError(
                     f"classes[{at}].hedge: only a safe class may be hedged, and from a retry budget"
                 )
-        for key in ("siblings", "max_attempts"):
+        for key in ("siblings", "max_attempts", "start_calls", "quiet_calls"):
             _within(key, getattr(self, key), 1)
         for key in ("ask_discovery", "worth_by_work", "may_cancel", "retry_after"):
             if not isinstance(getattr(self, key), bool):
@@ -233,9 +237,10 @@
     attempt: int
     server: str
     result: Result
-    latency_ms: float
+    latency_ms: float  # without the time that the balancer itself took
     done: bool  # the request has ended, by this or earlier
     report: dict[str, float] | None = None
+    own_ms: float = 0.0  # which is this
 
 
 @dataclass(slots=True)
--- /dev/null
+++ b/orchidledge/limits/turns.py
@@ -0,0 +1,74 @@
+"""The event loop's turns: since when what is handled now may have waited, and how late the loop is.
+
+A loop polls, handles all that was ready, and polls again. What a poll reports came after the poll before it, which
+did not report it; what ended a wait came at its end. That parts a node's own time from a server's with two time stamps
+a turn and nothing for each request.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+from statistics import quantiles
+
+WAITED_S = 50e-6  # a poll that took longer has waited for what it reports
+OVERSLEPT_S = 0.002  # beyond its time-out: the core was away
+HELD = 2048  # latest turns by which lags are told
+RISE, FALL = 0.5, 0.1  # how fast the smoothed turn follows a longer and a shorter one
+
+
+class Turns:
+    """Told of each poll, in the loop's seconds. One that is never told of any takes nothing for its own."""
+
+    def __init__(self) -> None:
+        self.told = False
+        self.polled = 0.0  # when the last poll ended
+        self.turn_s = 0.0  # smoothed length of a turn
+        self.busy_s = 0.0  # in all, between polls
+        self.away_s = 0.0  # in all, asleep beyond what was asked for
+        self._came = 0.0
+        self._latest: deque[float] = deque(maxlen=HELD)
+
+    def poll(self, began: float, ended: float, timeout: float | None, found: int) -> None:
+        """A poll has returned: when it began and ended, how long it might wait (None: without end), what it found."""
+        if not self.told:
+            self.told, self.polled = True, began
+        busy, waited = max(0.0, began - self.polled), ended - began
+        over = 0.0 if timeout is None else max(0.0, waited - max(0.0, timeout))
+        away = over if over > OVERSLEPT_S else 0.0
+        if away:
+            # Guard: a core that was taken away while the loop slept made every answer look as late as its return.
+            self._came = began
+        elif waited > WAITED_S:
+            self._came = ended
+        else:
+            self._came = self.polled
+        self.polled = ended
+        self.busy_s += busy
+        self.away_s += away
+        self.turn_s += (RISE if busy > self.turn_s else FALL) * (busy - self.turn_s)
+        if found or away:
+            self._latest.append(busy + away)
+
+    def came(self, now: float) -> float:
+        """The earliest moment at which what is handled now can have come."""
+        return min(self._came, now) if self.told else now
+
+    def lag(self, now: float) -> float:
+        """For how long what has come may not have been read yet: this turn so far, and the wait before it."""
+        return max(0.0, now - self._came) if self.told else 0.0
+
+    def lags_ms(self) -> tuple[float, float]:
+        """Median and 99th percentile of the latest turns that had something to do."""
+        if len(self._latest) < 2:
+            return 0.0, 0.0
+        cut = quantiles(self._latest, n=100)
+        return cut[49] * 1000.0, cut[98] * 1000.0
+
+
+def server_part(total_s: float, sent: float, came: float, now: float) -> float:
+    """Of an attempt that took `total_s` and whose last wait began at `sent`: what can't be this process's own.
+
+    `came`: the earliest moment at which its answer can have come. What lies between that and now is ours.
+    """
+    own = now - max(min(came, now), sent)
+    return max(0.0, total_s - own)
--- a/orchidledge/platform/front.py
+++ b/orchidledge/platform/front.py
@@ -54,10 +54,7 @@
             self.counts[f"bad {error.status}"] += 1
             call.answer(error.status)
             return
-        # Guard: while a sibling restarted, 200 connections idle for under 2 s held all the room, and requests
-        # were refused beside 10 open ones. So a whole request takes the place of the one idle for longest,
-        # however short; a mere connection doesn't. It would hurt where connecting costs callers much.
-        if self.pool.full or not self.server.make_room(spared_s=0.0):
+        if self.pool.full or not self.server.begins():
             # Guard: too many to hold. None of it has gone anywhere, so it is a refusal.
             self.counts["over the limit"] += 1
             call.answer(503)
--- a/orchidledge/runtime/admin.py
+++ b/orchidledge/runtime/admin.py
@@ -6,6 +6,7 @@
 | `/servers` | by pool: each server's state, zone, rank (less is picked first), calls in flight, errors |
 | `/requests` | by pool and class: requests open |
 | `/lists` | by pool: where its list comes from; of xDS: each resource's version, age, and what was rejected and why |
+| `/load` | the node's own lag and share of latency, each pool's cursor and load, and who refused what |
 | `/budgets` | by pool and class: first tries, retries, what was refused for lack of budget, time left, amplification |
 | `/up` | 200 once each pool knows a server, else 503 |
 """
@@ -32,6 +33,8 @@
 
     def budgets_row(self) -> dict[str, Any]: ...
 
+    def load_row(self) -> dict[str, Any]: ...
+
     @property
     def ready(self) -> bool: ...
 
@@ -55,6 +58,7 @@
             b"/requests": self._requests,
             b"/lists": self.subject.lists_row,
             b"/budgets": self.subject.budgets_row,
+            b"/load": self.subject.load_row,
         }
         if path == b"/up":
             call.pass_on(200 if self.subject.ready else 503, [], b"")
--- a/orchidledge/runtime/backs.py
+++ b/orchidledge/runtime/backs.py
@@ -31,6 +31,10 @@
     def size(self) -> int:
         return self.http.size + self.thrift.size
 
+    @property
+    def waiting(self) -> int:
+        return self.http.waiting + self.thrift.waiting
+
     @property
     def limit(self) -> int:
         """Connections; half of them of each protocol."""
--- a/orchidledge/runtime/front.py
+++ b/orchidledge/runtime/front.py
@@ -20,8 +20,10 @@
 from orchidledge.core.types import Answer, Cause, Kind
 from orchidledge.http.client import NO_BODY, Header, Response
 from orchidledge.http.server import Call, Dialect, Server
+from orchidledge.limits.whose import Whose
 from orchidledge.router.router import Router
 from orchidledge.runtime.budgets import Asked, FrontBudget
+from orchidledge.runtime.gate import Gate
 from orchidledge.runtime.taking import WAY_BACK_S, ids, patience_ms
 from orchidledge.settings import report_from
 
@@ -127,9 +129,12 @@
         deadline_header: str,
         tenant: str | None,
         budget: FrontBudget | None,
+        gate: Gate,
     ) -> None:
         self.plan = plan
-        self.server = Server(limit, self._on_call, dialect)
+        self.gate = gate
+        self.server = Server(limit, self._on_call, dialect, orderly=True)
+        self.server.refusal = gate.refusal
         self.counts: Counter[str] = Counter()
         self.configure(deadline_header, tenant, budget)
         self._ids = ids()
@@ -158,6 +163,10 @@
             return
         pool = plan.pools[route.pool]
         kind = pool.classes[route.service]
+        # Before anything else is spent on it; a request that this core can't answer in time is only made later by more.
+        if not self.gate.allows(pool, kind, call.arrived):
+            self._turn_away(call, route.pool, kind.name, Whose.CORE, self.gate.retry_after_ms)
+            return
         wanted = patience_ms(kind, route.deadline_ms)
         given = call.headers.get(self._deadline)
         if given is not None and not DEADLINE.fullmatch(given):
@@ -191,15 +200,16 @@
                 self._deny(call, 508, "proxy_loop_detected", f"it never ran; {found.value}")
                 return
             if isinstance(found, Denial):
-                self._refuse(call, 0.0, "http_request_timeout", why=found.value)
+                self.gate.tally.add(route.pool, kind.name, Whose.TIME)
+                self._refuse(call, 0.0, Whose.TIME.error, why=found.value)
                 return
             ticket, wanted, tenant = found, found.grant.wait_ms, found.tenant
             late = partial(self._say, call, *FAILURES[Cause.LATE], "failed: it may have run")
             if ticket.settle(call, partial(self._pass_on, call), late):
                 return
-        if pool.full or not self.server.make_room(spared_s=0.0):
+        if pool.full or not self.server.begins():
             # Guard: too many to hold. None of it has gone anywhere, so it is a refusal.
-            self._refuse(call, 0.0, "connection_limit_reached")
+            self._turn_away(call, route.pool, kind.name, Whose.OPEN if pool.full else Whose.CALLERS)
             return
         give_up_at = call.arrived + wanted / 1000.0 - WAY_BACK_S
         asked_here = Asked(pool, next(self._ids), ticket)
@@ -219,7 +229,9 @@
             if answer.reply is not None:  # a box's word, its errors too
                 self._pass_on(call, answer.reply)
             elif answer.kind is Kind.REFUSED:
-                self._refuse(call, answer.retry_after_ms, "destination_unavailable", job.may_have_run)
+                pool: str = job.message.host
+                whose = self.gate.refused(pool, job.kind, answer.cause, bool(job.attempts))
+                self._refuse(call, answer.retry_after_ms, whose.error, job.may_have_run, whose.words)
             else:
                 status, error = FAILURES[answer.cause]
                 self._say(call, status, error, "failed: it may have run")
@@ -235,6 +247,11 @@
     def _deny(self, call: Call, status: int, error: str, why: str) -> None:
         self._say(call, status, error, f"refused: {why}")
 
+    def _turn_away(self, call: Call, pool: str, kind: str, whose: Whose, retry_after_ms: float = 0.0) -> None:
+        """Refuse what nothing has been done for."""
+        self.gate.tally.add(pool, kind, whose)
+        self._refuse(call, retry_after_ms, whose.error, why=whose.words)
+
     def _refuse(
         self, call: Call, retry_after_ms: float, error: str, ran: bool = False, why: str = ""
     ) -> None:
--- a/orchidledge/runtime/sidecar.py
+++ b/orchidledge/runtime/sidecar.py
@@ -18,20 +18,29 @@
 from orchidledge.core.listener import Listener
 from orchidledge.core.pool import Pool
 from orchidledge.core.types import Cause, Room
-from orchidledge.http.server import FRAMING, Dialect
+from orchidledge.http.server import Dialect
+from orchidledge.limits.connections import share_out
 from orchidledge.lists.discovery import Listing, Watcher, news_of, watch_ms
-from orchidledge.lists.membership import Entry, Roster
-from orchidledge.router.calls import CallTable
-from orchidledge.router.router import Router
+from orchidledge.lists.membership import Roster
 from orchidledge.runtime.admin import Admin
 from orchidledge.runtime.backs import AnyBack, back_of, form_of, message_limit, rewire
 from orchidledge.runtime.budgets import Budgets, FrontBudget, front_budget
+from orchidledge.runtime.building import (
+    DEFAULT_KEY,
+    ReloadError,
+    calls_of,
+    connects_alike,
+    decisive,
+    descriptors_of,
+    importable,
+    router_of,
+    settings_of,
+    static,
+)
 from orchidledge.runtime.front import Plan, SidecarFront
+from orchidledge.runtime.gate import Gate
 from orchidledge.runtime.thrift import ThriftFront, ThriftPlan
-from orchidledge.sidecar.checks import SPARE_DESCRIPTORS, call_route_of, route_of
 from orchidledge.sidecar.models import (
-    BudgetModel,
-    ClassModel,
     Configuration,
     ListenerModel,
     ListSource,
@@ -48,68 +57,8 @@
 
 log = logging.getLogger("orchidledge")
 
-INBOUND_SHARE = 0.58  # of the descriptors: callers' connections;
-UPSTREAM_SHARE = 0.35  # boxes'; what is left takes in a burst before others have been closed
 STATS_S = 10.0
 RETIRE_S = 0.05  # between two looks at what a reload has retired
-EFFECTS = {"safe": api.Effect.SAFE, "keyed": api.Effect.KEYED, "unsafe": api.Effect.UNSAFE}
-SPREAD = 0.5  # of Retry-After, where there is a budget
-DEFAULT_KEY = "Idempotency-Key"
-
-
-class ReloadError(Exception):
-    """A configuration that can't be put in force; nothing has changed."""
-
-
-def settings_of(configuration: Configuration, pool: PoolModel) -> api.Settings:
-    """What the decision module of a pool is told."""
-    rules = configuration.rules
-    source = pool.servers_from
-    return api.Settings(
-        classes=tuple(_kind(item) for item in configuration.classes if item.pool == pool.name),
-        tenants=tuple(api.Tenant(item.name, item.quota_per_s) for item in configuration.tenants),
-        zone=configuration.zone,
-        siblings=pool.siblings,
-        ask_discovery=source is not None and source.source == "discovery" and source.mode != "push",
-        over_share_worth=rules.over_share_worth,
-        report_fields=tuple(pool.report_fields),
-        may_cancel=rules.may_cancel,
-        retry_after=rules.retry_after,
-        max_retry_after_ms=rules.max_retry_after_ms,
-        max_attempts=rules.max_attempts,
-        cross_zone_price=rules.cross_zone_price,
-        cold_from=rules.cold_from,
-        cold_ms=rules.cold_ms,
-        overload_factor=rules.overload_factor,
-        **_retries(configuration.budget),
-    )
-
-
-def _retries(budget: BudgetModel | None) -> dict[str, Any]:
-    if budget is None:
-        return {}
-    return {
-        "retry_share": budget.share,
-        "retry_floor_per_s": budget.floor_per_s,
-        "retry_window_ms": budget.window_ms,
-        "retry_after_spread": SPREAD,
-        "backoff_ms": budget.backoff_ms,
-    }
-
-
-def _kind(item: ClassModel) -> api.ServiceClass:
-    return api.ServiceClass(
-        name=item.name,
-        aim_ms=item.aim_ms,
-        give_up_ms=item.give_up_ms,
-        worth=item.worth,
-        late_worth=item.late_worth,
-        effect=EFFECTS[item.effect],
-        scope=api.Scope(item.key_scope or "all"),
-        memory_ms=item.memory_ms or 0.0,
-        max_attempts=item.attempts or 0,
-        hedge=bool(item.hedge),
-    )
 
 
 @dataclass(slots=True)
@@ -147,6 +96,7 @@
         self.rejected: dict[str, Any] | None = None
         self.room = Room(configuration.limits.max_open)
         self.budgets = Budgets()
+        self.gate = Gate(lambda: self.pools.values(), lambda: self.room.open > 0)
         self.managed: dict[str, _Managed] = {}
         self.listeners: dict[str, _Open] = {}
         self.admin: Admin | None = None
@@ -178,6 +128,10 @@
     def budgets_row(self) -> dict[str, Any]:
         return self.budgets.rows(self.pools)
 
+    def load_row(self) -> dict[str, Any]:
+        listeners = {name: item.front.server for name, item in self.listeners.items()}
+        return self.gate.row(listeners, self.pools)
+
     def lists_row(self) -> dict[str, Any]:
         """Where each pool's list comes from, and how old its news is where the source tells."""
         rows: dict[str, Any] = {}
@@ -198,6 +152,7 @@
         """Put the configuration in force. OSError if an address can't be had, ReloadError if what it needs is not
         installed; then nothing is left open."""
         await self._put(self.configuration)
+        self.gate.start()
         self._stats()
 
     async def reload(self, configuration: Configuration) -> None:
@@ -235,6 +190,7 @@
             self.admin.server.close()
         for managed in (*self.managed.values(), *self._old):
             managed.close()
+        self.gate.close()
         if self._stats_timer is not None:
             self._stats_timer.cancel()
 
@@ -242,14 +198,13 @@
 
     async def _put(self, new: Configuration) -> None:
         """First all that may fail, then the change in one step of the loop."""
-        _importable(new)
-        usable = new.limits.descriptors - SPARE_DESCRIPTORS
-        callers = max(1, int(usable * INBOUND_SHARE) // len(new.listeners))
-        boxes = max(1, int(usable * UPSTREAM_SHARE) // len(new.pools))
+        importable(new)
+        shares = share_out(descriptors_of(new), len(new.listeners), len(new.pools))
+        callers, boxes = shares.callers, shares.servers
         pools = {model.name: self._pool(new, model, boxes) for model in new.pools}
         plan = Plan(
             name=new.name,
-            router=_router(new),
+            router=router_of(new),
             pools={name: managed.pool for name, managed in pools.items()},
             key_headers={
                 item.name: (item.key_header or DEFAULT_KEY).lower().encode()
@@ -258,7 +213,7 @@
             },
         )
         thrift_plan = ThriftPlan(
-            table=_calls(new),
+            table=calls_of(new),
             pools=plan.pools,
             forms={model.name: form_of(model) for model in new.pools},
             tenants=frozenset(item.name for item in new.tenants),
@@ -280,11 +235,12 @@
             idle_s=new.limits.caller_idle_ms / 1000.0,
         )
         dialect = Dialect(
-            once=_decisive(new),
+            once=decisive(new),
             max_body=new.limits.max_body_bytes,
             raw=True,
             request_s=new.limits.request_ms / 1000.0,
             idle_s=new.limits.caller_idle_ms / 1000.0,
+            standard=True,
         )
         listeners: dict[str, _Open] = {}
         bound: list[tuple[Listener, socket.socket]] = []
@@ -299,18 +255,19 @@
                 if found is None:
                     front: SidecarFront | ThriftFront
                     if model.protocol == "thrift":
-                        front = ThriftFront(callers, limits, thrift_plan)
+                        front = ThriftFront(callers, limits, thrift_plan, self.gate)
                     else:
                         front = SidecarFront(
-                            callers, dialect, plan, model.deadline_header, model.tenant, None
+                            callers, dialect, plan, model.deadline_header, model.tenant, None, self.gate
                         )
-                    bound.append((front.server, Listener.bind(host, port)))
+                    bound.append((front.server, _bind(model.address, f"listener {model.name!r}", host, port)))
                     found = _Open(key, front)
                 listeners[model.name] = found
             if admin_key != self._admin_key:
                 admin = Admin(self) if new.admin else None
                 if admin is not None:
-                    bound.append((admin.server, Listener.bind(*parse_address(admin_key))))
+                    host, port = parse_address(admin_key)
+                    bound.append((admin.server, _bind(admin_key, "admin", host, port)))
         except OSError:
             for _, raw in bound:
                 raw.close()
@@ -342,6 +299,7 @@
         old_admin = self.admin if admin is not self.admin else None
         before = self.managed
         self.room.limit = new.limits.max_open
+        self.gate.configure(new.name, new.rules.retry_after and new.rules.max_retry_after_ms >= 1000.0)
         self.listeners, self.managed = listeners, pools
         self.admin, self._admin_key = admin, admin_key
         for pool_model in new.pools:
@@ -373,7 +331,7 @@
         """The pool that is there if its decisions would be the same, else a new one."""
         settings = settings_of(new, model)
         known = self.managed.get(model.name)
-        if known is not None and known.settings == settings and _connects_alike(known.model, model):
+        if known is not None and known.settings == settings and connects_alike(known.model, model):
             return known
         back = back_of(new, model, boxes)
         pool = Pool(settings, random.getrandbits(64), self.clock, back, self.room)
@@ -394,7 +352,7 @@
         going, managed.watcher = managed.watcher, None
         if source.source == "static":
             managed.roster = Roster(starts_known=True)
-            managed.pool.on_list(*managed.roster.tell(self.clock.ms(), _static(source)).told)
+            managed.pool.on_list(*managed.roster.tell(self.clock.ms(), static(source)).told)
         elif source.source == "xds":
             self._follow_xds(managed, source, new, old)
         elif isinstance(going, Watcher) and before is not None and before.mode == source.mode:
@@ -475,65 +433,24 @@
         figures = ", ".join(f"{name} {count}" for name, count in sorted(counts.items()))
         callers = sum(len(item.front.server.connections) for item in self.listeners.values())
         log.info("%s: %s; open %d, callers %d", self.configuration.name, figures, self.room.open, callers)
+        log.info("%s: %s", self.configuration.name, self.gate.line(self.pools.values()))
         self._stats_timer = self.loop.call_later(STATS_S, self._stats)
 
 
-def _importable(configuration: Configuration) -> None:
-    """ReloadError unless what the lists need is installed.
+def _bind(address: str, place: str, host: str, port: int) -> socket.socket:
+    """A bound socket; OSError that names the address and who wants it."""
+    try:
+        return Listener.bind(host, port)
+    except OSError as error:
+        raise PlacedError(error.errno or 0, error.strerror or str(error), place, address) from error
 
-    Guard: found out while the change is made, it would leave half of it in force.
-    """
-    sources = [pool.servers_from for pool in configuration.pools]
-    if any(source is not None and source.source == "xds" for source in sources):
-        try:
-            import orchidledge.runtime.xds  # noqa: F401
-        except ImportError as error:
-            raise ReloadError(
-                f"a list from xDS needs the extra: pip install 'orchidledge[xds]' ({error})"
-            ) from error
-
-
-def _router(configuration: Configuration) -> Router:
-    pools = {item.name: item.pool for item in configuration.classes}
-    return Router(
-        route_of(route, route.service, pools[route.service], route.deadline_ms)
-        for route in configuration.routes
-        if route.path is not None
-    )
-
-
-def _calls(configuration: Configuration) -> CallTable:
-    pools = {item.name: item.pool for item in configuration.classes}
-    return CallTable(
-        call_route_of(route, route.service, pools[route.service], route.deadline_ms)
-        for route in configuration.routes
-        if route.call is not None
-    )
-
-
-def _decisive(configuration: Configuration) -> frozenset[bytes]:
-    """The headers that something is decided by, by lower-case name.
-
-    Guard: of a repeated one the sidecar could read one value and the box another, and decide for another class.
-    """
-    names = [listener.deadline_header for listener in configuration.listeners]
-    names += [item.key_header or DEFAULT_KEY for item in configuration.classes if item.effect == "keyed"]
-    names += [header.name for route in configuration.routes for header in route.headers]
-    return FRAMING | {name.lower().encode() for name in names}
-
-
-def _connects_alike(one: PoolModel, other: PoolModel) -> bool:
-    # What an xDS list states of levels and limits does not hold for another kind of list.
-    kinds = {item.servers_from.source for item in (one, other) if item.servers_from is not None}
-    alike = "xds" not in kinds or len(kinds) == 1
-    return alike and all(
-        getattr(one, key) == getattr(other, key)
-        for key in ("server_idle_ms", "connect_timeout_ms", "protocol", "thrift")
-    )
-
-
-def _static(source: ListSource) -> list[Entry]:
-    return [
-        Entry(api.Server(item.id, item.zone, item.cell), parse_address(item.address))
-        for item in source.servers
-    ]
+
+class PlacedError(OSError):
+    """An address that can't be had: `place` says who wants it."""
+
+    def __init__(self, number: int, text: str, place: str, address: str) -> None:
+        super().__init__(number, text)
+        self.place, self.address = place, address
+
+    def __str__(self) -> str:
+        return f"{self.place}: address {self.address} can't be had: {self.strerror}"
--- a/orchidledge/runtime/thrift.py
+++ b/orchidledge/runtime/thrift.py
@@ -23,8 +23,10 @@
 from orchidledge.budget.decider import Denial
 from orchidledge.core.pool import Job, Pool
 from orchidledge.core.types import Answer, Cause, Kind
+from orchidledge.limits.whose import Whose
 from orchidledge.router.calls import CallTable
 from orchidledge.runtime.budgets import Asked, FrontBudget
+from orchidledge.runtime.gate import Gate
 from orchidledge.runtime.taking import WAY_BACK_S, ids, patience_ms
 from orchidledge.thrift.client import Outbound
 from orchidledge.thrift.codec import check, field_at, transcode, with_text
@@ -61,6 +63,7 @@
     """A call on its way, and the ones that it answers."""
 
     asked: Asked | None = None
+    pool: str = ""
     form: Form = Form.BINARY  # of the body
     budget_field: int | None = None  # the argument that says so; None: nothing is carried
     others: list[str] = field(default_factory=list)  # members of baggage that are not ours
@@ -79,9 +82,10 @@
 class ThriftFront:
     """One listener. Its plan is asked for anew with each call, so that a reload changes it in one step."""
 
-    def __init__(self, limit: int, limits: Limits, plan: ThriftPlan) -> None:
+    def __init__(self, limit: int, limits: Limits, plan: ThriftPlan, gate: Gate) -> None:
         self.plan = plan
-        self.server = ThriftServer(limit, self._on_call, limits, self._on_fault)
+        self.gate = gate
+        self.server = ThriftServer(limit, self._on_call, limits, self._on_fault, orderly=True)
         self.counts: Counter[str] = Counter()
         self.configure(None, None)
         self._ids = ids()
@@ -116,6 +120,9 @@
         pool = plan.pools[route.pool]
         form = plan.forms[route.pool]
         kind = pool.classes[route.service]
+        if not self.gate.allows(pool, kind, call.arrived):
+            self._turn_away(call, route.pool, kind.name, Whose.CORE, self.gate.retry_after_ms)
+            return
         try:
             # What can't be read here would only be learnt by a box that goes to pieces over it.
             if form.compact == asked.form.compact:
@@ -152,6 +159,7 @@
                 self._deny(call, ExceptionKind.UNKNOWN_METHOD, found.value)
                 return
             if isinstance(found, Denial):
+                self.gate.tally.add(route.pool, kind.name, Whose.TIME)
                 self._refuse(call, 0.0, found.value)
                 return
             ticket, wanted, tenant = found, found.grant.wait_ms, found.tenant
@@ -162,14 +170,16 @@
         give_up_at = call.arrived + wanted / 1000.0 - WAY_BACK_S
         if give_up_at - pool.loop.time() < LEAST_S:
             # It waited behind another on its connection. None of it has gone anywhere.
+            self.gate.tally.add(route.pool, kind.name, Whose.TIME)
             self._refuse(call, 0.0, "its time was up before its turn came")
             return
-        if pool.full or not self.server.make_room(spared_s=0.0):
-            self._refuse(call, 0.0, "too many calls are open")
+        if pool.full or not self.server.begins():
+            self._turn_away(call, route.pool, kind.name, Whose.OPEN if pool.full else Whose.CALLERS)
             return
         asked_here = Asked(pool, next(self._ids), ticket)
         request = asked_here.request(kind, give_up_at, tenant)
         message = Passing(asked.kind, asked.name, body, asked=asked_here, form=form, others=others)
+        message.pool = route.pool
         message.budget_field = plan.budget_fields.get(route.pool)
         if call.oneway:
             message.oneway_s = plan.oneway_s.get(kind.name, kind.aim_ms / 1000.0)
@@ -211,16 +221,17 @@
         assert message.asked is not None
         size = 0 if answer.reply is None else len(answer.reply.body)
         for call in message.asked.answered(job, answer, size):
-            self._reply(call, message, answer)
+            self._reply(call, job, message, answer)
 
-    def _reply(self, call: ThriftCall, message: Passing, answer: Answer) -> None:
+    def _reply(self, call: ThriftCall, job: Job, message: Passing, answer: Answer) -> None:
         if answer.reply is not None:
             self._pass_on(call, answer.reply)
         elif answer.kind is Kind.SERVED:
             self.counts["oneway sent"] += 1
             call.reply(MessageKind.REPLY, call.message.name, b"")
         elif answer.kind is Kind.REFUSED:
-            self._refuse(call, answer.retry_after_ms, "no box takes it now", message.sent > 0)
+            whose = self.gate.refused(message.pool, job.kind, answer.cause, bool(job.attempts))
+            self._refuse(call, answer.retry_after_ms, whose.words or "no box takes it now", message.sent > 0)
         else:
             kind, why = WORDS[answer.cause]
             if message.sent:
@@ -242,6 +253,13 @@
     def _deny(self, call: ThriftCall, kind: int, why: str) -> None:
         self._say(call, kind, bad_call(why), "bad call")
 
+    def _turn_away(
+        self, call: ThriftCall, pool: str, kind: str, whose: Whose, retry_after_ms: float = 0.0
+    ) -> None:
+        """Refuse what nothing has been done for."""
+        self.gate.tally.add(pool, kind, whose)
+        self._refuse(call, retry_after_ms, whose.words)
+
     def _refuse(self, call: ThriftCall, retry_after_ms: float, why: str, sent: bool = False) -> None:
         # A safe call may be refused after an attempt of which nothing is known; a repeat of it does no harm either.
         ran = "may have run" if sent else "never ran"
--- a/orchidledge/sidecar/checks.py
+++ b/orchidledge/sidecar/checks.py
@@ -237,7 +237,9 @@
     return {item.name: by_name[item.pool] for item in classes if item.pool in by_name}
 
 
-def _limits(descriptors: int, parts: int, most: int | None, path: Path, say: Say) -> None:
+def _limits(descriptors: int | None, parts: int, most: int | None, path: Path, say: Say) -> None:
+    if descriptors is None:
+        return
     if most is not None and descriptors > most:
         say(path, f"{descriptors} is more than a process may have here", f"at most {most}")
     least = SPARE_DESCRIPTORS + parts * LEAST_EACH
--- a/orchidledge/sidecar/derive.py
+++ b/orchidledge/sidecar/derive.py
@@ -82,7 +82,7 @@
             say(("tenant",), f"the catalogue {self.catalogue.name} has no tenants", "leave it out")
         for key in ("descriptors", "max_open", "max_body_bytes"):
             wanted, most = getattr(app.limits, key), getattr(cat.limits, key)
-            if wanted is not None and wanted > most:
+            if wanted is not None and most is not None and wanted > most:
                 path: Path = ("limits", key)
                 self._over(path, f"{wanted}", self.catalogue.at(path), f"{most}")
         by_name = {item.name: (at, item) for at, item in enumerate(cat.classes)}
--- a/orchidledge/sidecar/models.py
+++ b/orchidledge/sidecar/models.py
@@ -80,7 +80,9 @@
 class Limits(Model):
     """What one sidecar may hold."""
 
-    descriptors: int = Field(256, ge=64, le=1_048_576)
+    descriptors: int | None = Field(
+        None, ge=64, le=1_048_576, description="what the process may have, at most 65536, by default"
+    )
     max_open: int = Field(1000, ge=1, le=1_000_000, description="requests open at once")
     max_body_bytes: int = Field(1_048_576, ge=0, le=67_108_864)
     request_ms: Milliseconds = Field(30_000.0, description="for a request to come in whole")
@@ -166,6 +168,13 @@
     siblings: int = Field(
         1, ge=1, le=100_000, description="sidecars and nodes that use the pool, this one too"
     )
+    start_calls: float | None = Field(
+        None,
+        ge=1,
+        le=1_000_000,
+        description="in flight for each box, over all siblings, until rates are known; 64 for each second of the "
+        "shortest aim, from 7 to 64, by default",
+    )
     round_trip_ms: float = Field(1.0, ge=0, le=60_000, description="of the network, to the farthest box")
     connect_timeout_ms: Milliseconds = 250.0
     server_idle_ms: Milliseconds = Field(10_000.0, description="after which a box closes an idle connection")
--- a/orchidledge/thrift/server.py
+++ b/orchidledge/thrift/server.py
@@ -90,7 +90,7 @@
     def data_received(self, data: bytes) -> None:
         if self._closing or self._fault is not None:
             return
-        now = self._server.loop.time()
+        now = self.arrived()
         for found in self._decoder.feed(data):
             if isinstance(found, ProtocolError):
                 self._fault = (ExceptionKind.PROTOCOL_ERROR, str(found))
@@ -217,9 +217,10 @@
         on_call: Callable[[ThriftCall], None],
         limits: Limits,
         on_fault: Callable[[str], None] = lambda text: None,
+        orderly: bool = False,
     ) -> None:
         """`on_fault` hears of what could not be read as a call."""
-        super().__init__(limit)
+        super().__init__(limit, orderly)
         self.on_call = on_call
         self.on_fault = on_fault
         self.limits = limits
--- a/tests/sidecar/test_drift.py
+++ b/tests/sidecar/test_drift.py
@@ -68,6 +68,7 @@
     (f"{POOL}.thrift.port_offset", 9, True, None),
     (f"{POOL}.thrift.budget_field", 9, True, None),
     (f"{POOL}.siblings", 9, True, Rule.COLD),
+    (f"{POOL}.start_calls", 9.0, True, None),
     (f"{POOL}.round_trip_ms", 1.0, True, None),
     (f"{POOL}.connect_timeout_ms", 1.0, True, None),
     (f"{POOL}.server_idle_ms", 1.0, True, None),
