Own core and descriptors as limits: what would be late is refused unread, places are kept

Tried and not kept: refusing whenever two turns beyond the wait were over a share of the aim, which at 4,096 callers on an idle pool refused everything for good; now a turn takes what it can do in its own length.

--- a/orchidledge/brain.py
+++ b/orchidledge/brain.py
@@ -296,12 +296,27 @@
         job = self.jobs[request.id] = _Job(request, kind, now, units)
         queue = sum([peer.load for peer in self.ready])
         job.beside = queue + units
+        full = not request.admitted and self._full(now, request, kind, queue)
+        if full or not self._begin(now, job, acts):
+            self._answer(job, acts)
+
+    def _full(self, now: float, request: api.Request, kind: api.ServiceClass, queue: float) -> bool:
+        """Whether the table turns a request away, so many calls being in flight."""
         room = self.threshold(self._worth(now, request, kind), len(self.ready)) - queue
         # Guard: one call from each of hundreds of balancers kept a jam alive, so a fraction of one is drawn.
         full = room < 1.0 and self.rng.random() >= room
-        full = full or (self.levels is not None and self.rng.random() < self.levels.drop)
-        if full or not self._begin(now, job, acts):
-            self._answer(job, acts)
+        return full or (self.levels is not None and self.rng.random() < self.levels.drop)
+
+    def turns_away(self, now: float, request: api.Request) -> api.Refuse | None:
+        """The table's word alone, for a host that asks before it makes anything of a request. One that is let
+        in is to be told as `admitted`, once; one that may have run before is let in to be looked at.
+
+        Guard: at five times what servers bear, a refusal cost most of what an answer does.
+        """
+        queue = sum([peer.load for peer in self.ready])
+        if request.earlier is not None or not self._full(now, request, self.kinds[request.service], queue):
+            return None
+        return api.Refuse(request.id, self._retry_after())
 
     def _begin(self, now: float, job: _Job, acts: list[api.Action]) -> bool:
         """The first attempt.
@@ -522,18 +537,21 @@
         """The one final answer: a refusal where it is true that a retry is harmless, else a failure."""
         ran = job.may_have_run() or job.request.earlier is not None
         if not ran or job.kind.effect is api.Effect.SAFE:
-            wait = 0.0
-            if self.cfg.retry_after and self.cfg.tier == 0:
-                wait = self.period_ms * self.cursor
-                if self.cfg.retry_after_spread > 0.0:
-                    # Guard: callers that were turned away together were all told to come back at one moment.
-                    wait *= 1.0 + self.cfg.retry_after_spread * self.rng.uniform(-1.0, 1.0)
-                wait = min(self.cfg.max_retry_after_ms, wait)
-            acts.append(api.Refuse(job.request.id, wait))
+            acts.append(api.Refuse(job.request.id, self._retry_after()))
         else:
             acts.append(api.Fail(job.request.id))
         self._end(job, acts)
 
+    def _retry_after(self) -> float:
+        """When a refused caller is told to come back, in ms; 0: nothing is said."""
+        if not self.cfg.retry_after or self.cfg.tier != 0:
+            return 0.0
+        wait = self.period_ms * self.cursor
+        if self.cfg.retry_after_spread > 0.0:
+            # Guard: callers that were turned away together were all told to come back at one moment.
+            wait *= 1.0 + self.cfg.retry_after_spread * self.rng.uniform(-1.0, 1.0)
+        return min(self.cfg.max_retry_after_ms, wait)
+
     def _end(self, job: _Job, acts: list[api.Action]) -> None:
         if not job.done:
             job.done = True
--- a/orchidledge/core/listener.py
+++ b/orchidledge/core/listener.py
@@ -12,10 +12,13 @@
 from orchidledge.core.turns import turns_of
 from orchidledge.limits.connections import SILENT_S, Door
 
-BACKLOG = 1024
+BACKLOG = 4096  # connections that wait in the kernel, where it allows so many
 SPARED_S = 2.0  # of which an idle connection is spared where room is short and no request waits for it
 LINGER_S = 0.5  # how long what a caller still sends after a fatal answer is read and dropped
 SWEEP_S = 0.1
+SPARE = 4  # places for connections of which it is seen only then that they can't be refused at once
+TAKEN_AT_ONCE = 64  # connections that are taken in one turn, at most,
+AT_ONCE = 256  # and those that are looked at, the others being refused
 LOOKED_AT = 16  # connections that are looked at, at most, to make room for one
 TCP_INFO = getattr(socket, "TCP_INFO", None)
 LAST_DATA_RECEIVED = struct.Struct("@52xI")  # of Linux's struct tcp_info, in ms: tcpi_last_data_recv
@@ -137,6 +140,15 @@
         """After which a connection that carries nothing is closed."""
         raise NotImplementedError
 
+    def refused_at_once(self, found: socket.socket, no_place: bool) -> bool:
+        """Whether a new connection has been told that there is no room for its request, and closed: where all of that
+        has come already and can be told apart cheaply. False leaves it as it was."""
+        return False
+
+    def hurried(self) -> bool:
+        """Whether turns are so long that those who can't be taken in one are better told so at once."""
+        return False
+
     # ------------------------------------------------------------------- for fronts
 
     @property
@@ -226,11 +238,12 @@
         most = max(1, self.limit // 20)
         if self.orderly:
             held = len(self.connections) + len(self._coming)
-            most = min(most, self.door.may_accept(held))
-            if not most and not self._clear():
+            spare = min(SPARE, self.limit // 4)
+            most = min(TAKEN_AT_ONCE, self.door.may_accept(held + spare)) or int(self._clear())
+            if not most and held >= self.limit:
                 self._pause()
                 return
-        for _ in range(max(1, most)):
+        for _ in range(AT_ONCE):
             try:
                 found, _ = self._listener.accept()
             except (BlockingIOError, InterruptedError, ConnectionAbortedError):
@@ -243,9 +256,16 @@
                 self._pause()
                 return
             found.setblocking(False)
+            if self.orderly and self.refused_at_once(found, no_place=most <= 0):
+                continue
+            # What can't be refused so is taken, one too many at the most.
             task = self.loop.create_task(self._take(found))
             self._coming.add(task)
             task.add_done_callback(self._coming.discard)
+            most -= 1
+            # Guard: behind long turns those that were left in the kernel waited there until they were late.
+            if most <= 0 and not (self.orderly and self.hurried()):
+                return
 
     async def _take(self, found: socket.socket) -> None:
         try:
@@ -333,5 +353,10 @@
                 if connection.since > now - limit_s:
                     break
                 connection.expire()
-        self._go_on()
+        if (
+            not self.orderly
+            or self.door.may_accept(len(self.connections) + len(self._coming))
+            or not self.under_way
+        ):
+            self._go_on()
         self._sweep_timer = self.loop.call_later(SWEEP_S, self._sweep)
--- a/orchidledge/core/pool.py
+++ b/orchidledge/core/pool.py
@@ -168,6 +168,15 @@
         if cold_ms > self.settings.cold_ms:
             self.balancer.cfg = replace(self.balancer.cfg, cold_ms=cold_ms)
 
+    def turned_away(self, request: api.Request) -> Answer | None:
+        """The refusal of a request that the table does not let in; None: it is to be taken."""
+        found = self.balancer.turns_away(self.clock.ms(), request)
+        if found is None:
+            request.admitted = True
+            return None
+        cause = Cause.SHED if self.up else Cause.NO_SERVER
+        return Answer(Kind.REFUSED, cause, None, found.retry_after_ms)
+
     def take(
         self, request: api.Request, give_up_at: float, message: Any, deliver: Callable[[Job, Answer], None]
     ) -> Job:
--- a/orchidledge/http/server.py
+++ b/orchidledge/http/server.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+import contextlib
 import re
+import socket
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass, field
@@ -100,6 +102,18 @@
     return ("\r\n".join(lines) + "\r\n").encode()
 
 
+def is_plain(data: bytes) -> bool:
+    """Whether this is one whole request of 1.1 that has no body, seen without parsing it."""
+    if not data.startswith(PLAIN) or data.find(b"\r\n\r\n") != len(data) - 4:
+        return False
+    head = data.lower()
+    return (
+        b" http/1.1\r\n" in head
+        and b"\r\ncontent-length:" not in head
+        and b"\r\ntransfer-encoding:" not in head
+    )
+
+
 class ServerConnection(IncomingConnection):
     """One caller's connection. Requests that come at once are answered in turn."""
 
@@ -171,16 +185,10 @@
         if self._calls or self._partial is not None or self._stuck:
             return False
         found = self._server.refusal(self._came)
-        if found is None or not data.startswith(PLAIN) or data.find(b"\r\n\r\n") != len(data) - 4:
-            return False
-        head = data.lower()
-        if (
-            b" http/1.1\r\n" not in head
-            or b"\r\ncontent-length:" in head
-            or b"\r\ntransfer-encoding:" in head
-        ):
+        if found is None or not is_plain(data):
             return False
-        close = self._server.stopping or self._server.crowded or b"\r\nconnection:" in head
+        # Guard: closed as well, callers came back on new ones, which cost the core several times the refusal.
+        close = self._server.stopping or b"\r\nconnection:" in data.lower()
         self._transport.write(found + (b"Connection: close\r\n\r\n" if close else b"\r\n"))
         self.known = True
         if close:
@@ -385,11 +393,39 @@
         self.on_call = on_call
         # What a request that came then is to be refused with, unread: a head but for its last line; None: it is read.
         self.refusal: Callable[[float], bytes | None] | None = None
+        # The head, but for its last line, of the answer to a request for which no place is left.
+        self.full_head: Callable[[], bytes | None] | None = None
+        self.in_hurry: Callable[[], bool] = lambda: False
         self.dialect = dialect
 
     def connection(self) -> ServerConnection:
         return ServerConnection(self)
 
+    def hurried(self) -> bool:
+        return self.in_hurry()
+
+    def refused_at_once(self, found: socket.socket, no_place: bool) -> bool:
+        if self.full_head is None or self.refusal is None:
+            return False
+        full = no_place or not self.door.begins(self.under_way)
+        if not full and self.refusal(self.turns.came(self.loop.time())) is None:
+            return False
+        try:
+            data = found.recv(MAX_HEAD, socket.MSG_PEEK)
+        except OSError:
+            return False
+        if not is_plain(data):
+            return False
+        head = self.full_head() if full else self.refusal(self.turns.came(self.loop.time()))
+        if head is None:
+            return False
+        # All that has come is read before it is closed, and nothing more is owed: the answer isn't reset away.
+        found.recv(len(data))
+        with contextlib.suppress(OSError):
+            found.send(head + b"Connection: close\r\n\r\n")
+        found.close()
+        return True
+
     @property
     def request_s(self) -> float:
         return self.dialect.request_s or REQUEST_S
--- a/orchidledge/interface.py
+++ b/orchidledge/interface.py
@@ -212,6 +212,7 @@
     paid: bool = False  # such a repeat was taken from a budget of a tier before: it costs none here
     attempts: int = 0  # at most, within the class's; 0: the class's
     worth: float | None = None  # at most, within the class's
+    admitted: bool = False  # the table has let it in (`turns_away`)
     earlier: Earlier | None = None  # where an earlier copy of it, with its key, may have run
 
 
--- a/orchidledge/runtime/front.py
+++ b/orchidledge/runtime/front.py
@@ -11,7 +11,7 @@
 from collections import Counter
 from collections.abc import Collection, Mapping
 from dataclasses import dataclass, field
-from functools import partial
+from functools import lru_cache, partial
 
 from orchidledge import interface as api
 from orchidledge.budget.carried import WRITTEN, read_http, write_http
@@ -135,6 +135,8 @@
         self.gate = gate
         self.server = Server(limit, self._on_call, dialect, orderly=True)
         self.server.refusal = gate.refusal
+        self.server.full_head = gate.full
+        self.server.in_hurry = gate.hurried
         self.counts: Counter[str] = Counter()
         self.configure(deadline_header, tenant, budget)
         self._ids = ids()
@@ -215,6 +217,13 @@
         asked_here = Asked(pool, next(self._ids), ticket)
         again = call.headers.get(b"req-retry") == b"1"
         request = asked_here.request(kind, give_up_at, tenant, again)
+        refused = pool.turned_away(request)
+        if refused is not None:
+            if ticket is not None:
+                ticket.answered()
+            whose = self.gate.refused(route.pool, kind.name, refused.cause, tried=False)
+            self._refuse(call, refused.retry_after_ms, whose.error, why=whose.words)
+            return
         kept = (b"host",) if key is None else (b"host", key)
         headers = passed_on(call.raw, call.headers.get(b"connection"), self._dropped, kept)
         message = Message(call, request.id, route.pool, headers, tenant, asked_here, plan.name)
@@ -266,11 +275,17 @@
 
     def _say(self, call: Call, status: int, error: str, details: str, retry_after_s: int = 0) -> None:
         self.counts[f"own {status}"] += 1
-        said = f'{self.plan.name}; error={error}; details="{details}"'
-        headers = [(b"Proxy-Status", said.encode("ascii", "replace")), (b"Content-Type", b"text/plain")]
-        if retry_after_s > 0:
-            headers.append((b"Retry-After", b"%d" % retry_after_s))
-        call.pass_on(status, headers, f"{details}\n".encode(), unusable=status in (400, 404))
+        call.pass_on(status, *own_words(self.plan.name, error, details, retry_after_s), status in (400, 404))
+
+
+@lru_cache(256)
+def own_words(name: str, error: str, details: str, retry_after_s: int) -> tuple[list[Header], bytes]:
+    """The fields and the body of an answer of ours."""
+    said = f'{name}; error={error}; details="{details}"'
+    headers = [(b"Proxy-Status", said.encode("ascii", "replace")), (b"Content-Type", b"text/plain")]
+    if retry_after_s > 0:
+        headers.append((b"Retry-After", b"%d" % retry_after_s))
+    return headers, f"{details}\n".encode()
 
 
 def passed_on(
--- a/orchidledge/runtime/gate.py
+++ b/orchidledge/runtime/gate.py
@@ -43,22 +43,31 @@
         self._pools = pools
         self._beat = Beat(busy)
         self._timer: asyncio.TimerHandle | None = None
-        self._head = b""
+        self._heads: dict[Whose, bytes] = {}
+        self._taken = 0
+        self._before = 0.0, 0, 0  # at the last look: seconds of work, taken, refused
         self._told: Counter[str] = Counter()
         self.configure("orchidledge", False)
 
     def configure(self, name: str, retry_after: bool) -> None:
         """Put in force: the name in `Proxy-Status`, and whether a refusal may say when to come back."""
-        whose = Whose.CORE
-        body = f'{name}; error={whose.error}; details="refused: it never ran; {whose.words}"'
-        lines = ["HTTP/1.1 503 Service Unavailable", f"Proxy-Status: {body}", "Content-Length: 0"]
-        if retry_after:
-            lines.append(f"Retry-After: {RETRY_AFTER_S}")
-        self._head = ("\r\n".join(lines) + "\r\n").encode("ascii", "replace")
+        self._heads = {}
+        for whose in (Whose.CORE, Whose.CALLERS):
+            said = f'{name}; error={whose.error}; details="refused: it never ran; {whose.words}"'
+            lines = ["HTTP/1.1 503 Service Unavailable", f"Proxy-Status: {said}", "Content-Length: 0"]
+            if retry_after:
+                lines.append(f"Retry-After: {RETRY_AFTER_S}")
+            self._heads[whose] = ("\r\n".join(lines) + "\r\n").encode("ascii", "replace")
         self.retry_after_ms = RETRY_AFTER_S * 1000.0 if retry_after else 0.0
 
     def start(self) -> None:
         """Look at what the pools have learned every now and then."""
+        if self.turns.told:
+            served, refused = self._taken, self.tally.counts.total()
+            self.core.learn(
+                self.turns.busy_s - self._before[0], served - self._before[1], refused - self._before[2]
+            )
+            self._before = self.turns.busy_s, served, refused
         times = [
             time_s(kind) - server_s(pool, kind) for pool in self._pools() for kind in pool.classes.values()
         ]
@@ -72,17 +81,31 @@
 
     def refusal(self, came: float) -> bytes | None:
         """The head, but for its last line, of the answer to any request that came then; None where it is to be read."""
-        if not self.core.shut(self.loop.time() - came, self.turns.turn_s):
+        if not self.core.shut(self.turns.polled, self.loop.time() - came, self.turns.turn_s):
             return None
         self.tally.add("", "", Whose.CORE)
-        return self._head
+        return self._heads[Whose.CORE]
+
+    def hurried(self) -> bool:
+        """Whether those who can't be taken in this turn are better told so at once."""
+        return self.core.hurried(self.turns.turn_s)
+
+    def full(self) -> bytes:
+        """The same for a request that came on a connection for which there is no place."""
+        self.tally.add("", "", Whose.CALLERS)
+        return self._heads[Whose.CALLERS]
 
     def allows(self, pool: Pool, kind: api.ServiceClass, arrived: float) -> bool:
         """Whether this core can answer a request of this class in time."""
         self._beat.start()
         worth = kind.worth / (pool.balancer.top_worth or 1.0)
         waited = self.loop.time() - arrived
-        return self.core.allows(waited, self.turns.turn_s, server_s(pool, kind), time_s(kind), worth)
+        turns = self.turns
+        allowed = self.core.allows(
+            turns.polled, waited, turns.turn_s, server_s(pool, kind), time_s(kind), worth
+        )
+        self._taken += allowed
+        return allowed
 
     def refused(self, pool: str, kind: str, cause: Cause, tried: bool) -> Whose:
         """Count what a pool has refused; returns whose limit it was."""
@@ -99,6 +122,7 @@
             "node": {
                 "lag_ms": {"p50": round(p50, 3), "p99": round(p99, 3)},
                 "turn_ms": round(self.turns.turn_s * 1000.0, 3),
+                "cost_us": round(self.core.cost_s * 1e6, 1),
                 "busy_s": round(self.turns.busy_s, 3),
                 "away_s": round(self.turns.away_s, 3),
                 "own_share": own_share(pools.values()),
--- a/orchidledge/runtime/thrift.py
+++ b/orchidledge/runtime/thrift.py
@@ -178,6 +178,13 @@
             return
         asked_here = Asked(pool, next(self._ids), ticket)
         request = asked_here.request(kind, give_up_at, tenant)
+        refused = pool.turned_away(request)
+        if refused is not None:
+            if ticket is not None:
+                ticket.answered()
+            whose = self.gate.refused(route.pool, kind.name, refused.cause, tried=False)
+            self._refuse(call, refused.retry_after_ms, whose.words or "no box takes it now")
+            return
         message = Passing(asked.kind, asked.name, body, asked=asked_here, form=form, others=others)
         message.pool = route.pool
         message.budget_field = plan.budget_fields.get(route.pool)
--- a/orchidledge/standin/box.py
+++ b/orchidledge/standin/box.py
@@ -134,8 +134,12 @@
         self._queue.append((connection, seen))
         self._begin()
 
-    def _begin(self) -> None:
+    def _begin(self, at: float | None = None) -> None:
+        """Work on what waits, from this moment of the loop's clock on: a timer that comes late takes nothing from
+        what a core can do."""
         how = self.behaviour
+        now = self._loop.time()
+        begins = now if at is None else min(at, now)
         while self._queue and self._busy < how.cores:
             connection, seen = self._queue.popleft()
             if connection.transport.is_closing():
@@ -152,12 +156,13 @@
                 self._finish(connection, seen)
                 continue
             self._busy += 1
-            self._loop.call_later(how.work_ms * how.slow / 1000.0, self._worked, connection, seen)
+            due = begins + how.work_ms * how.slow / 1000.0
+            self._loop.call_at(due, self._worked, connection, seen, due)
 
-    def _worked(self, connection: _Connection, seen: Seen) -> None:
+    def _worked(self, connection: _Connection, seen: Seen, due: float) -> None:
         self._busy -= 1
         self._finish(connection, seen)
-        self._begin()
+        self._begin(due)
 
     def _finish(self, connection: _Connection, seen: Seen) -> None:
         if connection.transport.is_closing():
