--- a/orchidledge/core/pooled.py
+++ b/orchidledge/core/pooled.py
@@ -173,6 +173,10 @@
         server_s = self._connect_s
         if self._sent is not None:
             server_s += max(0.0, self._pool.turns.came(now) - self._sent)
+            if (
+                self._connection is not None
+            ):  # Guard: what hangs holds a connection for longest, and nobody counted it
+                self._pool.line.held(now - self._sent)
         if self._lined:
             self._pool.leave_line()
         self._on_end(result, response, report, max(0.0, now - self.began - server_s))
--- a/orchidledge/http/server.py
+++ b/orchidledge/http/server.py
@@ -189,6 +189,7 @@
             return False
         # Guard: closed as well, callers came back on new ones, which cost the core several times the refusal.
         close = self._server.stopping or b"\r\nconnection:" in data.lower()
+        self._server.on_refused(found)
         self._transport.write(found + (b"Connection: close\r\n\r\n" if close else b"\r\n"))
         self.known = True
         if close:
@@ -379,6 +380,8 @@
         """Answer what can't be read as a request, and end the connection."""
         refusal = self._server.refusal
         head = refusal(self._came) if status == 503 and refusal is not None else None
+        if head is not None:
+            self._server.on_refused(head)
         self._transport.write((head or _head(status, 0, 0.0)) + b"Connection: close\r\n\r\n")
         self._end()
 
@@ -396,6 +399,7 @@
         # The head, but for its last line, of the answer to a request for which no place is left.
         self.full_head: Callable[[], bytes | None] | None = None
         self.in_hurry: Callable[[], bool] = lambda: False
+        self.on_refused: Callable[[bytes], None] = lambda head: None  # told each of these that is sent
         self.dialect = dialect
 
     def connection(self) -> ServerConnection:
@@ -420,6 +424,7 @@
         if head is None:
             return False
         # All that has come is read before it is closed, and nothing more is owed: the answer isn't reset away.
+        self.on_refused(head)
         found.recv(len(data))
         with contextlib.suppress(OSError):
             found.send(head + b"Connection: close\r\n\r\n")
--- a/orchidledge/limits/turns.py
+++ b/orchidledge/limits/turns.py
@@ -37,7 +37,8 @@
         away = over if over > OVERSLEPT_S else 0.0
         if away:
             # Guard: a core that was taken away while the loop slept made every answer look as late as its return.
-            self._came = began
+            # What it found may have been there when the sleep began, or come at any time since.
+            self._came = self.polled
         elif waited > WAITED_S:
             self._came = ended
         else:
@@ -63,12 +64,3 @@
             return 0.0, 0.0
         cut = quantiles(self._latest, n=100)
         return cut[49] * 1000.0, cut[98] * 1000.0
-
-
-def server_part(total_s: float, sent: float, came: float, now: float) -> float:
-    """Of an attempt that took `total_s` and whose last wait began at `sent`: what can't be this process's own.
-
-    `came`: the earliest moment at which its answer can have come. What lies between that and now is ours.
-    """
-    own = now - max(min(came, now), sent)
-    return max(0.0, total_s - own)
--- a/orchidledge/runtime/front.py
+++ b/orchidledge/runtime/front.py
@@ -137,6 +137,7 @@
         self.server.refusal = gate.refusal
         self.server.full_head = gate.full
         self.server.in_hurry = gate.hurried
+        self.server.on_refused = gate.used
         self.counts: Counter[str] = Counter()
         self.configure(deadline_header, tenant, budget)
         self._ids = ids()
--- a/orchidledge/runtime/gate.py
+++ b/orchidledge/runtime/gate.py
@@ -13,7 +13,7 @@
 from orchidledge.core.pool import Pool
 from orchidledge.core.turns import Beat, turns_of
 from orchidledge.core.types import Cause
-from orchidledge.limits.core import CoreLimit
+from orchidledge.limits.core import LOW_SHARE, TURNS, CoreLimit
 from orchidledge.limits.whose import Tally, Whose
 
 LOOK_S = 0.1  # between two looks at which class has most time
@@ -44,6 +44,7 @@
         self._beat = Beat(busy)
         self._timer: asyncio.TimerHandle | None = None
         self._heads: dict[Whose, bytes] = {}
+        self._easy_s = 0.0  # own time that no class is turned away for
         self._taken = 0
         self._before = 0.0, 0, 0  # at the last look: seconds of work, taken, refused
         self._told: Counter[str] = Counter()
@@ -72,6 +73,7 @@
             time_s(kind) - server_s(pool, kind) for pool in self._pools() for kind in pool.classes.values()
         ]
         self.core.top_s = max(times, default=math.inf)
+        self._easy_s = LOW_SHARE * max(0.0, min(times, default=0.0))
         self._timer = self.loop.call_later(LOOK_S, self.start)
 
     def close(self) -> None:
@@ -83,7 +85,6 @@
         """The head, but for its last line, of the answer to any request that came then; None where it is to be read."""
         if not self.core.shut(self.turns.polled, self.loop.time() - came, self.turns.turn_s):
             return None
-        self.tally.add("", "", Whose.CORE)
         return self._heads[Whose.CORE]
 
     def hurried(self) -> bool:
@@ -92,15 +93,21 @@
 
     def full(self) -> bytes:
         """The same for a request that came on a connection for which there is no place."""
-        self.tally.add("", "", Whose.CALLERS)
         return self._heads[Whose.CALLERS]
 
+    def used(self, head: bytes) -> None:
+        """One of these has been sent."""
+        self.tally.add("", "", Whose.CORE if head is self._heads[Whose.CORE] else Whose.CALLERS)
+
     def allows(self, pool: Pool, kind: api.ServiceClass, arrived: float) -> bool:
         """Whether this core can answer a request of this class in time."""
         self._beat.start()
         worth = kind.worth / (pool.balancer.top_worth or 1.0)
         waited = self.loop.time() - arrived
         turns = self.turns
+        if waited + TURNS * turns.turn_s <= self._easy_s:  # for any class and worth
+            self._taken += 1
+            return True
         allowed = self.core.allows(
             turns.polled, waited, turns.turn_s, server_s(pool, kind), time_s(kind), worth
         )
