The core's limit by its own queue; connections to a server are opened some at a time

At twice the core's capacity over 2,048 and 4,096 callers the limit swung between taking all that a long turn had read and nothing (400 and 260 answers a second in time); connects took five turns of 100 ms and were given up after 250 ms as the server's, each tried again at others (connect_failed 9,447 of 13,500 attempts at idle boxes).

--- a/orchidledge/brain.py
+++ b/orchidledge/brain.py
@@ -398,7 +398,8 @@
             mean = self.class_ms.get(self.jobs[name].kind.name) if peer.heard_ms <= sent_ms else None
             if mean:
                 # Guard: while the host was busy every server looked as if it hung.
-                slow = max(slow, _ratio(now - self.lag - sent_ms, mean, self.cfg.near_ms))
+                near = self.cfg.near_ms
+                slow = max(slow, (now - self.lag - sent_ms + near) / (mean + near))
         failing = 1.0 - min(0.9, peer.errs)
         queue = peer.queue * math.exp((peer.told_ms - now) / STALE_MS) if peer.queue else 0.0
         far = ZONE_WEIGHT * self.cfg.cross_zone_price if peer.info.zone != self.cfg.zone else 0.0
--- a/orchidledge/cli/sidecar.py
+++ b/orchidledge/cli/sidecar.py
@@ -19,6 +19,7 @@
 from orchidledge.sidecar.models import Configuration
 
 log = logging.getLogger("orchidledge")
+COLLECT = 5000, 20, 50  # new objects, and collections of the younger, before a generation is collected
 
 
 class BadConfigurationError(Exception):
@@ -72,6 +73,8 @@
     reloading = asyncio.create_task(_reload(sidecar, path, hangup))
     gc.collect()
     gc.freeze()  # what is there for good need not be looked at again
+    # Guard: with hundreds of requests open the collector went through them all a hundred times a second.
+    gc.set_threshold(*COLLECT)
     _say_where(sidecar)
     await stop.wait()
     reloading.cancel()
--- a/orchidledge/core/listener.py
+++ b/orchidledge/core/listener.py
@@ -158,7 +158,7 @@
 
     @limit.setter
     def limit(self, limit: int) -> None:
-        self.door.limit = limit
+        self.door = Door(limit)
 
     @property
     def crowded(self) -> bool:
--- a/orchidledge/core/pooled.py
+++ b/orchidledge/core/pooled.py
@@ -10,6 +10,7 @@
 import asyncio
 from collections import deque
 from dataclasses import dataclass, field
+from functools import partial
 from typing import Any
 
 from orchidledge.core.address import Address
@@ -21,6 +22,7 @@
 
 IDLE_SHARE = 0.5  # of the time after which a server closes an idle connection: ours goes well before
 LOOKED_AT = 16  # of those in line, for one that goes to the server whose connection has become free
+OPENING = 64  # connections that are being opened to one server at a time
 OVERDUE = 4.0  # holds of a connection, after which the first in line is no longer passed
 
 
@@ -30,6 +32,18 @@
     launched_ms: float | None
     idle: list[Outgoing] = field(default_factory=list)  # newest last
     waiting: set[Attempt] = field(default_factory=set)  # attempts whose connection is not up yet
+    opening: int = 0  # connections
+    behind: deque[Attempt] = field(
+        default_factory=deque
+    )  # attempts that wait for one of these, or a free one
+
+    def next(self) -> Attempt | None:
+        """Who is first of those behind."""
+        while self.behind:
+            first = self.behind.popleft()
+            if not first.over:
+                return first
+        return None
 
 
 class Attempt:
@@ -49,6 +63,7 @@
         self._server: _Server | None = None
         self._connection: Outgoing | None = None
         self._connect: asyncio.Task[None] | None = None
+        self._patience: asyncio.TimerHandle | None = None  # with the server that is connected to
         self._lined = False  # it stands in line for a connection
         self._sent: float | None = None  # when its message was written
         self._connect_s = 0.0  # of connecting, what was not this process's own
@@ -106,11 +121,17 @@
         connection = self._pool.take_idle(server)
         if connection is not None:
             self.use(connection)
+        elif server.opening >= OPENING:
+            # Guard: a burst opened a connection for each of its requests, which cost the core more than the answers
+            # and took turns that were longer than those of a free one.
+            self._lined = False
+            server.waiting.add(self)
+            server.behind.append(self)
         elif self._pool.make_room():
             self._lined = False
             server.waiting.add(self)
             self._connect = asyncio.create_task(self._open(server))
-            self._pool.count_opening(self._connect)
+            self._pool.count_opening(server, self._connect)
         else:
             return False
         return True
@@ -124,26 +145,48 @@
 
     async def _open(self, server: _Server) -> None:
         loop, turns = asyncio.get_running_loop(), self._pool.turns
-        began, busy = loop.time(), turns.busy_s + turns.away_s
+        began, spent = loop.time(), turns.spent_s
+        self._bear(loop, began, spent)
         try:
-            async with asyncio.timeout(self._pool.connect_timeout_s):
-                connection = await self._pool.open(server.endpoint)
-        except (OSError, TimeoutError) as error:
+            connection = await self._pool.open(server.endpoint)
+        except OSError as error:
             self._connect = None
             # Guard: a descriptor that this process lacked was taken for a server that could not be reached.
-            own = isinstance(error, OSError) and error.errno in OWN
-            self._finish(Result.NO_ROOM if own else Result.CONNECT_FAILED)
+            if error.errno in OWN:
+                self._finish(Result.NO_ROOM)
+            else:
+                self._not_reached(server)
             return
         self._connect = None
+        if self._patience is not None:
+            self._patience.cancel()
         # While the loop had something to do it can't be told whether the server had answered already.
-        busy = turns.busy_s + turns.away_s - busy
-        self._connect_s = max(0.0, loop.time() - began - busy)
+        self._connect_s = max(0.0, loop.time() - began - (turns.spent_s - spent))
         server.waiting.discard(self)
         if self._over:
             connection.abort()
         else:
             self._write(connection)
 
+    def _bear(self, loop: asyncio.AbstractEventLoop, began: float, spent: float) -> None:
+        """Give up connecting when the server has had its time.
+
+        Guard: behind long turns of this process's own, servers that accepted at once were given up and tried elsewhere.
+        """
+        own = self._pool.turns.spent_s - spent
+        left = began + own + self._pool.connect_timeout_s - loop.time()
+        if left > 0.0:
+            self._patience = loop.call_later(left, self._bear, loop, began, spent)
+        elif self._server is not None:
+            self._not_reached(self._server)
+
+    def _not_reached(self, server: _Server) -> None:
+        """Those behind an attempt that could not connect are given up unsent, as it is."""
+        behind, server.behind = server.behind, deque()
+        self.withdraw()
+        for attempt in behind:
+            attempt.withdraw()
+
     def _write(self, connection: Outgoing) -> None:
         self._connection = connection
         self._sent = asyncio.get_running_loop().time()
@@ -167,6 +210,8 @@
             self._server.waiting.discard(self)
         if self._connect is not None:
             self._connect.cancel()
+        if self._patience is not None:
+            self._patience.cancel()
         if self._connection is not None:  # closing is how an attempt is given up
             self._connection.abort()
         now = asyncio.get_running_loop().time()
@@ -333,8 +378,8 @@
     def give_back(self, server: _Server, connection: Outgoing, held_s: float) -> None:
         now = asyncio.get_running_loop().time()
         self.line.held(held_s)
-        if self._in_line and connection.usable and server in self._servers.values():
-            following = self._next_for(server, now)
+        if (self._in_line or server.behind) and connection.usable and server in self._servers.values():
+            following = self._next_for(server, now) or server.next()
             if following is not None:
                 following.use(connection)
                 return
@@ -360,13 +405,18 @@
         connection.retire()
         return True
 
-    def count_opening(self, task: asyncio.Task[None]) -> None:
+    def count_opening(self, server: _Server, task: asyncio.Task[None]) -> None:
         # Guard: counted from its start, as several sends of one turn of the loop would all see the same room.
         self._opening.add(task)
-        task.add_done_callback(self._opened)
+        server.opening += 1
+        task.add_done_callback(partial(self._opened, server))
 
-    def _opened(self, task: asyncio.Task[None]) -> None:
+    def _opened(self, server: _Server, task: asyncio.Task[None]) -> None:
         self._opening.discard(task)
+        server.opening -= 1
+        following = server.next()
+        if following is not None:
+            following.begin(server)
         self.advance()
 
     async def open(self, endpoint: Address) -> Outgoing:
--- a/orchidledge/interface.py
+++ b/orchidledge/interface.py
@@ -42,7 +42,13 @@
 
     @property
     def never_ran(self) -> bool:
-        return self in (Result.FULL, Result.CONNECT_FAILED, Result.MOOT, Result.NO_ROOM)
+        return self in _NEVER_RAN
+
+    # Guard: Enum's own hash is written in Python, and each attempt's result is looked up.
+    __hash__ = object.__hash__
+
+
+_NEVER_RAN = frozenset((Result.FULL, Result.CONNECT_FAILED, Result.MOOT, Result.NO_ROOM))
 
 
 class ServerState(Enum):
--- a/orchidledge/limits/connections.py
+++ b/orchidledge/limits/connections.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 SPARE = 16  # descriptors for the listeners, logs, standard streams and the event loop
 CALLERS_SHARE = 0.58  # of the others: callers' connections;
@@ -41,6 +41,12 @@
     """Callers' connections at one listener."""
 
     limit: int
+    kept: int = field(init=False)
+    begun: int = field(init=False)
+
+    def __post_init__(self) -> None:
+        self.kept = max(1, int(self.limit * KEEP_SHARE))
+        self.begun = max(1, int(self.limit * BEGIN_SHARE))
 
     def may_accept(self, held: int) -> int:
         """How many more may be taken from the kernel now; the others wait there."""
@@ -52,7 +58,7 @@
         Guard: with all places kept by callers that seldom ask, a new one waited until one of them had idled out, or
         an idle one was closed over a request that was on its way to it.
         """
-        return held <= max(1, int(self.limit * KEEP_SHARE))
+        return held <= self.kept
 
     def begins(self, under_way: int) -> bool:
         """Whether one more request may be taken, so many being under way.
@@ -60,7 +66,7 @@
         Guard: with every place held by a request that had been taken, those behind waited in the kernel until they
         were late; some places are left to tell them so.
         """
-        return under_way < max(1, int(self.limit * BEGIN_SHARE))
+        return under_way < self.begun
 
 
 @dataclass(slots=True)
--- a/orchidledge/limits/turns.py
+++ b/orchidledge/limits/turns.py
@@ -50,6 +50,15 @@
         if found or away:
             self._latest.append(busy + away)
 
+    def so_far(self, now: float) -> float:
+        """A turn's length, or this one's if it is longer already."""
+        return max(self.turn_s, now - self.polled) if self.told else 0.0
+
+    @property
+    def spent_s(self) -> float:
+        """In all, what the process or the machine took, and no server."""
+        return self.busy_s + self.away_s
+
     def came(self, now: float) -> float:
         """The earliest moment at which what is handled now can have come."""
         return min(self._came, now) if self.told else now
--- a/orchidledge/limits/whose.py
+++ b/orchidledge/limits/whose.py
@@ -22,6 +22,9 @@
     def label(self) -> str:
         return self.value[0]
 
+    # Guard: Enum's own hash is written in Python, and each refusal is counted.
+    __hash__ = object.__hash__
+
     @property
     def error(self) -> str:
         return self.value[1]
--- a/orchidledge/runtime/gate.py
+++ b/orchidledge/runtime/gate.py
@@ -12,8 +12,8 @@
 from orchidledge.core.listener import Listener
 from orchidledge.core.pool import Pool
 from orchidledge.core.turns import Beat, turns_of
-from orchidledge.core.types import Cause
-from orchidledge.limits.core import LOW_SHARE, TURNS, CoreLimit
+from orchidledge.core.types import Cause, Room
+from orchidledge.limits.core import TURN_LEAST_S, TURNS, CoreLimit
 from orchidledge.limits.whose import Tally, Whose
 
 LOOK_S = 0.1  # between two looks at which class has most time
@@ -34,19 +34,20 @@
 class Gate:
     """One process's."""
 
-    def __init__(self, pools: Callable[[], Iterable[Pool]], busy: Callable[[], bool]) -> None:
-        """`pools` in force; `busy`: whether requests are open."""
+    def __init__(self, pools: Callable[[], Iterable[Pool]], room: Room) -> None:
+        """`pools` in force; `room`: how many requests are open."""
         self.loop = asyncio.get_running_loop()
         self.turns = turns_of(self.loop)
         self.core = CoreLimit()
         self.tally = Tally()
         self._pools = pools
-        self._beat = Beat(busy)
+        self._room = room
+        self._beat = Beat(lambda: room.open > 0)
         self._timer: asyncio.TimerHandle | None = None
         self._heads: dict[Whose, bytes] = {}
-        self._easy_s = 0.0  # own time that no class is turned away for
+        self._easy_s = 0.0  # within which no class is late
         self._taken = 0
-        self._before = 0.0, 0, 0  # at the last look: seconds of work, taken, refused
+        self._before = self.loop.time(), 0.0, 0, 0, 0.0, 0  # at the last look, as in `start`
         self._told: Counter[str] = Counter()
         self.configure("orchidledge", False)
 
@@ -64,16 +65,25 @@
     def start(self) -> None:
         """Look at what the pools have learned every now and then."""
         if self.turns.told:
-            served, refused = self._taken, self.tally.counts.total()
-            self.core.learn(
-                self.turns.busy_s - self._before[0], served - self._before[1], refused - self._before[2]
+            pools = list(self._pools())
+            now = (
+                self.loop.time(),
+                self.turns.busy_s,
+                self._taken,
+                self.tally.counts.total(),
+                sum(pool.server_ms for pool in pools) / 1000.0,
+                sum(pool.counts["ok"] for pool in pools),
             )
-            self._before = self.turns.busy_s, served, refused
+            whole, busy, taken, refused, servers, answers = (
+                max(0, new - old) for new, old in zip(now, self._before, strict=True)
+            )
+            self.core.learn(whole, busy, int(taken), int(refused), servers / max(1, answers))
+            self._before = now
         times = [
             time_s(kind) - server_s(pool, kind) for pool in self._pools() for kind in pool.classes.values()
         ]
         self.core.top_s = max(times, default=math.inf)
-        self._easy_s = LOW_SHARE * max(0.0, min(times, default=0.0))
+        self._easy_s = max(0.0, min(times, default=0.0)) / 2.0
         self._timer = self.loop.call_later(LOOK_S, self.start)
 
     def close(self) -> None:
@@ -83,13 +93,13 @@
 
     def refusal(self, came: float) -> bytes | None:
         """The head, but for its last line, of the answer to any request that came then; None where it is to be read."""
-        if not self.core.shut(self.turns.polled, self.loop.time() - came, self.turns.turn_s):
-            return None
-        return self._heads[Whose.CORE]
+        now = self.loop.time()
+        shut = self.core.shut(self.turns.so_far(now), now - came, self._room.open)
+        return self._heads[Whose.CORE] if shut else None
 
     def hurried(self) -> bool:
         """Whether those who can't be taken in this turn are better told so at once."""
-        return self.core.hurried(self.turns.turn_s)
+        return self.core.shut(self.turns.so_far(self.loop.time()), 0.0, self._room.open)
 
     def full(self) -> bytes:
         """The same for a request that came on a connection for which there is no place."""
@@ -103,14 +113,13 @@
         """Whether this core can answer a request of this class in time."""
         self._beat.start()
         worth = kind.worth / (pool.balancer.top_worth or 1.0)
-        waited = self.loop.time() - arrived
-        turns = self.turns
-        if waited + TURNS * turns.turn_s <= self._easy_s:  # for any class and worth
-            self._taken += 1
-            return True
-        allowed = self.core.allows(
-            turns.polled, waited, turns.turn_s, server_s(pool, kind), time_s(kind), worth
-        )
+        now = self.loop.time()
+        waited, turn = now - arrived, self.turns.so_far(now)
+        allowed = turn <= TURN_LEAST_S and waited + TURNS * turn <= self._easy_s  # for any class and worth
+        if not allowed:
+            allowed = self.core.allows(
+                turn, waited, self._room.open, server_s(pool, kind), time_s(kind), worth
+            )
         self._taken += allowed
         return allowed
 
@@ -184,4 +193,5 @@
         "connections": pool.back.size,
         "waiting_for_connection": pool.back.waiting,
         "own_share": own_share([pool]),
+        "attempts": dict(pool.counts),
     }
--- a/orchidledge/runtime/sidecar.py
+++ b/orchidledge/runtime/sidecar.py
@@ -96,7 +96,7 @@
         self.rejected: dict[str, Any] | None = None
         self.room = Room(configuration.limits.max_open)
         self.budgets = Budgets()
-        self.gate = Gate(lambda: self.pools.values(), lambda: self.room.open > 0)
+        self.gate = Gate(lambda: self.pools.values(), self.room)
         self.managed: dict[str, _Managed] = {}
         self.listeners: dict[str, _Open] = {}
         self.admin: Admin | None = None
--- a/tests/runtime/test_load.py
+++ b/tests/runtime/test_load.py
@@ -33,6 +33,9 @@
     def lag(self, now: float) -> float:
         return self.waited
 
+    def so_far(self, now: float) -> float:
+        return self.turn_s
+
 
 def starve(sidecar, waited: float, turn: float) -> None:
     turns = Starved(waited, turn)
