--- a/tests/limits/test_own_limits.py
+++ b/tests/limits/test_own_limits.py
@@ -12,7 +12,7 @@
 
 from orchidledge import interface as api
 from orchidledge.limits.connections import SPARE, Door, Line, share_out
-from orchidledge.limits.core import TURN_LEAST_S, CoreLimit
+from orchidledge.limits.core import LOW_SHARE, TURN_LEAST_S, CoreLimit
 from orchidledge.limits.turns import OVERSLEPT_S, Turns
 
 SECONDS = st.floats(0.0, 2.0)
@@ -72,7 +72,10 @@
         next(n for n in range(99_999) if not limit.allows(0.1, 0.2, n, 0.0, 1.0, worth))
         for worth in (1.0, 0.25, 0.01)
     ]
-    assert most[0] > most[1] > most[2] > limit.servers_s / limit.cost_s
+    assert most[0] > most[1] > most[2]
+    assert (
+        most[2] * limit.cost_s > limit.servers_s + 0.9 * LOW_SHARE
+    )  # beside those that are with their servers
     assert not CoreLimit().allows(0.2, 0.9, 0, 0.0, 1.0, worth=1.0)  # it would be late
     assert not CoreLimit().allows(0.05, 0.05, 0, 0.95, 1.0, worth=1.0)  # with what its servers take, too
 
--- a/tests/runtime/test_load.py
+++ b/tests/runtime/test_load.py
@@ -200,6 +200,13 @@
             await until(lambda: box.served >= served + 20 or not connection._transport.is_reading())
             while box.served < served + 20:
                 await reader.read(1 << 20)
+            # Its place is not held for ever.
+            box.behaviour.hang = True
+            writer.write(ASK)
+            await until(lambda: connection._calls)
+            connection.pause_writing()
+            connection.expire()
+            assert not server.connections
             writer.close()
 
     asyncio.run(main())
@@ -228,3 +235,37 @@
             assert (await load(sidecar))["node"]["refused"] == {"no server": 1}
 
     asyncio.run(main())
+
+
+def test_a_starved_sidecar_beside_one_that_is_not_holds_no_box_for_slow_and_takes_no_more_than_it_did():
+    async def main():
+        around = boxes(2)
+        async with running(*around, classes=SHORT) as starved, running(*around, classes=SHORT) as other:
+            starve(starved, 0.3, 0.1)
+            for at in range(40):
+                for sidecar in (starved, other):
+                    assert (await application(sidecar).ask("GET", f"/{at}")).status == 200
+            for sidecar in (starved, other):
+                brain = sidecar.pools["boxes"].balancer
+                await until(lambda brain=brain: brain.base is not None)
+                assert (brain.cursor, [peer.errs for peer in brain.ready]) == (0, [0.0, 0.0])
+                assert brain.quiet
+            assert all((peer.slow or 1.0) < 2.0 for peer in starved.pools["boxes"].balancer.ready)
+            # What the two think of the pool differs by what the boxes did, not by what one of them lacked.
+            assert 2.0 * starved.pools["boxes"].server_ms < other.pools["boxes"].server_ms
+
+    asyncio.run(main())
+
+
+def test_long_bodies_beside_small_requests_are_neither_cut_off_nor_counted_as_a_slow_pool():
+    async def main():
+        (box,) = boxes(1)
+        async with running(box, classes=SHORT) as sidecar:
+            app = application(sidecar)
+            long = [asyncio.create_task(app.ask("POST", f"/long/{at}", b"x" * 900_000)) for at in range(6)]
+            small = [asyncio.create_task(app.ask("GET", f"/{at}")) for at in range(60)]
+            assert {answer.status for answer in await asyncio.gather(*long, *small)} == {200}
+            assert sidecar.pools["boxes"].balancer.cursor == 0
+            assert (await load(sidecar))["node"]["refused"] == {}
+
+    asyncio.run(main())
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -11,9 +11,11 @@
 from loopback import Held, Message, Peer, reply, until
 
 from orchidledge.core.outgoing import readable
+from orchidledge.core.pooled import OPENING
 from orchidledge.http.back import HttpBack
 from orchidledge.http.client import ClientConnection, Response
 from orchidledge.interface import Result
+from orchidledge.limits.turns import Turns
 from orchidledge.platform.front import PlatformWire
 
 DATA = b"GET /read/1 HTTP/1.1\r\nReq-Id: q\r\n\r\n"
@@ -339,3 +341,79 @@
             assert exchange.told == [read]
 
     asyncio.run(main())
+
+
+class Busy(Turns):
+    """A loop whose own work has taken all of its time, while `own` is set."""
+
+    own = True
+
+    @property
+    def spent_s(self) -> float:
+        return asyncio.get_running_loop().time() if self.own else 0.0
+
+
+def test_a_servers_time_to_connect_runs_only_while_the_loop_is_free_and_those_behind_share_its_end():
+    async def main():
+        idle, busy = pool(connect_timeout_s=0.01), pool(connect_timeout_s=0.01)
+        busy.turns = Busy()
+        opened = dict.fromkeys((idle, busy), 0)
+
+        def never(back):
+            async def connect(endpoint):
+                opened[back] += 1
+                await asyncio.Event().wait()
+
+            return connect
+
+        asked = {}
+        for back in opened:
+            back.limit, back.open = 10 * OPENING, never(back)
+            back.add("s", ("127.0.0.1", 9))
+            asked[back] = [asyncio.create_task(result(back)) for _ in range(OPENING + 3)]
+        # The attempts that were made at once are given up, and those behind them with them, unsent.
+        assert set(await asyncio.gather(*asked[idle])) == {Result.CONNECT_FAILED}
+        assert not any(task.done() for task in asked[busy])
+        assert opened == {idle: OPENING, busy: OPENING}
+        Busy.own = False
+        assert set(await asyncio.gather(*asked[busy])) == {Result.CONNECT_FAILED}
+        assert opened[busy] == OPENING
+
+    asyncio.run(main())
+
+
+def test_who_waits_behind_others_connecting_goes_out_on_what_is_free_first():
+    async def main():
+        held = Held()
+        server, servers = await held.start(), pool(limit=10 * OPENING)
+        servers.add("s", ("127.0.0.1", server.port))
+        first = asyncio.create_task(result(servers))
+        await until(lambda: len(servers._open) == 1 and not servers._opening)
+
+        async def never(endpoint):
+            await asyncio.Event().wait()
+
+        servers.open = never
+        rest = [asyncio.create_task(result(servers)) for _ in range(OPENING + 1)]
+        await until(lambda: servers.size == OPENING + 1)
+        held.release.set()
+        assert (await first, await rest[-1]) == (Result.OK, Result.OK)
+        assert not any(task.done() for task in rest[:-1])
+        servers.close()
+        assert set(await asyncio.gather(*rest[:-1])) == {Result.CONNECT_FAILED}
+
+    asyncio.run(main())
+
+
+def test_who_stands_in_line_until_its_time_is_over_is_not_held_against_the_server():
+    async def main():
+        held = Held()
+        server, servers = await held.start(), pool(limit=1)
+        servers.add("s", ("127.0.0.1", server.port))
+        first = asyncio.create_task(result(servers))
+        await until(lambda: held.seen)
+        assert await result(servers, timeout_s=0.01) is Result.NO_ROOM
+        held.release.set()
+        assert await first is Result.OK
+
+    asyncio.run(main())
