--- a/orchidledge/brain.py
+++ b/orchidledge/brain.py
@@ -30,6 +30,7 @@
 ROOTS = 2.0  # and this many of its square roots, for chance (small pools vary more)
 START_MS = 3000.0  # but no less than the settings' start for each ready server until rates are known
 FLOOR = 2.0  # and this much afterwards
+FEW_QUIET = 8  # answers that are enough to know a pool in its first period
 QUIET = 0.1  # share of the aim under which no latency is load, whatever it was before
 BORNE = 2.0  # T1 holds so many times what the pool has borne in quiet
 SLACK = 0.11  # target: quiet latency plus this share of the way from there to the aim
@@ -285,7 +286,9 @@
     @property
     def quiet(self) -> bool:
         """Whether latency is known and is no load, however it compares with what it was."""
-        return self.base is not None and self.level < QUIET
+        if self.base is None:  # Guard: all of a burst at the start had come before the first period was over
+            return len(self.ratios) >= FEW_QUIET and max(self.ratios) < QUIET
+        return self.level < QUIET
 
     def _on_request(self, now: float, request: api.Request, acts: list[api.Action]) -> None:
         kind = self.kinds[request.service]
--- a/orchidledge/runtime/building.py
+++ b/orchidledge/runtime/building.py
@@ -18,9 +18,9 @@
 EFFECTS = {"safe": api.Effect.SAFE, "keyed": api.Effect.KEYED, "unsafe": api.Effect.UNSAFE}
 SPREAD = 0.5  # of Retry-After, where there is a budget
 DEFAULT_KEY = "Idempotency-Key"
-START_PER_S = 128.0  # calls in flight for each box before rates are known, for a second of the shortest aim,
+START_PER_S = 64.0  # calls in flight for each box before rates are known, for a second of the shortest aim,
 NEAR_MS = 1.0  # what a loop's turn may hide of a latency
-START_LEAST, START_MOST = 7.0, 128.0  # within these
+START_LEAST, START_MOST = 7.0, 64.0  # within these
 
 
 class ReloadError(Exception):
