The lab: a model, policies, experiments; a pool that has failed whole is believed again

The module in simulated time beside six pickers and five limits, experiments as files, runs that are kept, paired comparison. Its first finding: after 0.5 s in which all servers were slow, errors of all but the first that did well again were never cleared, one server had all calls, and 40% were refused at 0.3 of capacity without end.

--- a/orchidledge/brain.py
+++ b/orchidledge/brain.py
@@ -50,6 +50,8 @@
 PEAK_MS = 15000.0  # how slowly the rate's peak is forgotten
 GAIN = 0.2  # smoothing of a server's latency and errors, per outcome
 CLASS_GAIN = 0.03  # smoothing of a class's latency, per outcome
+PANIC = 0.5  # share of errors at the middle server from which
+PANIC_MS = 5000.0  # errors are forgotten at this pace
 FORGET_MS = 8000.0  # an unheard server drifts back to the mean at this pace
 STALE_MS = 500.0  # a reported queue is believed for about this long
 FRESH_MS = 1500.0  # a reported utilisation counts for this long
@@ -616,6 +618,11 @@
         for peer in ready:
             while peer.given_up and peer.given_up[0][0] <= now:
                 peer.load = max(0.0, peer.load - peer.given_up.popleft()[1])
+        # Guard: when all servers had failed, the first that did well again got all calls for good, and the others none
+        # that could have cleared them: 40% were refused at a third of the load, without end.
+        if (_middle([peer.errs for peer in ready]) or 0.0) > PANIC:
+            for peer in ready:
+                peer.errs *= math.exp(-self.period_ms / PANIC_MS)
         load = 0.0
         fresh = [peer for peer in ready if peer.told_ms >= now - FRESH_MS]  # Guard: old reports mislead
         utils = _middle([peer.util for peer in fresh if peer.util is not None])
--- a/orchidledge/cli/__init__.py
+++ b/orchidledge/cli/__init__.py
@@ -14,6 +14,7 @@
         "show what running sidecars spend on retries, and how much time requests have left",
     ),
     "xds": ("xds", "see what an xDS control plane would tell a sidecar"),
+    "lab": ("lab", "run and compare experiments on a model of what is balanced"),
     "config": ("config", "write, check, explain and compare configurations"),
 }
 
--- /dev/null
+++ b/orchidledge/cli/lab.py
@@ -0,0 +1,160 @@
+"""`orchidledge lab`: run, sweep and compare experiments on a model of what is balanced."""
+
+from __future__ import annotations
+
+import argparse
+import os
+import sys
+from collections import defaultdict
+from pathlib import Path
+from statistics import fmean
+
+from rich.console import Console
+from rich.progress import BarColumn, MofNCompleteColumn, Progress, TimeElapsedColumn
+from rich.table import Table
+
+from orchidledge.sidecar.load import UnusableError
+
+NEEDS = "the lab needs its extra: pip install 'orchidledge[lab]'"
+
+
+def add_arguments(parser: argparse.ArgumentParser) -> None:
+    try:
+        from orchidledge.lab.library import shipped
+    except ImportError as error:
+        parser.set_defaults(run=lambda args, error=error: _missing(error))
+        return
+    parser.epilog = "An EXPERIMENT is a file or the name of a shipped one: " + ", ".join(shipped())
+    verbs = parser.add_subparsers(dest="verb", required=True, metavar="VERB")
+    listed = verbs.add_parser("list", help="show the experiments that are shipped")
+    listed.set_defaults(run=_list)
+    checked = verbs.add_parser("check", help="check experiments; says each mistake with file and line")
+    checked.add_argument("experiment", nargs="+")
+    checked.set_defaults(run=_check)
+    run = verbs.add_parser("run", help="run an experiment's policies and seeds; keep and show the results")
+    run.add_argument("experiment", nargs="+")
+    run.add_argument("--results", type=Path, default=Path("lab-results"), help="folder; default %(default)s")
+    run.add_argument("--cores", type=int, default=len(os.sched_getaffinity(0)), help="default %(default)s")
+    run.add_argument("--policy", action="append", help="only these, by name")
+    run.add_argument("--seeds", type=int, help="only the first so many")
+    run.epilog = "Runs that are in the folder already are not run again, so a stopped sweep goes on."
+    run.set_defaults(run=_run)
+    compared = verbs.add_parser(
+        "compare", help="two sets of runs, paired by experiment, swept values and seed"
+    )
+    compared.add_argument("a", type=Path, help="folder of a run, or of runs")
+    compared.add_argument("b", type=Path)
+    compared.add_argument(
+        "--policies", nargs=2, metavar=("A", "B"), help="of the first and the second folder"
+    )
+    compared.set_defaults(run=_compare)
+
+
+def _missing(error: ImportError) -> int:
+    print(f"{NEEDS} ({error.name} is not there)", file=sys.stderr)
+    return 2
+
+
+def _list(args: argparse.Namespace) -> int:
+    from orchidledge.lab.library import load, shipped
+
+    table = Table("name", "servers", "nodes", "runs", "what it asks", box=None)
+    for name in shipped():
+        plan = load(name)
+        runs = len(plan.variants()) * len(plan.policies) * len(plan.seeds)
+        table.add_row(name, str(plan.fleet.servers), str(plan.fleet.nodes), str(runs), plan.title)
+    Console().print(table)
+    return 0
+
+
+def _check(args: argparse.Namespace) -> int:
+    from orchidledge.lab.library import ExperimentError, load
+
+    wrong = 0
+    for name in args.experiment:
+        try:
+            load(name)
+        except (ExperimentError, UnusableError) as error:
+            print(error, file=sys.stderr)
+            wrong += 1
+    return 2 if wrong else 0
+
+
+def _run(args: argparse.Namespace) -> int:
+    from orchidledge.lab.compare import FIGURES, interval
+    from orchidledge.lab.engine import sweep
+    from orchidledge.lab.library import ExperimentError, load
+    from orchidledge.lab.results import jobs, read
+
+    asked = []
+    for name in args.experiment:
+        try:
+            plan = load(name)
+        except (ExperimentError, UnusableError) as error:
+            print(error, file=sys.stderr)
+            return 2
+        named = {item.name for item in plan.policies}
+        for policy in args.policy or ():
+            if policy not in named:
+                print(f"{name}: has no policy {policy!r}; it has {', '.join(sorted(named))}", file=sys.stderr)
+                return 2
+        asked += [
+            job
+            for job in jobs(plan)
+            if (not args.policy or plan.policies[job.policy].name in args.policy)
+            and (not args.seeds or job.seed in plan.seeds[: args.seeds])
+        ]
+    kept, failed = [], 0
+    columns = ("{task.description}", BarColumn(), MofNCompleteColumn(), TimeElapsedColumn())
+    with Progress(*columns, console=Console(stderr=True)) as progress:
+        task = progress.add_task("runs", total=len(asked))
+        for job, folder, wrong in sweep(asked, args.results, args.cores):
+            progress.advance(task)
+            if folder is None:
+                failed += 1
+                print(f"failed: {wrong or job.folder}", file=sys.stderr)
+            else:
+                kept.append(read(folder))
+    groups = defaultdict(list)
+    for run in sorted(kept, key=lambda run: run.folder.name):
+        swept = " ".join(f"{key}={value}" for key, value in run.manifest["swept"].items())
+        groups[run.manifest["experiment"], swept, run.policy].append(run)
+    table = Table("experiment", "policy", "seeds", *FIGURES, box=None)
+    for (experiment, swept, policy), runs in groups.items():
+        cells = []
+        for name, of in FIGURES.items():
+            values = [value for run in runs if (value := of(run)) is not None]
+            cell = f"{fmean(values):.4g}" if values else "-"
+            if name == "goodput" and len(values) > 1:
+                low, high = interval(values)
+                cell = f"{fmean(values):.4f} ({low:.4f} to {high:.4f})"
+            cells.append(cell)
+        table.add_row(f"{experiment} {swept}".strip(), policy, str(len(runs)), *cells)
+    Console(width=None if sys.stdout.isatty() else 200).print(table)
+    return 1 if failed else 0
+
+
+def _compare(args: argparse.Namespace) -> int:
+    from orchidledge.lab.compare import CompareError, compare
+    from orchidledge.lab.results import ResultError, runs
+
+    try:
+        sides = [list(runs(folder)) for folder in (args.a, args.b)]
+        if args.policies:
+            sides = [
+                [run for run in side if run.policy == name]
+                for side, name in zip(sides, args.policies, strict=True)
+            ]
+        found = compare(*sides)
+    except (CompareError, ResultError) as error:
+        print(error, file=sys.stderr)
+        return 2
+    names = {run.setting: run.manifest["experiment"] for run in sides[0]}
+    table = Table("experiment", "figure", "A", "B", "seeds", "B less A", box=None)
+    for setting, rows in sorted(found.items(), key=lambda item: (names[item[0]], item[0])):
+        swept = "" if setting[1] == "{}" else f" {setting[1]}"
+        for row in rows:
+            cells = (f"{row.a:.5g}", f"{row.b:.5g}", str(row.pairs), row.words)
+            table.add_row(f"{names[setting]}{swept}", row.figure, *cells)
+    Console(width=None if sys.stdout.isatty() else 160).print(table)
+    return 0
--- a/orchidledge/core/listener.py
+++ b/orchidledge/core/listener.py
@@ -7,6 +7,7 @@
 import socket
 import struct
 from itertools import islice
+from typing import Any
 
 from orchidledge.core.outgoing import OWN, readable
 from orchidledge.core.turns import turns_of
@@ -24,12 +25,11 @@
 LAST_DATA_RECEIVED = struct.Struct("@52xI")  # of Linux's struct tcp_info, in ms: tcpi_last_data_recv
 
 
-def waited_s(transport: asyncio.Transport) -> float:
+def waited_s(sock: Any) -> float:
     """Since the kernel had the latest bytes of a connection, to some ms; 0 where it does not tell (Linux does).
 
     Guard: what comes on a connection that has yet to be accepted waits unseen by the loop, and its time runs.
     """
-    sock = transport.get_extra_info("socket")
     if TCP_INFO is None or sock is None:
         return 0.0
     try:
@@ -64,7 +64,7 @@
         now = self._server.loop.time()
         came = self._server.turns.came(now)
         if self.silent and self._server.orderly:
-            came = min(came, now - waited_s(self._transport))
+            came = min(came, now - waited_s(self._transport.get_extra_info("socket")))
         self.silent = False
         return came
 
@@ -140,13 +140,10 @@
         """After which a connection that carries nothing is closed."""
         raise NotImplementedError
 
-    def refused_at_once(self, found: socket.socket, no_place: bool) -> bool:
-        """Whether a new connection has been told that there is no room for its request, and closed: where all of that
-        has come already and can be told apart cheaply. False leaves it as it was."""
-        return False
-
-    def hurried(self) -> bool:
-        """Whether turns are so long that those who can't be taken in one are better told so at once."""
+    def refused_at_once(self, found: socket.socket, no_place: bool, enough: bool) -> bool:
+        """Whether a new connection has been told that its request can't be taken, and closed: where all of that has
+        come already and can be told apart cheaply, and there is no place for it or enough have been taken in this
+        turn. False leaves it as it was."""
         return False
 
     # ------------------------------------------------------------------- for fronts
@@ -235,14 +232,15 @@
         """Take some of those that wait in the kernel, as far as there is room."""
         assert self._listener is not None
         # Guard: closed ones go a turn or two later: a few at a time keep a burst within the descriptors.
-        most = max(1, self.limit // 20)
+        room = most = max(1, self.limit // 20)
         if self.orderly:
             held = len(self.connections) + len(self._coming)
             spare = min(SPARE, self.limit // 4)
-            most = min(TAKEN_AT_ONCE, self.door.may_accept(held + spare)) or int(self._clear())
-            if not most and held >= self.limit:
+            room = self.door.may_accept(held + spare) or int(self._clear())
+            if not room and held >= self.limit:
                 self._pause()
                 return
+            most = min(room, TAKEN_AT_ONCE)
         for _ in range(AT_ONCE):
             try:
                 found, _ = self._listener.accept()
@@ -256,15 +254,17 @@
                 self._pause()
                 return
             found.setblocking(False)
-            if self.orderly and self.refused_at_once(found, no_place=most <= 0):
+            if self.orderly and self.refused_at_once(found, room <= 0, most <= 0):
                 continue
             # What can't be refused so is taken, one too many at the most.
             task = self.loop.create_task(self._take(found))
             self._coming.add(task)
             task.add_done_callback(self._coming.discard)
             most -= 1
-            # Guard: behind long turns those that were left in the kernel waited there until they were late.
-            if most <= 0 and not (self.orderly and self.hurried()):
+            room -= 1
+            # Guard: behind long turns those that were left in the kernel waited there until they were late: what comes
+            # after enough have been taken is refused for as long as it has waited too long already.
+            if most < 0 or (most <= 0 and not self.orderly):
                 return
 
     async def _take(self, found: socket.socket) -> None:
--- a/orchidledge/http/server.py
+++ b/orchidledge/http/server.py
@@ -12,7 +12,7 @@
 
 import httptools
 
-from orchidledge.core.listener import IncomingConnection, Listener
+from orchidledge.core.listener import IncomingConnection, Listener, waited_s
 from orchidledge.core.outgoing import readable
 from orchidledge.http.client import MAX_BODY, MAX_HEAD, NO_BODY, Header
 
@@ -398,21 +398,21 @@
         self.refusal: Callable[[float], bytes | None] | None = None
         # The head, but for its last line, of the answer to a request for which no place is left.
         self.full_head: Callable[[], bytes | None] | None = None
-        self.in_hurry: Callable[[], bool] = lambda: False
         self.on_refused: Callable[[bytes], None] = lambda head: None  # told each of these that is sent
         self.dialect = dialect
 
     def connection(self) -> ServerConnection:
         return ServerConnection(self)
 
-    def hurried(self) -> bool:
-        return self.in_hurry()
-
-    def refused_at_once(self, found: socket.socket, no_place: bool) -> bool:
+    def refused_at_once(self, found: socket.socket, no_place: bool, enough: bool) -> bool:
         if self.full_head is None or self.refusal is None:
             return False
         full = no_place or not self.door.begins(self.under_way)
-        if not full and self.refusal(self.turns.came(self.loop.time())) is None:
+        late = None
+        if not full and enough:
+            now = self.loop.time()
+            late = self.refusal(min(self.turns.came(now), now - waited_s(found)))
+        if not full and late is None:
             return False
         try:
             data = found.recv(MAX_HEAD, socket.MSG_PEEK)
@@ -420,7 +420,7 @@
             return False
         if not is_plain(data):
             return False
-        head = self.full_head() if full else self.refusal(self.turns.came(self.loop.time()))
+        head = self.full_head() if full else late
         if head is None:
             return False
         # All that has come is read before it is closed, and nothing more is owed: the answer isn't reset away.
--- /dev/null
+++ b/orchidledge/lab/__init__.py
@@ -0,0 +1,1 @@
+"""A model of services that are balanced, policies side by side, and experiments that are kept and compared."""
--- a/orchidledge/runtime/front.py
+++ b/orchidledge/runtime/front.py
@@ -136,7 +136,6 @@
         self.server = Server(limit, self._on_call, dialect, orderly=True)
         self.server.refusal = gate.refusal
         self.server.full_head = gate.full
-        self.server.in_hurry = gate.hurried
         self.server.on_refused = gate.used
         self.counts: Counter[str] = Counter()
         self.configure(deadline_header, tenant, budget)
--- a/orchidledge/runtime/gate.py
+++ b/orchidledge/runtime/gate.py
@@ -97,10 +97,6 @@
         shut = self.core.shut(self.turns.so_far(now), now - came, self._room.open)
         return self._heads[Whose.CORE] if shut else None
 
-    def hurried(self) -> bool:
-        """Whether those who can't be taken in this turn are better told so at once."""
-        return self.core.shut(self.turns.so_far(self.loop.time()), 0.0, self._room.open)
-
     def full(self) -> bytes:
         """The same for a request that came on a connection for which there is no place."""
         return self._heads[Whose.CALLERS]
--- a/orchidledge/sidecar/load.py
+++ b/orchidledge/sidecar/load.py
@@ -6,6 +6,7 @@
 import tomllib
 import types
 import typing
+from collections.abc import Mapping
 from dataclasses import dataclass, field
 from pathlib import Path as FilePath
 from typing import Any
@@ -53,8 +54,8 @@
         return f"{self.name}:{self.line(path)}"
 
 
-def read(path: str) -> Document:
-    """A document from a file; UnusableError where there is none to read."""
+def read(path: str, kinds: Mapping[str, type[BaseModel]] = KINDS) -> Document:
+    """A document from a file, of one of these kinds; UnusableError where there is none to read."""
     try:
         data = FilePath(path).read_bytes()
     except OSError as error:
@@ -68,10 +69,10 @@
         line = data.count(b"\n", 0, error.start) + 1
         document.mistakes.append(Mistake(path, line, "the file", "is not UTF-8", "write it as UTF-8"))
         return document
-    return parse(text, path)
+    return parse(text, path, kinds)
 
 
-def parse(text: str, name: str) -> Document:
+def parse(text: str, name: str, kinds: Mapping[str, type[BaseModel]] = KINDS) -> Document:
     """A document from its text; everything wrong with its shape is among its mistakes."""
     document = Document(name, text)
     try:
@@ -85,9 +86,9 @@
     document.lines = locate(text)
     data = document.data
     kind = data.get("kind")
-    if not isinstance(kind, str) or kind not in KINDS:
+    if not isinstance(kind, str) or kind not in kinds:
         wrong = "is missing" if kind is None else f"is {kind!r}"
-        document.add(("kind",), wrong, near(str(kind), KINDS) if kind is not None else _choice(KINDS))
+        document.add(("kind",), wrong, near(str(kind), kinds) if kind is not None else _choice(kinds))
         return document
     document.kind = kind
     version = data.get("version")
@@ -98,7 +99,7 @@
             f"use version {VERSION}, or the program that wrote the file",
         )
         return document
-    _validate(document, KINDS[kind])
+    _validate(document, kinds[kind])
     return document
 
 
--- /dev/null
+++ b/tests/lab/test_model.py
@@ -0,0 +1,217 @@
+"""The model against closed formulas of queueing theory, its seeds, and what goes wrong in it."""
+
+from __future__ import annotations
+
+import math
+from heapq import heappop, heappush
+from typing import Any
+
+import orjson
+import pytest
+from hypothesis import given
+from hypothesis import settings as examples
+from hypothesis import strategies as st
+
+from orchidledge.interface import Result
+from orchidledge.lab import draws
+from orchidledge.lab.experiment import Experiment, Policy, Service
+from orchidledge.lab.library import load, shipped
+from orchidledge.lab.policies import LIMITS, PICKERS
+from orchidledge.lab.servers import Server
+from orchidledge.lab.world import World, times_of
+
+EVERY = [Policy(name=pick, pick=pick) for pick in ("ours", *PICKERS)]  # type: ignore[arg-type]
+
+
+def plan(**more: Any) -> Experiment:
+    row = {
+        "kind": "experiment",
+        "version": 1,
+        "name": "t",
+        "seconds": 4,
+        "warm_s": 1,
+        "load": {"of_capacity": 0.6},
+    }
+    return Experiment.model_validate(row | {"fleet": {"servers": 6, "cores": 2, "nodes": 2}} | more)
+
+
+def erlang_c(cores: int, load: float) -> float:
+    """The chance to wait in an M/M/c queue with so many erlangs."""
+    terms = [load**n / math.factorial(n) for n in range(cores)]
+    last = load**cores / math.factorial(cores) * cores / (cores - load)
+    return last / (sum(terms) + last)
+
+
+MEAN = 10.0
+
+
+def m_m_c(cores: int, rho: float) -> float:
+    return erlang_c(cores, rho * cores) * MEAN / (cores * (1.0 - rho))
+
+
+def m_g_1(rho: float, cv: float) -> float:
+    """Pollaczek and Khinchine's mean wait."""
+    return rho * MEAN * (1.0 + cv * cv) / (2.0 * (1.0 - rho))
+
+
+@pytest.mark.parametrize(
+    ("cores", "rho", "service", "wait"),
+    [
+        (1, 0.6, Service(mean_ms=MEAN), m_m_c(1, 0.6)),
+        (4, 0.8, Service(mean_ms=MEAN), m_m_c(4, 0.8)),
+        (16, 0.8, Service(mean_ms=MEAN), m_m_c(16, 0.8)),
+        (1, 0.6, Service(kind="fixed", mean_ms=MEAN), m_g_1(0.6, 0.0)),
+        (1, 0.5, Service(kind="lognormal", mean_ms=MEAN, cv=1.5), m_g_1(0.5, 1.5)),
+        (1, 0.6, Service(kind="bimodal", mean_ms=5.0, slow_ms=55.0, slow_share=0.1), m_g_1(0.6, 1.5)),
+        (1, 0.6, Service(kind="histogram", values_ms=[5.0, 55.0], weights=[9, 1]), m_g_1(0.6, 1.5)),
+    ],
+    ids=lambda value: value.kind if isinstance(value, Service) else "",
+)
+def test_waits_are_those_of_the_formulas(cores, rho, service, wait):
+    """Within 2%, and Little's law with them."""
+    server, gap = Server("s", cores=cores), draws.exponential(7, "gaps")
+    times, mean_gap = times_of(service, 7, "times"), MEAN / cores / rho
+    now = waited = held = area = last = 0.0
+    inside: list[float] = []
+    calls = 600_000
+    for _ in range(calls):
+        now += gap() * mean_gap
+        taken = server.take(now, times())
+        waited += taken.begins - now
+        held += taken.ends - now
+        while inside and inside[0] <= now:
+            ends = heappop(inside)
+            area += (len(inside) + 1) * (ends - last)
+            last = ends
+        area += len(inside) * (now - last)
+        last = now
+        heappush(inside, taken.ends)
+    assert waited / calls == pytest.approx(wait, rel=0.02)
+    # Little's law: calls held on average are the rate times the time of each, counted on its own.
+    assert area / now == pytest.approx(calls / now * held / calls, rel=0.002)
+
+
+@pytest.mark.parametrize("policy", EVERY, ids=lambda policy: policy.name)
+@pytest.mark.parametrize("name", sorted(set(shipped()) - {"many-nodes"}))
+def test_each_shipped_experiment_gives_the_same_bytes_and_each_request_one_end(name, policy):
+    whole = load(name)
+    # Everything of it, shrunk in time: troubles come as far into it as they did.
+    share = 0.8 / whole.seconds
+    data = whole.model_dump(exclude={"sweep", "policies"}) | {"seconds": 0.8, "warm_s": 0.0}
+    for row in data["troubles"]:
+        row["at_s"] *= share
+        row["until_s"] = row["until_s"] and row["until_s"] * share
+    small = Experiment.model_validate(data)
+    worlds = [World(small, policy, 3) for _ in range(2)]
+    first, second = (orjson.dumps(world.run()) for world in worlds)
+    assert first == second
+    world = worlds[0]
+    for counts in orjson.loads(first)["classes"].values():
+        ends = sum(counts[how] for how in ("in_time", "late", "refused", "failed"))
+        assert ends == counts["due"]  # in time or not, each request has one end
+    # By the servers' own account as many calls are held as their rates and times say (Little's law).
+    assert sum(server.taken for server in world.servers) <= world.recorder.attempts
+    assert world.held_ms >= sum(server.busy_ms for server in world.servers) * 0.999 or small.fleet.dependency
+    for server in world.servers:
+        assert server.busy_ms <= server.cores * (world.end_ms + 60_000) * 10
+
+
+@examples(deadline=None, max_examples=15)
+@given(st.integers(1, 2**31), st.sampled_from(sorted(LIMITS)), st.floats(0.2, 4.0))
+def test_whatever_the_load_each_call_is_admitted_or_refused_at_once_and_ends_in_its_time(seed, limit, load_):
+    small = plan(seconds=0.6, warm_s=0.0, load={"of_capacity": load_})
+    world = World(small, Policy(name="p", pick="two_choices", limit=limit), seed)
+    row = world.run()["classes"]["read"]
+    assert row["due"] == row["in_time"] + row["late"] + row["refused"] + row["failed"]
+    latest = row["latency_ms"]["p999"]
+    assert latest is None or latest <= small.classes[0].give_up_ms * 1.002
+
+
+def answered(policy: str, **more: Any) -> dict[str, Any]:
+    found = World(plan(**more), Policy(name="p", pick=policy), 5).run()  # type: ignore[arg-type]
+    return found | found["classes"]["read"]
+
+
+TROUBLES: list[tuple[str, dict[str, Any], str]] = [
+    ("slow", {"servers": 6, "factor": 20.0}, "late failed refused"),
+    ("stalled", {"servers": 6}, "late failed refused"),
+    ("failing", {"servers": 6, "factor": 100.0}, "failed refused"),
+    ("refusing", {"servers": 6}, "refused"),
+    ("restart", {"servers": 6}, "failed refused"),
+    ("zone_lost", {"zone": "a"}, "failed refused"),
+    ("list_empty", {}, "refused"),
+    ("node_killed", {"servers": 2}, "failed"),
+]
+
+
+@pytest.mark.parametrize("policy", ["ours", "two_choices"])
+@pytest.mark.parametrize(("kind", "more", "how"), TROUBLES, ids=[row[0] for row in TROUBLES])
+def test_a_trouble_that_takes_everything_is_seen_and_ends(kind, more, how, policy):
+    fleet = {"servers": 6, "cores": 2, "nodes": 2, "cold_ms": 0.0, "list_late_ms": 10.0}
+    trouble = {"kind": kind, "at_s": 1.5} | more
+    if kind not in ("restart", "node_killed"):
+        trouble["until_s"] = 2.0
+    quiet = answered(policy, fleet=fleet, seconds=9.0, load={"of_capacity": 0.3})
+    found = answered(policy, fleet=fleet, seconds=9.0, load={"of_capacity": 0.3}, troubles=[trouble])
+    lost = sum(found[name] for name in how.split())
+    assert lost > 0
+    assert quiet["in_time"] == quiet["due"]
+    # It is over in the end: the last second is as good as the one before the trouble.
+    assert found["seconds"][-1][2] >= 0.95 * found["seconds"][-1][1]
+
+
+def test_a_partition_cuts_off_the_other_zones_alone_and_tries_elsewhere_help():
+    fleet = {"servers": 6, "cores": 2, "nodes": 4, "zones": ["a", "b"], "max_attempts": 1}
+    trouble = {"kind": "partition", "at_s": 1.0, "until_s": 3.0, "zone": "b"}
+    cut = answered("random", fleet=fleet, troubles=[trouble])
+    tried = answered("random", fleet=fleet | {"max_attempts": 3}, troubles=[trouble])
+    assert cut["failed"] > 0.2 * cut["due"] > tried["failed"]
+
+
+def test_callers_that_ask_again_heed_when_to_come_back_and_those_that_leave_are_counted():
+    storm = {"of_capacity": 3.0, "repeats": {"most": 3, "backoff_ms": 20.0}}
+    asked = {heed: World(plan(load=storm | {"repeats": storm["repeats"] | {"heed_retry_after": heed}}),  # type: ignore[operator]
+                         Policy(name="ours"), 1) for heed in (True, False)}  # fmt: skip
+    for world in asked.values():
+        world.run()
+    assert asked[True]._numbers < asked[False]._numbers
+    patient, hasty = (answered("random", load={"of_capacity": 0.9, "patience_ms": ms}) for ms in (0.0, 15.0))
+    assert hasty["failed"] > patient["failed"]
+
+
+def test_a_closed_loop_holds_no_more_than_its_callers():
+    world = World(
+        plan(load={"kind": "closed", "callers": 9, "think_ms": 5.0}), Policy(name="p", pick="random"), 2
+    )
+    world.run()
+    assert 0 < max(row["in_flight"] for row in world.recorder.samples) <= 9
+
+
+def test_a_cold_server_that_gets_a_warm_ones_share_is_pushed_over_and_ours_spares_it():
+    fleet = {
+        "servers": 4,
+        "cores": 2,
+        "nodes": 2,
+        "cold_ms": 20_000.0,
+        "cold_from": 0.05,
+        "overload_factor": 2.0,
+    }
+    more = {"fleet": fleet, "seconds": 14.0, "load": {"of_capacity": 0.7}}
+    trouble = [{"kind": "restart", "at_s": 1.0, "servers": 1}]
+    fell = {
+        name: answered(name, troubles=trouble, **more)["servers"]["fell"] for name in ("round_robin", "ours")
+    }
+    assert fell["round_robin"] > 0 == fell["ours"]
+
+
+def test_what_is_stalled_answers_late_and_to_those_that_still_wait():
+    world = World(plan(fleet={"servers": 1, "nodes": 1}, seconds=2.0), Policy(name="p", pick="random"), 1)
+    call_ends: list[tuple[float, Result]] = []
+    world.nodes[0].over = lambda now, attempt, result, ms: call_ends.append((now, result))  # type: ignore[method-assign]
+    world._begin(0.0, -1)
+    world.at(1.0, world._stall, [0], 300.0)
+    while world._heap:
+        when, _, what, args = heappop(world._heap)
+        what(when, *args)
+    assert [result for _, result in call_ends] == [Result.OK]
+    assert call_ends[0][0] >= 300.0
--- a/tests/test_structure.py
+++ b/tests/test_structure.py
@@ -29,6 +29,7 @@
     "lists": {"core", "http", "interface"},
     "platform": {"core", "http", "lists", "interface", "settings"},
     "sidecar": {"core", "router"},
+    "lab": {"brain", "interface", "sidecar"},
     "runtime": {
         "budget",
         "core",
@@ -46,7 +47,7 @@
     "thrift": {"core", "interface"},
     "standin": {"core", "http", "thrift"},
     "examples": set(),
-    "cli": {"core", "http", "runtime", "sidecar", "standin", "xds"},
+    "cli": {"core", "http", "lab", "runtime", "sidecar", "standin", "xds"},
     "__main__": {"core", "platform"},
     "__init__": {"brain", "interface"},
 }
