--- /dev/null
+++ b/tests/lab/test_results.py
@@ -0,0 +1,170 @@
+"""What is kept of runs, how it is compared, and the command around it."""
+
+from __future__ import annotations
+
+from pathlib import Path
+from typing import Any
+
+import orjson
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from orchidledge.cli import main
+from orchidledge.lab import engine, policies, results
+from orchidledge.lab.compare import CompareError, compare, interval
+from orchidledge.lab.experiment import Experiment
+from orchidledge.lab.recorder import FLUSH, Latencies
+
+TEXT = """kind = "experiment"
+version = 1
+name = "tiny"
+seconds = 0.5
+warm_s = 0.1
+seeds = [1, 2, 3]
+[fleet]
+servers = 3
+nodes = 1
+[load]
+of_capacity = 0.5
+[[policies]]
+name = "ours"
+[[policies]]
+name = "random"
+pick = "random"
+[[sweep]]
+set = "load.of_capacity"
+values = [0.4, 0.6]
+"""
+
+
+@pytest.fixture
+def file(tmp_path: Path) -> Path:
+    path = tmp_path / "tiny.toml"
+    path.write_text(TEXT)
+    return path
+
+
+def plan(**more: Any) -> Experiment:
+    row = {
+        "kind": "experiment",
+        "version": 1,
+        "name": "t",
+        "seconds": 0.4,
+        "warm_s": 0.1,
+        "load": {"of_capacity": 0.5},
+    }
+    return Experiment.model_validate(row | {"fleet": {"servers": 3, "nodes": 1}} | more)
+
+
+def test_a_sweep_that_was_stopped_goes_on_and_what_is_kept_is_never_written_again(file, tmp_path, capsys):
+    kept = tmp_path / "kept"
+    assert main(["lab", "run", str(file), "--results", str(kept), "--cores", "1"]) == 0
+    names = sorted(path.name for path in kept.iterdir())
+    assert len(names) == 12  # two values, two policies, three seeds
+    stamps = {name: (kept / name / "figures.json").stat().st_mtime_ns for name in names}
+    gone, half = names[0], names[1]
+    for path in (kept / gone).iterdir():
+        path.unlink()
+    (kept / gone).rmdir()
+    (kept / f".{half}.1").mkdir()  # of one that was killed while it wrote
+    before = (kept / half / "figures.json").read_bytes()
+    assert main(["lab", "run", str(file), "--results", str(kept), "--cores", "2"]) == 0
+    assert sorted(path.name for path in kept.iterdir() if path.name[0] != ".") == names
+    assert (kept / half / "figures.json").read_bytes() == before
+    again = {name: (kept / name / "figures.json").stat().st_mtime_ns for name in names if name != gone}
+    assert again == {name: stamp for name, stamp in stamps.items() if name != gone}
+    with pytest.raises(results.ResultError, match="never overwritten"):
+        results.write(kept / half, {}, {})
+    capsys.readouterr()
+    # Two policies of one folder, paired by seed and swept value; a side with itself shows nothing.
+    assert main(["lab", "compare", str(kept), str(kept), "--policies", "ours", "random"]) == 0
+    assert "0.4" in capsys.readouterr().out
+    assert main(["lab", "compare", str(kept), str(kept), "--policies", "ours", "ours"]) == 0
+    assert "no difference beyond chance" in capsys.readouterr().out
+    assert main(["lab", "compare", str(kept), str(kept)]) == 2  # two policies a side
+    assert "name one policy a side" in capsys.readouterr().err
+
+
+@pytest.mark.parametrize(
+    ("was", "now", "said"),
+    [
+        ("of_capacity = 0.5", "of_capacity = -1.0", "tiny.toml:11"),
+        ("of_capacity = 0.5", "", "an open loop has either"),
+        ('pick = "random"', 'pick = "best"', "tiny.toml:16"),
+        ("warm_s = 0.1", "warm_s = 3", "warm_s is to be under seconds"),
+        ("seeds = [1, 2, 3]", "seeds = [1, 1]", "seeds: one stands twice"),
+        ('set = "load.of_capacity"', 'set = "load.speed"', "'load.speed' is no key"),
+        ("[fleet]", '[[troubles]]\nkind = "partition"\nat_s = 1\n[fleet]', "needs a zone"),
+        ("seconds = 0.5", "seconds = 0.5\nspeed = 1", "tiny.toml:5: speed"),
+        ('kind = "experiment"', 'kind = "catalogue"', "tiny.toml:1"),
+        ('name = "tiny"', "name = ", "is not TOML"),
+    ],
+)
+def test_a_mistake_is_told_with_its_place_and_nothing_is_run(was, now, said, file, tmp_path, capsys):
+    assert was in TEXT
+    file.write_text(TEXT.replace(was, now, 1))
+    assert main(["lab", "check", str(file)]) == 2
+    assert said in capsys.readouterr().err
+    assert main(["lab", "run", str(file), "--results", str(tmp_path / "kept")]) == 2
+    assert not (tmp_path / "kept").exists()
+
+
+def test_a_policy_that_raises_fails_its_run_by_name_and_keeps_nothing(tmp_path, monkeypatch):
+    def pick(self, now, out, among):
+        raise ZeroDivisionError("of its own")
+
+    monkeypatch.setattr(policies.RoundRobin, "pick", pick)
+    (job,) = results.jobs(plan(seeds=[1], policies=[{"name": "turns", "pick": "round_robin"}]))
+    with pytest.raises(engine.RunError, match=r"t-turns-seed1.*ZeroDivisionError: of its own"):
+        engine.keep(job, tmp_path)
+    assert not list(tmp_path.iterdir())
+
+
+def run_of(goodput: float, seed: int, policy: str = "ours", **more: Any) -> results.Run:
+    (job,) = results.jobs(plan(seeds=[seed], policies=[{"name": policy}], **more))
+    return results.Run(
+        Path(f"{seed}"), results.manifest(job, "none", 0.0), {"goodput": goodput, "classes": {}}
+    )
+
+
+def test_runs_of_other_experiments_and_seeds_are_not_compared_and_few_say_nothing():
+    mine = [run_of(0.9, seed) for seed in (1, 2, 3)]
+    with pytest.raises(CompareError, match="no run on one side"):
+        compare(mine, [run_of(0.9, seed, seconds=0.8) for seed in (1, 2, 3)])
+    with pytest.raises(CompareError, match="no run on one side"):
+        compare(mine, [run_of(0.9, seed) for seed in (4, 5)])
+    (rows,) = compare(mine, [run_of(0.8, seed) for seed in (1, 2)]).values()
+    assert rows[0].words == "too few seeds to say (2)"
+    (rows,) = compare(mine, [run_of(0.8, seed) for seed in (1, 2, 3)]).values()
+    assert rows[0].beyond_chance
+    (rows,) = compare(mine, [run_of(value, seed) for seed, value in enumerate((0.8, 0.9, 1.0), 1)]).values()
+    assert rows[0].words == "no difference beyond chance"
+
+
+@given(st.lists(st.floats(-10, 10), min_size=3, max_size=20))
+def test_an_interval_holds_the_mean_and_is_the_same_each_time(values):
+    low, high = interval(values)
+    assert low - 1e-9 <= sum(values) / len(values) <= high + 1e-9
+    assert interval(values) == (low, high)
+
+
+def test_latencies_are_kept_in_bounded_memory_and_percentiles_to_three_digits():
+    found = Latencies()
+    for at in range(FLUSH * 3 + 7):
+        found.add((at % 1000) + 1.0)
+        assert len(found._fresh) <= FLUSH
+    row = found.row()
+    assert row["count"] == FLUSH * 3 + 7
+    assert row["p99"] == pytest.approx(990.0, rel=2e-3)
+    assert orjson.dumps(row)
+
+
+def test_an_unreadable_result_is_told_by_its_folder(tmp_path):
+    for content in (b"{}", b"not json"):
+        (tmp_path / "manifest.json").write_bytes(content)
+        (tmp_path / "figures.json").write_bytes(b"{}")
+        with pytest.raises(results.ResultError, match=tmp_path.name):
+            list(results.runs(tmp_path))
+    with pytest.raises(results.ResultError, match="holds no runs"):
+        list(results.runs(tmp_path / "nowhere"))
