--- a/orchidledge/cli/lab.py
+++ b/orchidledge/cli/lab.py
@@ -39,6 +39,10 @@
     run.add_argument("--seeds", type=int, help="only the first so many")
     run.epilog = "Runs that are in the folder already are not run again, so a stopped sweep goes on."
     run.set_defaults(run=_run)
+    told = verbs.add_parser("report", help="one HTML page, with plots, of the runs in a folder")
+    told.add_argument("results", type=Path)
+    told.add_argument("--to", type=Path, default=Path("lab-report.html"), help="default %(default)s")
+    told.set_defaults(run=_report)
     compared = verbs.add_parser(
         "compare", help="two sets of runs, paired by experiment, swept values and seed"
     )
@@ -134,6 +138,22 @@
     return 1 if failed else 0
 
 
+def _report(args: argparse.Namespace) -> int:
+    from orchidledge.lab.results import ResultError, runs
+
+    try:
+        from orchidledge.lab.report import write
+    except ImportError as error:
+        return _missing(error)
+    try:
+        write(list(runs(args.results)), args.to)
+    except (ResultError, OSError) as error:
+        print(error, file=sys.stderr)
+        return 2
+    print(args.to)
+    return 0
+
+
 def _compare(args: argparse.Namespace) -> int:
     from orchidledge.lab.compare import CompareError, compare
     from orchidledge.lab.results import ResultError, runs
--- a/tests/lab/test_results.py
+++ b/tests/lab/test_results.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import re
 from pathlib import Path
 from typing import Any
 
@@ -15,6 +16,7 @@
 from orchidledge.lab.compare import CompareError, compare, interval
 from orchidledge.lab.experiment import Experiment
 from orchidledge.lab.recorder import FLUSH, Latencies
+from orchidledge.lab.report import PLOTS
 
 TEXT = """kind = "experiment"
 version = 1
@@ -82,6 +84,14 @@
     assert "0.4" in capsys.readouterr().out
     assert main(["lab", "compare", str(kept), str(kept), "--policies", "ours", "ours"]) == 0
     assert "no difference beyond chance" in capsys.readouterr().out
+    page = tmp_path / "page.html"
+    assert main(["lab", "report", str(kept), "--to", str(page)]) == 0
+    text = page.read_text()
+    assert text.count("<svg") == 2 * len(PLOTS)  # for each swept value
+    assert not [link for link in re.findall(r"(?:href|src)=\"([^\"]*)", text) if not link.startswith("#")]
+    assert all(word in text for word in ("tiny", "random", "load.of_capacity"))
+    assert main(["lab", "report", str(tmp_path / "nowhere"), "--to", str(page)]) == 2
+    capsys.readouterr()
     assert main(["lab", "compare", str(kept), str(kept)]) == 2  # two policies a side
     assert "name one policy a side" in capsys.readouterr().err
 
