--- a/orchidledge/lab/world.py
+++ b/orchidledge/lab/world.py
@@ -95,6 +95,16 @@
         self.listed = list(range(fleet.servers))
         self.cut: set[str] = set()  # zones that nodes of other zones can't reach
         self.list_late_ms = fleet.list_late_ms
+        # What each request asks for is read once: a model's fields cost several times an attribute.
+        self._kinds = [
+            (item.name, item.effect == "safe", item.give_up_ms, item.aim_ms) for item in plan.classes
+        ]
+        self._base = plan.rate_per_s if plan.load.kind == "open" else 0.0
+        self._steady = plan.load.shape == "steady"
+        self._patience_ms, self._repeats = plan.load.patience_ms, plan.load.repeats
+        self._think_ms = plan.load.think_ms
+        self._net, self._zones, self._cross_ms = fleet.network_ms, zones, fleet.cross_zone_ms
+        self._overload = fleet.overload_factor
         self._times = [times_of(item.service, seed, f"service {item.name}") for item in plan.classes]
         self._which = draws.uniform(seed, "class")
         self._gap = draws.exponential(seed, "arrivals")
@@ -167,8 +177,8 @@
 
     def _rate(self, now: float) -> float:
         """Requests a second at this moment."""
-        load, base = self.plan.load, self.plan.rate_per_s
-        if load.shape == "steady":
+        load, base = self.plan.load, self._base
+        if self._steady:
             return base
         if load.shape == "ramp":
             return max(1e-9, base * (1.0 + (load.to - 1.0) * min(1.0, now / self.end_ms)))
@@ -193,14 +203,11 @@
             drawn = self._which()
             while self._edges[kind] < drawn:
                 kind += 1
-        item = self.plan.classes[kind]
-        patience = item.give_up_ms
-        if self.plan.load.patience_ms:
-            patience = min(patience, self._patience() * self.plan.load.patience_ms)
+        name, safe, patience, _ = self._kinds[kind]
+        if self._patience_ms:
+            patience = min(patience, self._patience() * self._patience_ms)
         self._numbers += 1
-        call = Call(
-            self._numbers, kind, item.name, item.effect == "safe", now, now + patience, self._times[kind]()
-        )
+        call = Call(self._numbers, kind, name, safe, now, now + patience, self._times[kind]())
         call.caller = caller
         self.recorder.due(kind, now)
         self._give(now, call)
@@ -224,9 +231,9 @@
             return
         if result is Result.OK:
             took = now - call.first_due
-            self._end(now, call, IN_TIME if took <= self.plan.classes[call.kind].aim_ms else LATE)
+            self._end(now, call, IN_TIME if took <= self._kinds[call.kind][3] else LATE)
             return
-        repeats = self.plan.load.repeats
+        repeats = self._repeats
         wait = repeats.backoff_ms * 2.0**call.repeats
         if repeats.heed_retry_after:
             wait = max(wait, retry_after_ms)
@@ -245,7 +252,7 @@
         call.done = True
         self.recorder.ended(call.kind, call.first_due, how, now - call.first_due)
         if call.caller >= 0:
-            think = self._think() * self.plan.load.think_ms if self.plan.load.think_ms else 0.0
+            think = self._think() * self._think_ms if self._think_ms else 0.0
             if how >= REFUSED:
                 think = max(
                     think, 1.0
@@ -262,12 +269,11 @@
         call.tries += 1
         call.tried.append(at)
         self.recorder.attempts += 1
-        net = self.plan.fleet.network_ms
-        zones = self.plan.fleet.zones
+        net, zones = self._net, self._zones
         if len(zones) > 1:
             mine = zones[node.name % len(zones)]
             if server.zone != mine:
-                net += self.plan.fleet.cross_zone_ms
+                net += self._cross_ms
                 if server.zone in self.cut or mine in self.cut:
                     self.at(min(until, now + CONNECT_MS), self._back, attempt, Result.CONNECT_FAILED)
                     return attempt
@@ -275,7 +281,7 @@
             self.at(min(until, now + 2.0 * net + GONE_MS), self._back, attempt, Result.CONNECT_FAILED)
             return attempt
         come = now + net
-        if server.launched is not None and server.pushed(come, call.work_ms, self.plan.fleet.overload_factor):
+        if server.launched is not None and server.pushed(come, call.work_ms, self._overload):
             server.fell += 1
             self._stop(now, at)
             self.at(now + RESTART_MS, self._start, at)
