--- a/orchidledge/brain.py
+++ b/orchidledge/brain.py
@@ -618,8 +618,8 @@
         for peer in ready:
             while peer.given_up and peer.given_up[0][0] <= now:
                 peer.load = max(0.0, peer.load - peer.given_up.popleft()[1])
-        # Guard: when all servers had failed, the first that did well again got all calls for good, and the others none
-        # that could have cleared them: 40% were refused at a third of the load, without end.
+        # Guard: when all servers had failed, the first that did well again got all calls for good, and the
+        # others none that could have cleared them: 40% were refused at a third of the load, without end.
         if (_middle([peer.errs for peer in ready]) or 0.0) > PANIC:
             for peer in ready:
                 peer.errs *= math.exp(-self.period_ms / PANIC_MS)
