What servers take of an answer is learned from counts that the figures don't clear

The core's limit took the answers of each tenth of a second from the counts of attempts, which begin anew with the line of figures every 10 s. In that look all of the servers' time fell to one answer: at 800 a second of 0.14 s the limit held servers to take seconds and let everything in for a while. A test, seen to fail.

--- a/orchidledge/core/pool.py
+++ b/orchidledge/core/pool.py
@@ -69,9 +69,8 @@
         self.up: set[str] = set()
         self.counts: Counter[str] = Counter()
         self.timers: dict[str, asyncio.TimerHandle] = {}
-        self.own_ms = self.server_ms = (
-            0.0  # of all good answers: what this process took, and what servers did
-        )
+        self.good = 0  # answers, since the start, and of all of them:
+        self.own_ms = self.server_ms = 0.0  # what this process took, and what servers did
         self._events: deque[api.Event] = deque()
         self._deciding = False
 
@@ -287,6 +286,7 @@
         own_ms = own_s * 1000.0
         latency = max(0.0, (self.loop.time() - began) * 1000.0 - own_ms)
         if result is api.Result.OK:
+            self.good += 1
             self.own_ms += own_ms
             self.server_ms += latency
         self.tell(api.Outcome(action.id, number, action.server, result, latency, done, report, own_ms))
--- a/orchidledge/runtime/gate.py
+++ b/orchidledge/runtime/gate.py
@@ -47,7 +47,7 @@
         self._heads: dict[Whose, bytes] = {}
         self._easy_s = 0.0  # within which no class is late
         self._taken = 0
-        self._before = self.loop.time(), 0.0, 0, 0, 0.0, 0  # at the last look, as in `start`
+        self._before = self.loop.time(), 0.0, 0, 0, 0.0, 0  # at the last look, as told there
         self._told: Counter[str] = Counter()
         self.configure("orchidledge", False)
 
@@ -62,29 +62,28 @@
             self._heads[whose] = ("\r\n".join(lines) + "\r\n").encode("ascii", "replace")
         self.retry_after_ms = RETRY_AFTER_S * 1000.0 if retry_after else 0.0
 
-    def start(self) -> None:
-        """Look at what the pools have learned every now and then."""
+    def look(self) -> None:
+        """Take in what the core and the pools have done since, now and again every `LOOK_S`."""
+        pools = list(self._pools())
         if self.turns.told:
-            pools = list(self._pools())
             now = (
                 self.loop.time(),
                 self.turns.busy_s,
                 self._taken,
                 self.tally.counts.total(),
                 sum(pool.server_ms for pool in pools) / 1000.0,
-                sum(pool.counts["ok"] for pool in pools),
+                sum(pool.good for pool in pools),
             )
+            # A reload may put a pool anew, with nothing done yet.
             whole, busy, taken, refused, servers, answers = (
                 max(0, new - old) for new, old in zip(now, self._before, strict=True)
             )
             self.core.learn(whole, busy, int(taken), int(refused), servers / max(1, answers))
             self._before = now
-        times = [
-            time_s(kind) - server_s(pool, kind) for pool in self._pools() for kind in pool.classes.values()
-        ]
+        times = [time_s(kind) - server_s(pool, kind) for pool in pools for kind in pool.classes.values()]
         self.core.top_s = max(times, default=math.inf)
         self._easy_s = max(0.0, min(times, default=0.0)) / 2.0
-        self._timer = self.loop.call_later(LOOK_S, self.start)
+        self._timer = self.loop.call_later(LOOK_S, self.look)
 
     def close(self) -> None:
         self._beat.close()
--- a/orchidledge/runtime/sidecar.py
+++ b/orchidledge/runtime/sidecar.py
@@ -152,7 +152,7 @@
         """Put the configuration in force. OSError if an address can't be had, ReloadError if what it needs is not
         installed; then nothing is left open."""
         await self._put(self.configuration)
-        self.gate.start()
+        self.gate.look()
         self._stats()
 
     async def reload(self, configuration: Configuration) -> None:
--- a/tests/runtime/test_load.py
+++ b/tests/runtime/test_load.py
@@ -229,6 +229,25 @@
     assert f"{path}: {place}: address {at} can't be had" in capsys.readouterr().err
 
 
+def test_the_servers_part_of_an_answer_is_learned_whatever_figures_are_told_meanwhile():
+    async def main():
+        (box,) = boxes(1)
+        async with running(box, classes=SHORT) as sidecar:
+            starve(sidecar, 0.0, 0.0)
+            gate, pool = sidecar.gate, sidecar.pools["boxes"]
+            gate.look()
+            app = application(sidecar)
+            for at in range(40):
+                assert (await app.ask("GET", f"/{at}")).status == 200
+            gate.turns.busy_s += 1e6  # the core had nothing but work
+            pool.server_ms += 40 * 100.0
+            sidecar._stats()  # which begins the counts of attempts anew
+            gate.look()
+            assert 0.0 < gate.core.servers_s < 0.2
+
+    asyncio.run(main())
+
+
 def test_without_a_server_the_refusal_says_so():
     async def main():
         (box,) = boxes(1)
