What stood twice about limits, shares and starts of a pool stands once

The platform's node and the checker take shares and spare descriptors from limits.connections; start_calls and near_ms of a sidecar are with its models; descriptors_here is one; routes know their pool in one place; the gate asks the core's limit alone, whose rule it repeated; a connection that comes back is looked at once in place of twice (a poll of the kernel each); the decision module has one ratio of latencies.

--- a/orchidledge/brain.py
+++ b/orchidledge/brain.py
@@ -168,9 +168,8 @@
         self.load, self.target = 0.0, 1.0  # of the last period; the level from which latency is load
         self.completed = self.ended = self.full = 0.0
         self.rate = self.peak = 0.0  # completed units per ms
-        self.borne = (
-            0.0  # the most calls in flight beside which one was answered in quiet, since there was load
-        )
+        # The most calls in flight beside which one was answered in quiet, since there was load.
+        self.borne = 0.0
         self.lag = 0.0  # ms: what came within it may not have been read yet
         self.mean_aim = sum(kind.aim_ms for kind in settings.classes) / len(settings.classes)
         self.mean_hint = 0.0
@@ -403,8 +402,7 @@
             mean = self.class_ms.get(self.jobs[name].kind.name) if peer.heard_ms <= sent_ms else None
             if mean:
                 # Guard: while the host was busy every server looked as if it hung.
-                near = self.cfg.near_ms
-                slow = max(slow, (now - self.lag - sent_ms + near) / (mean + near))
+                slow = max(slow, _ratio(now - self.lag - sent_ms, mean, self.cfg.near_ms))
         failing = 1.0 - min(0.9, peer.errs)
         queue = peer.queue * math.exp((peer.told_ms - now) / STALE_MS) if peer.queue else 0.0
         far = ZONE_WEIGHT * self.cfg.cross_zone_price if peer.info.zone != self.cfg.zone else 0.0
--- a/orchidledge/cli/config.py
+++ b/orchidledge/cli/config.py
@@ -5,7 +5,6 @@
 import argparse
 import contextlib
 import os
-import resource
 import sys
 from pathlib import Path
 from tempfile import NamedTemporaryFile
@@ -14,6 +13,7 @@
 import orjson
 
 from orchidledge.cli.fetching import admin_url, fetch
+from orchidledge.core.descriptors import descriptors_here
 from orchidledge.sidecar.checks import check
 from orchidledge.sidecar.derive import Derived, derive, text_of
 from orchidledge.sidecar.drift import Difference, compare
@@ -89,12 +89,6 @@
     schema.set_defaults(run=_schema)
 
 
-def descriptors_here() -> int:
-    """How many descriptors this process could have."""
-    hard = resource.getrlimit(resource.RLIMIT_NOFILE)[1]
-    return 2**31 if hard == resource.RLIM_INFINITY else hard
-
-
 def _unusable(error: object) -> int:
     print(f"orchidledge: {error}", file=sys.stderr)
     return 2
--- a/orchidledge/cli/sidecar.py
+++ b/orchidledge/cli/sidecar.py
@@ -9,7 +9,7 @@
 import resource
 import sys
 
-from orchidledge.cli.config import descriptors_here
+from orchidledge.core.descriptors import descriptors_here
 from orchidledge.core.leaving import signals
 from orchidledge.core.turns import TurnLoop
 from orchidledge.runtime.building import ReloadError, descriptors_of
--- a/orchidledge/core/listener.py
+++ b/orchidledge/core/listener.py
@@ -161,9 +161,14 @@
     def crowded(self) -> bool:
         """Whether a connection is closed with its answer."""
         if self.orderly:
-            return not self.door.keeps(len(self.connections) + len(self._coming))
+            return not self.door.keeps(self.held)
         return len(self.connections) > self.limit
 
+    @property
+    def held(self) -> int:
+        """Connections, those too that have no protocol yet."""
+        return len(self.connections) + len(self._coming)
+
     @property
     def paused(self) -> bool:
         """Whether new connections are left in the kernel for now."""
@@ -234,7 +239,7 @@
         # Guard: closed ones go a turn or two later: a few at a time keep a burst within the descriptors.
         room = most = max(1, self.limit // 20)
         if self.orderly:
-            held = len(self.connections) + len(self._coming)
+            held = self.held  # before room is made
             spare = min(SPARE, self.limit // 4)
             room = self.door.may_accept(held + spare) or int(self._clear())
             if not room and held >= self.limit:
@@ -294,7 +299,7 @@
     def closed(self, connection: IncomingConnection) -> None:
         self.stage(connection, None)
         self.connections.pop(connection, None)
-        if self.orderly and self.door.may_accept(len(self.connections) + len(self._coming)):
+        if self.orderly and self.door.may_accept(self.held):
             self._go_on()
 
     def stage(self, connection: IncomingConnection, stage: Stage | None) -> None:
@@ -353,10 +358,6 @@
                 if connection.since > now - limit_s:
                     break
                 connection.expire()
-        if (
-            not self.orderly
-            or self.door.may_accept(len(self.connections) + len(self._coming))
-            or not self.under_way
-        ):
+        if not self.orderly or self.door.may_accept(self.held) or not self.under_way:
             self._go_on()
         self._sweep_timer = self.loop.call_later(SWEEP_S, self._sweep)
--- a/orchidledge/core/pooled.py
+++ b/orchidledge/core/pooled.py
@@ -33,9 +33,8 @@
     idle: list[Outgoing] = field(default_factory=list)  # newest last
     waiting: set[Attempt] = field(default_factory=set)  # attempts whose connection is not up yet
     opening: int = 0  # connections
-    behind: deque[Attempt] = field(
-        default_factory=deque
-    )  # attempts that wait for one of these, or a free one
+    # Attempts that wait for one of these, or a free one.
+    behind: deque[Attempt] = field(default_factory=deque)
 
     def next(self) -> Attempt | None:
         """Who is first of those behind."""
@@ -218,9 +217,8 @@
         server_s = self._connect_s
         if self._sent is not None:
             server_s += max(0.0, self._pool.turns.came(now) - self._sent)
-            if (
-                self._connection is not None
-            ):  # Guard: what hangs holds a connection for longest, and nobody counted it
+            # Guard: what hangs holds a connection for longest, and nobody counted it.
+            if self._connection is not None:
                 self._pool.line.held(now - self._sent)
         if self._lined:
             self._pool.leave_line()
@@ -240,9 +238,8 @@
         self._sweep_timer: asyncio.TimerHandle | None = None
         self.turns = turns_of(asyncio.get_running_loop())
         self.line = Line()
-        self._standing: deque[Attempt] = (
-            deque()
-        )  # those without a connection for want of room; some may be over
+        # Those without a connection for want of room; some may be over.
+        self._standing: deque[Attempt] = deque()
         self._in_line = 0
 
     # ------------------------------------------------------------- for protocols
@@ -378,15 +375,14 @@
     def give_back(self, server: _Server, connection: Outgoing, held_s: float) -> None:
         now = asyncio.get_running_loop().time()
         self.line.held(held_s)
-        if (self._in_line or server.behind) and connection.usable and server in self._servers.values():
-            following = self._next_for(server, now) or server.next()
-            if following is not None:
-                following.use(connection)
-                return
         if not connection.usable or server not in self._servers.values():
             connection.retire()
             return
-        connection.idle_since = asyncio.get_running_loop().time()
+        following = self._next_for(server, now) or server.next()
+        if following is not None:
+            following.use(connection)
+            return
+        connection.idle_since = now
         server.idle.append(connection)
         self.advance()
         if self._sweep_timer is None:
--- a/orchidledge/platform/node.py
+++ b/orchidledge/platform/node.py
@@ -12,6 +12,7 @@
 from orchidledge.core.pool import Pool
 from orchidledge.core.types import Cause, Room
 from orchidledge.http.back import HttpBack
+from orchidledge.limits.connections import SPARE, share_out
 from orchidledge.lists.discovery import Listing, Watcher, news_of, watch_ms
 from orchidledge.lists.membership import Roster
 from orchidledge.platform.config import Config
@@ -19,9 +20,7 @@
 
 log = logging.getLogger("orchidledge")
 
-SPARE_SOCKETS = 16  # for the listener, discovery, standard streams and the event loop
-INBOUND_SHARE = 0.58  # of the other descriptors: callers' connections, lingering ones too;
-UPSTREAM_SHARE = 0.35  # servers'; what is left takes in a burst before others have been closed
+LEAST_USABLE = 16  # descriptors beside the spare ones, however few the settings allow
 LONGEST_DEADLINE_S = 3.0  # the platform waits no longer before it kills
 STATS_S = 10.0
 BEAT_S = 0.1
@@ -33,9 +32,9 @@
         self.clock = Clock(self.loop)
         self.config = config
         self.settings = config.settings
-        usable = max(16, config.sockets - SPARE_SOCKETS)
+        shares = share_out(max(config.sockets, SPARE + LEAST_USABLE), listeners=1, pools=1)
         self.back = HttpBack(
-            int(usable * UPSTREAM_SHARE),
+            shares.servers,
             config.conn_idle_ms / 1000.0,
             config.connect_timeout_ms / 1000.0,
             PlatformWire(self.settings.report_fields),
@@ -50,7 +49,7 @@
         )
         room = Room(config.max_open)
         self.pool = Pool(self.settings, config.seed, self.clock, self.back, room, self.watcher.start)
-        self.front = PlatformFront(int(usable * INBOUND_SHARE), self.pool)
+        self.front = PlatformFront(shares.callers, self.pool)
         self.server = self.front.server
         self.leaving = False
         self.lag = 0.0  # the longest that the loop was late in this stretch
--- a/orchidledge/runtime/building.py
+++ b/orchidledge/runtime/building.py
@@ -2,25 +2,32 @@
 
 from __future__ import annotations
 
-import resource
+from collections.abc import Iterator
 from typing import Any
 
 from orchidledge import interface as api
 from orchidledge.core.address import parse_address
+from orchidledge.core.descriptors import descriptors_here
 from orchidledge.http.server import FRAMING
 from orchidledge.limits.connections import MOST
 from orchidledge.lists.membership import Entry
 from orchidledge.router.calls import CallTable
 from orchidledge.router.router import Router
 from orchidledge.sidecar.checks import call_route_of, route_of
-from orchidledge.sidecar.models import BudgetModel, ClassModel, Configuration, ListSource, PoolModel
+from orchidledge.sidecar.models import (
+    NEAR_MS,
+    BudgetModel,
+    ClassModel,
+    Configuration,
+    ConfiguredRoute,
+    ListSource,
+    PoolModel,
+    start_calls,
+)
 
 EFFECTS = {"safe": api.Effect.SAFE, "keyed": api.Effect.KEYED, "unsafe": api.Effect.UNSAFE}
 SPREAD = 0.5  # of Retry-After, where there is a budget
 DEFAULT_KEY = "Idempotency-Key"
-START_PER_S = 64.0  # calls in flight for each box before rates are known, for a second of the shortest aim,
-NEAR_MS = 1.0  # what a loop's turn may hide of a latency
-START_LEAST, START_MOST = 7.0, 64.0  # within these
 
 
 class ReloadError(Exception):
@@ -31,17 +38,17 @@
     """What a sidecar may hold: as stated, else what the process may have."""
     if configuration.limits.descriptors is not None:
         return configuration.limits.descriptors
-    hard = resource.getrlimit(resource.RLIMIT_NOFILE)[1]
-    return MOST if hard == resource.RLIM_INFINITY else min(MOST, hard)
+    return min(MOST, descriptors_here())
 
 
 def settings_of(configuration: Configuration, pool: PoolModel) -> api.Settings:
     """What the decision module of a pool is told."""
     rules = configuration.rules
     source = pool.servers_from
-    start = pool.start_calls or _start_calls(configuration, pool)
+    classes = [item for item in configuration.classes if item.pool == pool.name]
+    start = pool.start_calls or start_calls(item.aim_ms for item in classes)
     return api.Settings(
-        classes=tuple(_kind(item) for item in configuration.classes if item.pool == pool.name),
+        classes=tuple(_kind(item) for item in classes),
         tenants=tuple(api.Tenant(item.name, item.quota_per_s) for item in configuration.tenants),
         zone=configuration.zone,
         siblings=pool.siblings,
@@ -63,12 +70,6 @@
     )
 
 
-def _start_calls(configuration: Configuration, pool: PoolModel) -> float:
-    """Boxes are taken to do what so short an aim asks of them, until it is known what they do."""
-    aims = [item.aim_ms for item in configuration.classes if item.pool == pool.name]
-    return max(START_LEAST, min(START_MOST, START_PER_S * min(aims, default=0.0) / 1000.0))
-
-
 def _retries(budget: BudgetModel | None) -> dict[str, Any]:
     if budget is None:
         return {}
@@ -111,20 +112,24 @@
             ) from error
 
 
-def router_of(configuration: Configuration) -> Router:
+def _routes(configuration: Configuration) -> Iterator[tuple[ConfiguredRoute, str]]:
+    """Each route, and the pool of its class."""
     pools = {item.name: item.pool for item in configuration.classes}
+    return ((route, pools[route.service]) for route in configuration.routes)
+
+
+def router_of(configuration: Configuration) -> Router:
     return Router(
-        route_of(route, route.service, pools[route.service], route.deadline_ms)
-        for route in configuration.routes
+        route_of(route, route.service, pool, route.deadline_ms)
+        for route, pool in _routes(configuration)
         if route.path is not None
     )
 
 
 def calls_of(configuration: Configuration) -> CallTable:
-    pools = {item.name: item.pool for item in configuration.classes}
     return CallTable(
-        call_route_of(route, route.service, pools[route.service], route.deadline_ms)
-        for route in configuration.routes
+        call_route_of(route, route.service, pool, route.deadline_ms)
+        for route, pool in _routes(configuration)
         if route.call is not None
     )
 
--- a/orchidledge/runtime/gate.py
+++ b/orchidledge/runtime/gate.py
@@ -13,7 +13,7 @@
 from orchidledge.core.pool import Pool
 from orchidledge.core.turns import Beat, turns_of
 from orchidledge.core.types import Cause, Room
-from orchidledge.limits.core import TURN_LEAST_S, TURNS, CoreLimit
+from orchidledge.limits.core import CoreLimit
 from orchidledge.limits.whose import Tally, Whose
 
 LOOK_S = 0.1  # between two looks at which class has most time
@@ -45,7 +45,6 @@
         self._beat = Beat(lambda: room.open > 0)
         self._timer: asyncio.TimerHandle | None = None
         self._heads: dict[Whose, bytes] = {}
-        self._easy_s = 0.0  # within which no class is late
         self._taken = 0
         self._before = self.loop.time(), 0.0, 0, 0, 0.0, 0  # at the last look, as told there
         self._told: Counter[str] = Counter()
@@ -82,7 +81,6 @@
             self._before = now
         times = [time_s(kind) - server_s(pool, kind) for pool in pools for kind in pool.classes.values()]
         self.core.top_s = max(times, default=math.inf)
-        self._easy_s = max(0.0, min(times, default=0.0)) / 2.0
         self._timer = self.loop.call_later(LOOK_S, self.look)
 
     def close(self) -> None:
@@ -109,12 +107,9 @@
         self._beat.start()
         worth = kind.worth / (pool.balancer.top_worth or 1.0)
         now = self.loop.time()
-        waited, turn = now - arrived, self.turns.so_far(now)
-        allowed = turn <= TURN_LEAST_S and waited + TURNS * turn <= self._easy_s  # for any class and worth
-        if not allowed:
-            allowed = self.core.allows(
-                turn, waited, self._room.open, server_s(pool, kind), time_s(kind), worth
-            )
+        allowed = self.core.allows(
+            self.turns.so_far(now), now - arrived, self._room.open, server_s(pool, kind), time_s(kind), worth
+        )
         self._taken += allowed
         return allowed
 
--- a/orchidledge/runtime/sidecar.py
+++ b/orchidledge/runtime/sidecar.py
@@ -248,7 +248,7 @@
         kept = {item.key: item for item in self.listeners.values()}
         try:
             for model in new.listeners:
-                host, port = parse_address(model.address)
+                _, port = parse_address(model.address)
                 # A free port is another one each time, so such a listener is known by its name.
                 key = (model.address, model.name if port == 0 else "", model.protocol)
                 found = kept.get(key)
@@ -260,14 +260,13 @@
                         front = SidecarFront(
                             callers, dialect, plan, model.deadline_header, model.tenant, None, self.gate
                         )
-                    bound.append((front.server, _bind(model.address, f"listener {model.name!r}", host, port)))
+                    bound.append((front.server, _bind(model.address, f"listener {model.name!r}")))
                     found = _Open(key, front)
                 listeners[model.name] = found
             if admin_key != self._admin_key:
                 admin = Admin(self) if new.admin else None
                 if admin is not None:
-                    host, port = parse_address(admin_key)
-                    bound.append((admin.server, _bind(admin_key, "admin", host, port)))
+                    bound.append((admin.server, _bind(admin_key, "admin")))
         except OSError:
             for _, raw in bound:
                 raw.close()
@@ -437,10 +436,10 @@
         self._stats_timer = self.loop.call_later(STATS_S, self._stats)
 
 
-def _bind(address: str, place: str, host: str, port: int) -> socket.socket:
+def _bind(address: str, place: str) -> socket.socket:
     """A bound socket; OSError that names the address and who wants it."""
     try:
-        return Listener.bind(host, port)
+        return Listener.bind(*parse_address(address))
     except OSError as error:
         raise PlacedError(error.errno or 0, error.strerror or str(error), place, address) from error
 
--- a/orchidledge/sidecar/checks.py
+++ b/orchidledge/sidecar/checks.py
@@ -8,6 +8,7 @@
 from typing import Any
 
 from orchidledge.core.address import parse_address
+from orchidledge.limits.connections import SPARE
 from orchidledge.router.calls import CallPattern, CallRoute, CallTable
 from orchidledge.router.paths import PathPattern
 from orchidledge.router.router import HeaderMatch, Route, Router
@@ -26,7 +27,6 @@
 
 Say = Callable[[Path, str, str], None]
 
-SPARE_DESCRIPTORS = 16  # for listeners, discovery, standard streams and the event loop
 LEAST_EACH = 8  # descriptors for each listener and pool
 
 
@@ -242,7 +242,7 @@
         return
     if most is not None and descriptors > most:
         say(path, f"{descriptors} is more than a process may have here", f"at most {most}")
-    least = SPARE_DESCRIPTORS + parts * LEAST_EACH
+    least = SPARE + parts * LEAST_EACH
     if descriptors < least:
         say(path, f"{descriptors} is too few for {parts} listeners and pools", f"at least {least}")
 
--- a/orchidledge/sidecar/models.py
+++ b/orchidledge/sidecar/models.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import hashlib
+from collections.abc import Iterable
 from typing import Annotated, Literal
 
 import orjson
@@ -17,11 +18,20 @@
 from orchidledge.router.paths import PathPattern
 
 VERSION = 1  # of all three files
+NEAR_MS = 1.0  # what a loop's turn may hide of a latency
+START_PER_S = 64.0  # calls in flight for each box before rates are known, for a second of the shortest aim,
+START_LEAST, START_MOST = 7.0, 64.0  # within these
 
 EffectName = Literal["safe", "keyed", "unsafe"]  # from the loosest to the strictest
 EFFECTS: tuple[EffectName, ...] = ("safe", "keyed", "unsafe")
 
 
+def start_calls(aims_ms: Iterable[float]) -> float:
+    """Of a pool that does not state it. Boxes are taken to do what the shortest of these aims asks of them, until it is
+    known what they do."""
+    return max(START_LEAST, min(START_MOST, START_PER_S * min(aims_ms, default=0.0) / 1000.0))
+
+
 def _address(text: str) -> str:
     parse_address(text)
     return text
--- a/tests/runtime/test_budgets.py
+++ b/tests/runtime/test_budgets.py
@@ -28,8 +28,8 @@
 
 from orchidledge.brain import ROOTS
 from orchidledge.budget.carried import Carried, Stamp, read_baggage, read_http, write_baggage
-from orchidledge.runtime.building import START_MOST
 from orchidledge.runtime.sidecar import Sidecar
+from orchidledge.sidecar.models import START_MOST
 from orchidledge.standin.box import Behaviour
 from orchidledge.standin.caller import Application
 from orchidledge.standin.tier import OWN, TRACE, TierApplication
--- a/tests/runtime/test_load.py
+++ b/tests/runtime/test_load.py
@@ -49,7 +49,6 @@
     for pool in sidecar.pools.values():
         pool.turns = pool.back.turns = turns
     sidecar.gate.core.top_s = 1.0
-    sidecar.gate._easy_s = 0.0
 
 
 async def load(sidecar):
--- a/tests/test_structure.py
+++ b/tests/test_structure.py
@@ -27,8 +27,8 @@
     "router": set(),
     "http": {"core", "interface"},
     "lists": {"core", "http", "interface"},
-    "platform": {"core", "http", "lists", "interface", "settings"},
-    "sidecar": {"core", "router"},
+    "platform": {"core", "http", "limits", "lists", "interface", "settings"},
+    "sidecar": {"core", "limits", "router"},
     "lab": {"brain", "interface", "sidecar"},
     "runtime": {
         "budget",
@@ -55,7 +55,7 @@
 CORE_ONLY: dict[str, set[str]] = {
     "sidecar": {"address"},
     "standin": {"address"},
-    "cli": {"address", "leaving", "turns"},
+    "cli": {"address", "descriptors", "leaving", "turns"},
 }
 
 
