The lab without dead state; a stalled attempt's ends are planned anew, not swapped

Settings of the nodes are derived once; fields that nothing set or read go; the tests share one small experiment.

--- a/benchmarks/own_load.py
+++ b/benchmarks/own_load.py
@@ -119,7 +119,6 @@
         self.idle: deque[Caller] = deque()
         self.open = self.held = self.most_held = 0
         self.opened = 0
-        self.counting = True
         self.closed = how["rate"] == 0
         self.over = False
 
--- a/orchidledge/lab/nodes.py
+++ b/orchidledge/lab/nodes.py
@@ -7,17 +7,13 @@
 
 from orchidledge import interface as api
 from orchidledge.brain import Balancer
+from orchidledge.lab.experiment import Experiment
 from orchidledge.lab.policies import Random, Unlimited
+from orchidledge.sidecar.models import NEAR_MS, start_calls
 
 if TYPE_CHECKING:
     from orchidledge.lab.world import Attempt, Call, World
 
-START_PER_S, START_LEAST, START_MOST = (
-    64.0,
-    7.0,
-    64.0,
-)  # as a sidecar derives `start_calls` from its shortest aim
-NEAR_MS = 1.0
 Result = api.Result
 
 
@@ -169,12 +165,10 @@
         return None
 
 
-def settings_of(world: World) -> api.Settings:
-    """What a sidecar of this fleet would tell its module."""
-    plan = world.plan
+def settings_of(plan: Experiment) -> api.Settings:
+    """What a sidecar of this fleet, in its first zone, would tell its module."""
     fleet = plan.fleet
-    shortest = min(item.aim_ms for item in plan.classes)
-    start = max(START_LEAST, min(START_MOST, START_PER_S * shortest / 1000.0))
+    start = start_calls(item.aim_ms for item in plan.classes)
     return api.Settings(
         classes=tuple(
             api.ServiceClass(
--- a/orchidledge/lab/policies.py
+++ b/orchidledge/lab/policies.py
@@ -1,6 +1,6 @@
 """Policies to compare with: each small, the project's own, of the published idea that its docstring names.
 
-A `Picker` says which server; a `Limit` says whether a call is admitted at all. They know what a balancer knows: what it
+A picker says which server; a limit says whether a call is admitted at all. They know what a balancer knows: what it
 sent, what came back, when. Times are ms.
 """
 
@@ -8,26 +8,20 @@
 
 import math
 from collections.abc import Callable, Sequence
-from typing import Protocol
 
 from orchidledge.lab.servers import Server
 
 Draw = Callable[[], float]
 
 
-class Picker(Protocol):
-    def pick(self, now: float, out: Sequence[int], among: Sequence[int]) -> int:
-        """One of `among` (never empty); `out`: this node's calls at each server."""
-        ...
-
-    def ended(self, now: float, server: int, latency_ms: float, good: bool) -> None: ...
-
-
 class Random:
+    """Any; the others derive from it."""
+
     def __init__(self, draw: Draw, servers: Sequence[Server]) -> None:
         self.draw = draw
 
     def pick(self, now: float, out: Sequence[int], among: Sequence[int]) -> int:
+        """One of `among` (never empty); `out`: this node's calls at each server."""
         return among[int(self.draw() * len(among))]
 
     def ended(self, now: float, server: int, latency_ms: float, good: bool) -> None:
@@ -103,7 +97,7 @@
         best, least = among[0], math.inf
         for at in among:
             server = self.servers[at]
-            if not (server.up and server.reachable) or server.refusing or server.failing:
+            if not server.up or server.refusing or server.failing:
                 continue
             speed = server.factor / server.warmth(now)
             begins = max(now, server.free[0], server.stalled_until) - now + speed * (1.0 + 0.01 * self.draw())
--- a/orchidledge/lab/recorder.py
+++ b/orchidledge/lab/recorder.py
@@ -55,14 +55,15 @@
         self.latencies = [Latencies() for _ in classes]
         self.seconds: dict[int, list[int]] = {}  # by second: due, and by how they ended
         self.samples: list[dict[str, Any]] = []
-        self.attempts = self.never_ended = 0
+        self.attempts = 0
 
     def due(self, kind: int, due_ms: float) -> None:
         if due_ms >= self.warm_ms:
             self.counts[kind]["due"] += 1
-        row = self.seconds.get(int(due_ms // 1000.0))
+        second = int(due_ms // 1000.0)
+        row = self.seconds.get(second)
         if row is None:
-            row = self.seconds[int(due_ms // 1000.0)] = [0, 0, 0, 0, 0]
+            row = self.seconds[second] = [0] * (1 + len(KINDS))
         row[0] += 1
 
     def ended(self, kind: int, due_ms: float, how: int, latency_ms: float) -> None:
--- a/orchidledge/lab/servers.py
+++ b/orchidledge/lab/servers.py
@@ -26,11 +26,10 @@
 
     def __init__(self, cores: int) -> None:
         self.free = [0.0] * cores
-        self.factor = 1.0
 
     def take(self, now: float, work_ms: float) -> float:
         """When a call that asks for it now is done with it."""
-        ends = max(now, self.free[0]) + work_ms * self.factor
+        ends = max(now, self.free[0]) + work_ms
         heapreplace(self.free, ends)
         return ends
 
@@ -59,8 +58,6 @@
         self.failing = 0.0  # share of calls that end in an error, at once
         self.refusing = False
         self.up = True
-        self.reachable = True
-        self.lives = 0  # starts; calls of an earlier life are lost
         self.dependency: Dependency | None = None
         self.dependency_ms = 0.0
         self.busy_ms = 0.0
@@ -86,8 +83,7 @@
         """A call comes whose service takes so long on a warm, idle core."""
         if self.refusing or (self.limit and self.held(now) >= self.limit):
             return Taken(now, now, True)
-        speed = self.warmth(now) if self.launched is not None else 1.0
-        took = work_ms * self.factor / speed
+        took = work_ms * self.factor / self.warmth(now)
         begins = self.free[0]
         if begins < now:
             begins = now
@@ -114,10 +110,10 @@
 
     def restart(self, now: float) -> None:
         """It has started anew: cold, with nothing in hand."""
-        self.up, self.launched, self.lives = True, now, self.lives + 1
+        self.up, self.launched = True, now
         self.free = [-math.inf] * self.cores
         self.ends.clear()
         self._window, self._asked = now, 0.0
 
     def stop(self) -> None:
-        self.up, self.lives = False, self.lives + 1
+        self.up = False
--- a/orchidledge/lab/world.py
+++ b/orchidledge/lab/world.py
@@ -31,7 +31,7 @@
     """A request as one node has it; `first_due` is when its caller first wanted it."""
 
     __slots__ = (
-        "caller", "done", "due", "first_due", "give_up_at", "kind", "node", "number", "repeats", "safe", "service",
+        "caller", "done", "first_due", "give_up_at", "kind", "node", "number", "repeats", "safe", "service",
         "tried", "tries", "work_ms",
     )  # fmt: skip
 
@@ -39,7 +39,7 @@
         self, number: int, kind: int, service: str, safe: bool, due: float, give_up_at: float, work_ms: float
     ):
         self.number, self.kind, self.service, self.safe = number, kind, service, safe
-        self.due = self.first_due = due
+        self.first_due = due
         self.give_up_at, self.work_ms = give_up_at, work_ms
         self.done = False
         self.tries = self.repeats = 0
@@ -49,11 +49,14 @@
 
 
 class Attempt:
-    __slots__ = ("call", "node", "number", "over", "sent", "server")
+    """`plan`: which of the ends that were planned for it holds."""
+
+    __slots__ = ("call", "node", "number", "over", "plan", "sent", "server")
 
     def __init__(self, call: Call, number: int, server: int, sent: float, node: Node):
         self.call, self.number, self.server, self.sent, self.node = call, number, server, sent, node
         self.over = False
+        self.plan = 0
 
 
 def times_of(service: Service, seed: int, name: str) -> Callable[[], float]:
@@ -105,6 +108,7 @@
         self._think_ms = plan.load.think_ms
         self._net, self._zones, self._cross_ms = fleet.network_ms, zones, fleet.cross_zone_ms
         self._overload = fleet.overload_factor
+        self._settings = settings_of(plan)
         self._times = [times_of(item.service, seed, f"service {item.name}") for item in plan.classes]
         self._which = draws.uniform(seed, "class")
         self._gap = draws.exponential(seed, "arrivals")
@@ -128,10 +132,8 @@
 
     def _node(self, at: int) -> Node:
         if self._ours:
-            zones = self.plan.fleet.zones
-            return ModuleNode(
-                at, self, replace(settings_of(self), zone=zones[at % len(zones)]), self.seed * 1_000_003 + at
-            )
+            settings = replace(self._settings, zone=self._zones[at % len(self._zones)])
+            return ModuleNode(at, self, settings, self.seed * 1_000_003 + at)
         fleet = self.plan.fleet
         aim = min(item.aim_ms for item in self.plan.classes)
         fits = 2.0 * fleet.servers * fleet.cores / fleet.nodes
@@ -146,7 +148,7 @@
         self._planned += 1
         heappush(self._heap, (when, self._planned, what, args))
 
-    def run(self, progress: Callable[[float], None] = lambda share: None) -> dict[str, Any]:
+    def run(self) -> dict[str, Any]:
         """The whole run; its figures."""
         for trouble in self.plan.troubles:
             self._plan(trouble)
@@ -240,10 +242,17 @@
         refused = result is Result.FULL
         if call.repeats < repeats.most and (refused or call.safe) and now + wait < call.give_up_at:
             call.done = True
-            again = Call(0, call.kind, call.service, call.safe, now + wait, call.give_up_at, call.work_ms)
-            again.first_due, again.repeats, again.caller = call.first_due, call.repeats + 1, call.caller
             self._numbers += 1
-            again.number = self._numbers
+            again = Call(
+                self._numbers,
+                call.kind,
+                call.service,
+                call.safe,
+                call.first_due,
+                call.give_up_at,
+                call.work_ms,
+            )
+            again.repeats, again.caller = call.repeats + 1, call.caller
             self.at(now + wait, self._give, again)
             return
         self._end(now, call, REFUSED if refused else FAILED)
@@ -254,9 +263,8 @@
         if call.caller >= 0:
             think = self._think() * self._think_ms if self._think_ms else 0.0
             if how >= REFUSED:
-                think = max(
-                    think, 1.0
-                )  # callers that are refused at once don't ask without end at one instant
+                # Guard: callers that are refused at once would ask without end at one instant.
+                think = max(think, 1.0)
             self.at(now + think, self._arrive_closed, call.caller)
 
     # --------------------------------------------------------------------- attempts
@@ -298,13 +306,14 @@
         self.open[at][attempt] = None
         ends += net
         if ends <= until:
-            self.at(ends, self._back, attempt, Result.OK)
+            self.at(ends, self._back, attempt, Result.OK, attempt.plan)
         else:
-            self.at(until, self._back, attempt, Result.TIMEOUT)
+            self.at(until, self._back, attempt, Result.TIMEOUT, attempt.plan)
         return attempt
 
-    def _back(self, now: float, attempt: Attempt, result: Result) -> None:
-        if not attempt.over:
+    def _back(self, now: float, attempt: Attempt, result: Result, plan: int | None = None) -> None:
+        """An attempt ends; `plan`: only if this end, of those that were planned, still holds."""
+        if not attempt.over and plan in (None, attempt.plan):
             attempt.over = True
             self.open[attempt.server].pop(attempt, None)
             attempt.node.over(now, attempt, result, now - attempt.sent)
@@ -374,21 +383,12 @@
             server = self.servers[at]
             server.stalled_until = until
             server.free = sorted(max(free, now) + until - now for free in server.free)
-            for attempt in list(self.open[at]):
+            for attempt in self.open[at]:
                 # Their ends were planned before: they come so much later, or their callers give up first.
-                del self.open[at][attempt]
-                late = Attempt(attempt.call, attempt.number, at, attempt.sent, attempt.node)
-                attempt.over = True
-                self._swap(attempt, late)
-                self.open[at][late] = None
-                self.at(max(now, attempt.call.give_up_at), self._back, late, Result.TIMEOUT)
-                self.at(until + self.plan.fleet.network_ms, self._back, late, Result.OK)
-
-    def _swap(self, old: Attempt, new: Attempt) -> None:
-        if isinstance(new.node, ModuleNode):
-            tries = new.node.attempts.get(str(new.call.number))
-            if tries is not None:
-                tries[new.number] = new
+                attempt.plan += 1
+                gives_up = max(now, attempt.call.give_up_at)
+                self.at(gives_up, self._back, attempt, Result.TIMEOUT, attempt.plan)
+                self.at(until + self._net, self._back, attempt, Result.OK, attempt.plan)
 
     def _restart(self, when: float, at: int) -> None:
         self.at(max(0.0, when - TOLD_MS), self._list, at, False)
--- /dev/null
+++ b/tests/lab/laboratory.py
@@ -0,0 +1,21 @@
+"""What the tests of this folder share."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from orchidledge.lab.experiment import Experiment
+
+
+def plan(**more: Any) -> Experiment:
+    """A small experiment, with parts replaced."""
+    row = {
+        "kind": "experiment",
+        "version": 1,
+        "name": "t",
+        "seconds": 4,
+        "warm_s": 1,
+        "fleet": {"servers": 6, "cores": 2, "nodes": 2},
+        "load": {"of_capacity": 0.6},
+    }
+    return Experiment.model_validate(row | more)
--- a/tests/lab/test_model.py
+++ b/tests/lab/test_model.py
@@ -11,6 +11,7 @@
 from hypothesis import given
 from hypothesis import settings as examples
 from hypothesis import strategies as st
+from laboratory import plan
 
 from orchidledge.interface import Result
 from orchidledge.lab import draws
@@ -23,18 +24,6 @@
 EVERY = [Policy(name=pick, pick=pick) for pick in ("ours", "peak_ewma", "omniscient")]  # type: ignore[arg-type]
 
 
-def plan(**more: Any) -> Experiment:
-    row = {
-        "kind": "experiment",
-        "version": 1,
-        "name": "t",
-        "seconds": 4,
-        "warm_s": 1,
-        "load": {"of_capacity": 0.6},
-    }
-    return Experiment.model_validate(row | {"fleet": {"servers": 6, "cores": 2, "nodes": 2}} | more)
-
-
 def erlang_c(cores: int, load: float) -> float:
     """The chance to wait in an M/M/c queue with so many erlangs."""
     terms = [load**n / math.factorial(n) for n in range(cores)]
--- a/tests/lab/test_results.py
+++ b/tests/lab/test_results.py
@@ -10,11 +10,11 @@
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
+from laboratory import plan
 
 from orchidledge.cli import main
 from orchidledge.lab import engine, policies, results
 from orchidledge.lab.compare import CompareError, compare, interval
-from orchidledge.lab.experiment import Experiment
 from orchidledge.lab.recorder import FLUSH, Latencies
 from orchidledge.lab.report import PLOTS
 
@@ -47,18 +47,6 @@
     return path
 
 
-def plan(**more: Any) -> Experiment:
-    row = {
-        "kind": "experiment",
-        "version": 1,
-        "name": "t",
-        "seconds": 0.4,
-        "warm_s": 0.1,
-        "load": {"of_capacity": 0.5},
-    }
-    return Experiment.model_validate(row | {"fleet": {"servers": 3, "nodes": 1}} | more)
-
-
 def test_a_sweep_that_was_stopped_goes_on_and_what_is_kept_is_never_written_again(file, tmp_path, capsys):
     kept = tmp_path / "kept"
     assert main(["lab", "run", str(file), "--results", str(kept), "--cores", "1"]) == 0
@@ -141,7 +129,7 @@
 def test_runs_of_other_experiments_and_seeds_are_not_compared_and_few_say_nothing():
     mine = [run_of(0.9, seed) for seed in (1, 2, 3)]
     with pytest.raises(CompareError, match="no run on one side"):
-        compare(mine, [run_of(0.9, seed, seconds=0.8) for seed in (1, 2, 3)])
+        compare(mine, [run_of(0.9, seed, seconds=8.0) for seed in (1, 2, 3)])
     with pytest.raises(CompareError, match="no run on one side"):
         compare(mine, [run_of(0.9, seed) for seed in (4, 5)])
     (rows,) = compare(mine, [run_of(0.8, seed) for seed in (1, 2)]).values()
