Servers that were out are asked again; cold ones take their share of the calls

Cause, by trace of two troubles (cursor, level, loads and picks by zone in each period): - A zone that was stopped and came back cold got 1 to 3 of 510 calls a second for good. Its servers had an error share of 0.36 (two failures) and nothing in flight; where a node has 42 calls a second, some other server is always idle and ranks better, so nothing cleared the errors (_rank, _judge: only outcomes do). The lab did not show it because its lists tell of starts, which makes the server a new one. - After a release 99 of 165 servers were cold with 36% of their speed, a third of what the pool can do. They got 6% of the calls; median latency over aim was 0.1 to 0.2 there and 0.5 at the warm ones. The draw of _paced let their share through, and then the rank, which sees only this node's calls, preferred a warm server that looked idle. - In the first seconds T1 fell to half of START's, as START ended before the first answers (2 s) had made a rate.

Ruled out: the baseline (0.041 from start to end), the peak rate, callers' tries (the same without them), the level of those left (it follows from the calls that they get).

Change: a server with two failures in a row, or silent for 15 s with errors, is asked at a fifth of an average server's rate, not more often than every 0.5 s doubled to 4 s, with safe requests first and a third of their time; each answer halves its errors. Where lists do not tell of starts it is paced as cold from its first answer. A cold server that passes the draw competes with what all siblings have at the others. START lasts a latency longer.

--- a/orchidledge/brain.py
+++ b/orchidledge/brain.py
@@ -66,6 +66,14 @@
 SOUR_GAIN = 0.1  # smoothing of it, per outcome
 USEFUL = 2.0  # a retry waits no longer than leaves this many mean latencies of its class
 AIM_MARGIN = 0.98  # attempts worth nothing late are given up at this share of the aim
+ASK_SHARE = 0.2  # of an average server's calls: what one that stands apart gets, to find out how it is now
+ASK_MS = 500.0  # the least time between two such calls; doubled for each failure in a row,
+ASK_DOUBLINGS = 3  # so many times at most
+ASK_WAIT = 0.34  # share of a request's time that such a call may take, so that another can follow
+SILENT_MS = 15_000.0  # or one that has failed is not asked for so long
+OUT = 2  # failures in a row from which a server is out
+BACK = 0.5  # share of its errors that one which was out keeps at each answer,
+TRUSTED = 0.05  # until it has less than these, and its rank has it asked as any other
 
 
 @dataclass(slots=True)
@@ -83,6 +91,10 @@
     queue: float = 0.0  # reported waiting requests
     told_ms: float = -math.inf
     util: float | None = None
+    fails: int = 0  # in a row
+    returns: bool = False  # it was out, and has answered since
+    asked_ms: float = -math.inf  # when it was last sent a call
+    back_ms: float | None = None  # since when it answers again, where lists don't tell of starts
     out: dict[tuple[str, int], float] = field(default_factory=dict)  # attempts out, oldest first
 
 
@@ -99,6 +111,7 @@
 class _Try:
     peer: _Peer
     sent_ms: float
+    idle_ms: float  # since the server was last sent a call
     result: api.Result | None = None  # None: still out
 
 
@@ -275,7 +288,9 @@
         base = 0.5 if self.base is None else self.base
         first = self.peak * self.mean_aim * (base + T1_SLACK * (1.0 - base))
         # Guard: all siblings share the floor; one for each balancer summed to a T1 that never bound at size.
-        starting = self.periods * self.period_ms < START_MS
+        # Guard: rates are known a latency later than they are counted; a node whose calls take 2 s refused
+        # most of what came in its 4th second, with servers half idle.
+        starting = self.periods * self.period_ms < START_MS + base * self.mean_aim
         # Guard: a pool that was asked seldom was held to be slow, and a burst on idle servers was refused.
         floor = self.cfg.quiet_calls if self.quiet else FLOOR
         floor = self.cfg.start_calls if starting else floor
@@ -367,18 +382,54 @@
             return None
         tried = [item.peer for item in job.tries]
         wide = self._wide(now)
+        # What all siblings, taken to be like ours, have in flight at a server beside ours.
+        crowd = (self.cfg.siblings - 1) * sum([peer.load for peer in self.ready]) / max(1.0, wide)
         for peers in self._order():
             best, best_rank = None, math.inf
+            apart: list[_Peer] = []
             for peer in peers:
                 if peer in tried or (bound is not None and bound != _group(job.kind, peer)):
                     continue
-                rank = self._rank(now, peer)
-                if rank < best_rank and self._paced(now, peer, wide):
+                rank, warmth = self._rank(now, peer), self._warmth(now, peer)
+                if warmth < 1.0:
+                    # Guard: of many balancers each saw some warm server idle, and the cold ones, a third of
+                    # what the pool could do, got a twentieth of the calls while the warm ones were jammed.
+                    rank *= min(1.0, 1.0 / (warmth * (1.0 + crowd)))
+                if rank < best_rank and self._paced(warmth, wide):
                     best, best_rank = peer, rank
+                if not (peer.out or tried) and self._apart(now, peer):
+                    apart.append(peer)
+            if apart and self.rng.random() * wide < ASK_SHARE * len(apart):
+                best = self._asked(now, job, apart, wide) or best
             if best is not None:
                 return best
         return None
 
+    def _repeatable(self, job: _Job) -> bool:
+        """Whether a first attempt may fail and another one follow."""
+        most = min(self.cfg.max_attempts, job.kind.max_attempts or self.cfg.max_attempts)
+        return job.kind.effect is api.Effect.SAFE and most > 1 and job.request.attempts != 1
+
+    def _apart(self, now: float, peer: _Peer) -> bool:
+        """Whether its rank may keep a server from being asked, so that nothing would be learned of it."""
+        return (
+            peer.fails >= OUT
+            or peer.returns
+            or (peer.errs > BACK * GAIN and now - peer.asked_ms >= SILENT_MS)
+        )
+
+    def _asked(self, now: float, job: _Job, apart: list[_Peer], wide: float) -> _Peer | None:
+        """The one of these servers that is to be asked now whatever its rank.
+
+        Guard: a server whose calls had failed was never asked again while another one was idle; where each
+        balancer has few calls that was always, and a zone that had come back stood idle for good.
+        """
+        peer = min(apart, key=lambda item: item.asked_ms)
+        wait = 0.0 if peer.returns else ASK_MS * 2.0 ** min(ASK_DOUBLINGS, peer.fails)
+        if not self._repeatable(job):
+            wait *= 4.0  # what may not be repeated goes there only if nothing else does
+        return peer if now - peer.asked_ms >= wait and self._paced(self._warmth(now, peer), wide) else None
+
     def _order(self) -> list[list[_Peer]]:
         """The servers to rank: all, or those of the group that is drawn by its share, then of the others."""
         if self.levels is None:
@@ -424,16 +475,19 @@
         self.rng.setstate(state)
         return rows
 
-    def _paced(self, now: float, peer: _Peer, ready: float) -> bool:
+    def _warmth(self, now: float, peer: _Peer) -> float:
+        """A server's present share of what it does when warm, by the settings."""
+        launched = peer.info.launched_ms if peer.back_ms is None else peer.back_ms
+        if launched is None or now - launched >= self.cfg.cold_ms:
+            return 1.0
+        age = max(0.0, now - launched)
+        return self.cfg.cold_from + (1.0 - self.cfg.cold_from) * age / self.cfg.cold_ms
+
+    def _paced(self, warmth: float, ready: float) -> bool:
         """Guard: all balancers together must not push a cold server over. A call may go to it with the chance
         of its present share (from `cold_from`, even over `cold_ms`) of an average server's calls: a draw for
         each call, not a count, so that the sum keeps to the share however many balancers there are."""
-        launched = peer.info.launched_ms
-        age = math.inf if launched is None else max(0.0, now - launched)
-        if age >= self.cfg.cold_ms:
-            return True
-        warmth = self.cfg.cold_from + (1.0 - self.cfg.cold_from) * age / self.cfg.cold_ms
-        return self.rng.random() * ready < COLD_SHARE * self.cfg.overload_factor * warmth
+        return warmth >= 1.0 or self.rng.random() * ready < COLD_SHARE * self.cfg.overload_factor * warmth
 
     # -------------------------------------------------------------- attempts
 
@@ -447,8 +501,11 @@
         peer = self._pick(now, job)
         if peer is None:
             return False
+        if peer.fails >= OUT and self._repeatable(job):
+            left *= ASK_WAIT  # Guard: a call to a server that hangs still took all of its request's time.
+        idle, peer.asked_ms = now - peer.asked_ms, now
         peer.out[(job.request.id, len(job.tries))] = now
-        job.tries.append(_Try(peer, now))
+        job.tries.append(_Try(peer, now, idle))
         peer.load += job.units
         acts.append(api.Send(job.request.id, peer.info.address, left))
         return True
@@ -591,6 +648,19 @@
             peer.queue, peer.told_ms = max(peer.queue, peer.load), now
             return
         peer.errs += GAIN * ((result is not api.Result.OK) - peer.errs)
+        if result is not api.Result.OK:
+            peer.fails += 1
+            peer.returns = False
+        else:
+            if peer.errs > 0.0 and (peer.fails >= OUT or item.idle_ms >= SILENT_MS):
+                # What it was before tells little of what it is now.
+                peer.returns, peer.slow = True, None
+                if not self.cfg.starts_told:
+                    peer.back_ms = now
+            peer.fails = 0
+            if peer.returns:
+                peer.errs *= BACK
+                peer.returns = peer.errs >= TRUSTED
         if result in (api.Result.OK, api.Result.TIMEOUT):  # a fast error must not look fast
             self.ratios.append(event.latency_ms / job.kind.aim_ms)
             mean = self.class_ms.get(job.kind.name)
--- a/orchidledge/interface.py
+++ b/orchidledge/interface.py
@@ -113,6 +113,7 @@
     cross_zone_price: float = 0.0
     cold_from: float = 1.0
     cold_ms: float = 0.0
+    starts_told: bool = True  # whether lists tell when a server was started anew
     overload_factor: float = 2.0  # a cold server sent more than this many times its capacity falls over
     retry_share: float | None = (
         None  # attempts beyond first ones, as a share of these; None: no budget for them
@@ -149,7 +150,7 @@
                 )
         for key in ("siblings", "max_attempts", "start_calls", "quiet_calls"):
             _within(key, getattr(self, key), 1)
-        for key in ("ask_discovery", "worth_by_work", "may_cancel", "retry_after"):
+        for key in ("ask_discovery", "worth_by_work", "may_cancel", "retry_after", "starts_told"):
             if not isinstance(getattr(self, key), bool):
                 raise ValueError(f"{key}: {getattr(self, key)!r} is not true or false")
         if not isinstance(self.zone, str):
--- a/orchidledge/runtime/building.py
+++ b/orchidledge/runtime/building.py
@@ -65,6 +65,7 @@
         cross_zone_price=rules.cross_zone_price,
         cold_from=rules.cold_from,
         cold_ms=rules.cold_ms,
+        starts_told=source is not None and source.source == "discovery",
         overload_factor=rules.overload_factor,
         **_retries(configuration.budget),
     )
--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -105,7 +105,7 @@
     from orchidledge.brain import _Job, _Try
 
     request = api.Request("x", "read", 9e9)
-    attempt = _Try(bed.brain.peers[server], bed.now - latency)
+    attempt = _Try(bed.brain.peers[server], bed.now - latency, 0.0)
     job = _Job(request, SAFE, bed.now, 1.0, [attempt])
     return job, attempt, api.Outcome("x", 0, server, api.Result.OK, latency, True)
 
--- /dev/null
+++ b/tests/test_return.py
@@ -0,0 +1,124 @@
+"""Every way out has a way back: servers that were left out are asked again, at a bounded rate, and come back paced."""
+
+from __future__ import annotations
+
+from itertools import pairwise
+
+import pytest
+from helpers import Bed, sent, servers
+
+from orchidledge import interface as api
+from orchidledge.brain import ASK_MS, ASK_SHARE, ASK_WAIT, SILENT_MS
+
+OK, FAILURES = (
+    api.Result.OK,
+    (api.Result.ERROR, api.Result.RESET, api.Result.TIMEOUT, api.Result.CONNECT_FAILED),
+)
+LEFT = 2000.0
+
+
+def away(fails: int = 4, result: api.Result = api.Result.TIMEOUT, **changes) -> Bed:
+    """A bed whose s0 has failed so often in a row, beside three servers that are quick."""
+    bed = Bed(**changes)
+    while bed.brain.peers["s0"].fails < fails:
+        name, acts = bed.ask()
+        at, server = 0, sent(acts)[0].server
+        if server == "s0":
+            acts = bed.end(name, server, result, 400.0)
+            at, server = 1, sent(acts)[0].server
+        bed.now += 10.0
+        bed.end(name, server, OK, 20.0, attempt=at)
+    return bed
+
+
+def calls(
+    bed: Bed, count: int, every: float = 10.0, service: str = "read", result: api.Result = OK
+) -> list[float]:
+    """So many calls, one after the other, each answered at once; when s0 was asked, and it answered with `result`."""
+    asked = []
+    for number in range(count):
+        if number % 15 == 0:
+            bed.period(0.0)
+        name, acts = bed.ask(service, LEFT)
+        bed.now += every
+        server = sent(acts)[0].server
+        if server == "s0":
+            asked.append(bed.now)
+        if server == "s0" and result is not OK:
+            again = sent(bed.end(name, server, result, 20.0))
+            if again:
+                bed.end(name, again[0].server, OK, 20.0, attempt=1)
+        else:
+            bed.end(name, server, OK, 20.0)
+    return asked
+
+
+@pytest.mark.parametrize("result", FAILURES)
+def test_a_server_that_failed_is_asked_again_while_others_are_idle(result):
+    bed = away(result=result)
+    assert calls(bed, 1500)
+
+
+def test_one_that_fails_on_is_asked_at_a_bounded_rate():
+    bed = away()
+    asked = calls(bed, 6000, result=api.Result.ERROR)
+    gaps = [after - before for before, after in pairwise(asked)]
+    assert min(gaps) >= ASK_MS * 8
+    assert len(asked) <= ASK_SHARE / 4 * 6000
+
+
+def test_one_that_answers_again_gets_its_share():
+    bed = away()
+    calls(bed, 1500)
+    assert 0.15 <= len(calls(bed, 1000)) / 1000 <= 0.35
+
+
+def test_what_may_not_be_repeated_goes_there_only_after_four_times_the_wait():
+    bed = away(fails=5)
+    last = bed.brain.peers["s0"].asked_ms
+    asked = calls(bed, 4000, service="post")
+    assert asked
+    assert asked[0] - last >= 4 * 8 * ASK_MS
+
+
+def test_a_call_that_finds_out_leaves_time_for_another():
+    bed = away()
+    for _ in range(2000):
+        name, acts = bed.ask("read", LEFT)
+        [send] = sent(acts)
+        bed.now += 10.0
+        if send.server == "s0":
+            break
+        bed.end(name, send.server, OK, 20.0)
+    assert send.server == "s0"
+    assert send.timeout_ms <= ASK_WAIT * LEFT
+    [other] = sent(bed.end(name, "s0", api.Result.TIMEOUT, send.timeout_ms))
+    assert other.server != "s0"
+
+
+def test_one_failure_long_ago_is_no_reason_for_ever():
+    """Silence is not evidence: with nothing asked of it nothing would clear it."""
+    bed = away(fails=1, result=api.Result.ERROR)
+    bed.brain.peers["s0"].errs = 0.5
+    begins = bed.now
+    asked = calls(bed, 4000)
+    assert asked
+    assert asked[0] - begins <= SILENT_MS + 2000.0
+
+
+@pytest.mark.parametrize(("told", "most"), [(False, 0.12), (True, 0.35)])
+def test_where_nobody_tells_of_starts_one_that_is_back_is_held_to_be_cold(told, most):
+    bed = away(starts_told=told, cold_from=0.1)
+    calls(bed, 1500, every=3.0)
+    begins = bed.brain.peers["s0"].back_ms
+    assert (begins is None) == told
+    if begins is not None:
+        bed.brain.peers["s0"].back_ms = bed.now
+    share = len(calls(bed, 300, every=3.0)) / 300
+    assert 0.0 < share <= most
+
+
+def test_a_list_that_starts_a_server_anew_forgets_what_was_learned():
+    bed = away()
+    bed.give(api.Membership(api.ListForm.FULL, servers(4, launched_ms=bed.now - 60_000.0)))
+    assert bed.brain.peers["s0"].fails == 0
