--- a/orchidledge/standin/box.py
+++ b/orchidledge/standin/box.py
@@ -11,6 +11,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import sys
 from collections import Counter, deque
 from collections.abc import Callable
@@ -21,6 +22,7 @@
 from orchidledge.standin.listening import Counted, Counting, command, run
 
 POSTING = b"x-posting"  # the header by which a posting is counted; else its idempotency key, else its id
+FALLEN_S = 2.0  # until a box that fell over is started anew
 REASONS = {200: b"OK", 204: b"No Content", 304: b"Not Modified", 500: b"Error", 503: b"Unavailable"}
 
 
@@ -35,6 +37,9 @@
     decline: bool = False  # turn all away, as a box that drains
     die_mid_answer: int = 0  # so many next answers break off halfway, the connection with them
     error: int = 0  # so many next answers are a 500, after the work was done
+    cold_from: float = 1.0  # share of its speed that it starts with,
+    cold_ms: float = 0.0  # which grows evenly to the whole over this time
+    overload: float = math.inf  # times what it can do by then, come in a second: a cold box falls over
 
 
 @dataclass(slots=True)
@@ -100,18 +105,46 @@
         self.ran: Counter[str] = Counter()
         self.classes: Counter[str] = Counter()  # first path segment: how many were begun
         self.seen: deque[Seen] = deque(maxlen=1000)
-        self.taken = self.served = self.declined = 0
+        self.taken = self.served = self.declined = self.fell = 0
+        self.on_fall: Callable[[], None] = lambda: None
+        self.began_s = -math.inf  # when it was started, by the loop's clock; long ago
+        self._window_s, self._asked = 0.0, 0
         self._queue: deque[tuple[_Connection, Seen]] = deque()
         self._busy = 0
         self._loop: asyncio.AbstractEventLoop
 
-    async def start(self, port: int = 0) -> Box:
+    async def start(self, port: int = 0, host: str = "127.0.0.1", cold: bool = False) -> Box:
+        """`cold`: it warms up from now on."""
         self._loop = asyncio.get_running_loop()
-        self._server = await self._loop.create_server(
-            lambda: _Connection(self), "127.0.0.1", port, backlog=1024
-        )
+        self._server = await self._loop.create_server(lambda: _Connection(self), host, port, backlog=1024)
+        if cold:
+            self.began_s = self._window_s = self._loop.time()
         return self
 
+    @property
+    def warmth(self) -> float:
+        """Its speed, of the warm one's (0 to 1)."""
+        how, age = self.behaviour, (self._loop.time() - self.began_s) * 1000.0
+        return 1.0 if age >= how.cold_ms else how.cold_from + (1.0 - how.cold_from) * age / how.cold_ms
+
+    def _pushed(self) -> bool:
+        """Whether it falls over by the request that comes now."""
+        how, now, warmth = self.behaviour, self._loop.time(), self.warmth
+        if warmth >= 1.0 or how.work_ms <= 0.0:
+            return False
+        if now - self._window_s >= 1.0:
+            self._window_s, self._asked = now, 0
+        self._asked += 1
+        return self._asked > how.overload * warmth * how.cores * 1000.0 / how.work_ms
+
+    def _fall(self) -> None:
+        self.fell += 1
+        self.on_fall()
+        assert self._server is not None
+        host, port = self._server.sockets[0].getsockname()[:2]
+        self.stop()
+        self._loop.call_later(FALLEN_S, lambda: self._loop.create_task(self.start(port, host, cold=True)))
+
     def stop(self) -> None:
         """Die: the listener goes and all connections are reset."""
         if self._server is not None:
@@ -125,6 +158,9 @@
     def take(self, connection: _Connection, seen: Seen) -> None:
         self.taken += 1
         how = self.behaviour
+        if self._pushed():
+            self._fall()
+            return
         if how.decline:
             self.declined += 1
             connection.transport.write(
@@ -156,7 +192,7 @@
                 self._finish(connection, seen)
                 continue
             self._busy += 1
-            due = begins + how.work_ms * how.slow / 1000.0
+            due = begins + how.work_ms * how.slow / self.warmth / 1000.0
             self._loop.call_at(due, self._worked, connection, seen, due)
 
     def _worked(self, connection: _Connection, seen: Seen, due: float) -> None:
--- a/tests/test_structure.py
+++ b/tests/test_structure.py
@@ -46,6 +46,7 @@
     "xds": {"core", "http", "interface", "lists"},
     "thrift": {"core", "interface"},
     "standin": {"core", "http", "thrift"},
+    "fleet": {"core", "standin"},
     "examples": set(),
     "cli": {"core", "http", "lab", "runtime", "sidecar", "standin", "xds"},
     "__main__": {"core", "platform"},
@@ -55,6 +56,7 @@
 CORE_ONLY: dict[str, set[str]] = {
     "sidecar": {"address"},
     "standin": {"address"},
+    "fleet": {"address"},
     "cli": {"address", "descriptors", "leaving", "turns"},
 }
 
