A server that turns all away is left out, and is no load of the pool

Servers that drained while discovery was down were still listed and turned all away at once. _judge kept FULL out of a server's errors and gave it a queue of this node's own load, which was none: they looked idle and ranked best. Each refusal also counted into full / ended, so the table refused the rest.

Change: from the third failure in a row on, a refusal counts as a failure of that server and not as load of the pool, while fewer than half of the servers are out; the way back is the one of all servers that are out. A third of the time is given to a call only if it was sent to find out, not to one that the rank sent there.

--- a/orchidledge/brain.py
+++ b/orchidledge/brain.py
@@ -180,6 +180,8 @@
         self.level = 0.0  # smoothed latency as a share of the aim
         self.load, self.target = 0.0, 1.0  # of the last period; the level from which latency is load
         self.completed = self.ended = self.full = 0.0
+        self.asking = False  # the last pick was made to find out how a server is
+        self.out = 0.0  # share of the servers in use that were out at the last period
         self.rate = self.peak = 0.0  # completed units per ms
         # The most calls in flight beside which one was answered in quiet, since there was load.
         self.borne = 0.0
@@ -381,6 +383,7 @@
         if effect is api.Effect.KEYED and now - since >= job.kind.memory_ms:
             return None
         tried = [item.peer for item in job.tries]
+        self.asking = False
         wide = self._wide(now)
         # What all siblings, taken to be like ours, have in flight at a server beside ours.
         crowd = (self.cfg.siblings - 1) * sum([peer.load for peer in self.ready]) / max(1.0, wide)
@@ -400,7 +403,9 @@
                 if not (peer.out or tried) and self._apart(now, peer):
                     apart.append(peer)
             if apart and self.rng.random() * wide < ASK_SHARE * len(apart):
-                best = self._asked(now, job, apart, wide) or best
+                asked = self._asked(now, job, apart, wide)
+                self.asking = asked is not None
+                best = asked or best
             if best is not None:
                 return best
         return None
@@ -501,7 +506,7 @@
         peer = self._pick(now, job)
         if peer is None:
             return False
-        if peer.fails >= OUT and self._repeatable(job):
+        if self.asking and self._repeatable(job):
             left *= ASK_WAIT  # Guard: a call to a server that hangs still took all of its request's time.
         idle, peer.asked_ms = now - peer.asked_ms, now
         peer.out[(job.request.id, len(job.tries))] = now
@@ -640,18 +645,23 @@
             self.ratios.append(event.latency_ms / job.kind.aim_ms)
         if result in (api.Result.CANCELLED, api.Result.MOOT, api.Result.NO_ROOM):
             return
-        self.ended += 1
         self.sour += SOUR_GAIN * ((result is not api.Result.OK) - self.sour)
+        if result is not api.Result.OK:
+            peer.fails += 1
+            peer.returns = False
+        if result is api.Result.FULL and peer.fails > OUT and self.out < PANIC:
+            # Guard: servers that drained and were still listed turned all away, looked idle for it, and got
+            # six tries of each request; what they turned away had the table refuse the rest.
+            peer.errs += GAIN * (1.0 - peer.errs)
+            return
+        self.ended += 1
         if result is api.Result.FULL or (result is api.Result.ERROR and self.cfg.tier == 0):
             self.full += 1  # Guard: a tier below that refuses shows at the front as errors only
         if result is api.Result.FULL:
             peer.queue, peer.told_ms = max(peer.queue, peer.load), now
             return
         peer.errs += GAIN * ((result is not api.Result.OK) - peer.errs)
-        if result is not api.Result.OK:
-            peer.fails += 1
-            peer.returns = False
-        else:
+        if result is api.Result.OK:
             if peer.errs > 0.0 and (peer.fails >= OUT or item.idle_ms >= SILENT_MS):
                 # What it was before tells little of what it is now.
                 peer.returns, peer.slow = True, None
@@ -691,6 +701,7 @@
         if (_middle([peer.errs for peer in ready]) or 0.0) > PANIC:
             for peer in ready:
                 peer.errs *= math.exp(-self.period_ms / PANIC_MS)
+        self.out = sum([peer.fails > OUT for peer in ready]) / max(1, len(ready))
         load = 0.0
         fresh = [peer for peer in ready if peer.told_ms >= now - FRESH_MS]  # Guard: old reports mislead
         utils = _middle([peer.util for peer in fresh if peer.util is not None])
--- a/tests/test_return.py
+++ b/tests/test_return.py
@@ -122,3 +122,36 @@
     bed = away()
     bed.give(api.Membership(api.ListForm.FULL, servers(4, launched_ms=bed.now - 60_000.0)))
     assert bed.brain.peers["s0"].fails == 0
+
+
+def test_a_server_that_turns_all_away_is_left_and_is_no_load_of_the_pool():
+    """A server that drains and is still listed has nothing in flight, and looked the best of all."""
+    bed = Bed(max_attempts=6)
+    declined = 0
+    for number in range(600):
+        if number % 15 == 0:
+            bed.period(0.0)
+        name, acts = bed.ask()
+        at = 0
+        while sent(acts)[0].server == "s0":
+            declined += 1
+            acts = bed.end(name, "s0", api.Result.FULL, 1.0, attempt=at)
+            at += 1
+        bed.now += 10.0
+        bed.end(name, sent(acts)[0].server, OK, 20.0, attempt=at)
+    assert declined <= 30
+    assert bed.brain.cursor == 0
+
+
+def test_where_most_servers_are_full_that_is_the_pools_load():
+    bed = Bed()
+    for number in range(300):
+        if number % 5 == 0:
+            bed.period(0.0)
+        name, acts = bed.ask()
+        at = 0
+        while sent(acts):
+            acts = bed.end(name, sent(acts)[0].server, api.Result.FULL, 1.0, attempt=at)
+            at += 1
+        bed.now += 10.0
+    assert bed.brain.cursor == len(bed.brain.shape) - 1
