Only a server that gave no answer is held to be cold when it is back

Cause: test_a_storm_dies_out_once_its_cause_has_ended got no answer in 400 calls after boxes that had answered 500 did well again. In static lists each was paced as cold from its first answer, in three tiers one behind the other, and each pool refused about four of five calls. A server that answers errors has not been started anew: time-outs, resets and failed connects may mean that, errors and refusals do not.

--- a/orchidledge/brain.py
+++ b/orchidledge/brain.py
@@ -92,6 +92,7 @@
     told_ms: float = -math.inf
     util: float | None = None
     fails: int = 0  # in a row
+    lost: bool = False  # one of them was no answer at all, so that it may have been started anew
     returns: bool = False  # it was out, and has answered since
     asked_ms: float = -math.inf  # when it was last sent a call
     back_ms: float | None = None  # since when it answers again, where lists don't tell of starts
@@ -649,6 +650,7 @@
         if result is not api.Result.OK:
             peer.fails += 1
             peer.returns = False
+            peer.lost = peer.lost or result not in (api.Result.ERROR, api.Result.FULL)
         if result is api.Result.FULL and peer.fails > OUT and self.out < PANIC:
             # Guard: servers that drained and were still listed turned all away, looked idle for it, and got
             # six tries of each request; what they turned away had the table refuse the rest.
@@ -665,9 +667,10 @@
             if peer.errs > 0.0 and (peer.fails >= OUT or item.idle_ms >= SILENT_MS):
                 # What it was before tells little of what it is now.
                 peer.returns, peer.slow = True, None
-                if not self.cfg.starts_told:
+                # Guard: a pool that had answered errors was held to be cold when it did well again.
+                if peer.lost and not self.cfg.starts_told:
                     peer.back_ms = now
-            peer.fails = 0
+            peer.fails, peer.lost = 0, False
             if peer.returns:
                 peer.errs *= BACK
                 peer.returns = peer.errs >= TRUSTED
