Read once more: one warm-up formula, a pick without hidden state, work done once

- The warm-up stood three times (module, model, stand-in box): interface.warmth serves all.
- Whether a pick only finds out was an attribute that _send read after _pick; _pick now returns it.
- What siblings have in flight was summed at every pick; it is summed where a server is cold. _in_flight and _most stand once for four and two places.
- _judge counted a refusal's errors by a copy of the line below; what an answer clears is a method.
- A box on another address of loopback said that it listens on 127.0.0.1.

--- a/orchidledge/brain.py
+++ b/orchidledge/brain.py
@@ -181,7 +181,6 @@
         self.level = 0.0  # smoothed latency as a share of the aim
         self.load, self.target = 0.0, 1.0  # of the last period; the level from which latency is load
         self.completed = self.ended = self.full = 0.0
-        self.asking = False  # the last pick was made to find out how a server is
         self.out = 0.0  # share of the servers in use that were out at the last period
         self.rate = self.peak = 0.0  # completed units per ms
         # The most calls in flight beside which one was answered in quiet, since there was load.
@@ -316,12 +315,15 @@
             self.mean_hint += (hint - self.mean_hint) * (CLASS_GAIN if self.mean_hint else 1.0)
             units = min(4.0, max(0.25, hint / self.mean_hint))
         job = self.jobs[request.id] = _Job(request, kind, now, units)
-        queue = sum([peer.load for peer in self.ready])
+        queue = self._in_flight()
         job.beside = queue + units
         full = not request.admitted and self._full(now, request, kind, queue)
         if full or not self._begin(now, job, acts):
             self._answer(job, acts)
 
+    def _in_flight(self) -> float:
+        return sum([peer.load for peer in self.ready])
+
     def _full(self, now: float, request: api.Request, kind: api.ServiceClass, queue: float) -> bool:
         """Whether the table turns a request away, so many calls being in flight."""
         room = self.threshold(self._worth(now, request, kind), len(self.ready)) - queue
@@ -335,7 +337,7 @@
 
         Guard: at five times what servers bear, a refusal cost most of what an answer does.
         """
-        queue = sum([peer.load for peer in self.ready])
+        queue = self._in_flight()
         if request.earlier is not None or not self._full(now, request, self.kinds[request.service], queue):
             return None
         return api.Refuse(request.id, self._retry_after())
@@ -365,7 +367,8 @@
 
     # --------------------------------------------------------------- ranking
 
-    def _pick(self, now: float, job: _Job) -> _Peer | None:
+    def _pick(self, now: float, job: _Job) -> tuple[_Peer | None, bool]:
+        """The server for the next attempt, and whether it is asked only to find out how it is now."""
         ran, effect = job.may_have_run(), job.kind.effect
         since = ran[0].sent_ms if ran else math.inf
         bound = _group(job.kind, ran[0].peer) if ran and effect is api.Effect.KEYED else None
@@ -378,16 +381,14 @@
             if known is not None:
                 bound = bound or _group(job.kind, known)
             elif job.kind.scope is not api.Scope.ALL:
-                return None
+                return None, False
         if ran and effect is api.Effect.UNSAFE:
-            return None
+            return None, False
         if effect is api.Effect.KEYED and now - since >= job.kind.memory_ms:
-            return None
+            return None, False
         tried = [item.peer for item in job.tries]
-        self.asking = False
         wide = self._wide(now)
-        # What all siblings, taken to be like ours, have in flight at a server beside ours.
-        crowd = (self.cfg.siblings - 1) * sum([peer.load for peer in self.ready]) / max(1.0, wide)
+        crowd: float | None = None
         for peers in self._order():
             best, best_rank = None, math.inf
             apart: list[_Peer] = []
@@ -398,23 +399,24 @@
                 if warmth < 1.0:
                     # Guard: of many balancers each saw some warm server idle, and the cold ones, a third of
                     # what the pool could do, got a twentieth of the calls while the warm ones were jammed.
+                    if crowd is None:  # at a server by all siblings, taken to be like ours, beside ours
+                        crowd = (self.cfg.siblings - 1) * self._in_flight() / max(1.0, wide)
                     rank *= min(1.0, 1.0 / (warmth * (1.0 + crowd)))
                 if rank < best_rank and self._paced(warmth, wide):
                     best, best_rank = peer, rank
-                if not (peer.out or tried) and self._apart(now, peer):
+                if not tried and not peer.out and self._apart(now, peer):
                     apart.append(peer)
             if apart and self.rng.random() * wide < ASK_SHARE * len(apart):
                 asked = self._asked(now, job, apart, wide)
-                self.asking = asked is not None
-                best = asked or best
+                if asked is not None:
+                    return asked, True
             if best is not None:
-                return best
-        return None
+                return best, False
+        return None, False
 
     def _repeatable(self, job: _Job) -> bool:
         """Whether a first attempt may fail and another one follow."""
-        most = min(self.cfg.max_attempts, job.kind.max_attempts or self.cfg.max_attempts)
-        return job.kind.effect is api.Effect.SAFE and most > 1 and job.request.attempts != 1
+        return job.kind.effect is api.Effect.SAFE and self._most(job) > 1 and job.request.attempts != 1
 
     def _apart(self, now: float, peer: _Peer) -> bool:
         """Whether its rank may keep a server from being asked, so that nothing would be learned of it."""
@@ -484,10 +486,7 @@
     def _warmth(self, now: float, peer: _Peer) -> float:
         """A server's present share of what it does when warm, by the settings."""
         launched = peer.info.launched_ms if peer.back_ms is None else peer.back_ms
-        if launched is None or now - launched >= self.cfg.cold_ms:
-            return 1.0
-        age = max(0.0, now - launched)
-        return self.cfg.cold_from + (1.0 - self.cfg.cold_from) * age / self.cfg.cold_ms
+        return 1.0 if launched is None else api.warmth(now - launched, self.cfg.cold_from, self.cfg.cold_ms)
 
     def _paced(self, warmth: float, ready: float) -> bool:
         """Guard: all balancers together must not push a cold server over. A call may go to it with the chance
@@ -504,10 +503,10 @@
             left = min(left, job.taken_ms + job.kind.aim_ms * AIM_MARGIN - now)
         if job.done or left <= 1.0 or self._spent(job):
             return False
-        peer = self._pick(now, job)
+        peer, asking = self._pick(now, job)
         if peer is None:
             return False
-        if self.asking and self._repeatable(job):
+        if asking and self._repeatable(job):
             left *= ASK_WAIT  # Guard: a call to a server that hangs still took all of its request's time.
         idle, peer.asked_ms = now - peer.asked_ms, now
         peer.out[(job.request.id, len(job.tries))] = now
@@ -528,7 +527,7 @@
             return False
         wait = 0.0 if free else self._wait(now, job)
         # No answer is held back for an attempt that can't follow.
-        if wait > 0.0 and self._pick(now, job) is not None:
+        if wait > 0.0 and self._pick(now, job)[0] is not None:
             job.waits = True
             acts.append(api.Wake(wait, f"retry {job.request.id}"))
             return True
@@ -538,12 +537,15 @@
             self.budget.give_back(now, job.kind.name, Spent.RETRY)
         return False
 
+    def _most(self, job: _Job) -> int:
+        """Attempts that its class may have."""
+        return min(self.cfg.max_attempts, job.kind.max_attempts or self.cfg.max_attempts)
+
     def _spent(self, job: _Job) -> bool:
         """Whether it has had all its attempts."""
-        most = min(self.cfg.max_attempts, job.kind.max_attempts or self.cfg.max_attempts)
         # Guard: a request that brings one attempt was refused when a drain came before its first byte left.
         reached = sum(1 for item in job.tries if item.result is not api.Result.CONNECT_FAILED)
-        return len(job.tries) >= most or 0 < job.request.attempts <= reached
+        return len(job.tries) >= self._most(job) or 0 < job.request.attempts <= reached
 
     def _wait(self, now: float, job: _Job) -> float:
         """How long to wait before a retry: nothing while others of the pool work, as they are better now;
@@ -650,30 +652,20 @@
         if result is not api.Result.OK:
             peer.fails += 1
             peer.returns = False
-            peer.lost = peer.lost or result not in (api.Result.ERROR, api.Result.FULL)
-        if result is api.Result.FULL and peer.fails > OUT and self.out < PANIC:
-            # Guard: servers that drained and were still listed turned all away, looked idle for it, and got
-            # six tries of each request; what they turned away had the table refuse the rest.
-            peer.errs += GAIN * (1.0 - peer.errs)
-            return
-        self.ended += 1
-        if result is api.Result.FULL or (result is api.Result.ERROR and self.cfg.tier == 0):
-            self.full += 1  # Guard: a tier below that refuses shows at the front as errors only
-        if result is api.Result.FULL:
-            peer.queue, peer.told_ms = max(peer.queue, peer.load), now
-            return
+            peer.lost |= result not in (api.Result.ERROR, api.Result.FULL)
+        # Guard: servers that drained and were still listed turned all away, looked idle for it, and got
+        # six tries of each request; what they turned away had the table refuse the rest.
+        declines = result is api.Result.FULL and peer.fails > OUT and self.out < PANIC
+        if not declines:
+            self.ended += 1
+            if result is api.Result.FULL or (result is api.Result.ERROR and self.cfg.tier == 0):
+                self.full += 1  # Guard: a tier below that refuses shows at the front as errors only
+            if result is api.Result.FULL:
+                peer.queue, peer.told_ms = max(peer.queue, peer.load), now
+                return
         peer.errs += GAIN * ((result is not api.Result.OK) - peer.errs)
         if result is api.Result.OK:
-            if peer.errs > 0.0 and (peer.fails >= OUT or item.idle_ms >= SILENT_MS):
-                # What it was before tells little of what it is now.
-                peer.returns, peer.slow = True, None
-                # Guard: a pool that had answered errors was held to be cold when it did well again.
-                if peer.lost and not self.cfg.starts_told:
-                    peer.back_ms = now
-            peer.fails, peer.lost = 0, False
-            if peer.returns:
-                peer.errs *= BACK
-                peer.returns = peer.errs >= TRUSTED
+            self._clear(now, peer, item.idle_ms)
         if result in (api.Result.OK, api.Result.TIMEOUT):  # a fast error must not look fast
             self.ratios.append(event.latency_ms / job.kind.aim_ms)
             mean = self.class_ms.get(job.kind.name)
@@ -691,6 +683,19 @@
             self.completed += job.units
             self.mean_aim += CLASS_GAIN * (job.kind.aim_ms - self.mean_aim)
 
+    def _clear(self, now: float, peer: _Peer, idle_ms: float) -> None:
+        """A server has answered well that had not been sent a call for so long before."""
+        if peer.errs > 0.0 and (peer.fails >= OUT or idle_ms >= SILENT_MS):
+            # What it was before tells little of what it is now.
+            peer.returns, peer.slow = True, None
+            # Guard: a pool that had answered errors was held to be cold when it did well again.
+            if peer.lost and not self.cfg.starts_told:
+                peer.back_ms = now
+        peer.fails, peer.lost = 0, False
+        if peer.returns:
+            peer.errs *= BACK
+            peer.returns = peer.errs >= TRUSTED
+
     # ------------------------------------------------------------- pool load
 
     def _on_period(self, now: float, ready: list[_Peer]) -> None:
@@ -726,7 +731,7 @@
         if self.base is not None and (self.ratios or jammed):
             # Guard: a strict target over few outcomes shed work that servers had room for; a loose one let
             # crowded servers turn slow.
-            crowd = self.cfg.siblings * sum([peer.load for peer in ready])
+            crowd = self.cfg.siblings * self._in_flight()
             slack = SLACK if crowd >= CROWD * len(ready) else SLACK_ROOM
             slack = slack if utils is None else SLACK_SEEN
             self.target = self.base + slack * (1.0 - self.base)
--- a/orchidledge/fleet/boxes.py
+++ b/orchidledge/fleet/boxes.py
@@ -2,8 +2,8 @@
 
     python -m orchidledge.fleet.boxes --record b.jsonl --work-ms 20 127.1.2.1:7070 127.1.2.2:7070
 
-Prints `ready` once all listen, and serves until it is ended. Four times a second it appends to `--record` what each box
-has taken and how often it fell over, so that the counts outlast any kill.
+Prints where each listens, `ready` once all do, and serves until it is ended. Four times a second it appends to
+`--record` what each box has taken and how often it fell over, so that the counts outlast any kill.
 """
 
 from __future__ import annotations
@@ -40,6 +40,7 @@
             host, port = parse_address(address)
             box.on_fall = note  # a fall is written down before anything else happens
             await box.start(port, host, cold=args.cold)
+            print(f"{address} listens on {box.endpoint}")
         print("ready", flush=True)
         until = time.monotonic() + args.seconds
         while time.monotonic() < until:
--- a/orchidledge/interface.py
+++ b/orchidledge/interface.py
@@ -174,6 +174,13 @@
         raise ValueError(f"{key}: a name stands twice")
 
 
+def warmth(age_ms: float, cold_from: float, cold_ms: float) -> float:
+    """Speed of a server so long after its start, of the warm one's: from `cold_from`, even over `cold_ms`."""
+    if age_ms >= cold_ms:
+        return 1.0
+    return cold_from + (1.0 - cold_from) * max(0.0, age_ms) / cold_ms
+
+
 # -------------------------------------------------------------------- events
 
 
--- a/orchidledge/lab/servers.py
+++ b/orchidledge/lab/servers.py
@@ -10,6 +10,8 @@
 from heapq import heappop, heappush, heapreplace
 from typing import NamedTuple
 
+from orchidledge.interface import warmth
+
 OVERLOAD_MS = 1000.0  # over which it is counted whether a cold server is sent more than it bears
 
 
@@ -68,9 +70,7 @@
 
     def warmth(self, now: float) -> float:
         """Its speed, of the warm one's (0 to 1)."""
-        if self.launched is None or now - self.launched >= self.cold_ms:
-            return 1.0
-        return self.cold_from + (1.0 - self.cold_from) * (now - self.launched) / self.cold_ms
+        return 1.0 if self.launched is None else warmth(now - self.launched, self.cold_from, self.cold_ms)
 
     def held(self, now: float) -> int:
         """Calls that wait or are served."""
--- a/orchidledge/standin/box.py
+++ b/orchidledge/standin/box.py
@@ -19,6 +19,8 @@
 
 import httptools
 
+from orchidledge.core.address import parse_address
+from orchidledge.interface import warmth
 from orchidledge.standin.listening import Counted, Counting, command, run
 
 POSTING = b"x-posting"  # the header by which a posting is counted; else its idempotency key, else its id
@@ -124,24 +126,23 @@
     @property
     def warmth(self) -> float:
         """Its speed, of the warm one's (0 to 1)."""
-        how, age = self.behaviour, (self._loop.time() - self.began_s) * 1000.0
-        return 1.0 if age >= how.cold_ms else how.cold_from + (1.0 - how.cold_from) * age / how.cold_ms
+        how = self.behaviour
+        return warmth((self._loop.time() - self.began_s) * 1000.0, how.cold_from, how.cold_ms)
 
     def _pushed(self) -> bool:
         """Whether it falls over by the request that comes now."""
-        how, now, warmth = self.behaviour, self._loop.time(), self.warmth
-        if warmth >= 1.0 or how.work_ms <= 0.0:
+        how, now, speed = self.behaviour, self._loop.time(), self.warmth
+        if speed >= 1.0 or how.work_ms <= 0.0:
             return False
         if now - self._window_s >= 1.0:
             self._window_s, self._asked = now, 0
         self._asked += 1
-        return self._asked > how.overload * warmth * how.cores * 1000.0 / how.work_ms
+        return self._asked > how.overload * speed * how.cores * 1000.0 / how.work_ms
 
     def _fall(self) -> None:
         self.fell += 1
         self.on_fall()
-        assert self._server is not None
-        host, port = self._server.sockets[0].getsockname()[:2]
+        host, port = parse_address(self.endpoint)
         self.stop()
         self._loop.call_later(FALLEN_S, lambda: self._loop.create_task(self.start(port, host, cold=True)))
 
--- a/orchidledge/standin/listening.py
+++ b/orchidledge/standin/listening.py
@@ -16,7 +16,8 @@
     @property
     def endpoint(self) -> str:
         assert self._server is not None
-        return f"127.0.0.1:{self._server.sockets[0].getsockname()[1]}"
+        host, port = self._server.sockets[0].getsockname()[:2]
+        return f"{host}:{port}"
 
 
 class Counting(Listening):
