--- a/benchmarks/retry_storm.py
+++ b/benchmarks/retry_storm.py
@@ -17,12 +17,10 @@
 
 import argparse
 import asyncio
-import contextlib
 import os
 import platform
 import socket
 import statistics
-import subprocess
 import sys
 import tempfile
 import time
@@ -32,9 +30,8 @@
 from random import Random
 from typing import Any
 
-from orchidledge.core.address import parse_address
+from orchidledge.fleet.processes import Supervisor
 from orchidledge.sidecar.models import BudgetModel
-from orchidledge.sidecar.toml import dumps
 from orchidledge.standin.box import Behaviour, Box, Seen
 from orchidledge.standin.caller import Application
 from orchidledge.standin.tier import OWN, TRACE, TierApplication
@@ -127,34 +124,6 @@
     return data if budget is None else data | {"budget": budget}
 
 
-@contextlib.asynccontextmanager
-async def sidecars(rows: list[dict[str, Any]], folder: Path) -> Any:
-    """Processes that run these configurations, ready."""
-    running = []
-    try:
-        for number, row in enumerate(rows):
-            path = folder / f"{number}.toml"
-            path.write_text(dumps(row, {}))
-            command = [sys.executable, "-m", "orchidledge.cli", "sidecar", str(path)]
-            running.append(subprocess.Popen(command, stderr=subprocess.DEVNULL, stdout=subprocess.DEVNULL))
-        async with asyncio.timeout(30):
-            for row in rows:
-                host, port = parse_address(row["listeners"][0]["address"])
-                while True:
-                    try:
-                        _, writer = await asyncio.open_connection(host, port)
-                        writer.close()
-                        break
-                    except OSError:
-                        await asyncio.sleep(0.05)
-        yield
-    finally:
-        for process in running:
-            process.kill()
-        for process in running:
-            process.wait()
-
-
 async def client(tally: Tally, app: Application, number: int, rng: Random) -> None:
     """One request with all its tries."""
     method, kind, _ = rng.choices(MIX, [share for *_, share in MIX])[0]
@@ -262,7 +231,8 @@
     phases: list[tuple[str, float]] = [("calm", args.calm)]
     for name in args.troubles.split(","):
         phases += [(name, args.trouble), ("calm", args.calm)]
-    async with sidecars(rows, folder):
+    async with Supervisor(folder) as supervisor:
+        await asyncio.gather(*(supervisor.sidecar(str(number), row) for number, row in enumerate(rows)))
         tally.began = time.monotonic()
         whole = sum(length for _, length in phases)
         asking = asyncio.create_task(load(tally, entries, args.rate, tally.began + whole, args.seed))
--- a/benchmarks/zone_return.py
+++ b/benchmarks/zone_return.py
@@ -25,7 +25,6 @@
 from random import Random
 
 from orchidledge.fleet.processes import Supervisor
-from orchidledge.sidecar.toml import dumps
 from orchidledge.standin.caller import Application
 
 AIM_S, GIVE_UP_S = 1.0, 2.5
@@ -123,14 +122,8 @@
 
     async with Supervisor(folder) as supervisor:
         await asyncio.gather(*(supervisor.start(f"zone-{zone}", command(zone), "ready") for zone in boxes))
-        starting = []
-        for at in range(args.sidecars):
-            path = folder / f"sidecar-{at}.toml"
-            path.write_text(dumps(configuration(args, at, boxes), {}))
-            starting.append(
-                supervisor.start(path.stem, ["-m", "orchidledge.cli", "sidecar", str(path)], "in force")
-            )
-        await asyncio.gather(*starting)
+        rows = [configuration(args, at, boxes) for at in range(args.sidecars)]
+        await asyncio.gather(*(supervisor.sidecar(str(row["name"]), row) for row in rows))
         apps = [Application((f"127.2.0.{at + 1}", 7600), GIVE_UP_S) for at in range(args.sidecars)]
         load = Load(apps, args.rate, args.tries, args.seed)
         began = time.monotonic()
@@ -153,27 +146,29 @@
     taken: Counter[tuple[int, str]] = Counter()
     fell = 0
     for zone in boxes:
-        last: dict[str, int] = {}
-        falls: dict[str, int] = {}
+        last: dict[str, list[int]] = {}
         for line in (folder / f"{zone}.jsonl").read_text().splitlines():
             row = json.loads(line)
-            for name, (count, fallen) in row["boxes"].items():
-                fresh = count - last.get(name, 0) if count >= last.get(name, 0) else count
-                taken[int(row["at"] - began), zone] += fresh
-                fell += fallen - falls.get(name, 0) if fallen >= falls.get(name, 0) else fallen
-                last[name], falls[name] = count, fallen
-    print(f"{'s':>3} {'high':>6} {'low':>6}  taken by zone")
-    for second in range(int(args.seconds)):
-        shares = [load.good[second, name] / max(1, load.due[second, name]) for name in CLASSES]
-        zones = " ".join(f"{taken[second, zone]:>5}" for zone in boxes)
-        print(f"{second:>3} {shares[0]:>6.2f} {shares[1]:>6.2f}  {zones}")
-    warm = back + args.cold_ms / 1000.0
+            for name, counts in row["boxes"].items():
+                before = last.get(name, [0, 0])
+                # A process that was started again counts from nothing.
+                more = [now - then if now >= then else now for now, then in zip(counts, before, strict=True)]
+                taken[int(row["at"] - began), zone] += more[0]
+                fell += more[1]
+                last[name] = counts
 
     def share(name: str, begin: float, end: float) -> float:
         seconds = range(int(begin), int(end))
         due = sum(load.due[second, name] for second in seconds)
         return sum(load.good[second, name] for second in seconds) / max(1, due)
 
+    print(f"{'s':>3} {'high':>6} {'low':>6}  taken by zone")
+    for second in range(int(args.seconds)):
+        high, low = (share(name, second, second + 1) for name in CLASSES)
+        zones = " ".join(f"{taken[second, zone]:>5}" for zone in boxes)
+        print(f"{second:>3} {high:>6.2f} {low:>6.2f}  {zones}")
+    warm = back + args.cold_ms / 1000.0
+
     for what, begin, end in (
         ("away", args.stop_at + 2, back),
         ("warming", back, warm),
--- a/orchidledge/cli/lab.py
+++ b/orchidledge/cli/lab.py
@@ -6,8 +6,10 @@
 import os
 import sys
 from collections import defaultdict
+from collections.abc import Iterable
 from pathlib import Path
 from statistics import fmean
+from typing import TYPE_CHECKING
 
 from rich.console import Console
 from rich.progress import BarColumn, MofNCompleteColumn, Progress, TimeElapsedColumn
@@ -15,6 +17,9 @@
 
 from orchidledge.sidecar.load import UnusableError
 
+if TYPE_CHECKING:
+    from orchidledge.lab.experiment import Experiment
+
 NEEDS = "the lab needs its extra: pip install 'orchidledge[lab]'"
 
 
@@ -46,8 +51,16 @@
         "experiment", nargs="?", default="zone-stopped", help="fleet and classes; default %(default)s"
     )
     back.add_argument("--policy", default="ours", help="by name; default %(default)s")
-    back.add_argument("--loads", type=float, nargs="+", help="of capacity; default 0.5 to 1.3")
-    back.add_argument("--repeats", type=int, nargs="+", help="tries beyond the first; default 0 to 3")
+    back.add_argument("--loads", type=_of_capacity, nargs="+", help="of capacity; default 0.5 to 1.3")
+    back.add_argument(
+        "--repeats",
+        type=int,
+        nargs="+",
+        choices=range(21),
+        metavar="N",
+        help="tries beyond the first; default 0 to 3",
+    )
+    back.add_argument("--trouble", action="append", help="only these, by name")
     back.add_argument("--cores", type=int, default=len(os.sched_getaffinity(0)), help="default %(default)s")
     back.epilog = "Exit code 1: something has not come back."
     back.set_defaults(run=_returns)
@@ -66,6 +79,13 @@
     compared.set_defaults(run=_compare)
 
 
+def _of_capacity(text: str) -> float:
+    value = float(text)
+    if not 0.0 < value <= 100.0:
+        raise argparse.ArgumentTypeError(f"{text} is not over 0 and at most 100")
+    return value
+
+
 def _missing(error: ImportError) -> int:
     print(f"{NEEDS} ({error.name} is not there)", file=sys.stderr)
     return 2
@@ -83,37 +103,43 @@
     return 0
 
 
-def _check(args: argparse.Namespace) -> int:
+def _load(name: str) -> Experiment | None:
+    """An experiment; None once it has been said what is wrong with it."""
     from orchidledge.lab.library import ExperimentError, load
 
-    wrong = 0
-    for name in args.experiment:
-        try:
-            load(name)
-        except (ExperimentError, UnusableError) as error:
-            print(error, file=sys.stderr)
-            wrong += 1
-    return 2 if wrong else 0
+    try:
+        return load(name)
+    except (ExperimentError, UnusableError) as error:
+        print(error, file=sys.stderr)
+        return None
+
+
+def _among(experiment: str, what: str, asked: Iterable[str], there: Iterable[str]) -> bool:
+    """Whether all that was asked for is there; says the first that is not."""
+    names = sorted(there)
+    for name in asked:
+        if name not in names:
+            print(f"{experiment}: has no {what} {name!r}; it has {', '.join(names)}", file=sys.stderr)
+            return False
+    return True
+
+
+def _check(args: argparse.Namespace) -> int:
+    return 2 if [name for name in args.experiment if _load(name) is None] else 0
 
 
 def _run(args: argparse.Namespace) -> int:
     from orchidledge.lab.compare import FIGURES, interval
     from orchidledge.lab.engine import sweep
-    from orchidledge.lab.library import ExperimentError, load
     from orchidledge.lab.results import jobs, read
 
     asked = []
     for name in args.experiment:
-        try:
-            plan = load(name)
-        except (ExperimentError, UnusableError) as error:
-            print(error, file=sys.stderr)
+        plan = _load(name)
+        if plan is None or not _among(
+            name, "policy", args.policy or (), (item.name for item in plan.policies)
+        ):
             return 2
-        named = {item.name for item in plan.policies}
-        for policy in args.policy or ():
-            if policy not in named:
-                print(f"{name}: has no policy {policy!r}; it has {', '.join(sorted(named))}", file=sys.stderr)
-                return 2
         asked += [
             job
             for job in jobs(plan)
@@ -151,25 +177,22 @@
 
 
 def _returns(args: argparse.Namespace) -> int:
-    from orchidledge.lab.library import ExperimentError, load
-    from orchidledge.lab.returns import LOADS, REPEATS, SHORT, search
+    from orchidledge.lab.returns import LOADS, REPEATS, SHORT, known, search
 
-    try:
-        plan = load(args.experiment)
-    except (ExperimentError, UnusableError) as error:
-        print(error, file=sys.stderr)
+    plan = _load(args.experiment)
+    if plan is None:
+        return 2
+    names, only = [item.name for item in plan.policies], args.trouble or ()
+    if not _among(args.experiment, "policy", [args.policy], names):
         return 2
-    names = [item.name for item in plan.policies]
-    if args.policy not in names:
-        print(f"{args.experiment}: has no policy {args.policy!r}; it has {', '.join(names)}", file=sys.stderr)
+    if not _among(args.experiment, "trouble", only, known(plan)):
         return 2
     loads, repeats = args.loads or LOADS, args.repeats or REPEATS
     rows: dict[tuple[str, str], dict[float, list[float]]] = defaultdict(lambda: defaultdict(list))
     worst = 0.0
-    for found in search(plan, names.index(args.policy), args.cores, loads, repeats):
-        short = found.without - found.with_it
-        rows[found.trouble, found.lists][found.load].append(short)
-        worst = max(worst, short)
+    for found in search(plan, names.index(args.policy), args.cores, loads, repeats, only=only):
+        rows[found.trouble, found.lists][found.load].append(found.short)
+        worst = max(worst, found.short)
     table = Table("trouble", "lists", *(f"{load:g}x" for load in loads), box=None)
     for (name, lists), by_load in rows.items():
         table.add_row(name, lists, *(f"{max(by_load[load]):+.3f}" for load in loads))
--- a/orchidledge/fleet/processes.py
+++ b/orchidledge/fleet/processes.py
@@ -10,6 +10,9 @@
 from collections.abc import Sequence
 from dataclasses import dataclass, field
 from pathlib import Path
+from typing import Any
+
+from orchidledge.sidecar.toml import dumps
 
 READY_S = 30.0
 PR_SET_PDEATHSIG = 1  # prctl(2)
@@ -67,7 +70,7 @@
         started = self.running[name] = Started(name, process, log)
         try:
             async with asyncio.timeout(READY_S):
-                while says not in (text := log.read_text(errors="replace")[begins:]):
+                while says not in (text := log.read_bytes()[begins:].decode(errors="replace")):
                     if process.returncode is not None:
                         raise NotReadyError(f"{name} ended with {process.returncode}: {text.strip()[-500:]}")
                     await asyncio.sleep(0.02)
@@ -75,6 +78,12 @@
             raise NotReadyError(f"{name} did not say {says!r} within {READY_S:g} s; see {log}") from None
         return started
 
+    async def sidecar(self, name: str, configuration: dict[str, Any]) -> Started:
+        """A sidecar with this configuration, which is written to the folder."""
+        path = self.folder / f"{name}.toml"
+        path.write_text(dumps(configuration, {}))
+        return await self.start(name, ["-m", "orchidledge.cli", "sidecar", str(path)], "in force")
+
     async def kill(self, *names: str) -> None:
         """SIGKILL to all of them at once; returns when they have ended."""
         some = [self.running.pop(name) for name in names if name in self.running]
--- a/orchidledge/lab/engine.py
+++ b/orchidledge/lab/engine.py
@@ -44,11 +44,16 @@
     return folder
 
 
+def workers(cores: int) -> ProcessPoolExecutor:
+    """Processes for runs beside one another."""
+    # Guard: a fork of a process with threads may hang; each worker begins anew.
+    return ProcessPoolExecutor(max_workers=max(1, cores), mp_context=get_context("spawn"))
+
+
 def sweep(jobs: list[Job], under: Path, cores: int) -> Iterator[tuple[Job, Path | None, str]]:
     """Each job as it is done, with its folder, or None and why; what has been kept before is not run again."""
     under.mkdir(parents=True, exist_ok=True)
-    # Guard: a fork of a process with threads may hang; each worker begins anew.
-    with ProcessPoolExecutor(max_workers=max(1, cores), mp_context=get_context("spawn")) as pool:
+    with workers(cores) as pool:
         asked = {pool.submit(keep, job, under): job for job in jobs}
         for done in as_completed(asked):
             job = asked[done]
--- a/orchidledge/lab/returns.py
+++ b/orchidledge/lab/returns.py
@@ -9,12 +9,10 @@
 from __future__ import annotations
 
 from collections.abc import Iterator, Sequence
-from concurrent.futures import ProcessPoolExecutor
 from dataclasses import dataclass
 from itertools import product
-from multiprocessing import get_context
 
-from orchidledge.lab.engine import simulate
+from orchidledge.lab.engine import simulate, workers
 from orchidledge.lab.experiment import Experiment, Trouble
 from orchidledge.lab.results import Job
 
@@ -41,7 +39,9 @@
         "a third half fail": [one("failing", servers=third, factor=50.0)],
         "a third refuse": [one("refusing", servers=third)],
         "a third silent": [one("stalled", servers=third)],
-        "a third come and go": [one("stalled", 5.0 + 2 * at, 6.0 + 2 * at, servers=third) for at in range(4)],
+        "a third come and go": [
+            one("stalled", BEGINS_S + 2 * at, BEGINS_S + 1 + 2 * at, servers=third) for at in range(4)
+        ],
         "all slow": [one("slow", servers=servers, factor=10.0)],
         "all fail": [one("failing", servers=servers, factor=100.0)],
         "all silent": [one("stalled", servers=servers)],
@@ -63,8 +63,9 @@
     without: float
 
     @property
-    def back(self) -> bool:
-        return self.with_it >= self.without - SHORT
+    def short(self) -> float:
+        """What is missing; over SHORT it has not come back."""
+        return self.without - self.with_it
 
 
 def _plan(base: Experiment, load: float, repeats: int, lists: str, some: list[Trouble]) -> Experiment:
@@ -85,6 +86,15 @@
     return good / max(1, due)
 
 
+def known(base: Experiment) -> dict[str, list[Trouble]]:
+    """The troubles that this fleet may have, by name."""
+    zones = base.fleet.zones
+    some = troubles(zones[len(zones) // 2], base.fleet.servers)
+    if len(zones) == 1:  # there is nowhere else to go
+        some = {name: items for name, items in some.items() if not name.startswith("zone")}
+    return some
+
+
 def search(
     base: Experiment,
     policy: int,
@@ -94,18 +104,15 @@
     lists: Sequence[str] = ("told", "static"),
     only: Sequence[str] = (),
 ) -> Iterator[Return]:
-    """Each trouble at each load; `policy` is its place in the experiment, which is played with its first seed."""
-    zone = base.fleet.zones[len(base.fleet.zones) // 2]
-    known = troubles(zone, base.fleet.servers)
-    if len(base.fleet.zones) == 1:  # with one zone there is nowhere else to go
-        known = {name: some for name, some in known.items() if not name.startswith("zone")}
+    """Each trouble, or `only` those of these names, at each load; `policy` is its place in the experiment, which is
+    played with its first seed."""
     seed = base.seeds[0]
     cases = list(product(loads, repeats, lists))
-    with ProcessPoolExecutor(max_workers=max(1, cores), mp_context=get_context("spawn")) as pool:
+    with workers(cores) as pool:
         calm = {case: pool.submit(share_after, _plan(base, *case, []), policy, seed) for case in cases}
         asked = {
             (name, case): pool.submit(share_after, _plan(base, *case, some), policy, seed)
-            for name, some in known.items()
+            for name, some in known(base).items()
             if not only or name in only
             for case in cases
         }
--- /dev/null
+++ b/tests/fleet/test_processes.py
@@ -0,0 +1,77 @@
+"""What a rig starts is ready when it says so, outlives nothing, and keeps its counts."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import signal
+import subprocess
+import sys
+import time
+
+import pytest
+
+from orchidledge.core.address import parse_address
+from orchidledge.fleet.processes import NotReadyError, Supervisor
+from orchidledge.standin.caller import Application
+
+RIG = """
+import asyncio, pathlib, sys
+from orchidledge.fleet.processes import Supervisor
+async def main():
+    supervisor = Supervisor(pathlib.Path(sys.argv[1]))
+    started = await supervisor.start("one", ["-c", "import time; print('ready', flush=True); time.sleep(60)"], "ready")
+    print(started.process.pid, flush=True)
+    await asyncio.sleep(60)
+asyncio.run(main())
+"""
+
+
+def alive(pid: int) -> bool:
+    try:
+        os.kill(pid, 0)
+    except ProcessLookupError:
+        return False
+    with open(f"/proc/{pid}/stat") as stat:
+        return stat.read().rsplit(")", 1)[1].split()[0] != "Z"  # ended, and nobody has asked for its end yet
+
+
+def test_a_rig_that_is_killed_leaves_no_process(tmp_path):
+    rig = subprocess.Popen([sys.executable, "-c", RIG, str(tmp_path)], stdout=subprocess.PIPE, text=True)
+    assert rig.stdout is not None
+    pid = int(rig.stdout.readline())
+    assert alive(pid)
+    rig.kill()
+    rig.wait()
+    until = time.monotonic() + 20.0
+    while alive(pid) and time.monotonic() < until:
+        time.sleep(0.02)
+    assert not alive(pid)
+
+
+def test_a_process_that_does_not_come_up_is_told_with_its_words(tmp_path):
+    async def main():
+        async with Supervisor(tmp_path) as supervisor:
+            with pytest.raises(NotReadyError, match=r"one ended with 3: .*no such ledger"):
+                await supervisor.start("one", ["-c", "print('no such ledger'); raise SystemExit(3)"], "ready")
+
+    asyncio.run(main())
+
+
+def test_a_cold_box_that_is_pushed_over_has_written_it_down_before_it_is_killed(tmp_path):
+    record = tmp_path / "a.jsonl"
+    command = ["-m", "orchidledge.fleet.boxes", "--record", str(record), "--cold", "--cold-ms", "600000"]
+    box = "127.9.8.7:0"
+
+    async def main():
+        async with Supervisor(tmp_path) as supervisor:
+            started = await supervisor.start("a", [*command, "--overload", "0", box], "ready")
+            app = Application(parse_address(started.log.read_text().splitlines()[0].split(" listens on ")[1]))
+            with pytest.raises(OSError):  # noqa: PT011 - how a reset shows differs
+                await app.ask("GET", "/x")
+            started.send(signal.SIGKILL)
+
+    asyncio.run(main())
+    rows = [json.loads(line) for line in record.read_text().splitlines()]
+    assert rows[-1]["boxes"][box][1] == 1
--- a/tests/lab/test_results.py
+++ b/tests/lab/test_results.py
@@ -166,3 +166,14 @@
             list(results.runs(tmp_path))
     with pytest.raises(results.ResultError, match="holds no runs"):
         list(results.runs(tmp_path / "nowhere"))
+
+
+def test_what_comes_back_after_a_trouble_is_told_by_load(file, capsys):
+    command = ["lab", "returns", str(file), "--repeats", "0", "--cores", "1", "--policy", "random"]
+    assert main([*command, "--loads", "0.1", "--trouble", "a third silent"]) == 0
+    assert "a third silent" in capsys.readouterr().out
+    assert main([*command, "--trouble", "a flood"]) == 2
+    assert "has no trouble 'a flood'" in capsys.readouterr().err
+    with pytest.raises(SystemExit):
+        main([*command, "--loads", "0"])
+    assert "over 0 and at most 100" in capsys.readouterr().err
