A watch outlasts any list, asks anew at once when it fell silent, and heeds a lower revision

Found by reading, then by tests on sockets. Watcher._follow caught three kinds of exception; any other, as OverflowError from a huge boot_ms or KeyError while a list is taken, ended its task with _task still set, so that start() did nothing from then on and drains were never heard of again (lists/discovery.py, _follow). After a silence the next call waited as long again: a second silence showed at 2 x (wait + 1.2 s) at the soonest, long after its news counts as told. A revision below the one that is held, of a discovery that began anew, was followed by changes of another list. A malformed list left no line in the log, and the same changes were asked for again and again.

Now: any exception keeps the list and the watch; a silent call is followed at once by one that need not wait, and so is a move; a local agent, which costs nothing, is asked every 2 s and every 0.4 s while it is silent; lower revisions and lists that can't be taken have the whole asked for; one log line for each new fault. The module's doubling overflowed a float after 1,024 failures in a row; two alarms of one name lost the second one.

--- a/orchidledge/brain.py
+++ b/orchidledge/brain.py
@@ -58,6 +58,7 @@
 JITTER = 0.1  # width of the draw that parts equal ranks
 ZONE_WEIGHT = 64.0  # calls in the queue that a crossing of zones counts as, per unit of its price
 WATCH_MS = 250.0  # half the first wait before discovery is asked again; doubled at each failure
+WATCH_DOUBLINGS = 8  # that many times at most
 WATCH_MAX_MS = 4000.0  # the longest such wait
 COLD_SHARE = 0.4  # of the overload factor: what a cold server may get of its present capacity
 HEDGE_SHARE = 0.95  # of a class's answers come before a second copy of a call may go out
@@ -234,7 +235,8 @@
 
     def _on_membership(self, now: float, event: api.Membership, acts: list[api.Action]) -> None:
         if event.form is api.ListForm.FAILED:  # subscribe anew, backing off so as not to crowd discovery
-            self.watch_failures += 1
+            # Guard: after a thousand failures in a row the power was too large for a float.
+            self.watch_failures = min(self.watch_failures + 1, WATCH_DOUBLINGS)
             wait = min(WATCH_MAX_MS, WATCH_MS * 2.0**self.watch_failures)
             acts.append(api.Wake(wait * self.rng.uniform(0.5, 1.0), "watch"))
             return
--- a/orchidledge/core/pool.py
+++ b/orchidledge/core/pool.py
@@ -146,6 +146,8 @@
         return Cause.SHED if self.up else Cause.NO_SERVER
 
     def _wake(self, delay_s: float, name: str) -> None:
+        if (earlier := self.timers.get(name)) is not None:
+            earlier.cancel()  # Guard: the second of two alarms of one name found its place empty, and was lost
         self.timers[name] = self.loop.call_later(delay_s, self._on_alarm, name)
 
     def _on_alarm(self, name: str) -> None:
--- a/orchidledge/lists/discovery.py
+++ b/orchidledge/lists/discovery.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import logging
 from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Any
@@ -14,10 +15,15 @@
 from orchidledge.interface import ListForm, Server, ServerState
 from orchidledge.lists.membership import Entry, News, Roster
 
+log = logging.getLogger("orchidledge")
+
 # A call unanswered so long after its wait has failed; 2 s after it, its news counts as told.
-LATE_S = 1.2
+LATE_S = 0.8
 CONNECT_S = 1.0
-PUSH_PAUSE_S = 0.5  # before a local agent is asked again after a failure
+PUSH_PAUSE_S = 0.1  # before a local agent is asked again after a failure
+SPEAKS_S = 0.8  # within which a discovery that is there answers a call that need not wait,
+AGENT_SPEAKS_S = 0.3  # and a local agent
+AGENT_WATCH_MS = 2000.0  # a local agent costs nothing to ask; its silence is noticed the sooner
 MAX_LIST = 16 * 1024 * 1024
 LONGEST_WATCH_MS = 20_000.0
 WATCH_SHARE = 0.5  # of the time within which discovery has to be asked
@@ -104,10 +110,12 @@
         """`revision`: of the list that is held; None: there is none, so the whole is asked for first."""
         self._address = address
         self._revision = revision
-        self._wait_ms = int(wait_ms)
-        self._limit_s = wait_ms / 1000.0 + LATE_S
+        self._wait_ms = int(min(wait_ms, AGENT_WATCH_MS) if endless else wait_ms)
         self._endless = endless
         self._on_news = on_news
+        # Whether it is not known that discovery speaks, so that the next call is not to wait.
+        self._doubted = False
+        self._why = ""  # the last list that could not be used, as it was logged
         self._task: asyncio.Task[None] | None = None
         self._connection: ClientConnection | None = None
 
@@ -117,10 +125,12 @@
             self._task = asyncio.create_task(self._follow())
 
     def move(self, address: Address) -> None:
-        """Follow the list at another address from now on, from the revision that is held."""
+        """Follow the list at another address from now on."""
         if address != self._address:
             self.close()
             self._address, self._task = address, None
+            # Guard: one that counts from the start would have nothing to tell until it was past what is held.
+            self._doubted = True
             # Guard: news of the new address counts as told soon, so it is asked now, whatever went before.
             self.start()
 
@@ -131,22 +141,53 @@
 
     async def _follow(self) -> None:
         while True:
+            doubted = self._doubted
             try:
-                async with asyncio.timeout(self._limit_s):
-                    listing = await self._ask()
-            except (OSError, TimeoutError, ValueError):
+                await self._step()
+            except Exception as error:
+                # Guard: whatever a list or its handling does, the watch goes on; it ended for good, and drains with it.
                 self._drop()
+                self._doubted = isinstance(error, TimeoutError)
+                if not isinstance(error, OSError):
+                    self._revision = None  # what could not be taken as changes may do as a whole
+                if self._doubted and not doubted:
+                    # Guard: a watch that had fallen silent was opened anew only after a pause, and waited as long again
+                    # before a second silence showed, when drains had long counted as told.
+                    continue
+                self._report(error)
                 if not self._endless:
                     self._task = None
                 self._on_news(ListForm.FAILED, None)
                 if not self._endless:
                     return
                 await asyncio.sleep(PUSH_PAUSE_S)
-                continue
-            self._revision = listing.revision
-            self._on_news(ListForm.FULL if listing.whole else ListForm.DELTA, listing)
 
-    async def _ask(self) -> Listing:
+    async def _step(self) -> None:
+        """One call, and what comes of its answer."""
+        wait_ms = 0 if self._doubted else self._wait_ms
+        limit_s = LATE_S
+        if self._doubted:
+            limit_s = AGENT_SPEAKS_S if self._endless else SPEAKS_S
+        async with asyncio.timeout(wait_ms / 1000.0 + limit_s):
+            listing = await self._ask(wait_ms)
+        self._doubted = False
+        if not listing.whole and self._revision is not None and listing.revision < self._revision:
+            # Guard: a discovery that began anew counts from the start; what it calls changes is of another list.
+            self._revision = None
+            return
+        self._on_news(ListForm.FULL if listing.whole else ListForm.DELTA, listing)
+        self._revision, self._why = listing.revision, ""
+
+    def _report(self, error: Exception) -> None:
+        """One line for each new fault of a list or of its handling; a discovery that can't be reached is counted."""
+        if isinstance(error, OSError):
+            return
+        why = f"{type(error).__name__}: {error}"
+        if why != self._why:
+            self._why = why
+            log.error("server list not taken, the old one stays: %s", " ".join(why.split())[:300])
+
+    async def _ask(self, wait_ms: int) -> Listing:
         connection = self._connection
         if connection is None or not connection.usable:
             self._drop()
@@ -159,11 +200,11 @@
         host = f"{self._address[0]}:{self._address[1]}"
         target = "/discovery/hosts"
         if self._revision is not None:
-            target += f"?since={self._revision}&timeout_ms={self._wait_ms}"
+            target += f"?since={self._revision}&timeout_ms={wait_ms}"
         connection.start(f"GET {target} HTTP/1.1\r\nHost: {host}\r\n\r\n".encode(), call)
         response = await call.done
         if response.status != 200:
-            raise ValueError(f"discovery answered {response.status}")
+            raise ConnectionError(f"discovery answered {response.status}")
         return parse_listing(orjson.loads(response.body))
 
     def _drop(self) -> None:
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -480,11 +480,13 @@
     async def main():
         monkeypatch.setattr("orchidledge.lists.discovery.LATE_S", 0.05)
         discovery = Discovery()
+        monkeypatch.setattr("orchidledge.lists.discovery.SPEAKS_S", 0.05)
         async with running(
             Peer(), discovery=discovery, settings={"invariants": {"askWithinMs": 100.0}}
         ) as node:
-            await until(lambda: len(discovery.seen) >= 2)
-            assert discovery.seen[0].first[1].endswith("&timeout_ms=50")
+            await until(lambda: len(discovery.seen) >= 3)
+            waits = [message.first[1].rpartition("=")[2] for message in discovery.seen[:3]]
+            assert waits == ["50", "0", "0"]  # at once whether it speaks, then when the module asks
             assert node.pool.counts["list failed"] >= 1
 
     asyncio.run(main())
