A connection rests 10 ms after its answer, so that a late second answer meets no request

Outgoing.usable looks for bytes that have come, so one that comes a moment after the next request was written was that request's answer: served with what no server made for it. Nothing on the wire tells whose an answer is. Now a connection that has brought its answer carries nothing for 10 ms (PooledBack.give_back, _rested); bytes in that time end it, as on any idle one. Only on the platform's node; sidecars rest 0 s as before, since it costs connections where answers take under 10 ms.

--- a/orchidledge/core/pooled.py
+++ b/orchidledge/core/pooled.py
@@ -86,6 +86,11 @@
         """Give up before anything was sent."""
         self._finish(Result.CONNECT_FAILED)
 
+    def recall(self) -> None:
+        """Give up, for no fault of the server's, unless it has been written."""
+        if self._sent is None:
+            self._finish(Result.MOOT)
+
     # ----------------------------------------------------------- for the connection
 
     def answered(self, response: Any) -> None:
@@ -228,8 +233,15 @@
 class PooledBack:
     """Connections to all servers, at most `limit` of them, the newest idle one used first."""
 
-    def __init__(self, limit: int, server_idle_s: float, connect_timeout_s: float) -> None:
+    def __init__(
+        self, limit: int, server_idle_s: float, connect_timeout_s: float, rest_s: float = 0.0
+    ) -> None:
+        """`rest_s`: how long a connection carries nothing after an answer."""
         self.limit = limit
+        self._rest_s = rest_s
+        # Those that do, first the one that has for longest, each with the loop's time at which it is over.
+        self._resting: deque[tuple[float, _Server, Outgoing]] = deque()
+        self._rest_timer: asyncio.TimerHandle | None = None
         self.connect_timeout_s = connect_timeout_s
         self._idle_s = server_idle_s * IDLE_SHARE
         self._servers: dict[str, _Server] = {}
@@ -316,8 +328,9 @@
             self.remove(name)
         for connection in list(self._open):
             connection.abort()
-        if self._sweep_timer is not None:
-            self._sweep_timer.cancel()
+        for timer in (self._sweep_timer, self._rest_timer):
+            if timer is not None:
+                timer.cancel()
 
     # -------------------------------------------------------------- for attempts
 
@@ -373,8 +386,30 @@
         return None
 
     def give_back(self, server: _Server, connection: Outgoing, held_s: float) -> None:
-        now = asyncio.get_running_loop().time()
+        """A connection has brought its answer."""
         self.line.held(held_s)
+        if self._rest_s <= 0.0:
+            self._free(server, connection)
+            return
+        # Guard: a server's second answer to one request, some ms after the first, was taken for the answer to the
+        # next request on that connection. Now it comes while nothing is asked, which ends the connection.
+        loop = asyncio.get_running_loop()
+        self._resting.append((loop.time() + self._rest_s, server, connection))
+        if self._rest_timer is None:
+            self._rest_timer = loop.call_later(self._rest_s, self._rested)
+
+    def _rested(self) -> None:
+        loop = asyncio.get_running_loop()
+        self._rest_timer = None
+        while self._resting and self._resting[0][0] <= loop.time():
+            _, server, connection = self._resting.popleft()
+            self._free(server, connection)
+        if self._resting and self._rest_timer is None:
+            self._rest_timer = loop.call_at(self._resting[0][0], self._rested)
+
+    def _free(self, server: _Server, connection: Outgoing) -> None:
+        """A connection may carry the next request."""
+        now = asyncio.get_running_loop().time()
         if not connection.usable or server not in self._servers.values():
             connection.retire()
             return
--- a/orchidledge/core/types.py
+++ b/orchidledge/core/types.py
@@ -74,6 +74,9 @@
     def cancel(self) -> None:
         """Give it up; `on_end` is told CANCELLED, unless the attempt is over."""
 
+    def recall(self) -> None:
+        """Give it up if nothing of it has been written; `on_end` is then told MOOT."""
+
 
 class Back(Protocol):
     """Carries attempts to servers. Nothing is ever sent twice by it."""
--- a/orchidledge/http/back.py
+++ b/orchidledge/http/back.py
@@ -26,8 +26,10 @@
 
 
 class HttpBack(PooledBack):
-    def __init__(self, limit: int, server_idle_s: float, connect_timeout_s: float, wire: Wire) -> None:
-        super().__init__(limit, server_idle_s, connect_timeout_s)
+    def __init__(
+        self, limit: int, server_idle_s: float, connect_timeout_s: float, wire: Wire, rest_s: float = 0.0
+    ) -> None:
+        super().__init__(limit, server_idle_s, connect_timeout_s, rest_s)
         self.wire = wire
 
     def connection(self) -> ClientConnection:
--- a/orchidledge/platform/node.py
+++ b/orchidledge/platform/node.py
@@ -22,6 +22,7 @@
 
 LEAST_USABLE = 16  # descriptors beside the spare ones, however few the settings allow
 LONGEST_DEADLINE_S = 3.0  # the platform waits no longer before it kills
+REST_S = 0.01  # of a connection after an answer: second answers came up to 4 ms after the first
 STATS_S = 10.0
 BEAT_S = 0.1
 
@@ -38,6 +39,7 @@
             config.conn_idle_ms / 1000.0,
             config.connect_timeout_ms / 1000.0,
             PlatformWire(self.settings.report_fields),
+            REST_S,
         )
         self.roster = Roster(starts_known=True)
         self.watcher = Watcher(
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -100,6 +100,7 @@
         async with running(server) as node:
             node.pool.balancer = scripted = Scripted(send_to("s0"))
             assert (await ask(node, request(kind, "q1"))).status == 200
+            await until(lambda: node.back._servers["s0"].idle)  # it rests after an answer
             assert (await ask(node, request(kind, "q2"))).status == 502  # on the connection kept from before
             assert (server.connections, len(server.seen)) == (1, 2)
             assert [event.result for event in scripted.of(api.Outcome)] == [api.Result.OK, api.Result.RESET]
@@ -479,8 +480,8 @@
 def test_a_hung_discovery_call_fails_and_the_module_asks_again(monkeypatch):
     async def main():
         monkeypatch.setattr("orchidledge.lists.discovery.LATE_S", 0.05)
-        discovery = Discovery()
         monkeypatch.setattr("orchidledge.lists.discovery.SPEAKS_S", 0.05)
+        discovery = Discovery()
         async with running(
             Peer(), discovery=discovery, settings={"invariants": {"askWithinMs": 100.0}}
         ) as node:
@@ -588,6 +589,7 @@
                 row = Listing(9, False, (api.Server("s0", launched_ms=launched),), endpoints)
                 node._on_list(api.ListForm.DELTA, row)
                 assert (await ask(node, request(name="q2"))).status == 200
+                await until(lambda: node.back._servers["s0"].idle)
             assert server.connections == 2
 
     asyncio.run(main())
