Nothing is sent on for a caller that has left while its request waited

Found by reading, each proven by a forced crossing. Pool.leave told the module alone, which cancels only where bounds.cancel allows it: an attempt that waited to connect, behind those that connect, or in line was written after its caller had gone. Pool._end now recalls what has not been written, as MOOT, which says nothing of the server; a second copy that waits when the first has answered goes the same way. The end of a caller that had sent much and gone was read a turn after its requests, which were sent on where a connection was free; so was what stood behind an answer that its caller was slow to read (ServerConnection._serve now looks for an end in the kernel, eof_received leaves at once). A keyed repeat was picked inside its window and written after it, where connecting took longer than was left: Send.begin_within_ms has it recalled. An answer that had not left was cut off after 0.5 s of lingering, or to make room.

Ruled out: a connection handed from one attempt to the next (those that are over are passed), a retry put off by the budget (its alarm finds the job done), a retry at the moment of leaving (MOOT).

--- a/orchidledge/brain.py
+++ b/orchidledge/brain.py
@@ -372,13 +372,11 @@
     def _pick(self, now: float, job: _Job) -> tuple[_Peer | None, bool]:
         """The server for the next attempt, and whether it is asked only to find out how it is now."""
         ran, effect = job.may_have_run(), job.kind.effect
-        since = ran[0].sent_ms if ran else math.inf
         bound = _group(job.kind, ran[0].peer) if ran and effect is api.Effect.KEYED else None
         earlier = job.request.earlier if effect is api.Effect.KEYED else None
         if earlier is not None:
             # Guard: a caller's second try with its key went to any server, also to one of a group that had
             # never heard of it, or that had forgotten it since.
-            since = min(since, earlier.sent_ms)
             known = self.peers.get(earlier.server)
             if known is not None:
                 bound = bound or _group(job.kind, known)
@@ -386,7 +384,7 @@
                 return None, False
         if ran and effect is api.Effect.UNSAFE:
             return None, False
-        if effect is api.Effect.KEYED and now - since >= job.kind.memory_ms:
+        if effect is api.Effect.KEYED and now - self._since(job, ran) >= job.kind.memory_ms:
             return None, False
         tried = [item.peer for item in job.tries]
         wide = self._wide(now)
@@ -510,13 +508,27 @@
             return False
         if asking and self._repeatable(job):
             left *= ASK_WAIT  # Guard: a call to a server that hangs still took all of its request's time.
+        known_for = self._known_for(now, job)
         idle, peer.asked_ms = now - peer.asked_ms, now
         peer.out[(job.request.id, len(job.tries))] = now
         job.tries.append(_Try(peer, now, idle))
         peer.load += job.units
-        acts.append(api.Send(job.request.id, peer.info.address, left))
+        acts.append(api.Send(job.request.id, peer.info.address, left, known_for))
         return True
 
+    def _known_for(self, now: float, job: _Job) -> float:
+        """How long the servers still drop a next attempt as a repeat, in ms; 0: no attempt may have run."""
+        ran = job.may_have_run()
+        if job.kind.effect is not api.Effect.KEYED or not (ran or job.request.earlier):
+            return 0.0
+        return self._since(job, ran) + job.kind.memory_ms - now
+
+    @staticmethod
+    def _since(job: _Job, ran: list[_Try]) -> float:
+        """When the first attempt that may have run was sent."""
+        since = ran[0].sent_ms if ran else math.inf
+        return since if job.request.earlier is None else min(since, job.request.earlier.sent_ms)
+
     def _again(self, now: float, job: _Job, acts: list[api.Action]) -> bool:
         """Another attempt after those that have ended, now or, where that is better, a little later."""
         if self.budget is None:
--- a/orchidledge/core/listener.py
+++ b/orchidledge/core/listener.py
@@ -4,12 +4,13 @@
 from __future__ import annotations
 
 import asyncio
+import select
 import socket
 import struct
 from itertools import islice
 from typing import Any
 
-from orchidledge.core.outgoing import OWN, readable
+from orchidledge.core.outgoing import OWN, readable, waits
 from orchidledge.core.turns import turns_of
 from orchidledge.limits.connections import SILENT_S, Door
 
@@ -17,6 +18,7 @@
 SPARED_S = 2.0  # of which an idle connection is spared where room is short and no request waits for it
 LINGER_S = 0.5  # how long what a caller still sends after a fatal answer is read and dropped
 SWEEP_S = 0.1
+FRESH_S = 0.2  # of which a connection that has just come is not closed for carrying nothing, as its request may follow
 SPARE = 4  # places for connections of which it is seen only then that they can't be refused at once
 TAKEN_AT_ONCE = 64  # connections that are taken in one turn, at most,
 AT_ONCE = 1024  # and those that are looked at, the others being refused
@@ -71,7 +73,12 @@
     @property
     def drained(self) -> bool:
         """Whether closing it now loses nothing that was written, nor resets it by what is unread."""
-        return not self._transport.get_write_buffer_size() and not readable(self._transport)
+        return self.flushed and not readable(self._transport)
+
+    @property
+    def flushed(self) -> bool:
+        """Whether all that was written has left this process."""
+        return not self._transport.get_write_buffer_size()
 
     def abort(self) -> None:
         self._closing = True
@@ -86,6 +93,9 @@
         """Its time in this stage is over."""
         raise NotImplementedError
 
+    def turn_away(self) -> None:
+        """Refuse what has come in part, as this process ends."""
+
     def _end(self) -> None:
         """Close, reading on for a moment: closing over unread bytes would reset the answer away."""
         self._closing = True
@@ -314,9 +324,25 @@
             connection.since = self.loop.time()
 
     def close_idle(self) -> None:
-        """Close what carries nothing."""
+        """Close what carries nothing, but not what has just come or still has an answer to take."""
+        # Guard: a new connection closed with no answer is a request refused, or lost, without a word.
+        fresh = self.loop.time() - FRESH_S
+        for connection in [*self.waiting, *self.idle]:
+            if (connection.known or connection.since <= fresh) and connection.flushed:
+                connection.close_if_idle()
+
+    def last_call(self) -> bool:
+        """End what can be ended, with an answer where one is owed; whether something is left that has yet to be read
+        or has not left this process."""
         for connection in [*self.waiting, *self.idle]:
-            connection.close_if_idle()
+            if connection.flushed and not connection.close_if_idle():
+                connection.turn_away()
+        left = any(
+            stage is not self.lingering or not connection.drained
+            for connection, stage in self.connections.items()
+        )
+        coming = self._listener is not None and waits(self._listener, select.POLLIN)
+        return left or coming or bool(self._coming)
 
     def close(self) -> None:
         if self._listener is not None:
@@ -337,15 +363,17 @@
 
     def _close_one(self, spared_s: float) -> bool:
         """What has had its last answer goes first, then what never asked, then what idles longest."""
-        for connection in self.lingering:
-            connection.abort()
-            return True
+        # Guard: of a caller that reads slowly, an answer that had not left was cut off to make room.
+        for connection in islice(self.lingering, LOOKED_AT):
+            if connection.flushed:
+                connection.abort()
+                return True
         for connection in islice(self.waiting, LOOKED_AT):
-            if not connection.known and connection.close_if_idle():
+            if not connection.known and connection.flushed and connection.close_if_idle():
                 return True
         spared = self.loop.time() - spared_s
         for connection in islice(self.idle, LOOKED_AT):
-            if connection.since <= spared and connection.close_if_idle():
+            if connection.since <= spared and connection.flushed and connection.close_if_idle():
                 return True
         return False
 
--- a/orchidledge/core/outgoing.py
+++ b/orchidledge/core/outgoing.py
@@ -22,13 +22,23 @@
         """The connection ended with no whole answer; `written`: its request's last byte had left."""
 
 
-def readable(transport: asyncio.BaseTransport) -> bool:
-    """Whether bytes, an end or an error wait in the kernel that the event loop has not delivered yet."""
+def waits(sock: Any, events: int) -> bool:
+    """Whether one of these `select.POLL*` events, an error or an end waits in the kernel."""
     poll = select.poll()
-    poll.register(transport.get_extra_info("socket").fileno(), select.POLLIN | select.POLLRDHUP)
+    poll.register(sock.fileno(), events)
     return bool(poll.poll(0))
 
 
+def readable(transport: asyncio.BaseTransport) -> bool:
+    """Whether bytes, an end or an error wait in the kernel that the event loop has not delivered yet."""
+    return waits(transport.get_extra_info("socket"), select.POLLIN | select.POLLRDHUP)
+
+
+def ended(transport: asyncio.BaseTransport) -> bool:
+    """Whether the other side has closed or reset it, which the event loop may not have delivered yet."""
+    return waits(transport.get_extra_info("socket"), select.POLLRDHUP)
+
+
 class Outgoing(asyncio.Protocol):
     """The calling end of a connection. `on_closed` is told when it is gone."""
 
--- a/orchidledge/core/pool.py
+++ b/orchidledge/core/pool.py
@@ -216,6 +216,11 @@
         self.open -= 1
         if job.backstop is not None:
             job.backstop.cancel()
+        # Guard: where calls may not be cancelled, what waited to connect was written after its caller had gone. What
+        # has not been written is this process's own, whatever the settings allow.
+        for attempt in job.attempts:
+            if attempt is not None:
+                attempt.recall()
         self._forget(job)
 
     def _forget(self, job: Job) -> None:
@@ -262,6 +267,8 @@
             on_end(api.Result.CONNECT_FAILED, None, None)
         else:
             job.attempts[number] = attempt
+            if action.begin_within_ms > 0.0:
+                self.loop.call_later(action.begin_within_ms / 1000.0, attempt.recall)
 
     def _outcome(
         self,
--- a/orchidledge/http/server.py
+++ b/orchidledge/http/server.py
@@ -13,7 +13,7 @@
 import httptools
 
 from orchidledge.core.listener import IncomingConnection, Listener, waited_s
-from orchidledge.core.outgoing import readable
+from orchidledge.core.outgoing import ended, readable
 from orchidledge.http.client import MAX_BODY, MAX_HEAD, NO_BODY, Header
 
 REQUEST_S = 2.5  # within which a request has to come in whole, from connecting or from its first byte
@@ -134,16 +134,20 @@
 
     def close_if_idle(self) -> bool:
         """Close where no request is open, but not with bytes already waiting in the kernel."""
-        if self._calls or (self._partial is not None and self.known) or readable(self._transport):
+        half = self._partial is not None and (self.known or self._server.stopping)
+        if self._calls or half or readable(self._transport):
             return False
         self.abort()
         return True
 
     def expire(self) -> None:
         """Its time in this stage is over."""
-        # Guard: a caller that does not read its answers would hold them, and its place, for ever.
+        # Guard: a caller that does not read its answers would hold them, and its place, for ever. One that reads slowly
+        # had its last answer cut off after the time that only a flushed one may linger.
+        late = self.since <= self._server.loop.time() - self._server.request_s
         if self._closing or self._stuck:
-            self.abort()
+            if self.flushed or late:
+                self.abort()
         elif self._partial is not None or (self.silent and self._server.orderly):
             self._fail(408)
         else:
@@ -216,11 +220,23 @@
         else:
             self._server.stage(self, self._server.idle)
 
+    def eof_received(self) -> bool:
+        # Guard: an answer that could not be flushed held back that the caller had gone, and what it had asked
+        # for behind that answer was sent on.
+        self._leave()
+        self._closing = True
+        self._server.stage(self, self._server.lingering)
+        return False
+
     def connection_lost(self, exc: Exception | None) -> None:
         self._closing = True
         self._server.closed(self)
         # Guard: parser and connection hold each other; the collector comes for such old pairs hardly ever.
         del self._parser
+        self._leave()
+
+    def _leave(self) -> None:
+        """The caller has gone: nothing of what it has asked for is wanted any more."""
         calls, self._calls = self._calls, deque()
         for call in calls:
             call.answered = True
@@ -341,9 +357,15 @@
     # -------------------------------------------------------------------- answers
 
     def _serve(self) -> None:
-        """Hand the first whole request on, unless that has been done."""
+        """Hand the first whole request on, unless that has been done or its caller has gone."""
         call = self._calls[0]
         if not call.begun:
+            # Guard: the end of a caller that has sent much and gone is read after its requests, which were sent on;
+            # so was what stood behind an answer that was held up.
+            if self._transport.is_closing() or ended(self._transport):
+                self._leave()
+                self._end()
+                return
             call.begun = True
             if self._dialect.ready_path and call.target.partition(b"?")[0] == self._dialect.ready_path:
                 call.answer(200 if self._server.ready else 503)
@@ -376,6 +398,10 @@
         if self._calls and not self._closing and not self._stuck:
             self._serve()
 
+    def turn_away(self) -> None:
+        if self._partial is not None and not self._calls and not self._closing:
+            self._fail(503)
+
     def _fail(self, status: int) -> None:
         """Answer what can't be read as a request, and end the connection."""
         refusal = self._server.refusal
