The end of service answers what came in part, unread, behind another, and waits for slow readers

Found by reading. Node.stop answered what was open and went one turn of the loop later: requests behind another on their connection, half-read ones, those unread in the kernel or the accept queue were cut off with no answer, and what a slow reader had yet to take was lost with the process. While connections were closed, one that had just come was closed before its request (a second refusal without a word), and so was the first request of a new one that had come in part.

--- a/orchidledge/core/leaving.py
+++ b/orchidledge/core/leaving.py
@@ -4,12 +4,13 @@
 
 import asyncio
 import signal
-from collections.abc import Collection, Sized
+from collections.abc import Callable, Collection, Sized
 from typing import Protocol
 
 STOP_OPEN_S = 0.6  # after SIGTERM connections still come for up to 0.4 s
 STOP_SLACK_S = 0.6  # SIGKILL comes 0.7 s after the longest deadline at the soonest
 STOP_FINISH_S = 1.2  # of that time are left to finish what is held, on connections then closed
+STOP_LAST_S = 0.06  # after it, for answers to leave and for what has come unread to be refused
 
 
 def signals() -> tuple[asyncio.Event, asyncio.Event]:
@@ -33,9 +34,12 @@
 
     def close_idle(self) -> None: ...
 
+    def last_call(self) -> bool: ...
 
-async def finish(doors: Collection[Door], longest_s: float) -> None:
-    """Serve what still comes and finish what is held; over `longest_s` and a little more from now."""
+
+async def finish(doors: Collection[Door], longest_s: float, give_up: Callable[[], None]) -> None:
+    """Serve what still comes and finish what is held, over `longest_s` and a little more from now. Then `give_up` is
+    to answer all that is open and have what still comes refused, which is given a last moment."""
     loop = asyncio.get_running_loop()
     latest = loop.time() + longest_s + STOP_SLACK_S
     # Guard: callers go on using the connections they have, and the nodes they would turn to may be
@@ -49,3 +53,9 @@
         for door in doors:
             door.close_idle()
         await asyncio.sleep(0.01)
+    give_up()
+    # Guard: what waited behind another request, half read or in the kernel was cut off with no answer, and answers
+    # that a slow reader had yet to take were lost with the process.
+    await asyncio.sleep(0)
+    while any([door.last_call() for door in doors]) and loop.time() < latest + STOP_LAST_S:
+        await asyncio.sleep(0.001)
--- a/orchidledge/platform/node.py
+++ b/orchidledge/platform/node.py
@@ -79,11 +79,14 @@
         self.leaving = True
         self._set_ready()
         longest = max(kind.give_up_ms for kind in self.settings.classes) / 1000.0
-        await finish([self.server], min(longest, LONGEST_DEADLINE_S))
-        self.pool.answer_all(Cause.LEAVING)
-        await asyncio.sleep(0)
+        await finish([self.server], min(longest, LONGEST_DEADLINE_S), self._give_up)
         self.close()
 
+    def _give_up(self) -> None:
+        """Answer all that is open; what still comes is refused."""
+        self.pool.room.limit = 0
+        self.pool.answer_all(Cause.LEAVING)
+
     def close(self) -> None:
         self.server.close()
         self.watcher.close()
--- a/orchidledge/runtime/sidecar.py
+++ b/orchidledge/runtime/sidecar.py
@@ -175,11 +175,14 @@
         """Leave service: take what still comes, finish what is held, and end in time."""
         self.leaving = True
         longest = max(item.give_up_ms for item in self.configuration.classes) / 1000.0
-        await finish([item.front.server for item in self.listeners.values()], longest)
+        await finish([item.front.server for item in self.listeners.values()], longest, self._give_up)
+        self.close()
+
+    def _give_up(self) -> None:
+        """Answer all that is open; what still comes is refused."""
         for managed in (*self.managed.values(), *self._old):
+            managed.pool.room.limit = 0
             managed.pool.answer_all(Cause.LEAVING)
-        await asyncio.sleep(0)
-        self.close()
 
     def close(self) -> None:
         for task in self._retired:
