Classes and tenants are matched as named; settings with no usable class are one line, exit 2

Found by reading and by a made-up site. A class whose name holds a percent sign was looked up unescaped only, so that one named a%20b was not found (404) or was another's; a tenant named in UTF-8 was read as Latin-1 and so never met its share (platform/front.py). Settings with no class, or with an aim or deadline that is no number above 0, ended in a traceback from the module; they are a bad configuration now.

--- a/orchidledge/platform/config.py
+++ b/orchidledge/platform/config.py
@@ -53,5 +53,5 @@
         )
     except KeyError as error:
         raise ValueError(f"{error.args[0]}: missing") from error
-    except (TypeError, AttributeError) as error:
+    except (TypeError, AttributeError, OverflowError) as error:
         raise ValueError(f"malformed: {error}") from error
--- a/orchidledge/platform/front.py
+++ b/orchidledge/platform/front.py
@@ -68,10 +68,10 @@
         headers = call.headers
         path = call.target.partition(b"?")[0]
         parts = path.split(b"/")
-        kind = (
-            self.pool.classes.get(unquote_to_bytes(parts[1]).decode("utf-8", "replace"))
-            if len(parts) > 1
-            else None
+        given = parts[1] if len(parts) > 1 else b""
+        # A name with a percent sign may come as it is; taken for an escape, it was another name, or none.
+        kind = self.pool.classes.get(given.decode("utf-8", "replace")) or self.pool.classes.get(
+            unquote_to_bytes(given).decode("utf-8", "replace")
         )
         if kind is None:
             raise BadRequestError(404)
@@ -92,7 +92,9 @@
             id=name,
             service=kind.name,
             give_up_at_ms=self.pool.clock.ms(give_up_at),
-            tenant=owner.decode("latin-1") if owner else None,
+            tenant=owner.decode("utf-8", "replace")
+            if owner
+            else None,  # named as in the settings, which are UTF-8
             cost_hint_ms=None if cost_us is None else cost_us / 1000.0,
             is_retry=headers.get(b"req-retry") == b"1",
         )
--- a/orchidledge/settings.py
+++ b/orchidledge/settings.py
@@ -27,6 +27,8 @@
     rules: Row = config.get("invariants") or {}
     prices: Row = config.get("prices") or {}
     feedback: Row = config.get("feedback") or {}
+    if not config.get("categories"):
+        raise ValueError("categories: none, where at least one class is needed")
     given: Row = {
         "zone": config.get("locality"),
         "tier": config.get("tier"),
@@ -59,6 +61,8 @@
     for key in ("name", "aimMs", "giveUpMs"):
         if row.get(key) is None:
             raise ValueError(f"categories.{key}: missing")
+        if key != "name" and not (isinstance(row[key], int | float) and row[key] > 0):
+            raise ValueError(f"categories.{key}: {row[key]!r} is not a number above 0")
     effect = row.get("effect")
     if effect not in EFFECTS:
         raise ValueError(f"categories.effect: {effect!r} is not one of {', '.join(EFFECTS)}")
--- a/tests/test_main.py
+++ b/tests/test_main.py
@@ -166,3 +166,21 @@
             second.stop()
 
     asyncio.run(main())
+
+
+@pytest.mark.parametrize(
+    ("change", "named"),
+    [
+        ({"categories": []}, "categories"),
+        ({"categories": [{"name": "read", "aimMs": "1", "giveUpMs": 2.0, "effect": "free"}]}, "aimMs"),
+        ({"categories": [{"name": "read", "aimMs": 1.0, "giveUpMs": 0, "effect": "free"}]}, "giveUpMs"),
+    ],
+)
+def test_classes_that_no_request_could_belong_to_are_a_bad_configuration(tmp_path, change, named):
+    path = tmp_path / "config.json"
+    path.write_bytes(orjson.dumps(config_row("127.0.0.1:1", settings=change)))
+    program = start(path)
+    _, said = program.communicate(timeout=60)
+    assert program.returncode == 2
+    assert said.count("\n") == 1
+    assert named in said
