Thrift callers that have left, half-written requests and dead new connections send nothing

Found by reading, each proven by a forced crossing before the mend. thrift/server.py: the end of a caller was read after its calls, and not at all while 32 of them waited or while a reply could not be flushed (eof_received left it to connection_lost); what stood behind was sent on. Now _serve looks for the end as HTTP's does, and eof_received leaves at once; oneway calls still run. core/pooled.py: recall() withdrew only what had no byte written, so a request written in part was finished for a caller that had gone, or after its key's window; a server begins with the last byte. A new connection that had ended before its first request was written to, and an effect that may not be repeated failed (502) that no server had seen: _open looks at it now as take_idle does. A host that can be none (UnicodeError) left the attempt hanging until its time was over. Ruled out: a new connection that was reset, as the write fails and says so.

--- a/orchidledge/core/listener.py
+++ b/orchidledge/core/listener.py
@@ -4,6 +4,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import select
 import socket
 import struct
@@ -93,6 +94,14 @@
         """Its time in this stage is over."""
         raise NotImplementedError
 
+    def abort_if_read(self) -> None:
+        """Close what has had its last answer, unless a slow reader has yet to take it and has time left.
+
+        Guard: it was cut off after the time that only a flushed one may linger.
+        """
+        if self.flushed or self.since <= self._server.loop.time() - self._server.request_s:
+            self.abort()
+
     def turn_away(self) -> None:
         """Refuse what has come in part, as this process ends."""
 
@@ -100,7 +109,8 @@
         """Close, reading on for a moment: closing over unread bytes would reset the answer away."""
         self._closing = True
         if not self._transport.is_closing():
-            if self._transport.can_write_eof():
+            # Guard: on a connection that has just been reset there is no end to be written, which ended the callback.
+            with contextlib.suppress(OSError):
                 self._transport.write_eof()
             self._server.stage(self, self._server.lingering)
 
--- a/orchidledge/core/pool.py
+++ b/orchidledge/core/pool.py
@@ -217,7 +217,7 @@
         if job.backstop is not None:
             job.backstop.cancel()
         # Guard: where calls may not be cancelled, what waited to connect was written after its caller had gone. What
-        # has not been written is this process's own, whatever the settings allow.
+        # has not been written whole is this process's own, whatever the settings allow.
         for attempt in job.attempts:
             if attempt is not None:
                 attempt.recall()
@@ -252,10 +252,13 @@
 
         sent = api.Earlier(action.server, self.clock.ms(began))
         job.first = job.first or sent
+        window: asyncio.TimerHandle | None = None
 
         def on_end(
             result: api.Result, reply: Any, report: dict[str, float] | None, own_s: float = 0.0
         ) -> None:
+            if window is not None:
+                window.cancel()  # Guard: as long as the servers' memory, it kept each repeat with its body
             job.out -= 1
             job.attempts[number] = None
             if result.never_ran and job.first is sent:
@@ -268,7 +271,7 @@
         else:
             job.attempts[number] = attempt
             if action.begin_within_ms > 0.0:
-                self.loop.call_later(action.begin_within_ms / 1000.0, attempt.recall)
+                window = self.loop.call_later(action.begin_within_ms / 1000.0, attempt.recall)
 
     def _outcome(
         self,
--- a/orchidledge/core/pooled.py
+++ b/orchidledge/core/pooled.py
@@ -87,8 +87,9 @@
         self._finish(Result.CONNECT_FAILED)
 
     def recall(self) -> None:
-        """Give up, for no fault of the server's, unless it has been written."""
-        if self._sent is None:
+        """Give up, for no fault of the server's, unless it has been written whole."""
+        # Guard: a server begins a request with its last byte, which left long after the caller had gone.
+        if self._sent is None or (self._connection is not None and not self._connection.written):
             self._finish(Result.MOOT)
 
     # ----------------------------------------------------------- for the connection
@@ -153,10 +154,10 @@
         self._bear(loop, began, spent)
         try:
             connection = await self._pool.open(server.endpoint)
-        except OSError as error:
+        except (OSError, ValueError) as error:  # ValueError: what the list gives as its host can be none
             self._connect = None
             # Guard: a descriptor that this process lacked was taken for a server that could not be reached.
-            if error.errno in OWN:
+            if isinstance(error, OSError) and error.errno in OWN:
                 self._finish(Result.NO_ROOM)
             else:
                 self._not_reached(server)
@@ -169,6 +170,10 @@
         server.waiting.discard(self)
         if self._over:
             connection.abort()
+        elif not connection.usable:
+            # Guard: what was written to a connection that had ended already counted as a request that may have run.
+            connection.abort()
+            self.withdraw()
         else:
             self._write(connection)
 
--- a/orchidledge/core/types.py
+++ b/orchidledge/core/types.py
@@ -75,7 +75,7 @@
         """Give it up; `on_end` is told CANCELLED, unless the attempt is over."""
 
     def recall(self) -> None:
-        """Give it up if nothing of it has been written; `on_end` is then told MOOT."""
+        """Give it up unless its last byte has left; `on_end` is then told MOOT."""
 
 
 class Back(Protocol):
--- a/orchidledge/http/server.py
+++ b/orchidledge/http/server.py
@@ -142,12 +142,9 @@
 
     def expire(self) -> None:
         """Its time in this stage is over."""
-        # Guard: a caller that does not read its answers would hold them, and its place, for ever. One that reads slowly
-        # had its last answer cut off after the time that only a flushed one may linger.
-        late = self.since <= self._server.loop.time() - self._server.request_s
+        # Guard: a caller that does not read its answers would hold them, and its place, for ever.
         if self._closing or self._stuck:
-            if self.flushed or late:
-                self.abort()
+            self.abort_if_read()
         elif self._partial is not None or (self.silent and self._server.orderly):
             self._fail(408)
         else:
--- a/orchidledge/thrift/server.py
+++ b/orchidledge/thrift/server.py
@@ -12,7 +12,7 @@
 from dataclasses import dataclass
 
 from orchidledge.core.listener import IncomingConnection, Listener
-from orchidledge.core.outgoing import readable
+from orchidledge.core.outgoing import ended, readable
 from orchidledge.thrift.codec import Decoder, application_exception, encode
 from orchidledge.thrift.types import ExceptionKind, Form, Message, MessageKind, ProtocolError
 
@@ -76,7 +76,9 @@
 
     def expire(self) -> None:
         # Guard: a caller that does not read its replies would hold them, and its place, for ever.
-        if self._closing or self._stuck or self._decoder.pending:
+        if self._closing or self._stuck:
+            self.abort_if_read()
+        elif self._decoder.pending:
             self.abort()
         else:
             self.close_if_idle()
@@ -120,15 +122,24 @@
         if not self._closing:
             self._go_on()
 
+    def eof_received(self) -> bool:
+        # Guard: a reply that could not be flushed held back that the caller had gone, and what stood behind it was
+        # sent on.
+        self._leave()
+        return False
+
     def connection_lost(self, exc: Exception | None) -> None:
-        self._closing = self._gone = True
         self._server.closed(self)
-        # A caller that goes away after a oneway call has done its part; what it wanted a reply to need not run.
-        calls = list(self._calls)
-        self._calls.clear()
+        self._leave()
+
+    def _leave(self) -> None:
+        """The caller has gone. After a oneway call it has done its part; what it wanted a reply to need not run."""
+        self._closing = self._gone = True
+        self._stuck = False
+        self._server.stage(self, self._server.lingering)
+        calls, self._calls = self._calls, deque(call for call in self._calls if call.oneway)
         for call in calls:
             if call.oneway:
-                self._calls.append(call)
                 continue
             call.over = True
             if call.on_gone is not None:
@@ -175,10 +186,16 @@
 
     def _serve(self) -> None:
         """Hand the first call on, unless that has been done."""
-        if self._calls and not self._calls[0].begun and not self._stuck:
-            call = self._calls[0]
-            call.begun = True
-            self._server.on_call(call)
+        if not self._calls or self._calls[0].begun or self._stuck:
+            return
+        # Guard: a caller's end is read after its calls, and not at all while enough of them wait; they were sent on.
+        if not self._gone and (self._transport.is_closing() or ended(self._transport)):
+            self._end()
+            self._leave()
+            return
+        call = self._calls[0]
+        call.begun = True
+        self._server.on_call(call)
 
     def _fail(self) -> None:
         """Tell what can't be read as a call, where it is known how, and end the connection."""
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -167,7 +167,7 @@
     for server in servers:
         await server.start()
     known = targets(**{f"s{at}": (server.endpoint, "Ready") for at, server in enumerate(servers)})
-    node = Node(config(found.endpoint, known=known, **more))
+    node = Node(config(found.endpoint, **{"known": known} | more))
     await node.start()
     try:
         yield node
