--- a/orchidledge/core/listener.py
+++ b/orchidledge/core/listener.py
@@ -142,7 +142,6 @@
         self._address: tuple[str, int] | None = None
         self._accepting = False
         self._coming: set[asyncio.Task[None]] = set()  # accepted, with no protocol yet
-        self._sweep_timer: asyncio.TimerHandle | None = None
 
     # ------------------------------------------------------------- for protocols
 
@@ -354,15 +353,23 @@
         coming = self._listener is not None and waits(self._listener, select.POLLIN)
         return left or coming or bool(self._coming)
 
+    def retire(self) -> None:
+        """Take what has connected by now, listen no more, and close each connection after its answer."""
+        if self._accepting:
+            # Guard: what waited in the kernel when a reload removed the listener was reset with no answer.
+            self._accept()
+        self.close()
+        self.stopping = True
+
     def close(self) -> None:
+        """Listen no more. What is connected still ends in its time.
+
+        Guard: a caller that had sent half a request kept the listener of a configuration of before for good.
+        """
         if self._listener is not None:
             self._pause()
             self._listener.close()
             self._listener = None
-        for task in self._coming:
-            task.cancel()
-        if self._sweep_timer is not None:
-            self._sweep_timer.cancel()
 
     def make_room(self, spared_s: float = SPARED_S) -> bool:
         """Come within the limit by closing what carries nothing; False if that is not enough."""
@@ -398,4 +405,5 @@
                 connection.expire()
         if not self.orderly or self.door.may_accept(self.held) or not self.under_way:
             self._go_on()
-        self._sweep_timer = self.loop.call_later(SWEEP_S, self._sweep)
+        if self._listener is not None or self.connections:
+            self.loop.call_later(SWEEP_S, self._sweep)
--- a/orchidledge/lists/discovery.py
+++ b/orchidledge/lists/discovery.py
@@ -155,13 +155,23 @@
                     # before a second silence showed, when drains had long counted as told.
                     continue
                 self._report(error)
-                if not self._endless:
-                    self._task = None
-                self._on_news(ListForm.FAILED, None)
-                if not self._endless:
+                self._tell_failure()
+                if self._task is not asyncio.current_task():
                     return
                 await asyncio.sleep(PUSH_PAUSE_S)
 
+    def _tell_failure(self) -> None:
+        """A call has failed; where discovery is asked, this watch is over and the module says when the next begins."""
+        if not self._endless:
+            self._task = None
+        try:
+            self._on_news(ListForm.FAILED, None)
+        except Exception as error:
+            self._report(error)
+            if self._task is None:
+                # Guard: nobody had heard of it, so nobody would have begun another.
+                self._task = asyncio.current_task()
+
     async def _step(self) -> None:
         """One call, and what comes of its answer."""
         wait_ms = 0 if self._doubted else self._wait_ms
--- a/orchidledge/runtime/budgets.py
+++ b/orchidledge/runtime/budgets.py
@@ -245,8 +245,10 @@
             timer.cancel()
         job = self._job
         if not self._callers and job is not None and not job.done:  # nobody waits for it any more
-            self._ended(job, None, 0)
+            # Guard: told before what had not been written was recalled, a repeat with its key was bound to the servers
+            # of an attempt that never ran.
             self.pool.leave(job)
+            self._ended(job, None, 0)
 
     def _ended(self, job: Job, answer: Answer | None, size: int) -> None:
         if self.ticket is None:
--- a/orchidledge/runtime/sidecar.py
+++ b/orchidledge/runtime/sidecar.py
@@ -104,6 +104,7 @@
         self.leaving = False
         self._retired: set[asyncio.Task[None]] = set()  # what ends listeners and pools of before
         self._old: list[_Managed] = []  # pools that still hold requests
+        self._closed: list[Listener] = []  # listeners of before that still have connections
         self._stats_timer: asyncio.TimerHandle | None = None
         self._planes: Planes | None = None  # streams to control planes, once there is one
 
@@ -175,7 +176,9 @@
         """Leave service: take what still comes, finish what is held, and end in time."""
         self.leaving = True
         longest = max(item.give_up_ms for item in self.configuration.classes) / 1000.0
-        await finish([item.front.server for item in self.listeners.values()], longest, self._give_up)
+        # Guard: what was open on a listener that a reload had removed was cut off long before its time.
+        doors = [item.front.server for item in self.listeners.values()] + self._closed
+        await finish(doors, longest, self._give_up)
         self.close()
 
     def _give_up(self) -> None:
@@ -407,11 +410,13 @@
 
     async def _end_listener(self, front: SidecarFront | ThriftFront) -> None:
         """Take no more connections, answer what is open, and let each connection end between requests."""
-        front.server.close()
-        front.server.stopping = True
-        while front.server.connections:
-            front.server.close_idle()
+        server = front.server
+        self._closed.append(server)
+        server.retire()
+        while server.held:
+            server.close_idle()
             await asyncio.sleep(RETIRE_S)
+        self._closed.remove(server)
 
     async def _end_pool(self, managed: _Managed) -> None:
         """Its requests end where they began, by the list that they began with; drains still come."""
--- a/tests/faults/test_callers_that_leave.py
+++ b/tests/faults/test_callers_that_leave.py
@@ -8,11 +8,14 @@
 
 import asyncio
 import socket
+import struct
 
 import pytest
+from beside import address, alongside, boxes, row
 from loopback import Caller, Held, Peer, Scripted, ask, reply, request, running, until
 
 from orchidledge import interface as api
+from orchidledge.budget.repeats import Repeats
 from orchidledge.core import pooled
 
 MANY = 70  # more than are connected to one server at a time, so that some stand behind those
@@ -248,6 +251,32 @@
     asyncio.run(main())
 
 
+def test_a_reset_that_comes_between_an_answer_and_the_next_request_is_no_fault_here():
+    """Guard: there was no end to be written on it, and the callback that wrote one ended in a traceback."""
+
+    async def main():
+        server, faults = Held(), []
+        async with running(server) as node:
+            node.loop.set_exception_handler(lambda loop, context: faults.append(context))
+            raw = socket.create_connection(node.server.address)
+            raw.sendall(request("post", "q0") + request("post", "q1"))
+            await until(lambda: server.seen)
+            (connection,) = node.server.connections
+            go_on = connection._next
+
+            def crossing():
+                raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+                raw.close()
+                go_on()
+
+            connection._next = crossing
+            server.release.set()
+            await until(lambda: not node.server.connections)
+            assert (names(server), faults) == (["q0"], [])
+
+    asyncio.run(main())
+
+
 def test_a_second_copy_that_waits_to_connect_when_the_first_has_answered():
     async def main():
         first, second = Held(), Peer()
@@ -302,3 +331,28 @@
             caller.writer.close()
 
     asyncio.run(main())
+
+
+def test_a_keyed_request_that_never_left_binds_no_repeat_of_it(monkeypatch):
+    """Guard: its second try was held to go where the first had only waited to connect."""
+    ends, end = [], Repeats.end
+
+    def told(self, *args, **more):
+        ends.append(more["earlier"])
+        end(self, *args, **more)
+
+    monkeypatch.setattr(Repeats, "end", told)
+
+    async def main():
+        (box,) = boxes(1)
+        budget = {"share": 0.5, "floor_per_s": 5.0}
+        async with alongside((box,), lambda: row(box, budget=budget)) as sidecar:
+            gate = Gate(sidecar.managed["boxes"], int(box.endpoint.rpartition(":")[2]))
+            _, writer = await asyncio.open_connection(*address(sidecar))
+            writer.write(request("move", "q1", Idempotency_Key="k"))
+            await until(lambda: gate.held)
+            writer.close()
+            await until(lambda: ends)
+            assert ends == [None]
+
+    asyncio.run(main())
--- a/tests/faults/test_watch.py
+++ b/tests/faults/test_watch.py
@@ -198,3 +198,25 @@
     for _ in range(2000):
         (wake,) = bed.give(api.Membership(api.ListForm.FAILED))
     assert 0 < wake.delay_ms <= 4000.0
+
+
+@modes
+def test_a_fault_while_a_failure_is_told_does_not_end_the_watch(mode):
+    """Guard: where discovery is asked the module is the one that asks again, and it had not heard."""
+
+    async def main():
+        discovery = Discovery(None, listing(6, True, s6=READY))
+        async with running(Peer(), discovery=discovery, settings={"registryMode": mode}) as node:
+            on_news, faults = node.watcher._on_news, []
+
+            def faulty(form, news):
+                if form is ListForm.FAILED and not faults:
+                    faults.append(form)
+                    raise KeyError("s5")
+                on_news(form, news)
+
+            node.watcher._on_news = faulty
+            await until(lambda: set(node.back._servers) == {"s6"})
+            assert faults == [ListForm.FAILED]
+
+    asyncio.run(main())
