--- a/orchidledge/core/pool.py
+++ b/orchidledge/core/pool.py
@@ -255,7 +255,7 @@
         window: asyncio.TimerHandle | None = None
 
         def on_end(
-            result: api.Result, reply: Any, report: dict[str, float] | None, own_s: float = 0.0
+            result: api.Result, reply: Any, report: dict[str, float] | None, server_s: float = 0.0
         ) -> None:
             if window is not None:
                 window.cancel()  # Guard: as long as the servers' memory, it kept each repeat with its body
@@ -263,7 +263,7 @@
             job.attempts[number] = None
             if result.never_ran and job.first is sent:
                 job.first = None
-            self._outcome(action, number, job, result, began, reply, report, own_s)
+            self._outcome(action, number, job, result, began, reply, report, server_s)
 
         attempt = self.back.send(action.server, job.message, timeout, on_end)
         if attempt is None:
@@ -282,7 +282,7 @@
         began: float,
         reply: Any = None,
         report: dict[str, float] | None = None,
-        own_s: float = 0.0,
+        server_s: float = 0.0,
     ) -> None:
         """The one outcome of a send. The first good answer goes to the caller and ends its request."""
         self.counts[result.value] += 1
@@ -295,8 +295,9 @@
                 job.reply = reply
             self._forget(job)
         done = job is None or job.done
-        own_ms = own_s * 1000.0
-        latency = max(0.0, (self.loop.time() - began) * 1000.0 - own_ms)
+        latency = server_s * 1000.0
+        # Guard: a core that was away between an attempt's end and here was taken for a slow server.
+        own_ms = max(0.0, (self.loop.time() - began) * 1000.0 - latency)
         if result is api.Result.OK:
             self.good += 1
             self.own_ms += own_ms
--- a/orchidledge/core/pooled.py
+++ b/orchidledge/core/pooled.py
@@ -232,7 +232,7 @@
                 self._pool.line.held(now - self._sent)
         if self._lined:
             self._pool.leave_line()
-        self._on_end(result, response, report, max(0.0, now - self.began - server_s))
+        self._on_end(result, response, report, server_s)
 
 
 class PooledBack:
--- a/orchidledge/core/types.py
+++ b/orchidledge/core/types.py
@@ -62,10 +62,11 @@
     """Told how an attempt ended."""
 
     def __call__(
-        self, result: Result, reply: Any, report: dict[str, float] | None, own_s: float = 0.0
+        self, result: Result, reply: Any, report: dict[str, float] | None, server_s: float = 0.0
     ) -> None:
-        """The result, the server's reply if one came, the load report that it held, and what of the attempt's time
-        this process took itself: waiting for a connection of its own, for its loop to write and to read."""
+        """The result, the server's reply if one came, the load report that it held, and what of the attempt's time the
+        server took, in seconds. The rest is this process's own: waiting for a connection of its own, for its loop to
+        write and to read."""
 
 
 class Attempt(Protocol):
--- a/tests/faults/test_connections.py
+++ b/tests/faults/test_connections.py
@@ -214,3 +214,33 @@
         server.stop()
 
     asyncio.run(main())
+
+
+class AwayBetween:
+    """A loop's clock on which the core is away for 5 s from an attempt's end to what is made of it."""
+
+    def __init__(self, pool):
+        self._loop, self._forget, self._away = pool.loop, pool._forget, 0.0
+        pool.loop, pool._forget = self, self.forget
+
+    def __getattr__(self, name):
+        return getattr(self._loop, name)
+
+    def forget(self, job):  # the first thing that is done with an attempt that has ended
+        self._away = 5.0
+        self._forget(job)
+
+    def time(self):
+        return self._loop.time() + self._away
+
+
+def test_a_core_that_was_away_when_an_attempt_had_ended_is_no_slow_server():
+    async def main():
+        async with running(Peer()) as node:
+            node.pool.balancer = scripted = Scripted(first_to("s0"))
+            AwayBetween(node.pool)
+            assert (await ask(node, request())).status == 200
+            (outcome,) = scripted.of(api.Outcome)
+            assert outcome.latency_ms < 5000.0 <= outcome.own_ms
+
+    asyncio.run(main())
--- a/tests/faults/test_end_of_service.py
+++ b/tests/faults/test_end_of_service.py
@@ -224,3 +224,34 @@
             discovery.stop()
 
     run(main())
+
+
+def test_a_request_on_a_connection_that_has_had_its_last_answer_is_not_sent_on():
+    async def main():
+        server = Peer()
+        async with running(server) as node:
+            node.server.stopping = True
+            caller = await Caller.to(node)
+            assert (await caller.ask(request("post", "q1"))).headers["connection"] == "close"
+            caller.writer.write(request("post", "q2"))
+            assert await caller.reader.read() == b""
+            assert [message.headers["req-id"] for message in server.seen] == ["q1"]
+            caller.writer.close()
+
+    run(main())
+
+
+def test_a_connection_with_a_request_in_the_kernel_is_not_closed_as_idle():
+    async def main():
+        async with running(Peer()) as node:
+            with socket.create_connection(node.server.address) as raw:
+                raw.setblocking(False)
+                await node.loop.sock_sendall(raw, request("post", "q1"))
+                assert (await node.loop.sock_recv(raw, 4096)).startswith(b"HTTP/1.1 200")
+                await until(lambda: node.server.idle)
+                raw.send(request("post", "q2"))  # the crossing: no turn of the loop comes in between
+                node.server.close_idle()
+                assert (await node.loop.sock_recv(raw, 4096)).startswith(b"HTTP/1.1 200")
+            await until(lambda: not node.server.connections)
+
+    run(main())
