A test of half-written keyed repeats could not fail; it asserts by what the repeat ended

Run without its change in core/pooled.py it passed: the caller had its 502 at its deadline too, 30 s later. It asserts now that the repeat ended as MOOT, by its window; without the change it ends as CONNECT_FAILED and the test fails. The two tests of callers that leave a half-written request fail without the change (the server saw q1); the one on a host that can be none does not end within 75 s.

--- a/tests/faults/test_connections.py
+++ b/tests/faults/test_connections.py
@@ -167,11 +167,13 @@
                     return [api.Send(event.id, "s1", begin_within_ms=300.0)]
                 return [api.Fail(event.id)] if isinstance(event, api.Outcome) else []
 
-            node.pool.balancer = Scripted(act)
+            node.pool.balancer = scripted = Scripted(act)
             narrow(node)
             caller = await Caller.to(node)
             caller.writer.write(request("move", "q1", BODY, Idempotency_Key="k"))
             assert (await caller.answer()).status == 502
+            ends = [event.result for event in scripted.of(api.Outcome)]
+            assert ends == [api.Result.ERROR, api.Result.MOOT]  # by its window, not by its time
             second.release()
             await until(lambda: node.back.size == len(node.back._servers["s0"].idle))
             assert (names(first), names(second)) == (["q1"], [])
