--- /dev/null
+++ b/emberring/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The command line: one module for each role and tool."""
--- /dev/null
+++ b/emberring/configuration/__init__.py
@@ -0,0 +1,1 @@
+"""The operator's configuration: model, checks, patch, digest."""
--- /dev/null
+++ b/emberring/control/__init__.py
@@ -0,0 +1,1 @@
+"""The operator's API and the model servers' heartbeats."""
--- /dev/null
+++ b/emberring/distribution/__init__.py
@@ -0,0 +1,1 @@
+"""Facts carried to every node: version vectors, pulls, followers."""
--- /dev/null
+++ b/emberring/lab/__init__.py
@@ -0,0 +1,1 @@
+"""Experiments: load, simulation, reports."""
--- /dev/null
+++ b/emberring/lots/__init__.py
@@ -0,0 +1,1 @@
+"""The life of lots and items: shards, owners, quota, repair. No sockets."""
--- /dev/null
+++ b/emberring/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Peer sampling: shuffled partial views of the nodes."""
--- /dev/null
+++ b/emberring/register/__init__.py
@@ -0,0 +1,1 @@
+"""The replicated compare-and-swap register: acceptor, proposer, replica sets."""
--- /dev/null
+++ b/emberring/registry/__init__.py
@@ -0,0 +1,1 @@
+"""Model servers: incarnations, heartbeats, drains. No sockets."""
--- /dev/null
+++ b/emberring/standin/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for model servers, the operator and clients."""
--- /dev/null
+++ b/emberring/transport/__init__.py
@@ -0,0 +1,1 @@
+"""Messages between nodes: JSON lines over TCP."""
