Admission with thin decisions: table, attempts, affinity of shared prompt parts

The gateway and the lots need the interface to build against. Each concern has a module of its own; the decisions are still plain: fill of a server with the others' calls counted, homes of large shared parts by rendezvous hashing, lots bounded below the live calls' limit, failed servers avoided.

--- a/emberring/admission/__init__.py
+++ b/emberring/admission/__init__.py
@@ -1,1 +1,27 @@
-"""Admission of calls: cursor table, load, ranking, pacing, attempts. No sockets."""
+"""Admission: whether a call is taken, and by which server. Decisions only: no I/O, no clock of its own."""
+
+from emberring.admission.admission import Admission
+from emberring.admission.attempts import AttemptBudget
+from emberring.admission.types import (
+    AdmissionSettings,
+    Admitted,
+    CallInfo,
+    CallOutcome,
+    Decision,
+    NoServer,
+    PrefixPart,
+    Refused,
+)
+
+__all__ = [
+    "Admission",
+    "AdmissionSettings",
+    "Admitted",
+    "AttemptBudget",
+    "CallInfo",
+    "CallOutcome",
+    "Decision",
+    "NoServer",
+    "PrefixPart",
+    "Refused",
+]
--- /dev/null
+++ b/emberring/admission/affinity.py
@@ -0,0 +1,36 @@
+"""Which servers a shared prompt prefix belongs to, by rendezvous hashing: all gateways agree without talking.
+
+Only the largest shared part decides, and only if it is large enough that reading it anew costs more than a queue
+does: small parts that many requests have in common would otherwise send them all to one server.
+"""
+
+from __future__ import annotations
+
+import zlib
+from collections.abc import Iterable, Sequence
+
+from emberring.admission.types import PrefixPart
+
+LARGE_TOKENS = 1500  # a shared part from this size on has a home
+
+
+def home_key(parts: Sequence[PrefixPart]) -> str | None:
+    """The id of the largest shared part; None if no shared part is large. The last part is nobody else's."""
+    best: PrefixPart | None = None
+    for part in parts[:-1]:
+        if part.tokens >= LARGE_TOKENS and (best is None or part.tokens > best.tokens):
+            best = part
+    return None if best is None else best.id
+
+
+def by_affinity(key: str, server_ids: Iterable[str]) -> list[str]:
+    """The servers in the order in which they are home to this key; the same at every gateway."""
+    return sorted(server_ids, key=lambda server_id: (_score(key, server_id), server_id), reverse=True)
+
+
+def _score(key: str, server_id: str) -> int:
+    """A draw that depends on both names only. CRC is linear, so its bits are mixed before they are compared."""
+    mixed = zlib.crc32(server_id.encode(), zlib.crc32(key.encode())) * 0x9E3779B1 & 0xFFFFFFFF
+    mixed ^= mixed >> 15
+    mixed = mixed * 0x85EBCA6B & 0xFFFFFFFF
+    return mixed ^ mixed >> 13
--- /dev/null
+++ b/tests/emberring/admission/test_tier_attempts.py
@@ -0,0 +1,47 @@
+"""Attempts: which failures allow another server, within MaxAttempts."""
+
+from __future__ import annotations
+
+import pytest
+
+from emberring.admission import AttemptBudget, CallOutcome
+from emberring.admission.attempts import FREE_SENDS
+
+
+@pytest.mark.parametrize(
+    ("outcome", "may_repeat", "max_attempts", "another", "promise"),
+    [
+        (CallOutcome.FULL, False, 1, True, True),
+        (CallOutcome.WRONG_SERVER, False, 1, True, True),
+        (CallOutcome.CONNECT_FAILED, False, 1, True, True),
+        (CallOutcome.NOT_SENT, False, 1, True, True),
+        (CallOutcome.BROKEN, False, 3, False, False),
+        (CallOutcome.BROKEN, True, 1, False, False),
+        (CallOutcome.BROKEN, True, 2, True, False),
+        (CallOutcome.SILENT, True, 2, True, False),
+        (CallOutcome.SILENT, False, 2, False, False),
+        (CallOutcome.FAILED, True, 2, True, False),
+        (CallOutcome.CANCELLED, True, 2, False, False),
+        (CallOutcome.COMPLETED, True, 2, False, False),
+    ],
+)
+def test_after_one_attempt(
+    outcome: CallOutcome, may_repeat: bool, max_attempts: int, another: bool, promise: bool
+) -> None:
+    budget = AttemptBudget(max_attempts, may_repeat).after(outcome)
+    assert budget.allows_another(outcome) is another
+    assert budget.certainly_not_run is promise
+
+
+def test_sends_that_did_not_run_are_bounded() -> None:
+    budget = AttemptBudget(1, False)
+    sends = 1
+    while budget.after(CallOutcome.FULL).allows_another(CallOutcome.FULL):
+        budget, sends = budget.after(CallOutcome.FULL), sends + 1
+    assert sends == 1 + FREE_SENDS
+
+
+def test_no_more_servers_than_max_attempts_may_have_run_it() -> None:
+    budget = AttemptBudget(2, True).after(CallOutcome.BROKEN).after(CallOutcome.BROKEN)
+    assert not budget.allows_another(CallOutcome.BROKEN)
+    assert not budget.after(CallOutcome.FULL).allows_another(CallOutcome.FULL)
--- /dev/null
+++ b/tests/emberring/admission/test_tier_table.py
@@ -0,0 +1,32 @@
+"""The cursor table: lots bend first, then the least urgent live calls."""
+
+from __future__ import annotations
+
+from emberring.admission.table import PRIORITIES, CursorTable
+
+
+def test_the_cursor_stays_within_the_table() -> None:
+    table = CursorTable()
+    table.move(False)
+    assert table.cursor == 0
+    for _ in range(100):
+        table.move(True)
+    assert table.cursor == table.last
+
+
+def test_live_rows_bend_only_once_lots_have_nothing() -> None:
+    table = CursorTable()
+    for _ in range(table.last):
+        if table.batch_share() > 0.0:
+            assert table.live_share(PRIORITIES - 1) == 1.0
+        table.move(True)
+    assert 0.0 < table.live_share(PRIORITIES - 1) < table.live_share(0) < 1.0
+
+
+def test_a_more_urgent_row_is_never_below_a_less_urgent_one() -> None:
+    table = CursorTable()
+    for _ in range(table.last):
+        shares = [table.live_share(priority) for priority in range(PRIORITIES + 2)]
+        assert shares == sorted(shares, reverse=True)
+        assert shares[0] >= table.batch_share()
+        table.move(True)
