--- /dev/null
+++ b/emberring/journal/journal.py
@@ -0,0 +1,299 @@
+"""A journal of records on disk: appended from the event loop, written and synced by one thread in groups."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import os
+import threading
+from collections import deque
+from collections.abc import Awaitable, Callable
+from concurrent.futures import ThreadPoolExecutor
+from pathlib import Path
+from typing import TypeVar
+
+import attrs
+
+from emberring.errors import DiskFailedError, EmberringError
+from emberring.journal.folder import DiskFolder
+from emberring.journal.layout import Position, Record
+from emberring.journal.ring import Ring
+from emberring.logs import get_logger
+
+MAX_PENDING_BYTES = 48 * 1024 * 1024  # waiting for the disk; more appends are refused
+MAX_GROUP_BYTES = 4 * 1024 * 1024  # written and synced at once
+HEAL_EVERY_S = 0.25
+CLOSE_WAIT_S = 1.0
+
+T = TypeVar("T")
+Rewriter = Callable[[int], Awaitable[None]]
+
+logger = get_logger("journal")
+
+
+@attrs.define(eq=False)
+class _Append:
+    """A record on its way to the disk."""
+
+    payload: bytes
+    reclaiming: bool
+    future: asyncio.Future[Position]
+
+
+@attrs.frozen
+class _Outcome:
+    """How a group ended."""
+
+    group: tuple[_Append, ...]
+    positions: tuple[Position, ...] = ()
+    error: DiskFailedError | None = None
+
+
+@attrs.define(eq=False)
+class _Release:
+    """A segment that the writer's thread is to release."""
+
+    number: int
+    future: asyncio.Future[None]
+
+
+def _resolve(future: asyncio.Future[None]) -> None:
+    if not future.done():
+        future.set_result(None)
+
+
+class Journal:
+    """Records that last: `append` resolves once the record is on the disk. Used from one event loop.
+
+    A disk that refuses makes `failed` true and every append fails with `DiskFailedError` until it takes writes again;
+    a record whose append failed may still be found after a restart, or not. A disk that stalls leaves appends
+    pending: callers time out by themselves.
+    """
+
+    def __init__(self, ring: Ring) -> None:
+        self._ring = ring
+        self._queue: deque[_Append] = deque()
+        self._reclaims: deque[_Append] = deque()
+        self._releases: deque[_Release] = deque()
+        self._pending_bytes = 0
+        self._condition = threading.Condition()
+        self._stopping = False
+        self._failed = False
+        self._full = False
+        self._loop: asyncio.AbstractEventLoop | None = None
+        self._thread: threading.Thread | None = None
+        self._reader: ThreadPoolExecutor | None = None
+        self._rewriter: Rewriter | None = None
+        self._reclaiming: asyncio.Task[None] | None = None
+
+    @classmethod
+    def open(cls, directory: Path, segment_bytes: int, max_bytes: int) -> tuple[Journal, list[Record]]:
+        """Open or make the journal in a folder and read all records, oldest first. Blocks on the disk.
+
+        `DiskFailedError` where the disk refuses; `CorruptRecordError` where records that were synced are damaged,
+        which no loss of power does: such a journal must not be trusted.
+        """
+        nonce = int.from_bytes(os.urandom(4), "little")
+        try:
+            ring, records = Ring.open(DiskFolder(directory), segment_bytes, max_bytes, nonce)
+        except OSError as error:
+            raise DiskFailedError(f"{type(error).__name__}: {error}") from error
+        return cls(ring), records
+
+    @property
+    def failed(self) -> bool:
+        """Whether the disk refuses at present."""
+        return self._failed
+
+    @property
+    def pending_bytes(self) -> int:
+        """Payload bytes that wait for the disk."""
+        return self._pending_bytes
+
+    def set_rewriter(self, rewriter: Rewriter) -> None:
+        """Say how the oldest segment is emptied when the ring fills up.
+
+        `await rewriter(number)` runs on the event loop. It appends anew, with `reclaiming=True`, whatever records of
+        that segment still count, waits for them, and returns; the segment's records are then gone. It raises an
+        `EmberringError` to leave the segment alone for now. Segments are emptied oldest first. A record appended
+        anew may come before or after ordinary ones under way: write the newest state, those included, and let a
+        start keep the newer of two by what stands in them. Ordinary appends wait while the ring is full.
+        """
+        self._rewriter = rewriter
+
+    def append(self, payload: bytes, reclaiming: bool = False) -> asyncio.Future[Position]:
+        """Put a record at the end; the future has its position once it is synced, or `DiskFailedError`.
+
+        Ordinary appends reach the disk in order. `reclaiming` is for a rewriter: it may use the room kept for it.
+        """
+        loop = asyncio.get_running_loop()
+        future: asyncio.Future[Position] = loop.create_future()
+        self._start(loop)
+        with self._condition:
+            problem = self._problem(len(payload))
+            if not problem:
+                queue = self._reclaims if reclaiming else self._queue
+                queue.append(_Append(payload, reclaiming, future))
+                self._pending_bytes += len(payload)
+                self._condition.notify()
+        if problem:
+            future.set_exception(DiskFailedError(problem))
+        return future
+
+    def _problem(self, length: int) -> str:
+        if self._stopping:
+            return "the journal is closed"
+        if self._failed:
+            return "the disk refuses"
+        if self._pending_bytes and self._pending_bytes + length > MAX_PENDING_BYTES:
+            return "too much waits for the disk"
+        return ""
+
+    async def read(self, position: Position) -> bytes:
+        """The payload at a position; `CorruptRecordError` where it is not there (any more)."""
+        if self._reader is None:
+            self._reader = ThreadPoolExecutor(1, "journal-reader")
+        return await asyncio.get_running_loop().run_in_executor(self._reader, self._ring.read, position)
+
+    async def close(self) -> None:
+        """Write what waits, within a second, and stop. A disk that stalls keeps its thread, which ends by itself."""
+        with self._condition:
+            self._stopping = True
+            self._condition.notify()
+        if self._reclaiming is not None:
+            self._reclaiming.cancel()
+        if self._reader is not None:
+            self._reader.shutdown(wait=False)
+        if self._thread is not None:
+            await asyncio.get_running_loop().run_in_executor(None, self._thread.join, CLOSE_WAIT_S)
+        if self._thread is None or not self._thread.is_alive():
+            self._ring.close()
+
+    def _start(self, loop: asyncio.AbstractEventLoop) -> None:
+        if self._thread is None:
+            self._loop = loop
+            self._thread = threading.Thread(target=self._write_all, name="journal-writer", daemon=True)
+            self._thread.start()
+
+    # The writer's thread.
+
+    def _write_all(self) -> None:
+        while (group := self._next_group()) is not None:
+            if group:
+                self._write(group)
+            elif self._failed:
+                self._heal()
+
+    def _next_group(self) -> tuple[_Append, ...] | None:
+        """What to write next; empty when it is time to look after the disk; None at the end."""
+        with self._condition:
+            while not (self._ready or self._stopping or self._releases):
+                if not self._condition.wait(HEAL_EVERY_S if self._failed else None):
+                    break
+            self._release_all()
+            if self._stopping and not self._ready:
+                return None
+            return self._take_group()
+
+    @property
+    def _ready(self) -> bool:
+        return bool(self._reclaims or (self._queue and not self._full))
+
+    def _release_all(self) -> None:
+        while self._releases:
+            release = self._releases.popleft()
+            self._ring.release(release.number)
+            self._full = False
+            self._post(_resolve, release.future)
+
+    def _take_group(self) -> tuple[_Append, ...]:
+        queue = self._queue if self._queue and not self._full else self._reclaims
+        group: list[_Append] = []
+        size = 0
+        while queue and (not group or size + len(queue[0].payload) <= MAX_GROUP_BYTES):
+            item = queue.popleft()
+            size += len(item.payload)
+            group.append(item)
+        return tuple(group)
+
+    def _write(self, group: tuple[_Append, ...]) -> None:
+        if self._failed:
+            self._post(self._finish, _Outcome(group, error=DiskFailedError("the disk refuses")))
+            return
+        try:
+            payloads = [item.payload for item in group]
+            positions = tuple(self._ring.commit(payloads, group[0].reclaiming))
+        except DiskFailedError as error:
+            self._failed = True
+            logger.warning("event=disk_refused detail=%r", error.detail)
+            self._post(self._finish, _Outcome(group, error=error))
+            return
+        self._post(self._finish, _Outcome(group[: len(positions)], positions))
+        if len(positions) < len(group):
+            self._hold_back(group[len(positions) :])
+        with contextlib.suppress(OSError):
+            self._ring.prepare_ahead()
+
+    def _hold_back(self, group: tuple[_Append, ...]) -> None:
+        """The ring is full: ordinary records wait until a segment is released; others cannot be helped."""
+        if group[0].reclaiming or self._rewriter is None:
+            self._post(self._finish, _Outcome(group, error=DiskFailedError("the ring is full")))
+            return
+        with self._condition:
+            self._full = True
+            self._queue.extendleft(reversed(group))
+
+    def _heal(self) -> None:
+        with contextlib.suppress(DiskFailedError):
+            self._ring.heal()
+            self._failed = False
+            logger.warning("event=disk_healed")
+
+    def _post(self, callback: Callable[[T], None], argument: T) -> None:
+        assert self._loop is not None
+        with contextlib.suppress(RuntimeError):  # the loop is closed: nobody waits any more
+            self._loop.call_soon_threadsafe(callback, argument)
+
+    # The event loop.
+
+    def _finish(self, outcome: _Outcome) -> None:
+        with self._condition:
+            self._pending_bytes -= sum(len(item.payload) for item in outcome.group)
+        for index, item in enumerate(outcome.group):
+            if item.future.done():
+                continue
+            if outcome.error is not None:
+                item.future.set_exception(outcome.error)
+            else:
+                item.future.set_result(outcome.positions[index])
+        self._reclaim_when_crowded()
+
+    def _reclaim_when_crowded(self) -> None:
+        if self._rewriter is None or self._reclaiming is not None or not self._ring.crowded:
+            return
+        self._reclaiming = asyncio.get_running_loop().create_task(self._reclaim(self._rewriter))
+
+    async def _reclaim(self, rewriter: Rewriter) -> None:
+        """Empty the oldest segments until there is room again, each at most once."""
+        try:
+            newest = max(self._ring.numbers, default=0)
+            while self._ring.crowded and not self._stopping:
+                number = self._ring.oldest
+                if number is None or number > newest:
+                    break
+                await rewriter(number)
+                await self._release(number)
+        except EmberringError as error:
+            logger.warning("event=reclaim_failed detail=%r", error.detail)
+        finally:
+            self._reclaiming = None
+            if self._full and not self._stopping:
+                asyncio.get_running_loop().call_later(HEAL_EVERY_S, self._reclaim_when_crowded)
+
+    async def _release(self, number: int) -> None:
+        """Have the writer's thread release a segment, and wait for it."""
+        released = asyncio.get_running_loop().create_future()
+        with self._condition:
+            self._releases.append(_Release(number, released))
+            self._condition.notify()
+        await released
