--- /dev/null
+++ b/emberring/distribution/facts_store.py
@@ -0,0 +1,152 @@
+"""All statements that a node holds about servers and nodes, and what of them another node lacks. No sockets."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Mapping
+
+import attrs
+
+from emberring.distribution.facts import NodeFact, NodeRole, ServerFact
+from emberring.distribution.messages import Delta, NodeEntry, ServerEntry
+from emberring.registry.merge import dominates, merged
+
+
+@attrs.frozen
+class Learnt:
+    """What taking in a delta changed: ids of servers and names of nodes."""
+
+    servers: frozenset[str] = frozenset()
+    nodes: frozenset[str] = frozenset()
+
+    def __bool__(self) -> bool:
+        return bool(self.servers or self.nodes)
+
+
+class FactStore:
+    """Statements by origin and number. Of one server only those are kept that no other says as well."""
+
+    def __init__(self, origin: str = "") -> None:
+        self.origin = origin
+        self.vector: dict[str, int] = {}
+        self._servers: dict[str, dict[str, ServerEntry]] = {}
+        self._merged: dict[str, ServerFact] = {}
+        self._nodes: dict[str, dict[str, NodeEntry]] = {}
+        self._arrivals: dict[tuple[str, str], int] = {}
+        self._arrived = 0
+
+    # -- statements of this node
+
+    def _next_number(self) -> int:
+        number = self.vector.get(self.origin, 0) + 1
+        self.vector[self.origin] = number
+        return number
+
+    def state_server(self, fact: ServerFact) -> ServerEntry:
+        """State this about a server in this node's own name."""
+        entry = ServerEntry(self.origin, self._next_number(), fact)
+        self._take_server(entry)
+        return entry
+
+    def state_node(self, fact: NodeFact, present: bool) -> NodeEntry:
+        """State in this node's own name whether a node is in contact with it."""
+        entry = NodeEntry(self.origin, self._next_number(), fact, present)
+        self._take_node(entry)
+        return entry
+
+    # -- what is held
+
+    def servers(self) -> Mapping[str, ServerFact]:
+        """The join of all statements, by server id, in every state."""
+        return self._merged
+
+    def server_origins(self, server_id: str) -> Iterable[str]:
+        """Whose statements about this server are kept."""
+        return self._servers.get(server_id, {}).keys()
+
+    def node_entries(self) -> Iterable[NodeEntry]:
+        """Every origin's newest statement about every node."""
+        for by_origin in self._nodes.values():
+            yield from by_origin.values()
+
+    def entry_of(self, name: str, origin: str) -> NodeEntry | None:
+        """What this origin stated last about a node."""
+        return self._nodes.get(name, {}).get(origin)
+
+    def order_of(self, entry: NodeEntry) -> int:
+        """When a statement about a node arrived here, as a number that rises."""
+        return self._arrivals.get((entry.fact.name, entry.origin), 0)
+
+    # -- exchange
+
+    def newer_than(self, vector: Mapping[str, int], gateways: bool = True) -> Delta:
+        """What a node with this vector lacks; without gateways' entries where it does not need them."""
+        if all(vector.get(origin, 0) >= number for origin, number in self.vector.items()):
+            return Delta(vector=dict(self.vector))
+        servers = [
+            entry
+            for by_origin in self._servers.values()
+            for entry in by_origin.values()
+            if entry.number > vector.get(entry.origin, 0)
+        ]
+        nodes = [
+            entry
+            for entry in self.node_entries()
+            if entry.number > vector.get(entry.origin, 0)
+            and (gateways or entry.fact.role is not NodeRole.GATEWAY)
+        ]
+        return Delta(dict(self.vector), tuple(servers), tuple(nodes))
+
+    def take(self, delta: Delta) -> Learnt:
+        """Take in what another node sent; its vector holds from now on here as well."""
+        servers = {
+            entry.fact.id for entry in delta.servers if self._is_new(entry) and self._take_server(entry)
+        }
+        nodes = {entry.fact.name for entry in delta.nodes if self._is_new(entry) and self._take_node(entry)}
+        for origin, number in delta.vector.items():
+            if number > self.vector.get(origin, 0):
+                self.vector[origin] = number
+        return Learnt(frozenset(servers), frozenset(nodes))
+
+    def _is_new(self, entry: ServerEntry | NodeEntry) -> bool:
+        return entry.number > self.vector.get(entry.origin, 0)
+
+    def _take_server(self, entry: ServerEntry) -> bool:
+        """Keep a statement unless others say as much; whether what is known of the server changed."""
+        kept = self._servers.setdefault(entry.fact.id, {})
+        if any(
+            origin != entry.origin and dominates(other.fact, entry.fact) for origin, other in kept.items()
+        ):
+            kept.pop(entry.origin, None)
+        else:
+            for origin in [origin for origin, other in kept.items() if dominates(entry.fact, other.fact)]:
+                del kept[origin]
+            kept[entry.origin] = entry
+        before = self._merged.get(entry.fact.id)
+        after = merged(before, entry.fact) if before is not None else entry.fact
+        self._merged[entry.fact.id] = after
+        return after != before
+
+    def _take_node(self, entry: NodeEntry) -> bool:
+        by_origin = self._nodes.setdefault(entry.fact.name, {})
+        before = by_origin.get(entry.origin)
+        by_origin[entry.origin] = entry
+        self._arrived += 1
+        self._arrivals[(entry.fact.name, entry.origin)] = self._arrived
+        return before is None or (before.fact, before.present) != (entry.fact, entry.present)
+
+    # -- forgetting
+
+    def forget_server(self, server_id: str) -> None:
+        """Drop all that is known of a server."""
+        self._servers.pop(server_id, None)
+        self._merged.pop(server_id, None)
+
+    def forget_origin(self, origin: str) -> None:
+        """Drop an ended origin's statements about nodes, and its place in the vector if nothing of it is kept."""
+        for name in list(self._nodes):
+            if self._nodes[name].pop(origin, None) is not None:
+                self._arrivals.pop((name, origin), None)
+            if not self._nodes[name]:
+                del self._nodes[name]
+        if not any(origin in by_origin for by_origin in self._servers.values()):
+            self.vector.pop(origin, None)
--- /dev/null
+++ b/emberring/distribution/messages.py
@@ -0,0 +1,112 @@
+"""Messages of distribution: what control nodes tell one another, and what all other nodes pull from them.
+
+An origin is one incarnation of a control node. It numbers what it states from 1 on; a version vector holds, for
+each origin, the number up to which everything is known. Of one key only the newest statement of an origin travels.
+"""
+
+from __future__ import annotations
+
+import attrs
+
+from emberring.distribution.facts import NodeFact, ServerFact
+from emberring.lots.placement import Placement
+from emberring.transport.messages import message
+
+
+@attrs.frozen
+class ServerEntry:
+    """What an origin stated about a model server, under this number."""
+
+    origin: str
+    number: int
+    fact: ServerFact
+
+
+@attrs.frozen
+class NodeEntry:
+    """Whether a node is in contact with an origin, under this number."""
+
+    origin: str
+    number: int
+    fact: NodeFact
+    present: bool
+
+
+@attrs.frozen
+class Delta:
+    """All that is newer than the asker's vector; whoever takes it in knows everything up to `vector`."""
+
+    vector: dict[str, int] = attrs.field(factory=dict)
+    servers: tuple[ServerEntry, ...] = ()
+    nodes: tuple[NodeEntry, ...] = ()
+
+    @property
+    def empty(self) -> bool:
+        """Whether it states nothing."""
+        return not self.servers and not self.nodes
+
+
+@message("distribution.pull")
+@attrs.frozen
+class Pull:
+    """A gateway or store asks a control node for what it lacks. The answer is held back up to `wait_ms` until
+    there is something. `load` is the asker's calls in flight by server id; only one control node is told."""
+
+    me: NodeFact
+    vector: dict[str, int]
+    configuration_version: int = 0
+    placement_epoch: int = 0
+    gateways: int = 0
+    wait_ms: int = 0
+    load: dict[str, int] = attrs.field(factory=dict)
+
+
+@message("distribution.update")
+@attrs.frozen
+class Update:
+    """The answer to a pull. `quorum_age_ms` is how long ago this control node was in contact with a majority;
+    `configuration` is the compressed document of `configuration_version` if that is newer than the asker's."""
+
+    origin: str
+    quorum_age_ms: float
+    delta: Delta
+    live_origins: tuple[str, ...] = ()
+    gateways: int = 1
+    configuration_version: int = 0
+    configuration: bytes | None = None
+    placement: Placement | None = None
+    server_load: dict[str, int] = attrs.field(factory=dict)
+
+
+@message("distribution.exchange")
+@attrs.frozen
+class Exchange:
+    """A control node tells another what that one lacks, and says what it has itself. `heard` has the newest
+    sequence by server id of heartbeats taken here lately, `load` the calls in flight that nodes told this one."""
+
+    me: NodeFact
+    delta: Delta
+    vector: dict[str, int]
+    heard: dict[str, int] = attrs.field(factory=dict)
+    load: dict[str, int] = attrs.field(factory=dict)
+
+
+@message("distribution.exchanged")
+@attrs.frozen
+class Exchanged:
+    """The answer to an exchange: the same from the other side. `vector` counts what the exchange brought."""
+
+    me: NodeFact
+    delta: Delta
+    vector: dict[str, int]
+    heard: dict[str, int] = attrs.field(factory=dict)
+    load: dict[str, int] = attrs.field(factory=dict)
+
+
+@message("placement.moved")
+@attrs.frozen
+class PlacementMoved:
+    """An owner of a shard says that all records stand on the group that joins at this epoch."""
+
+    shard: int
+    epoch: int
--- /dev/null
+++ b/emberring/distribution/sources.py
@@ -0,0 +1,114 @@
+"""Which control nodes a follower pulls from: two that answer and have a majority, if there are such. No sockets."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Iterable, Sequence
+
+import attrs
+
+QUORUM_FRESH_S = 1.0  # a control node without a majority for longer is left for another
+CONTACT_S = 1.2  # an answer of a node with a majority within this time counts as contact
+FIRST_PAUSE_S = 0.1
+LONGEST_PAUSE_S = 1.5
+WEAK_PAUSE_S = 0.5  # a node without a majority is asked again after so long, if there is none better
+FORGET_FAILURES = 20  # a node that is no seed and failed so often in a row is forgotten
+
+
+@attrs.define
+class _Source:
+    address: str
+    seed: bool
+    failures: int = 0
+    not_before_s: float = 0.0
+    weak: bool = False
+    answers: int = 0
+    answered_s: float = -1e9
+
+
+class SourceChoice:
+    """Chooses a control node for each puller, so that two pullers have two different ones."""
+
+    def __init__(self, seeds: Sequence[str], chance: random.Random) -> None:
+        self._chance = chance
+        self._sources: dict[str, _Source] = {}
+        self._current: dict[int, str] = {}
+        for address in seeds:
+            self._sources[address] = _Source(address, seed=True)
+
+    def note(self, addresses: Iterable[str]) -> None:
+        """Control nodes that may exist."""
+        for address in addresses:
+            if address not in self._sources:
+                self._sources[address] = _Source(address, seed=False)
+
+    def known_live(self, addresses: Iterable[str]) -> None:
+        """Control nodes that another control node is in contact with."""
+        self.note(addresses)
+
+    def settled(self, address: str) -> bool:
+        """Whether this node answered already, so that its answers may be held back until something changes."""
+        source = self._sources.get(address)
+        return source is not None and source.answers > 0 and source.failures == 0
+
+    def in_contact(self, now_s: float) -> bool:
+        """Whether a node with a majority answered lately."""
+        return any(
+            not source.weak and now_s - source.answered_s < CONTACT_S for source in self._sources.values()
+        )
+
+    def answered(self, now_s: float, address: str, quorum_age_s: float) -> None:
+        """This node answered a pull."""
+        source = self._sources.get(address)
+        if source is None:
+            return
+        source.failures = 0
+        source.answers += 1
+        source.answered_s = now_s
+        source.weak = quorum_age_s > QUORUM_FRESH_S
+        source.not_before_s = now_s + WEAK_PAUSE_S if source.weak else now_s
+        if source.weak:
+            self._leave(address)
+
+    def failed(self, now_s: float, address: str) -> None:
+        """This node did not answer."""
+        source = self._sources.get(address)
+        if source is None:
+            return
+        source.failures += 1
+        pause_s = min(LONGEST_PAUSE_S, FIRST_PAUSE_S * 2 ** min(source.failures - 1, 8))
+        source.not_before_s = now_s + pause_s * self._chance.uniform(0.5, 1.0)
+        self._leave(address)
+        if not source.seed and source.failures >= FORGET_FAILURES:
+            del self._sources[address]
+
+    def _leave(self, address: str) -> None:
+        for slot in [slot for slot, current in self._current.items() if current == address]:
+            del self._current[slot]
+
+    def pick(self, now_s: float, slot: int) -> str | None:
+        """The node to pull from now; None if none may be asked yet."""
+        current = self._current.get(slot)
+        if current is not None and current in self._sources:
+            return current
+        taken = {address for other, address in self._current.items() if other != slot}
+        free = [
+            source
+            for source in self._sources.values()
+            if source.address not in taken and source.not_before_s <= now_s
+        ]
+        if not free:
+            return None
+        best = min((source.weak, min(source.failures, 3)) for source in free)
+        among = [source for source in free if (source.weak, min(source.failures, 3)) == best]
+        chosen = self._chance.choice(among).address
+        self._current[slot] = chosen
+        return chosen
+
+    def pause_s(self, now_s: float) -> float:
+        """How long until a node may be asked again."""
+        taken = set(self._current.values())
+        waits = [
+            source.not_before_s - now_s for source in self._sources.values() if source.address not in taken
+        ]
+        return min(LONGEST_PAUSE_S, max(0.02, min(waits, default=0.2)))
--- /dev/null
+++ b/emberring/distribution/view.py
@@ -0,0 +1,122 @@
+"""What a follower knows, and how the answers of control nodes change it. No sockets; time is an argument (seconds)."""
+
+from __future__ import annotations
+
+from emberring.configuration.model import Configuration
+from emberring.configuration.reading import unpack_configuration
+from emberring.distribution.facts import NodeFact, NodeRole, ServerFact, ServerState
+from emberring.distribution.facts_store import FactStore
+from emberring.distribution.messages import NodeEntry, Update
+from emberring.lots.placement import Placement
+
+ORPHAN_S = 10.0  # a server that no live control node lists for so long is dropped
+QUORUM_FRESH_S = 1.0  # a control node that had no majority for longer may hold an old configuration
+PATIENCE_S = (
+    3.0  # without any configuration, one from a control node without a majority is taken after so long
+)
+FORGET_ORIGIN_S = 60.0  # statements about nodes by an origin that has ended are dropped after so long
+MAX_STEP_S = 1.0  # time that passes between two answers counts up to this: nothing ages while nobody answers
+
+_SHOWN = (ServerState.READY, ServerState.DRAINING)
+
+
+class FollowerView:
+    """The configuration, servers and nodes as the last answers told them."""
+
+    def __init__(self, now_s: float) -> None:
+        self.store = FactStore()
+        self.configuration: Configuration | None = None
+        self.placement: Placement | None = None
+        self.servers: dict[str, ServerFact] = {}
+        self.nodes: dict[str, NodeFact] = {}
+        self.gateways = 1
+        self.server_load: dict[str, int] = {}
+        self.configuration_version = 0
+        self._started_s = now_s
+        self._last_answer_s = now_s
+        self._alive_s = 0.0
+        self._origins_seen: dict[str, float] = {}
+        self._answers: dict[str, tuple[float, tuple[str, ...]]] = {}
+
+    @property
+    def placement_epoch(self) -> int:
+        """The epoch of the placement known; 0 without one."""
+        return self.placement.epoch if self.placement is not None else 0
+
+    def take(self, now_s: float, update: Update) -> bool:
+        """Take in an answer; whether anything but the load changed."""
+        self._pass_time(now_s)
+        self._answers[update.origin] = (self._alive_s, update.live_origins)
+        for origin in (update.origin, *update.live_origins):
+            self._origins_seen[origin] = self._alive_s
+        self.store.take(update.delta)
+        if update.server_load or update.quorum_age_ms < QUORUM_FRESH_S * 1000:
+            self.server_load = update.server_load
+        changed = self._take_configuration(now_s, update)
+        changed |= self._take_placement(update)
+        changed |= self._take_gateways(update)
+        self._forget()
+        changed |= self._show_servers()
+        return self._show_nodes() or changed
+
+    def _pass_time(self, now_s: float) -> None:
+        self._alive_s += min(MAX_STEP_S, max(0.0, now_s - self._last_answer_s))
+        self._last_answer_s = now_s
+
+    def _take_configuration(self, now_s: float, update: Update) -> bool:
+        if update.configuration is None or update.configuration_version <= self.configuration_version:
+            return False
+        fresh = update.quorum_age_ms <= QUORUM_FRESH_S * 1000
+        if self.configuration is None and not fresh and now_s - self._started_s < PATIENCE_S:
+            return False
+        self.configuration = unpack_configuration(update.configuration)
+        self.configuration_version = update.configuration_version
+        return True
+
+    def _take_placement(self, update: Update) -> bool:
+        if update.placement is None or update.placement.epoch <= self.placement_epoch:
+            return False
+        self.placement = update.placement
+        return True
+
+    def _take_gateways(self, update: Update) -> bool:
+        before, self.gateways = self.gateways, max(1, update.gateways)
+        return before != self.gateways
+
+    def _live(self, origin: str, within_s: float) -> bool:
+        return self._origins_seen.get(origin, -within_s) > self._alive_s - within_s
+
+    def _forget(self) -> None:
+        for origin, seen_s in list(self._origins_seen.items()):
+            if self._alive_s - seen_s > FORGET_ORIGIN_S:
+                del self._origins_seen[origin]
+                self._answers.pop(origin, None)
+                self.store.forget_origin(origin)
+
+    def _show_servers(self) -> bool:
+        shown = {
+            server_id: fact
+            for server_id, fact in self.store.servers().items()
+            if fact.state in _SHOWN
+            and any(self._live(origin, ORPHAN_S) for origin in self.store.server_origins(server_id))
+        }
+        changed = shown != self.servers
+        self.servers = shown
+        return changed
+
+    def _show_nodes(self) -> bool:
+        """Nodes that a live control node has contact with; of two incarnations the one told last."""
+        live = {origin for origin, (_, origins) in self._answers.items() if self._live(origin, 2.0)}
+        for origin in list(live):
+            live.update(self._answers[origin][1])
+        found: dict[str, NodeEntry] = {}
+        for entry in self.store.node_entries():
+            if not entry.present or entry.origin not in live or entry.fact.role is NodeRole.GATEWAY:
+                continue
+            other = found.get(entry.fact.name)
+            if other is None or self.store.order_of(entry) > self.store.order_of(other):
+                found[entry.fact.name] = entry
+        nodes = {name: entry.fact for name, entry in found.items()}
+        changed = nodes != self.nodes
+        self.nodes = nodes
+        return changed
--- /dev/null
+++ b/emberring/registry/merge.py
@@ -0,0 +1,36 @@
+"""How two statements about one model server become one: a join, so that order and repeats do not matter.
+
+A drain or a goodbye sticks to the server's id, whatever its sequence. Of the rest the higher sequence holds; at
+the same sequence `LOST` holds, until a later heartbeat shows that the server lives.
+"""
+
+from __future__ import annotations
+
+import attrs
+
+from emberring.distribution.facts import ServerFact, ServerState
+
+_LEVEL = {ServerState.READY: 0, ServerState.LOST: 0, ServerState.DRAINING: 1, ServerState.GONE: 2}
+
+
+def level(state: ServerState) -> int:
+    """How far a server is on its way out: 0 serving or silent, 1 draining, 2 gone."""
+    return _LEVEL[state]
+
+
+def merged(first: ServerFact, second: ServerFact) -> ServerFact:
+    """The join of two statements about the same server id."""
+    newer, older = (first, second) if _rank(first) >= _rank(second) else (second, first)
+    if level(older.state) > level(newer.state):
+        return attrs.evolve(newer, state=older.state)
+    return newer
+
+
+def dominates(first: ServerFact, second: ServerFact) -> bool:
+    """Whether the first statement says all that the second does, so that the second need not be kept."""
+    joined = merged(first, second)
+    return joined.state is first.state and joined.sequence == first.sequence
+
+
+def _rank(fact: ServerFact) -> tuple[int, bool, int]:
+    return (fact.sequence, fact.state is ServerState.LOST, level(fact.state))
