Stand-in model servers, operator and clients of the tier

Change: a model server with an emulated engine and faults, heartbeats, an operator, clients of streams and of lots, and a judge of what they saw.

--- a/emberring/standin/__init__.py
+++ b/emberring/standin/__init__.py
@@ -1,1 +1,1 @@
-"""Stand-ins for model servers, the operator and clients."""
+"""Stand-ins of our own for model servers, the operator and clients, for trying the tier out and for its tests."""
--- /dev/null
+++ b/emberring/standin/configurations.py
@@ -0,0 +1,84 @@
+"""Configurations for trials: a service, two streaming routes (one resumable) and a batch route."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import attrs
+
+HOST = "desk.example"
+SERVICE = "ledger-llm"
+EXPLAIN_PREFIX = "/explain/"  # streams that run once at most
+REVIEW_PREFIX = "/review/"  # streams that may be resumed
+LOT_PREFIX = "/lots-in/"
+ADDED_PREFIX = "/added/"  # of a route that a later version adds
+
+
+@attrs.frozen
+class TrialTerms:
+    """The terms of a trial's routes and of its servers."""
+
+    capacity: int = 16
+    kv_tokens: int = 120_000
+    stride: int = 8
+    max_connections: int = 200
+    timeout_ms: int = 5000
+    max_queued_tokens: int = 400_000
+    completion_target_ms: int = 10_000
+    retention_s: int = 60
+
+
+def _route(name: str, prefix: str, kind: str, terms: TrialTerms, **more: Any) -> dict[str, Any]:
+    common: dict[str, Any] = {"Name": name, "Host": HOST, "PathPrefix": prefix, "Type": kind}
+    common["Service"] = SERVICE
+    common |= {"TimeoutMs": terms.timeout_ms, "Priority": 0, "Sticky": True}
+    return common | more
+
+
+def trial_configuration(version: int = 1, terms: TrialTerms | None = None) -> dict[str, Any]:
+    """A whole configuration as the operator sends it."""
+    terms = terms or TrialTerms()
+    stream = {"TargetLatencyMs": 300, "gap_aim_ms": 250}
+    batch = {
+        "TargetLatencyMs": 400,
+        "Priority": 1,
+        "CompletionTargetMs": terms.completion_target_ms,
+        "RetentionS": terms.retention_s,
+        "MaxQueuedTokens": terms.max_queued_tokens,
+    }
+    routes = [
+        _route("explain", EXPLAIN_PREFIX, "streaming", terms, MaxAttempts=2, Resumable=False, **stream),
+        _route("review", REVIEW_PREFIX, "streaming", terms, MaxAttempts=3, Resumable=True, **stream),
+        _route("lots", LOT_PREFIX, "batch", terms, MaxAttempts=3, **batch),
+    ]
+    runtime = {"Capacity": terms.capacity, "KvCacheTokens": terms.kv_tokens, "stride": terms.stride}
+    service = {
+        "Name": SERVICE,
+        "HealthPath": "/healthz",
+        "MaxConnections": terms.max_connections,
+        "Protocol": "h1",
+        "Tls": False,
+        "Runtime": {**runtime, "Models": [{"Name": "m"}]},
+    }
+    limits = {
+        "MaxHeaderBytes": 16384,
+        "MaxBodyBytes": 4194304,
+        "HeaderTimeoutMs": 3000,
+        "IdleTimeoutMs": 15000,
+    }
+    return {"Version": version, "Routes": routes, "Services": [service], "Limits": limits}
+
+
+def added_route(version: int, terms: TrialTerms | None = None) -> dict[str, Any]:
+    """A patch that adds one streaming route."""
+    route = _route(
+        f"added-{version}",
+        ADDED_PREFIX,
+        "streaming",
+        terms or TrialTerms(),
+        MaxAttempts=2,
+        TargetLatencyMs=300,
+        gap_aim_ms=250,
+        Resumable=False,
+    )
+    return {"Version": version, "Upsert": {"Routes": [route]}}
--- /dev/null
+++ b/emberring/standin/events.py
@@ -0,0 +1,45 @@
+"""Cuts a `text/event-stream` into events, however its bytes arrive."""
+
+from __future__ import annotations
+
+import attrs
+
+END_OF_EVENT = b"\n\n"
+
+
+@attrs.frozen
+class StreamEvent:
+    """One whole event; `id` is None where the event has none."""
+
+    id: int | None
+    data: str
+
+
+class EventReader:
+    """Feed it bytes; it gives the events that have become whole."""
+
+    def __init__(self) -> None:
+        self._rest = b""
+
+    @property
+    def rest(self) -> bytes:
+        """Bytes of an event that is not whole yet."""
+        return self._rest
+
+    def feed(self, data: bytes) -> list[StreamEvent]:
+        """The events that these bytes complete; ValueError where an id is no number."""
+        *whole, self._rest = (self._rest + data).split(END_OF_EVENT)
+        return [_parse(block) for block in whole]
+
+
+def _parse(block: bytes) -> StreamEvent:
+    number: int | None = None
+    lines: list[str] = []
+    for line in block.decode("utf-8").split("\n"):
+        name, _, value = line.partition(":")
+        value = value.removeprefix(" ")
+        if name == "id":
+            number = int(value)
+        elif name == "data":
+            lines.append(value)
+    return StreamEvent(number, "\n".join(lines))
--- /dev/null
+++ b/emberring/standin/heartbeats.py
@@ -0,0 +1,102 @@
+"""A stand-in model server's heartbeats to the control nodes, its drain and its goodbye."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import random
+from collections.abc import Callable, Sequence
+
+import orjson
+
+from emberring.standin.http_calls import CALL_ERRORS, call_once
+from emberring.standin.model_server import ModelServer
+
+ACKNOWLEDGE_WITHIN_S = 1.0
+MAX_ANSWER_BYTES = 4096
+
+
+class Heartbeats:
+    """Tells the control nodes about a server until it is stopped; a failed node gives way to the next."""
+
+    def __init__(
+        self, server: ModelServer, controls: Callable[[], Sequence[str]], every_s: float, seed: int = 0
+    ) -> None:
+        self._server = server
+        self._controls = controls
+        self._every_s = every_s
+        self._random = random.Random(f"{seed}/{server.id}")
+        self._sequence = 0
+        self._address = ""
+        self._task: asyncio.Task[None] | None = None
+        self.acknowledged = 0
+
+    def start(self) -> None:
+        """Begin to send."""
+        self._task = asyncio.get_running_loop().create_task(self._run())
+
+    async def stop(self) -> None:
+        """Send no more, as a server that has crashed."""
+        if self._task is not None:
+            self._task.cancel()
+            with contextlib.suppress(asyncio.CancelledError):
+                await self._task
+
+    async def drain(self, tries: int = 8) -> bool:
+        """Say that the server is leaving; whether that was acknowledged."""
+        self._server.draining = True
+        return await self._tell("PUT", tries)
+
+    async def leave(self, tries: int = 8) -> bool:
+        """Say goodbye; whether that was acknowledged. No heartbeat follows."""
+        await self.stop()
+        return await self._tell("DELETE", tries)
+
+    async def _run(self) -> None:
+        while True:
+            if not self._server.faults.dark:
+                await self._tell("PUT", 4)
+            await asyncio.sleep(self._every_s * self._random.uniform(0.9, 1.1))
+
+    async def _tell(self, method: str, tries: int) -> bool:
+        for _ in range(tries):
+            if not self._address:
+                self._address = self._random.choice(list(self._controls()))
+            if await self._tell_one(method):
+                return True
+            self._address = ""
+        return False
+
+    async def _tell_one(self, method: str) -> bool:
+        url = f"http://{self._address}/v1/instances/{self._server.id}"
+        content = orjson.dumps(self._body()) if method == "PUT" else b""
+        try:
+            answer = await call_once(method, url, content=content, timeout_s=ACKNOWLEDGE_WITHIN_S)
+        except CALL_ERRORS:
+            return False
+        if not 200 <= answer.status < 300 or len(answer.body) > MAX_ANSWER_BYTES:
+            return False
+        self.acknowledged += 1
+        with contextlib.suppress(ValueError, AttributeError):
+            self._follow(orjson.loads(answer.body or b"{}").get("HeartbeatUrl"))
+        return True
+
+    def _follow(self, url: str | None) -> None:
+        if url:
+            self._address = url.removeprefix("http://").split("/", 1)[0]
+
+    def _body(self) -> dict[str, object]:
+        self._sequence += 1
+        spec = self._server.spec
+        return {
+            "Service": spec.service,
+            "Address": self._server.address,
+            "Zone": spec.zone,
+            "Version": spec.version,
+            "Capacity": spec.engine.capacity,
+            "State": "draining" if self._server.draining else "ready",
+            "ColdRemainingMs": 0,
+            "Phase": "both",
+            "Models": [{"Name": "m", "Version": 1, "LoraAdapters": []}],
+            "Sequence": self._sequence,
+        }
--- /dev/null
+++ b/emberring/standin/live_client.py
@@ -0,0 +1,188 @@
+"""A stand-in client of live streams: it reads events as they arrive and tries again only where that is allowed."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import secrets
+from collections.abc import Callable
+from enum import Enum
+
+import attrs
+import httpcore
+
+from emberring.standin.configurations import HOST
+from emberring.standin.events import EventReader, StreamEvent
+from emberring.standin.http_calls import plain_headers, timeouts
+
+PROMISES = frozenset({408, 421, 429, 503})
+CONNECT_S = 1.0
+SILENCE_S = 2.0
+
+
+class StreamEnd(Enum):
+    """How a stream ended for its client."""
+
+    SERVED = "served"
+    REFUSED = "refused"  # with a promise that it did not run
+    FAILED = "failed"  # no promise: 502, 504, 500
+    DENIED = "denied"  # another 4xx
+    BROKEN = "broken"  # the connection ended early
+    SILENT = "silent"
+
+
+@attrs.frozen
+class StreamCall:
+    """What a client asks for. The prompt's last part is its own."""
+
+    path: str
+    body: bytes
+    prompt_parts: tuple[tuple[str, int], ...]
+    output_tokens: int
+    deadline_s: float = 5.0
+    host: str = HOST
+
+
+@attrs.frozen
+class StreamResult:
+    """One try of a client: `first_s` is the wait for the first event, `gap_s` the longest pause after it."""
+
+    request_id: str
+    end: StreamEnd
+    status: int
+    signature: str
+    events: tuple[StreamEvent, ...]
+    began_s: float
+    first_s: float
+    gap_s: float
+    whole_s: float
+    retry_after_s: float = 0.0
+    detail: str = ""
+
+
+def stream_headers(call: StreamCall, request_id: str, left_s: float) -> list[tuple[str, str]]:
+    """The headers of a request for tokens."""
+    prompt = sum(tokens for _, tokens in call.prompt_parts)
+    return [
+        ("Host", call.host),
+        ("Request-Id", request_id),
+        ("Model", "m"),
+        ("Token-Count", f"{prompt},{call.output_tokens}"),
+        ("Prefix-Hash", ",".join(f"{name}:{tokens}" for name, tokens in call.prompt_parts)),
+        ("Deadline-Ms", str(max(1, int(left_s * 1000)))),
+    ]
+
+
+class _Reading:
+    """The state of one try while its answer comes in."""
+
+    def __init__(self, request_id: str, now: float) -> None:
+        self.request_id = request_id
+        self.began = now
+        self.status = 0
+        self.headers: dict[str, str] = {}
+        self.reader = EventReader()
+        self.events: list[StreamEvent] = []
+        self.first_s = 0.0
+        self.gap_s = 0.0
+        self._last = now
+
+    def feed(self, data: bytes, now: float) -> None:
+        """Bytes of a successful answer."""
+        fresh = self.reader.feed(data)
+        if not fresh:
+            return
+        if self.events:
+            self.gap_s = max(self.gap_s, now - self._last)
+        else:
+            self.first_s = now - self.began
+        self._last = now
+        self.events += fresh
+
+    def result(self, end: StreamEnd, now: float, detail: str = "") -> StreamResult:
+        """What came of the try."""
+        retry_after = self.headers.get("retry-after", "0")
+        return StreamResult(
+            request_id=self.request_id,
+            end=end,
+            status=self.status,
+            signature=self.headers.get("response-signature", ""),
+            events=tuple(self.events),
+            began_s=self.began,
+            first_s=self.first_s,
+            gap_s=self.gap_s,
+            whole_s=now - self.began,
+            retry_after_s=float(retry_after or 0),
+            detail=detail,
+        )
+
+
+def _end_of(status: int) -> StreamEnd:
+    if 200 <= status < 300:
+        return StreamEnd.SERVED
+    if status in PROMISES:
+        return StreamEnd.REFUSED
+    return StreamEnd.DENIED if 400 <= status < 500 else StreamEnd.FAILED
+
+
+async def try_once(frontend: str, call: StreamCall, left_s: float) -> StreamResult:
+    """One try on a connection of its own."""
+    loop = asyncio.get_running_loop()
+    reading = _Reading(secrets.token_hex(8), loop.time())
+    try:
+        async with asyncio.timeout(left_s):
+            await _read_answer(frontend, call, left_s, reading)
+    except TimeoutError:
+        return reading.result(StreamEnd.SILENT, loop.time(), "deadline")
+    except httpcore.TimeoutException as error:
+        return reading.result(StreamEnd.SILENT, loop.time(), type(error).__name__)
+    except (httpcore.NetworkError, httpcore.ProtocolError, ValueError) as error:
+        return reading.result(StreamEnd.BROKEN, loop.time(), f"{type(error).__name__}: {error}")
+    return reading.result(_end_of(reading.status), loop.time())
+
+
+async def _read_answer(frontend: str, call: StreamCall, left_s: float, reading: _Reading) -> None:
+    loop = asyncio.get_running_loop()
+    limits = timeouts(SILENCE_S)
+    limits["timeout"]["connect"] = CONNECT_S
+    async with (
+        httpcore.AsyncConnectionPool(max_keepalive_connections=0, retries=0) as pool,
+        pool.stream(
+            "POST",
+            f"http://{frontend}{call.path}",
+            headers=stream_headers(call, reading.request_id, left_s),
+            content=call.body,
+            extensions=limits,
+        ) as answer,
+    ):
+        reading.status = answer.status
+        reading.headers = plain_headers(answer.headers)
+        async for data in answer.aiter_stream():
+            if answer.status == 200:
+                reading.feed(data, loop.time())
+
+
+class LiveClient:
+    """Asks for streams at the gateways that are in, as clients do. `frontends` is asked at each try."""
+
+    def __init__(self, frontends: Callable[[], list[str]], seed: int, retries: int = 1) -> None:
+        self._frontends = frontends
+        self._random = random.Random(seed)
+        self._retries = retries
+
+    async def ask(self, call: StreamCall) -> tuple[StreamResult, ...]:
+        """All tries of a call; the last one says how it ended."""
+        loop = asyncio.get_running_loop()
+        give_up_at = loop.time() + call.deadline_s
+        results: list[StreamResult] = []
+        for at in range(1 + self._retries):
+            places = self._frontends()
+            if not places or loop.time() >= give_up_at:
+                break
+            result = await try_once(self._random.choice(places), call, give_up_at - loop.time())
+            results.append(result)
+            if result.end is not StreamEnd.REFUSED or at == self._retries:
+                break
+            pause_s = min(result.retry_after_s, (give_up_at - loop.time()) / 3)
+            await asyncio.sleep(max(0.0, pause_s))
+        return tuple(results)
--- /dev/null
+++ b/emberring/standin/lot_client.py
@@ -0,0 +1,202 @@
+"""A stand-in client of lots: hands one in, reads its results from any gateway, and ends it."""
+
+from __future__ import annotations
+
+import asyncio
+import base64
+import random
+import secrets
+from collections.abc import Callable, Sequence
+from typing import Any
+from urllib.parse import quote
+
+import attrs
+import orjson
+
+from emberring.standin.configurations import HOST, LOT_PREFIX
+from emberring.standin.http_calls import CALL_ERRORS, HttpAnswer, call_once
+
+ANSWER_WITHIN_S = 2.5
+READ_EVERY_S = 0.5
+WAIT_MS = 1000
+
+
+@attrs.frozen
+class LotItem:
+    """An item of a lot as the client made it."""
+
+    id: str
+    path: str
+    body: bytes
+    prompt_parts: tuple[tuple[str, int], ...]
+    output_tokens: int
+
+    @property
+    def tokens(self) -> int:
+        """The prompt's tokens and the most that may come out."""
+        return sum(tokens for _, tokens in self.prompt_parts) + self.output_tokens
+
+    def document(self) -> dict[str, Any]:
+        """The item as it is sent."""
+        prompt = self.tokens - self.output_tokens
+        headers = {
+            "Model": "m",
+            "Token-Count": f"{prompt},{self.output_tokens}",
+            "Prefix-Hash": ",".join(f"{name}:{tokens}" for name, tokens in self.prompt_parts),
+        }
+        body = base64.b64encode(self.body).decode()
+        return {
+            "Id": self.id,
+            "Path": self.path,
+            "Headers": headers,
+            "Body": body,
+            "Tokens": self.tokens,
+        }
+
+
+@attrs.frozen
+class Lot:
+    """A lot by its id, with its items in order."""
+
+    id: str
+    items: tuple[LotItem, ...]
+
+
+@attrs.frozen
+class LotResult:
+    """A result at a position: `state` is `completed` or `dead_letter`."""
+
+    item_id: str
+    state: str
+    message: str
+
+
+@attrs.define
+class LotHistory:
+    """What a client was told of a lot; `changed` has the positions that held two results."""
+
+    lot: Lot
+    statuses: list[int] = attrs.field(factory=list)
+    accepted_s: float = 0.0  # from the first send to the 202
+    done_s: float = 0.0  # from the first send to the last result
+    total: int = 0
+    results: list[LotResult] = attrs.field(factory=list)
+    changed: list[int] = attrs.field(factory=list)
+    wrong_totals: int = 0
+    unreadable: int = 0  # reads that were answered 404 or 410 after the 202
+
+    @property
+    def accepted(self) -> bool:
+        """Whether the lot was taken."""
+        return 202 in self.statuses
+
+    @property
+    def complete(self) -> bool:
+        """Whether every item has a result."""
+        return len(self.results) >= len(self.lot.items)
+
+
+def make_lot(items: int, seed: int, output_tokens: int = 40) -> Lot:
+    """A lot whose items share the first part of their prompts."""
+    rng = random.Random(seed)
+    made = []
+    for _ in range(items):
+        item_id = rng.randbytes(8).hex()
+        parts = (("5eed01", 300), (item_id, rng.randint(50, 200)))
+        path = f"{LOT_PREFIX}{item_id[:4]}"
+        made.append(LotItem(item_id, path, rng.randbytes(24), parts, output_tokens))
+    return Lot(secrets.token_hex(8), tuple(made))
+
+
+class LotClient:
+    """Hands lots in and follows them. `frontends` is asked at each call."""
+
+    def __init__(self, frontends: Callable[[], Sequence[str]], seed: int) -> None:
+        self._frontends = frontends
+        self._random = random.Random(seed)
+
+    async def submit(self, lot: Lot, within_s: float = 6.0) -> LotHistory:
+        """Hand a lot in, again at other gateways after anything but 202 and a plain mistake."""
+        loop = asyncio.get_running_loop()
+        history = LotHistory(lot)
+        began = loop.time()
+        content = orjson.dumps({"Requests": [item.document() for item in lot.items]})
+        while loop.time() - began < within_s:
+            answer = await self._call("POST", f"{LOT_PREFIX}{lot.id}", content, {"Request-Id": lot.id})
+            history.statuses.append(answer.status if answer else 0)
+            if answer is not None and answer.status == 202:
+                history.accepted_s = loop.time() - began
+                break
+            if answer is not None and answer.status in (400, 404, 413):
+                break
+            await asyncio.sleep(0.1)
+        return history
+
+    async def follow(self, history: LotHistory, within_s: float) -> LotHistory:
+        """Read results until all are there or the time is over."""
+        loop = asyncio.get_running_loop()
+        began = loop.time()
+        while not history.complete and loop.time() - began < within_s:
+            at = len(history.results)
+            if at and self._random.random() < 0.2:
+                at = self._random.randrange(at)
+            known = len(history.results)
+            await self.read(history, at)
+            if len(history.results) == known:
+                await asyncio.sleep(READ_EVERY_S / 5)
+        history.done_s = history.accepted_s + loop.time() - began
+        return history
+
+    async def read(self, history: LotHistory, start_after: int) -> bool:
+        """Read one page into the history; whether it came."""
+        path = f"/v1/lots/{history.lot.id}?StartAfter={start_after}"
+        answer = await self._call("GET", path, b"", {"Wait-Ms": str(WAIT_MS)})
+        if answer is None:
+            return False
+        if answer.status != 200:
+            history.unreadable += answer.status in (404, 410)
+            return False
+        _note_page(history, start_after, orjson.loads(answer.body))
+        return True
+
+    async def body_of(self, lot: Lot, item_id: str) -> HttpAnswer | None:
+        """The body of an item that is not listed yet."""
+        return await self._call("GET", f"/v1/items/{lot.id}?Id={quote(item_id)}", b"", {})
+
+    async def end(self, lot: Lot, within_s: float = 6.0) -> bool:
+        """End a lot; whether that was acknowledged."""
+        loop = asyncio.get_running_loop()
+        began = loop.time()
+        while loop.time() - began < within_s:
+            answer = await self._call("DELETE", f"/v1/lots/{lot.id}", b"", {})
+            if answer is not None and answer.status == 200:
+                return True
+            await asyncio.sleep(0.1)
+        return False
+
+    async def _call(
+        self, method: str, path: str, content: bytes, headers: dict[str, str]
+    ) -> HttpAnswer | None:
+        places = self._frontends()
+        if not places:
+            return None
+        url = f"http://{self._random.choice(list(places))}{path}"
+        try:
+            return await call_once(
+                method, url, headers={"Host": HOST, **headers}, content=content, timeout_s=ANSWER_WITHIN_S
+            )
+        except CALL_ERRORS:
+            return None
+
+
+def _note_page(history: LotHistory, start_after: int, page: dict[str, Any]) -> None:
+    history.total = page["Total"]
+    history.wrong_totals += history.total != len(history.lot.items)
+    for offset, row in enumerate(page["Results"]):
+        result = LotResult(row["Id"], row["State"], row.get("Message", ""))
+        position = start_after + offset
+        if position < len(history.results):
+            if history.results[position] != result:
+                history.changed.append(position)
+        elif position == len(history.results):
+            history.results.append(result)
--- /dev/null
+++ b/emberring/standin/waiting.py
@@ -0,0 +1,19 @@
+"""Waiting on a condition, within a time limit."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+
+LOOK_EVERY_S = 0.01
+
+
+async def wait_until(condition: Callable[[], bool], within_s: float) -> bool:
+    """Look again and again until the condition holds; whether it did within the time (seconds)."""
+    loop = asyncio.get_running_loop()
+    give_up_at = loop.time() + within_s
+    while not condition():
+        if loop.time() >= give_up_at:
+            return False
+        await asyncio.sleep(LOOK_EVERY_S)
+    return True
--- /dev/null
+++ b/tests/emberring/standin/test_tier_standin_clients.py
@@ -0,0 +1,176 @@
+"""Stand-in operator, heartbeats and the reading of events, against a scripted control node."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable, Callable
+
+import orjson
+import pytest
+
+from emberring.standin.connection import ServerConnection
+from emberring.standin.events import EventReader, StreamEvent
+from emberring.standin.heartbeats import Heartbeats
+from emberring.standin.model_server import ModelServer, ServerSpec
+from emberring.standin.observations import Observations
+from emberring.standin.operator import Operator
+from emberring.standin.waiting import wait_until
+from emberring.standin.wire import ServerRequest, whole_answer
+
+
+class ScriptedControl:
+    """Answers each call with the next of its answers, the last one again and again; None aborts."""
+
+    def __init__(self, *answers: tuple[int, dict[str, str], bytes] | None) -> None:
+        self.answers = list(answers)
+        self.seen: list[ServerRequest] = []
+        self.address = ""
+        self.asked = asyncio.Event()
+
+    async def start(self) -> None:
+        loop = asyncio.get_running_loop()
+        self.server = await loop.create_server(lambda: ServerConnection(self), "127.0.0.1", 0)
+        self.address = f"127.0.0.1:{self.server.sockets[0].getsockname()[1]}"
+
+    def opened(self, connection: ServerConnection) -> bool:
+        return True
+
+    def left(self, connection: ServerConnection) -> None:
+        pass
+
+    def take(self, connection: ServerConnection, request: ServerRequest) -> None:
+        self.seen.append(request)
+        self.asked.set()
+        answer = self.answers.pop(0) if len(self.answers) > 1 else self.answers[0]
+        if answer is None:
+            connection.abort()
+        else:
+            status, headers, body = answer
+            connection.write(whole_answer(status, headers, body))
+            connection.finish()
+
+
+def with_controls(controls: list[ScriptedControl], play: Callable[[list[str]], Awaitable[None]]):
+    async def run() -> None:
+        for control in controls:
+            await control.start()
+        async with asyncio.timeout(10):
+            await play([control.address for control in controls])
+        for control in controls:
+            control.server.close()
+
+    asyncio.run(run())
+
+
+def plain(status: int):
+    return (status, {}, b"")
+
+
+@pytest.mark.parametrize(
+    ("answers", "status", "tries"),
+    [
+        ([plain(200)], 200, 1),
+        ([plain(503), plain(200)], 200, 2),
+        ([None, plain(200)], 200, 2),
+        ([plain(504), None, plain(200)], 200, 3),
+        ([plain(412)], 412, 1),
+        ([plain(400)], 400, 1),
+        ([plain(408), plain(429), plain(200)], 200, 3),
+        ([plain(404)], 404, 3),
+    ],
+)
+def test_an_order_goes_again_until_its_answer_is_clear(answers, status, tries):
+    async def run() -> None:
+        control = ScriptedControl(*answers)
+        await control.start()
+        outcome = await Operator([control.address]).put_configuration({"Version": 3}, 2, within_s=5.0)
+        assert (outcome.status, outcome.tries) == (status, tries)
+        assert {request.headers["if-match"] for request in control.seen} == {"2"}
+        assert {request.body for request in control.seen} == {b'{"Version":3}'}
+        control.server.close()
+
+    asyncio.run(run())
+
+
+def test_an_order_without_a_clear_answer_ends_with_its_time():
+    async def run() -> None:
+        control = ScriptedControl(plain(503))
+        await control.start()
+        outcome = await Operator([control.address]).retire("store-1", 10, within_s=0.2)
+        assert outcome.status == 0
+        assert not outcome.acknowledged
+        control.server.close()
+
+    asyncio.run(run())
+
+
+def test_an_order_follows_redirects_to_another_node():
+    async def run() -> None:
+        there = ScriptedControl(plain(200))
+        await there.start()
+        here = ScriptedControl((307, {"Location": f"http://{there.address}/v1/config"}, b""))
+        await here.start()
+        outcome = await Operator([here.address]).patch_configuration({"Version": 3}, 2)
+        assert outcome.acknowledged
+        assert there.seen[0].method == "PATCH"
+        here.server.close()
+        there.server.close()
+
+    asyncio.run(run())
+
+
+def heartbeats_of(control: ScriptedControl) -> tuple[ModelServer, Heartbeats]:
+    server = ModelServer(ServerSpec("s"), Observations())
+    return server, Heartbeats(server, lambda: [control.address], every_s=30.0)
+
+
+def test_a_drain_and_a_goodbye_are_told_until_they_are_acknowledged():
+    async def run() -> None:
+        control = ScriptedControl(plain(503), plain(200))
+        await control.start()
+        server, beats = heartbeats_of(control)
+        assert await beats.drain()
+        assert await beats.leave()
+        said = [(request.method, request.path) for request in control.seen]
+        path = f"/v1/instances/{server.id}"
+        assert said == [("PUT", path), ("PUT", path), ("DELETE", path)]
+        bodies = [orjson.loads(request.body) for request in control.seen[:2]]
+        assert [body["State"] for body in bodies] == ["draining", "draining"]
+        assert [body["Sequence"] for body in bodies] == [1, 2]
+        control.server.close()
+
+    asyncio.run(run())
+
+
+def test_later_heartbeats_go_where_the_answer_says():
+    async def run() -> None:
+        there = ScriptedControl(plain(200))
+        await there.start()
+        body = orjson.dumps({"HeartbeatUrl": there.address})
+        here = ScriptedControl((200, {}, body))
+        await here.start()
+        _, beats = heartbeats_of(here)
+        beats.start()
+        await asyncio.wait_for(here.asked.wait(), 5)
+        assert await wait_until(lambda: beats.acknowledged > 0, 5)
+        assert await beats.drain()
+        assert len(here.seen) == 1
+        assert len(there.seen) == 1
+        await beats.stop()
+        here.server.close()
+        there.server.close()
+
+    asyncio.run(run())
+
+
+STREAM = b"id: 1\ndata: a\n\nid: 2\ndata: b\ndata: c\n\nversion: 2\nid: 3\ndata: d\n\nid: 4\nda"
+
+
+@pytest.mark.parametrize("size", [1, 2, 3, 7, 1000])
+def test_events_are_read_however_their_bytes_arrive(size):
+    reader = EventReader()
+    events = []
+    for start in range(0, len(STREAM), size):
+        events += reader.feed(STREAM[start : start + size])
+    assert events == [StreamEvent(1, "a"), StreamEvent(2, "b\nc"), StreamEvent(3, "d")]
+    assert reader.rest == b"id: 4\nda"
--- /dev/null
+++ b/tests/emberring/standin/test_tier_standin_engine.py
@@ -0,0 +1,125 @@
+"""The emulated engine: batches, shared parts of prompts, memory that runs out."""
+
+from __future__ import annotations
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from emberring.standin.engine import Engine, EngineSpec, Job, Produced
+from emberring.standin.kv_cache import KvCache, PromptPart
+
+SPEC = EngineSpec(capacity=2, queue_limit=1, kv_tokens=1000, stride=4, prefill_chunk=100)
+
+
+def job(name: str, tokens: int = 100, output: int = 10, shared: str = "", skip: int = 0) -> Job:
+    return Job(name, (PromptPart(shared or name, tokens),), output, skip_events=skip)
+
+
+def run_until_idle(engine: Engine, most: int = 10_000) -> list[Produced]:
+    produced: list[Produced] = []
+    for _ in range(most):
+        if engine.idle:
+            return produced
+        produced += engine.step()
+    raise AssertionError("the engine did not come to an end")
+
+
+@pytest.mark.parametrize(
+    ("output", "skip", "indexes"),
+    [
+        (1, 0, [0]),
+        (4, 0, [0]),
+        (5, 0, [0, 1]),
+        (10, 0, [0, 1, 2]),
+        (10, 1, [1, 2]),
+        (10, 2, [2]),
+        (10, 3, [2]),
+    ],
+)
+def test_events_come_each_stride_and_go_on_where_they_are_resumed(output, skip, indexes):
+    engine = Engine(SPEC)
+    assert engine.submit(job("a", output=output, skip=skip))
+    produced = run_until_idle(engine)
+    assert [item.index for item in produced] == indexes
+    assert [item.last for item in produced] == [False] * (len(indexes) - 1) + [True]
+
+
+def test_a_full_engine_refuses_and_a_drop_makes_room():
+    engine = Engine(SPEC)
+    first = job("a")
+    assert engine.submit(first)
+    assert engine.submit(job("b"))
+    assert engine.submit(job("c"))
+    assert not engine.submit(job("d"))
+    engine.step()
+    engine.drop(first)
+    assert engine.submit(job("d"))
+
+
+def test_a_job_larger_than_the_memory_is_refused():
+    assert not Engine(SPEC).submit(job("a", tokens=995, output=10))
+
+
+def steps_until_idle(engine: Engine) -> int:
+    steps = 0
+    while not engine.idle:
+        engine.step()
+        steps += 1
+    return steps
+
+
+def test_a_prompt_is_read_piece_by_piece_and_a_shared_part_once():
+    engine = Engine(SPEC)
+    engine.submit(job("a", tokens=450, output=1, shared="s"))
+    assert steps_until_idle(engine) == 5
+    engine.submit(job("b", tokens=450, output=1, shared="s"))
+    assert steps_until_idle(engine) == 1
+
+
+def test_memory_that_runs_out_preempts_the_newest_which_goes_on_later():
+    engine = Engine(EngineSpec(capacity=2, kv_tokens=230, stride=4, prefill_chunk=100))
+    engine.submit(job("old", tokens=100, output=40))
+    engine.submit(job("new", tokens=100, output=40))
+    produced = run_until_idle(engine)
+    ends = [item.job.id for item in produced if item.last]
+    assert ends == ["old", "new"]
+    for name in ends:
+        assert [item.index for item in produced if item.job.id == name] == list(range(10))
+
+
+PARTS = st.lists(st.tuples(st.sampled_from("abcdef"), st.integers(1, 40)), min_size=1, max_size=4)
+
+
+@given(st.lists(st.tuples(PARTS, st.integers(1, 30)), max_size=12))
+def test_the_memory_is_never_overdrawn_and_every_job_ends_once(jobs):
+    sizes: dict[str, int] = {}
+    engine = Engine(EngineSpec(capacity=3, queue_limit=20, kv_tokens=200, stride=5, prefill_chunk=64))
+    taken = []
+    for number, (parts, output) in enumerate(jobs):
+        unique = {name: sizes.setdefault(name, tokens) for name, tokens in parts}
+        made = Job(str(number), tuple(PromptPart(*pair) for pair in unique.items()), output)
+        if engine.submit(made):
+            taken.append(made.id)
+    ended = []
+    for _ in range(5000):
+        if engine.idle:
+            break
+        for item in engine.step():
+            if item.last:
+                ended.append(item.job.id)
+        assert engine.cache.used <= engine.cache.capacity
+    assert sorted(ended) == sorted(taken)
+    assert engine.cache.used == 0
+
+
+def test_parts_unused_longest_give_way():
+    cache = KvCache(100)
+    one, two, three = (PromptPart(name, 40) for name in ("1", "2", "3"))
+    cache.pin([one])
+    cache.release([one], 0)
+    cache.pin([two])
+    cache.release([two], 0)
+    cache.pin([three])
+    assert [cache.known_tokens([part]) for part in (one, two, three)] == [0, 40, 40]
+    assert cache.known_tokens([one, two]) == 0
--- /dev/null
+++ b/tests/emberring/standin/test_tier_standin_server.py
@@ -0,0 +1,172 @@
+"""The stand-in model server as its callers see it, and what the judge makes of it."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable, Callable
+
+import pytest
+
+from emberring.standin.engine import EngineSpec
+from emberring.standin.http_calls import CALL_ERRORS, call_once
+from emberring.standin.judge import judge_stream
+from emberring.standin.live_client import StreamCall, StreamEnd, try_once
+from emberring.standin.model_server import ModelServer, ServerSpec
+from emberring.standin.observations import Observations
+from emberring.standin.output import event_bytes, event_text, whole_output
+from emberring.standin.waiting import wait_until
+
+STRIDE = 4
+ENGINE = EngineSpec(capacity=2, queue_limit=1, kv_tokens=5000, stride=STRIDE, step_s=0.0005)
+CALL = StreamCall("/explain/1", b"question", (("ab", 100), ("cd", 50)), 10)
+GENERATION = {"Request-Id": "r1", "Token-Count": "150,10", "Prefix-Hash": "ab:100,cd:50"}
+
+
+def with_server(play: Callable[[ModelServer, Observations], Awaitable[None]], spec: ServerSpec | None = None):
+    async def run() -> None:
+        seen = Observations()
+        server = ModelServer(spec or ServerSpec("s", engine=ENGINE), seen)
+        await server.start()
+        try:
+            async with asyncio.timeout(10):
+                await play(server, seen)
+        finally:
+            server.stop()
+
+    asyncio.run(run())
+
+
+def test_a_stream_is_whole_signed_and_judged_clean():
+    async def play(server: ModelServer, seen: Observations) -> None:
+        result = await try_once(server.address, CALL, 5.0)
+        assert result.end is StreamEnd.SERVED
+        assert [event.id for event in result.events] == [1, 2, 3]
+        assert seen.signatures[result.signature] == result.request_id
+        assert judge_stream(CALL, result, seen, STRIDE, may_repeat=False) == []
+
+    with_server(play)
+
+
+def test_a_stream_goes_on_after_the_last_event_the_caller_has():
+    async def play(server: ModelServer, seen: Observations) -> None:
+        headers = {**GENERATION, "Last-Event-Id": "2"}
+        answer = await call_once("POST", f"http://{server.address}/p", headers=headers, content=b"x")
+        assert answer.body == event_bytes(3, event_text("/p", b"x", 3))
+        assert seen.runs["r1"][0].resume_after == 2
+
+    with_server(play)
+
+
+@pytest.mark.parametrize(
+    ("headers", "path", "fault", "status", "not_run"),
+    [
+        ({}, "/p", None, 400, True),
+        ({"Request-Id": "r", "Prefix-Hash": "ab"}, "/p", None, 400, True),
+        ({"Request-Id": "r", "Expected-Instance": "i-other"}, "/p", None, 421, True),
+        (GENERATION, "/p", "shed", 503, True),
+        ({"Request-Id": "r", "Token-Count": "9000,1", "Prefix-Hash": "ab:9000"}, "/p", None, 503, True),
+        (GENERATION, "/impossible/1", None, 422, False),
+        (GENERATION, "/p", "failed_answers", 500, False),
+    ],
+)
+def test_refusals_say_whether_the_request_ran(headers, path, fault, status, not_run):
+    async def play(server: ModelServer, seen: Observations) -> None:
+        if fault is not None:
+            setattr(server.faults, fault, 1)
+        answer = await call_once("POST", f"http://{server.address}{path}", headers=headers, content=b"x")
+        assert answer.status == status
+        assert ("not-executed" in answer.headers) is not_run
+        assert ("response-signature" in answer.headers) is not not_run
+        assert bool(seen.runs) is not not_run
+        assert answer.headers.get("request-id") == headers.get("Request-Id")
+
+    with_server(play)
+
+
+@pytest.mark.parametrize(
+    ("fault", "end"),
+    [
+        ("spoilt_answers", StreamEnd.BROKEN),
+        ("cut_answers", StreamEnd.BROKEN),
+        ("failed_answers", StreamEnd.FAILED),
+        ("extra_answers", StreamEnd.SERVED),
+    ],
+)
+def test_a_fault_spoils_one_answer(fault, end):
+    async def play(server: ModelServer, seen: Observations) -> None:
+        setattr(server.faults, fault, 1)
+        assert (await try_once(server.address, CALL, 5.0)).end is end
+        assert (await try_once(server.address, CALL, 5.0)).end is StreamEnd.SERVED
+
+    with_server(play)
+
+
+@pytest.mark.parametrize("how", ["hang", "dark"])
+def test_a_server_that_hangs_says_nothing(how):
+    async def play(server: ModelServer, seen: Observations) -> None:
+        if how == "dark":
+            server.go_dark()
+        else:
+            server.faults.hang = True
+        result = await try_once(server.address, CALL, 0.1)
+        assert result.end is StreamEnd.SILENT
+        assert seen.runs == {}
+
+    with_server(play)
+
+
+def test_work_stops_at_the_deadline_that_is_handed_over():
+    async def play(server: ModelServer, seen: Observations) -> None:
+        server.faults.slow = 10_000.0
+        headers = {**GENERATION, "Deadline-Ms": "50"}
+        answer = await call_once("POST", f"http://{server.address}/p", headers=headers, content=b"x")
+        assert answer.status == 503
+        assert "not-executed" in answer.headers
+        assert server.in_flight == 0
+
+    with_server(play)
+
+
+def test_a_request_is_dropped_once_its_connection_closes():
+    async def play(server: ModelServer, seen: Observations) -> None:
+        server.faults.slow = 10_000.0
+        with pytest.raises(CALL_ERRORS):
+            await call_once(
+                "POST", f"http://{server.address}/p", headers=GENERATION, content=b"x", timeout_s=0.1
+            )
+        assert await wait_until(lambda: server.in_flight == 0, 5)
+        assert server.engine.idle
+
+    with_server(play)
+
+
+def test_connections_beyond_the_most_are_reset():
+    async def play(server: ModelServer, seen: Observations) -> None:
+        host, _, port = server.address.rpartition(":")
+        first_reader, first_writer = await asyncio.open_connection(host, int(port))
+        first_writer.write(b"GET /healthz HTTP/1.1\r\nHost: a\r\n\r\n")
+        assert (await first_reader.readline()).split()[1] == b"200"
+        reader, writer = await asyncio.open_connection(host, int(port))
+        with pytest.raises(ConnectionResetError):
+            await reader.read(1)
+        writer.close()
+        first_writer.close()
+
+    with_server(play, ServerSpec("s", engine=ENGINE, max_connections=1))
+
+
+def test_a_draining_server_closes_and_is_not_healthy():
+    async def play(server: ModelServer, seen: Observations) -> None:
+        server.draining = True
+        answer = await call_once("GET", f"http://{server.address}/healthz")
+        assert answer.status == 503
+        assert answer.headers["connection"] == "close"
+        assert answer.headers["instance-id"] == server.id
+
+    with_server(play)
+
+
+def test_the_output_depends_on_path_and_body_alone():
+    assert whole_output("/a", b"x", 3) == whole_output("/a", b"x", 3)
+    different = {whole_output("/a", b"x", 3), whole_output("/b", b"x", 3), whole_output("/a", b"y", 3)}
+    assert len(different) == 3
