--- a/emberring/standin/connection.py
+++ b/emberring/standin/connection.py
@@ -3,6 +3,9 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
+import socket
+import struct
 from collections import deque
 from typing import Protocol, cast
 
@@ -10,6 +13,8 @@
 
 from emberring.standin.wire import ServerRequest
 
+RESET_AT_CLOSE = struct.pack("ii", 1, 0)  # linger for no time
+
 
 class RequestTaker(Protocol):
     """Who answers the requests of connections."""
@@ -40,7 +45,7 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self._transport = cast(asyncio.Transport, transport)
         if not self._taker.opened(self):
-            self._transport.abort()
+            self.abort()
 
     def data_received(self, data: bytes) -> None:
         try:
@@ -86,8 +91,13 @@
 
     def abort(self) -> None:
         """End the connection with a reset."""
-        if self._transport is not None:
-            self._transport.abort()
+        if self._transport is None:
+            return
+        sock = self._transport.get_extra_info("socket")
+        if sock is not None:
+            with contextlib.suppress(OSError):
+                sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_AT_CLOSE)
+        self._transport.abort()
 
     def pause(self) -> None:
         """Read nothing more."""
