--- /dev/null
+++ b/emberring/gateway/app.py
@@ -0,0 +1,144 @@
+"""The application behind the clients' listener: reads a request whole, finds its route, has it carried out."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+from typing import Any
+
+from emberring.configuration.model import ClientLimits, Configuration, Route, RouteType
+from emberring.errors import BadRequestError, EmberringError, NotReadyError
+from emberring.gateway.answers import OwnAnswer, answer_to
+from emberring.gateway.client_answer import ClientAnswer
+from emberring.gateway.clients import ClientConnection
+from emberring.gateway.execution import Executor
+from emberring.gateway.lots_api import LotsApi
+from emberring.gateway.messages import ClientRequest
+from emberring.gateway.ports import Directory
+from emberring.logs import get_logger
+
+BODY_TIMEOUT_S = 10.0  # for a body on no route; otherwise the route's time-out holds
+DISCARD_S = 0.5  # for reading on after an answer to a request that is too large
+
+logger = get_logger("gateway")
+
+
+class Application:
+    """An ASGI application; one call for each request."""
+
+    def __init__(self, directory: Directory, executor: Executor, lots: LotsApi) -> None:
+        self._directory = directory
+        self._executor = executor
+        self._lots = lots
+
+    async def __call__(self, scope: Any, receive: Any, send: Any) -> None:
+        """Answer one request; a client that leaves ends all work for it at once."""
+        connection: ClientConnection = scope["state"]["connection"]
+        task = asyncio.current_task()
+        assert task is not None
+        connection.on_gone = lambda: _cancel(task)
+        answer = ClientAnswer(send, connection, _header(scope, b"request-id"), scope["method"] == "HEAD")
+        try:
+            await self._handle(scope, receive, answer)
+        except asyncio.CancelledError:
+            connection.cycle.disconnected = True
+        except Exception:
+            logger.exception("event=request_failed target=%r", scope["state"]["target"])
+            if answer.started:
+                answer.break_off()
+            else:
+                await answer.own(OwnAnswer(500, "internal error", close=True))
+        finally:
+            connection.on_gone = None
+
+    async def _handle(self, scope: Any, receive: Any, answer: ClientAnswer) -> None:
+        try:
+            final = await self._carry_out(scope, receive, answer)
+        except EmberringError as error:
+            final = answer_to(error)
+        if final is not None:
+            await answer.own(final)
+
+    async def _carry_out(self, scope: Any, receive: Any, answer: ClientAnswer) -> OwnAnswer | None:
+        configuration = self._directory.configuration
+        if configuration is None:
+            raise NotReadyError("no configuration is known yet")
+        host = _host(scope)
+        target: bytes = scope["state"]["target"]
+        path = target.partition(b"?")[0].decode("latin-1")
+        route = configuration.route_for(host, path)
+        limit_s = route.timeout_ms / 1000.0 if route else BODY_TIMEOUT_S
+        body = await _read_body(scope, receive, configuration.limits, limit_s)
+        if isinstance(body, OwnAnswer):
+            return body
+        request = ClientRequest(
+            scope["method"].encode("ascii"),
+            target,
+            host,
+            tuple(scope["headers"]),
+            body,
+            scope["state"]["arrived_s"],
+        )
+        if self._lots.takes(request, route):
+            return await self._lots.answer(request, route, answer)
+        return await self._forward(configuration, request, route, answer)
+
+    async def _forward(
+        self, configuration: Configuration, request: ClientRequest, route: Route | None, answer: ClientAnswer
+    ) -> OwnAnswer | None:
+        if route is None:
+            return OwnAnswer(404, "no route")
+        if route.type is RouteType.BATCH:
+            return OwnAnswer(405, "lots are submitted by POST")
+        return await self._executor.run_live(request, route, answer)
+
+
+def _header(scope: Any, name: bytes) -> bytes:
+    for found, value in scope["headers"]:
+        if found == name:
+            return bytes(value)
+    return b""
+
+
+def _host(scope: Any) -> str:
+    """The name in `Host`, without a port; `BadRequestError` unless there is exactly one."""
+    hosts = [value for name, value in scope["headers"] if name == b"host"]
+    if len(hosts) != 1:
+        raise BadRequestError("one Host header is wanted")
+    return str(hosts[0], "latin-1").strip()
+
+
+async def _read_body(scope: Any, receive: Any, limits: ClientLimits, limit_s: float) -> bytes | OwnAnswer:
+    """The whole body; an answer instead where it is too long or comes too slowly."""
+    announced = _header(scope, b"content-length")
+    if announced.isdigit() and int(announced) > limits.max_body_bytes:
+        return await _refuse(receive)
+    chunks: list[bytes] = []
+    size = 0
+    try:
+        async with asyncio.timeout(limit_s):
+            while True:
+                message = await receive()
+                if message["type"] == "http.disconnect":
+                    raise asyncio.CancelledError
+                size += len(message["body"])
+                if size > limits.max_body_bytes:
+                    return await _refuse(receive)
+                chunks.append(message["body"])
+                if not message["more_body"]:
+                    return chunks[0] if len(chunks) == 1 else b"".join(chunks)
+    except TimeoutError:
+        return OwnAnswer(408, "the body came too slowly", close=True)
+
+
+async def _refuse(receive: Any) -> OwnAnswer:
+    """Read on for a moment, so that the client reads the answer before a reset."""
+    with contextlib.suppress(TimeoutError):
+        async with asyncio.timeout(DISCARD_S):
+            while (await receive()).get("more_body"):
+                pass
+    return OwnAnswer(413, "the body is too long", close=True)
+
+
+def _cancel(task: asyncio.Task[Any]) -> None:
+    task.cancel()
--- /dev/null
+++ b/emberring/gateway/clients.py
@@ -0,0 +1,227 @@
+"""The clients' listener: uvicorn's HTTP/1.1 protocol with this tier's limits, which may change while it runs."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+from uvicorn.config import Config
+from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
+from uvicorn.server import ServerState
+
+from emberring.configuration.model import ClientLimits
+from orchidledge.core.outgoing import readable
+
+BACKLOG = 2048
+ACCEPT_ROUNDS = 3  # turns of the loop after which what stood in the accept queue has been taken
+LINGER_S = 2.0  # how long a client may take to read the last bytes of an answer that was broken off
+
+Application = Callable[[Any, Any, Any], Awaitable[None]]
+
+
+class ClientPort:
+    """One listening address: its connections, its limits, and how it comes to an end."""
+
+    def __init__(self, app: Application, limits: Callable[[], ClientLimits]) -> None:
+        self._config = Config(
+            app,
+            http=ClientConnection,
+            interface="asgi3",
+            proxy_headers=False,
+            ws="none",
+            lifespan="off",
+            log_config=None,
+            access_log=False,
+            server_header=False,
+            date_header=False,
+        )
+        self._config.load()
+        self._state = ServerState()
+        self._server: asyncio.Server | None = None
+        self.limits = limits
+        self.leaving = False
+        self.accepted = 0
+        self.accepted_s = 0.0
+
+    async def listen(self, address: str) -> None:
+        """Accept connections at `ip:port`."""
+        host, _, port = address.rpartition(":")
+        loop = asyncio.get_running_loop()
+        self._server = await loop.create_server(self._connection, host, int(port), backlog=BACKLOG)
+
+    @property
+    def port(self) -> int:
+        """The port that is listened on."""
+        assert self._server is not None
+        return int(self._server.sockets[0].getsockname()[1])
+
+    def _connection(self) -> ClientConnection:
+        return ClientConnection(self._config, self._state, {"port": self})
+
+    @property
+    def connections(self) -> set[ClientConnection]:
+        """All that are open."""
+        return self._state.connections  # type: ignore[return-value]
+
+    @property
+    def busy(self) -> int:
+        """Connections with a request that is half read or not answered."""
+        return sum(connection.busy for connection in self.connections)
+
+    async def stop_listening(self) -> None:
+        """Take what stands in the accept queue, then listen no more. Open connections stay."""
+        if self._server is None:
+            return
+        for _ in range(ACCEPT_ROUNDS):
+            await asyncio.sleep(0)
+        self._server.close()
+        self._server = None
+
+    def close_idle(self) -> None:
+        """Close connections on which nothing was asked; one whose request is just arriving stays."""
+        for connection in list(self.connections):
+            connection.close_if_idle()
+
+    def abort(self) -> None:
+        """End all that is left."""
+        for connection in list(self.connections):
+            connection.transport.abort()
+
+
+class ClientConnection(HttpToolsProtocol):
+    """One client's connection. The state of a request's scope holds `connection`, `target` and `arrived_s`."""
+
+    def __init__(
+        self,
+        config: Config,
+        server_state: ServerState,
+        app_state: dict[str, Any],
+        _loop: asyncio.AbstractEventLoop | None = None,
+    ) -> None:
+        super().__init__(config, server_state, app_state, _loop)
+        self.owner: ClientPort = app_state["port"]
+        self.on_gone: Callable[[], None] | None = None
+        self._in_head = False
+        self._head_bytes = 0
+        self._began_s = 0.0
+        self._idle_since_s = 0.0
+        self._head_timer: asyncio.TimerHandle | None = None
+
+    # ----------------------------------------------------------------- for the application
+
+    @property
+    def busy(self) -> bool:
+        """Whether a request is half read or not answered."""
+        return (
+            self._in_head
+            or bool(self.pipeline)
+            or (self.cycle is not None and not self.cycle.response_complete)
+        )
+
+    def close_after_answer(self) -> None:
+        """The answer that is about to begin is the last one here, and says so."""
+        if not self.pipeline:
+            self.cycle.keep_alive = False
+
+    def break_off(self) -> None:
+        """End the answer that was begun without its end: what was written still goes out, for a while."""
+        self.cycle.disconnected = True
+        self.transport.close()
+        self.loop.call_later(LINGER_S, self.transport.abort)
+
+    def close_if_idle(self) -> None:
+        """Close it if nothing was asked on it, not even in bytes that wait in the kernel."""
+        if not self.busy and not self.transport.is_closing() and not readable(self.transport):
+            self.transport.close()
+
+    # --------------------------------------------------------------------- asyncio.Protocol
+
+    def connection_made(self, transport: asyncio.Transport) -> None:  # type: ignore[override]
+        super().connection_made(transport)
+        self.owner.accepted += 1
+        self.owner.accepted_s = self.loop.time()
+        self._rest()
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        super().connection_lost(exc)
+        self._unset_keepalive_if_required()
+        self._stop_head_timer()
+        gone, self.on_gone = self.on_gone, None
+        if gone is not None:
+            gone()
+
+    def data_received(self, data: bytes) -> None:
+        if self._in_head:
+            self._head_bytes += len(data)
+        super().data_received(data)
+        if self._in_head and self._head_bytes > self.owner.limits().max_header_bytes:
+            self._refuse(b"431 Request Header Fields Too Large")
+
+    # ------------------------------------------------------------------- parser's callbacks
+
+    def on_message_begin(self) -> None:
+        super().on_message_begin()
+        self._in_head, self._head_bytes = True, 0
+        self._began_s = self.loop.time()
+        self._stop_head_timer()
+        self._head_timer = self.loop.call_later(
+            self.owner.limits().header_timeout_ms / 1000.0, self._head_late
+        )
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        super().on_header(name, value)
+        self._head_bytes += len(name) + len(value)
+
+    def on_headers_complete(self) -> None:
+        self._in_head = False
+        self._stop_head_timer()
+        state = self.scope["state"]
+        state["connection"], state["target"], state["arrived_s"] = self, self.url, self._began_s
+        super().on_headers_complete()
+
+    def on_response_complete(self) -> None:
+        super().on_response_complete()
+        self.on_gone = None
+        if self.timeout_keep_alive_task is not None:
+            self._unset_keepalive_if_required()
+            self._rest()
+
+    # ------------------------------------------------------------------------------- limits
+
+    def _rest(self) -> None:
+        """Wait for a request, for as long as clients may stay idle."""
+        self._idle_since_s = self.loop.time()
+        self._arm_idle()
+
+    def _arm_idle(self) -> None:
+        left_s = self._idle_since_s + self.owner.limits().idle_timeout_ms / 1000.0 - self.loop.time()
+        self.timeout_keep_alive_task = self.loop.call_later(max(0.0, left_s), self.timeout_keep_alive_handler)
+
+    def timeout_keep_alive_handler(self) -> None:
+        self.timeout_keep_alive_task = None
+        rested_s = self.loop.time() - self._idle_since_s
+        if rested_s < self.owner.limits().idle_timeout_ms / 1000.0:
+            self._arm_idle()  # the limit was raised meanwhile
+        else:
+            self.close_if_idle()
+
+    def _head_late(self) -> None:
+        self._head_timer = None
+        if self._in_head:
+            self._refuse(b"408 Request Timeout")
+
+    def _stop_head_timer(self) -> None:
+        if self._head_timer is not None:
+            self._head_timer.cancel()
+            self._head_timer = None
+
+    def _refuse(self, status: bytes) -> None:
+        """Answer a head that can't be read whole, unless an earlier answer is still under way."""
+        if self.transport.is_closing():
+            return
+        if self.cycle is None or self.cycle.response_complete:
+            self.transport.write(
+                b"HTTP/1.1 " + status + b"\r\ncontent-length: 0\r\nconnection: close\r\n\r\n"
+            )
+        self.transport.close()
--- /dev/null
+++ b/emberring/gateway/departure.py
@@ -0,0 +1,58 @@
+"""How a gateway ends: not ready at once, everything that still comes is answered, then out within the grace.
+
+Sans-I/O: `step(now_s, seen)` says what to do; the moment is an argument (seconds of the loop's clock).
+"""
+
+from __future__ import annotations
+
+from enum import Enum
+
+import attrs
+
+UNNOTICED_S = 2.4  # the platform asks once a second and needs two misses to send nothing new
+QUIET_S = 0.6  # without a new connection, after which none is expected
+LISTEN_SHARE = 0.5  # of the grace, after which no new connection is taken in any case
+END_BEFORE_S = 0.7  # before the grace is over
+
+
+class Stage(Enum):
+    """What the process does next."""
+
+    SERVE = "serve"  # take all that comes
+    STOP_LISTENING = "stop_listening"  # and close idle connections
+    FINISH = "finish"  # close what has become idle
+    END = "end"
+
+
+@attrs.frozen
+class Seen:
+    """What is open: when the last connection came, open connections, and those with a request on them."""
+
+    last_accepted_s: float
+    connections: int
+    busy: int
+
+
+class Departure:
+    """From SIGTERM (`began_s`) to the end."""
+
+    def __init__(self, began_s: float, grace_s: float) -> None:
+        self._began_s = began_s
+        self._listen_until_s = began_s + max(0.0, min(UNNOTICED_S, grace_s * LISTEN_SHARE))
+        self._listen_at_most_s = began_s + grace_s * LISTEN_SHARE
+        self._end_s = began_s + max(0.0, grace_s - END_BEFORE_S)
+        self._listening = True
+
+    def step(self, now_s: float, seen: Seen) -> Stage:
+        """What to do at this moment; each of `STOP_LISTENING` and `END` comes once."""
+        if now_s >= self._end_s:
+            return Stage.END
+        if self._listening:
+            quiet = now_s - seen.last_accepted_s >= QUIET_S
+            if now_s < self._listen_until_s or not (quiet or now_s >= self._listen_at_most_s):
+                return Stage.SERVE
+            self._listening = False
+            return Stage.STOP_LISTENING
+        if not seen.connections:
+            return Stage.END
+        return Stage.FINISH
--- /dev/null
+++ b/emberring/gateway/items.py
@@ -0,0 +1,80 @@
+"""Items of lots as calls: the request that a server sees, the events handed on, how the run ended."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from emberring.admission.types import CallOutcome
+from emberring.gateway.attempt import Ended
+from emberring.gateway.events import Event
+from emberring.gateway.messages import AnswerHead, ClientRequest
+from emberring.lots.items import ItemCall, ItemEvent, ItemOutcome, OutcomeKind
+
+IMPOSSIBLE_STATUS = 422
+FAILED_STATUS = 500
+
+_NOT_RUN = frozenset(
+    (CallOutcome.FULL, CallOutcome.WRONG_SERVER, CallOutcome.CONNECT_FAILED, CallOutcome.NOT_SENT)
+)
+
+
+def item_request(item: ItemCall, now_s: float) -> ClientRequest:
+    """The request of an item: a `POST` of its body with its own headers, its id as `Request-Id`."""
+    headers = [
+        (name.lower().encode("latin-1"), value.encode("latin-1"))
+        for name, value in item.headers
+        if name.lower() != "request-id"
+    ]
+    headers.append((b"request-id", item.id.encode("latin-1")))
+    return ClientRequest(
+        method=b"POST",
+        target=item.path.encode("latin-1"),
+        host=item.host,
+        headers=tuple(headers),
+        body=item.body,
+        arrived_s=now_s,
+    )
+
+
+def item_outcome(ended: Ended) -> ItemOutcome:
+    """What the end of an attempt means for an item."""
+    if ended.outcome in _NOT_RUN:
+        return ItemOutcome(OutcomeKind.NOT_RUN)
+    status = ended.head.status if ended.head else 0
+    if status == IMPOSSIBLE_STATUS:
+        return ItemOutcome(OutcomeKind.IMPOSSIBLE_422)
+    if status == FAILED_STATUS:
+        return ItemOutcome(OutcomeKind.FAILED_500)
+    if ended.outcome is CallOutcome.COMPLETED and ended.head is None:
+        return ItemOutcome(OutcomeKind.COMPLETED)
+    return ItemOutcome(OutcomeKind.BROKEN)
+
+
+class ItemReceiver:
+    """Hands an item's events on as they come."""
+
+    def __init__(self, on_events: Callable[[list[ItemEvent]], None]) -> None:
+        self._on_events = on_events
+        self._started = False
+
+    @property
+    def started(self) -> bool:
+        """Whether events were handed on."""
+        return self._started
+
+    async def events(self, head: AnswerHead, events: list[Event]) -> None:
+        """Whole events; those without an id carry no text of the item."""
+        self._started = True
+        found = [
+            ItemEvent(event.id, event.data.decode("utf-8", "replace"))
+            for event in events
+            if event.id is not None
+        ]
+        if found:
+            self._on_events(found)
+
+    async def piece(self, head: AnswerHead, data: bytes) -> None:
+        """An answer that is no stream holds no events."""
+
+    async def end(self, head: AnswerHead, data: bytes) -> None:
+        """Nothing is left to hand on."""
--- /dev/null
+++ b/emberring/gateway/lots_api.py
@@ -0,0 +1,116 @@
+"""The batch interface for clients: submissions, pages of results, bodies of items, ends."""
+
+from __future__ import annotations
+
+from typing import Protocol
+from urllib.parse import parse_qs
+
+from emberring.configuration.model import Route, RouteType
+from emberring.errors import BadRequestError, NotReadyError
+from emberring.gateway.answers import OwnAnswer
+from emberring.gateway.calls import read_milliseconds
+from emberring.gateway.client_answer import ClientAnswer
+from emberring.gateway.messages import ClientRequest
+
+LOTS_PATH = "/v1/lots/"
+ITEMS_PATH = "/v1/items/"
+OWN_PATHS = "/v1/"
+MAX_WAIT_MS = 2000.0  # for which a page may be held until there is a result
+
+JSON = b"application/json"
+BYTES = b"application/octet-stream"
+
+
+class Lots(Protocol):
+    """The client of the stores. Errors are those of `emberring.errors`; a failure that is no promise is in doubt."""
+
+    async def submit(self, host: str, route: Route, lot: str, body: bytes) -> None:
+        """Have a lot taken; returns once it is kept."""
+
+    async def read(self, host: str, lot: str, start_after: int, wait_ms: float) -> bytes:
+        """A page of results as JSON."""
+
+    async def item(self, host: str, lot: str, item: str) -> bytes:
+        """The body of an item that is not listed yet."""
+
+    async def end(self, host: str, lot: str) -> None:
+        """End a lot."""
+
+
+class LotsApi:
+    """Maps calls to the client of the stores."""
+
+    def __init__(self, lots: Lots) -> None:
+        self._lots = lots
+
+    def takes(self, request: ClientRequest, route: Route | None) -> bool:
+        """Whether a request belongs to this interface."""
+        if route is not None and route.type is RouteType.BATCH and request.method == b"POST":
+            return True
+        # A route below these paths goes first; one that covers the whole host doesn't hide them.
+        own = request.path.startswith((LOTS_PATH, ITEMS_PATH))
+        return own and (route is None or not route.path_prefix.startswith(OWN_PATHS))
+
+    async def answer(
+        self, request: ClientRequest, route: Route | None, answer: ClientAnswer
+    ) -> OwnAnswer | None:
+        """Carry it out and answer; an `EmberringError` is the caller's to answer."""
+        if route is not None and route.type is RouteType.BATCH and request.method == b"POST":
+            await self._submit(request, route)
+            await answer.whole(202, JSON, b"{}")
+            return None
+        if request.path.startswith(ITEMS_PATH) and request.method == b"GET":
+            await answer.whole(200, BYTES, await self._item(request))
+        elif request.path.startswith(LOTS_PATH) and request.method == b"GET":
+            await answer.whole(200, JSON, await self._read(request))
+        elif request.path.startswith(LOTS_PATH) and request.method == b"DELETE":
+            await self._lots.end(request.host, request.path[len(LOTS_PATH) :])
+            await answer.whole(200, JSON, b"{}")
+        else:
+            return OwnAnswer(405, "GET or DELETE is wanted")
+        return None
+
+    async def _submit(self, request: ClientRequest, route: Route) -> None:
+        if not request.request_id:
+            raise BadRequestError("a lot wants a Request-Id")
+        await self._lots.submit(request.host, route, request.request_id.decode("latin-1"), request.body)
+
+    async def _read(self, request: ClientRequest) -> bytes:
+        start_text = _query(request, "StartAfter") or "0"
+        if not start_text.isdigit():
+            raise BadRequestError("StartAfter is no number")
+        wait_ms = read_milliseconds(request.header(b"wait-ms")) or 0.0
+        lot = request.path[len(LOTS_PATH) :]
+        return await self._lots.read(request.host, lot, int(start_text), min(wait_ms, MAX_WAIT_MS))
+
+    async def _item(self, request: ClientRequest) -> bytes:
+        item = _query(request, "Id")
+        if not item:
+            raise BadRequestError("Id is missing")
+        return await self._lots.item(request.host, request.path[len(ITEMS_PATH) :], item)
+
+
+def _query(request: ClientRequest, name: str) -> str:
+    """The last value under this name in the query; empty where there is none."""
+    text = request.target.partition(b"?")[2].decode("latin-1")
+    return parse_qs(text).get(name, [""])[-1]
+
+
+class NoLots:
+    """Stands in where no store can be reached: nothing is taken, nothing is known."""
+
+    async def submit(self, host: str, route: Route, lot: str, body: bytes) -> None:
+        """Refuse a lot."""
+        raise NotReadyError("no store is known")
+
+    async def read(self, host: str, lot: str, start_after: int, wait_ms: float) -> bytes:
+        """Say that nothing is certain."""
+        raise NotReadyError("no store is known")
+
+    async def item(self, host: str, lot: str, item: str) -> bytes:
+        """Say that nothing is certain."""
+        raise NotReadyError("no store is known")
+
+    async def end(self, host: str, lot: str) -> None:
+        """Say that nothing was done."""
+        raise NotReadyError("no store is known")
--- /dev/null
+++ b/emberring/gateway/pool.py
@@ -0,0 +1,181 @@
+"""Connections to model servers: this gateway's share of each server's `MaxConnections`, the newest idle one first."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import socket
+from collections.abc import Callable
+from enum import Enum
+
+import attrs
+
+from emberring.gateway.upstream import ServerConnection
+
+CONNECT_TIMEOUT_S = 0.3
+UNACKNOWLEDGED_MS = 1500  # bytes that a server's machine has not acknowledged for so long end the connection
+UNKNOWN_IDLE_S = 4.0  # kept idle, where a server has not said for how long it keeps one
+IDLE_MARGIN_S = 0.5  # before a server closes an idle connection, ours is no longer used
+IDLE_SHARE = 0.8  # and never beyond this share of the server's time
+SWEEP_S = 1.0
+
+
+class NoConnection(Enum):
+    """Why there is no connection; in each case no byte was sent."""
+
+    UNREACHABLE = "unreachable"
+    NO_ROOM = "no_room"
+
+
+@attrs.define(eq=False)
+class _Server:
+    address: str
+    idle: list[ServerConnection] = attrs.field(factory=list)  # the newest last
+    open: set[ServerConnection] = attrs.field(factory=set)
+    opening: int = 0
+
+    @property
+    def size(self) -> int:
+        return len(self.open) + self.opening
+
+
+class ServerPool:
+    """All connections to servers, by the id of the incarnation they were made for."""
+
+    def __init__(self) -> None:
+        self._servers: dict[str, _Server] = {}
+        self._share: Callable[[str], int] = lambda server_id: 1
+        self._sweeper: asyncio.TimerHandle | None = None
+        self.opened = 0
+
+    def set_shares(self, share: Callable[[str], int]) -> None:
+        """How many connections this gateway may hold to a server, by its id."""
+        self._share = share
+        for server_id, server in self._servers.items():
+            while server.idle and server.size > share(server_id):
+                server.idle.pop(0).retire()
+
+    def keep_only(self, usable: Callable[[str], bool]) -> None:
+        """Close idle connections to servers that get nothing new; those at work end by themselves."""
+        for server_id in list(self._servers):
+            if not usable(server_id):
+                self.forget(server_id)
+
+    def forget(self, server_id: str) -> None:
+        """Close the idle connections to a server."""
+        server = self._servers.get(server_id)
+        if server is None:
+            return
+        idle, server.idle = server.idle, []
+        for connection in idle:
+            connection.retire()
+        if not server.size:
+            del self._servers[server_id]
+
+    def size(self, server_id: str) -> int:
+        """Connections to this server, those being opened among them."""
+        server = self._servers.get(server_id)
+        return server.size if server else 0
+
+    async def take(self, server_id: str, address: str, fresh: bool) -> ServerConnection | NoConnection:
+        """A connection that carries nothing: an idle one that was proven to stand, or a new one. With `fresh`, an
+        idle one is taken only when it has rested for less than half of its time."""
+        server = self._servers.setdefault(server_id, _Server(address))
+        found = self._take_idle(server, fresh)
+        if found is not None:
+            return found
+        if server.size >= max(1, self._share(server_id)) and not self._make_room(server):
+            return NoConnection.NO_ROOM
+        return await self._open(server)
+
+    def _take_idle(self, server: _Server, fresh: bool) -> ServerConnection | None:
+        now = asyncio.get_running_loop().time()
+        while server.idle:
+            connection = server.idle[-1]
+            rested = now - connection.idle_since
+            limit = _idle_limit(connection)
+            if rested < limit and connection.usable:
+                if fresh and rested > limit / 2.0:
+                    return None
+                return server.idle.pop()
+            server.idle.pop().retire()
+        return None
+
+    @staticmethod
+    def _make_room(server: _Server) -> bool:
+        if not server.idle:
+            return False
+        connection = server.idle.pop(0)
+        server.open.discard(connection)
+        connection.retire()
+        return True
+
+    async def _open(self, server: _Server) -> ServerConnection | NoConnection:
+        loop = asyncio.get_running_loop()
+        host, _, port = server.address.rpartition(":")
+        server.opening += 1
+        try:
+            async with asyncio.timeout(CONNECT_TIMEOUT_S):
+                transport, connection = await loop.create_connection(
+                    lambda: ServerConnection(server.open.discard), host, int(port)
+                )
+        except (OSError, TimeoutError):
+            return NoConnection.UNREACHABLE
+        finally:
+            server.opening -= 1
+        self.opened += 1
+        if not connection.usable:  # reset at once, as a server does beyond its limit
+            connection.abort()
+            return NoConnection.UNREACHABLE
+        _tune(transport)
+        server.open.add(connection)
+        return connection
+
+    def give_back(self, server_id: str, connection: ServerConnection) -> None:
+        """A connection has brought its whole answer."""
+        server = self._servers.get(server_id)
+        if server is None or not connection.usable or server.size > self._share(server_id):
+            connection.retire()
+            return
+        loop = asyncio.get_running_loop()
+        connection.idle_since = loop.time()
+        server.idle.append(connection)
+        if self._sweeper is None:
+            self._sweeper = loop.call_later(SWEEP_S, self._sweep)
+
+    def _sweep(self) -> None:
+        """Close what has rested for too long."""
+        loop = asyncio.get_running_loop()
+        now = loop.time()
+        self._sweeper = None
+        for server_id, server in list(self._servers.items()):
+            while server.idle and now - server.idle[0].idle_since >= _idle_limit(server.idle[0]):
+                server.idle.pop(0).retire()
+            if not server.size:
+                del self._servers[server_id]
+        if any(server.idle for server in self._servers.values()):
+            self._sweeper = loop.call_later(SWEEP_S, self._sweep)
+
+    def close(self) -> None:
+        """Abort everything."""
+        if self._sweeper is not None:
+            self._sweeper.cancel()
+        for server in self._servers.values():
+            for connection in list(server.open):
+                connection.abort()
+        self._servers.clear()
+
+
+def _idle_limit(connection: ServerConnection) -> float:
+    granted = connection.keep_alive_s
+    if granted is None:
+        return UNKNOWN_IDLE_S
+    return max(0.0, min(granted - IDLE_MARGIN_S, granted * IDLE_SHARE))
+
+
+def _tune(transport: asyncio.Transport) -> None:
+    sock = transport.get_extra_info("socket")
+    with contextlib.suppress(OSError):
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    with contextlib.suppress(OSError):
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_MS)
--- /dev/null
+++ b/emberring/gateway/readiness.py
@@ -0,0 +1,64 @@
+"""Whether this gateway calls itself ready, and the page of its figures."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Mapping
+from typing import Any
+
+from emberring.gateway.ports import Directory
+
+READY_PATH = "/v1/readyz"
+METRICS_PATH = "/metrics"
+SERVERS_WAIT_S = (
+    2.0  # with a configuration but no server known, the gateway is ready after so long all the same
+)
+
+
+class Readiness:
+    """Not ready until a configuration that a quorum chose and its servers are known; ready then until the end."""
+
+    def __init__(self, directory: Directory) -> None:
+        self._directory = directory
+        self._configured_s: float | None = None
+        self._was_ready = False
+        self.leaving = False
+
+    def ready(self, now_s: float) -> bool:
+        """Whether new connections should come here."""
+        if self.leaving or self._directory.configuration is None:
+            return False
+        if self._configured_s is None:
+            self._configured_s = now_s
+        if not self._was_ready:
+            waited = now_s - self._configured_s >= SERVERS_WAIT_S
+            self._was_ready = bool(self._directory.servers) or waited
+        return self._was_ready
+
+
+def render_metrics(figures: Mapping[str, float]) -> bytes:
+    """Figures as Prometheus reads them; those that end in `_total` are counters."""
+    lines = []
+    for name, value in figures.items():
+        kind = "counter" if name.endswith("_total") else "gauge"
+        lines.append(f"# TYPE emberring_gateway_{name} {kind}\nemberring_gateway_{name} {value:g}\n")
+    return "".join(lines).encode()
+
+
+class ReadinessPages:
+    """An ASGI application: readiness and figures."""
+
+    def __init__(self, ready: Callable[[], bool], figures: Callable[[], Mapping[str, float]]) -> None:
+        self._ready = ready
+        self._figures = figures
+
+    async def __call__(self, scope: Any, receive: Any, send: Any) -> None:
+        """Answer one request."""
+        if scope["path"] == READY_PATH:
+            status, body = (200, b"ready\n") if self._ready() else (503, b"not ready\n")
+        elif scope["path"] == METRICS_PATH:
+            status, body = 200, render_metrics(self._figures())
+        else:
+            status, body = 404, b""
+        headers = [(b"content-type", b"text/plain"), (b"content-length", b"%d" % len(body))]
+        await send({"type": "http.response.start", "status": status, "headers": headers})
+        await send({"type": "http.response.body", "body": body, "more_body": False})
--- /dev/null
+++ b/emberring/gateway/role.py
@@ -0,0 +1,168 @@
+"""The gateway's program: everything put together, its signals and its end."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import secrets
+import signal
+
+import attrs
+
+from emberring.admission.admission import Admission
+from emberring.admission.types import AdmissionSettings
+from emberring.configuration.model import ClientLimits
+from emberring.distribution.facts import NodeFact, NodeRole
+from emberring.distribution.follower import Follower
+from emberring.gateway.app import Application
+from emberring.gateway.clients import ClientPort
+from emberring.gateway.departure import Departure, Seen, Stage
+from emberring.gateway.execution import Executor
+from emberring.gateway.lots_api import LotsApi, NoLots
+from emberring.gateway.pool import ServerPool
+from emberring.gateway.readiness import Readiness, ReadinessPages
+from emberring.gateway.servers import ServerBook
+from emberring.logs import get_logger
+from emberring.settings import GATEWAY_PORT_OFFSET, Settings
+from emberring.transport.network import Network
+
+REFRESH_S = 0.2  # between looks at the load of servers over all gateways
+STEP_S = 0.05  # between looks while the process comes to its end
+SEED_BITS = 32
+
+logger = get_logger("gateway")
+
+
+class Gateway:
+    """The parts of a gateway, tied to one another."""
+
+    def __init__(self, settings: Settings) -> None:
+        self._settings = settings
+        self._loop = asyncio.get_running_loop()
+        self.network = Network()
+        me = NodeFact(
+            name=settings.node_name,
+            role=NodeRole.GATEWAY,
+            address=settings.internal_address(GATEWAY_PORT_OFFSET),
+            zone=settings.zone,
+            incarnation=secrets.token_hex(8),
+        )
+        self.follower = Follower(self.network, me, settings.internal_seeds())
+        self.admission = Admission(AdmissionSettings(), secrets.randbits(SEED_BITS))
+        self.pool = ServerPool()
+        self.book = ServerBook(self.follower)
+        self.executor = Executor(self.admission, self.pool, self.book)
+        self.readiness = Readiness(self.follower)
+        self.clients = ClientPort(Application(self.follower, self.executor, LotsApi(NoLots())), self._limits)
+        self.probes = ClientPort(ReadinessPages(self._ready, self._figures), ClientLimits)
+        self._refresher: asyncio.TimerHandle | None = None
+        self._refresh_soon = False
+
+    async def start(self) -> None:
+        """Listen, and begin to learn what is to be known."""
+        self.follower.report = self.admission.in_flight
+        self.follower.subscribe(self._on_change)
+        self.executor.on_misdirected = self._refresh
+        await self.network.listen(self._settings.internal_address(GATEWAY_PORT_OFFSET))
+        await self.follower.start()
+        await self.clients.listen(self._settings.listen.frontend)
+        if self._settings.listen.readiness:
+            await self.probes.listen(self._settings.listen.readiness)
+        self._tick()
+
+    def _limits(self) -> ClientLimits:
+        configuration = self.follower.configuration
+        return configuration.limits if configuration is not None else ClientLimits()
+
+    def _ready(self) -> bool:
+        return self.readiness.ready(self._loop.time())
+
+    def _on_change(self) -> None:
+        if not self._refresh_soon:
+            self._refresh_soon = True
+            self._loop.call_soon(self._refresh)
+
+    def _tick(self) -> None:
+        self._refresher = self._loop.call_later(REFRESH_S, self._tick)
+        self._refresh()
+
+    def _refresh(self) -> None:
+        """Tell admission and the pool what is known now."""
+        self._refresh_soon = False
+        follower = self.follower
+        if follower.configuration is None:
+            return
+        services = {service.name: service for service in follower.configuration.services}
+        self.admission.set_servers(
+            self._loop.time(),
+            self.book.usable(),
+            services,
+            follower.gateway_count,
+            follower.server_load,
+        )
+        self.book.forget_absent()
+        self.executor.forget_absent(set(follower.servers))
+        self.pool.keep_only(lambda server_id: self.book.sendable(server_id) is not None)
+        self.pool.set_shares(self.book.connection_share)
+
+    def _figures(self) -> dict[str, float]:
+        configuration = self.follower.configuration
+        return {
+            "ready": float(self._ready()),
+            "configuration_version": float(configuration.version if configuration else 0),
+            "servers": float(len(self.follower.servers)),
+            "gateways": float(self.follower.gateway_count),
+            "client_connections": float(len(self.clients.connections)),
+            "client_connections_total": float(self.clients.accepted),
+            "requests_in_progress": float(self.clients.busy),
+            "calls_in_flight": float(sum(self.admission.in_flight().values())),
+            "server_connections_total": float(self.pool.opened),
+        }
+
+    async def leave(self) -> None:
+        """Finish all that is open and all that still comes, within the grace."""
+        self.readiness.leaving = True
+        self.clients.leaving = True
+        self.follower.me = attrs.evolve(self.follower.me, leaving=True)
+        departure = Departure(self._loop.time(), self._settings.bounds.grace_s)
+        while True:
+            seen = Seen(self.clients.accepted_s, len(self.clients.connections), self.clients.busy)
+            stage = departure.step(self._loop.time(), seen)
+            if stage is Stage.END:
+                break
+            if stage is Stage.STOP_LISTENING:
+                await self.clients.stop_listening()
+            if stage is not Stage.SERVE:
+                self.clients.close_idle()
+            await asyncio.sleep(STEP_S)
+
+    async def stop(self) -> None:
+        """End what is left."""
+        if self._refresher is not None:
+            self._refresher.cancel()
+        await self.clients.stop_listening()
+        await self.probes.stop_listening()
+        self.clients.abort()
+        self.probes.abort()
+        self.pool.close()
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(STEP_S):
+                await self.follower.stop()
+        await self.network.close()
+
+
+async def run(settings: Settings) -> None:
+    """Run a gateway until SIGTERM. SIGHUP changes nothing: what can change comes with the configuration."""
+    loop = asyncio.get_running_loop()
+    told_to_end = asyncio.Event()
+    loop.add_signal_handler(signal.SIGTERM, told_to_end.set)
+    loop.add_signal_handler(signal.SIGINT, told_to_end.set)
+    loop.add_signal_handler(signal.SIGHUP, lambda: None)
+    gateway = Gateway(settings)
+    await gateway.start()
+    logger.info("event=started frontend=%s", settings.listen.frontend)
+    await told_to_end.wait()
+    logger.info("event=leaving")
+    await gateway.leave()
+    await gateway.stop()
+    logger.info("event=ended")
