--- /dev/null
+++ b/tests/emberring/gateway/test_tier_gateway_forwarding.py
@@ -0,0 +1,138 @@
+"""The ordinary path: requests and streams forwarded whole, on real sockets."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+from gateway_world import (
+    HOST,
+    Seen,
+    Side,
+    World,
+    chunk,
+    event,
+    events,
+    play,
+    request,
+    stream_head,
+)
+
+
+async def five_events(side: Side, seen: Seen) -> None:
+    await side.stream(seen, range(1, 6))
+
+
+async def say_ok(side: Side, seen: Seen) -> None:
+    await side.answer(seen, 200, b"body of " + seen.headers["request-id"].encode())
+
+
+@pytest.mark.parametrize("chunked", [False, True])
+@pytest.mark.parametrize("path", ["/live/a?x=1&y=%20", "/again/b?", "/plain/c//d", "/once/%2e?q"])
+def test_a_request_reaches_the_server_unchanged(path: str, chunked: bool) -> None:
+    async def story(world: World) -> None:
+        server = await world.server(say_ok)
+        client = await world.client()
+        answer = await client.ask(
+            path, chunked=chunked, body=b"\x00\xffbody", Token_Count="3,4", Deadline_Ms="900"
+        )
+        assert (answer.status, answer.body, answer.whole) == (200, b"body of r1", True)
+        assert answer.headers["response-signature"] == "sig-r1"
+        (seen,) = server.seen
+        assert seen.start == f"POST {path} HTTP/1.1".encode()
+        assert seen.body == b"\x00\xffbody"
+        assert seen.headers["host"] == HOST
+        assert seen.headers["expected-instance"] == server.id
+        assert seen.headers["token-count"] == "3,4"
+        assert 0 < int(seen.headers["deadline-ms"]) <= 900
+        assert "transfer-encoding" not in seen.headers
+
+    play(story)
+
+
+def test_headers_of_one_connection_are_not_passed_along() -> None:
+    async def story(world: World) -> None:
+        server = await world.server(say_ok)
+        client = await world.client()
+        await client.ask(
+            Connection="keep-alive, X-Hop", X_Hop="1", Keep_Alive="5", Te="trailers", X_Stays="2"
+        )
+        (seen,) = server.seen
+        assert seen.headers["x-stays"] == "2"
+        assert not {"x-hop", "te", "keep-alive", "connection"} & set(seen.headers)
+
+    play(story)
+
+
+def test_a_stream_arrives_whole_and_the_connection_serves_on() -> None:
+    async def story(world: World) -> None:
+        server = await world.server(five_events)
+        client = await world.client()
+        for number in range(3):
+            answer = await client.ask(request_id=f"r{number}")
+            assert (answer.status, answer.body, answer.whole) == (200, events(1, 2, 3, 4, 5), True)
+            assert answer.headers["response-signature"] == f"sig-r{number}"
+        assert server.connections == 1
+        assert world.admission.outcomes == ["completed"] * 3
+        assert world.admission.in_flight == 0
+
+    play(story)
+
+
+def test_each_event_is_passed_on_before_the_next_is_made() -> None:
+    async def story(world: World) -> None:
+        told = asyncio.Event()
+
+        async def slow(side: Side, seen: Seen) -> None:
+            await side.write(stream_head(seen) + chunk(event(1)[:7]))
+            await side.write(chunk(event(1)[7:] + event(2)[:3]))
+            await told.wait()
+            await side.write(chunk(event(2)[3:]) + b"0\r\n\r\n")
+
+        await world.server(slow)
+        client = await world.client()
+        await client.send(request())
+        raw = await client.reader.readuntil(event(1))
+        assert raw.startswith(b"HTTP/1.1 200")
+        told.set()
+        rest = await client.reader.readuntil(b"0\r\n\r\n")
+        assert event(2) in rest
+
+    play(story)
+
+
+def test_no_route_is_answered_404() -> None:
+    async def story(world: World) -> None:
+        client = await world.client()
+        assert (await client.ask("/nowhere/1")).status == 404
+        assert (await client.ask("/live")).status == 404
+
+    play(story)
+
+
+def test_before_a_configuration_is_known_a_request_is_promised_not_to_have_run() -> None:
+    async def story(world: World) -> None:
+        limits = world.limits()
+        world.port.limits = lambda: limits
+        world.directory.configuration = None
+        answer = await (await world.client()).ask()
+        assert answer.status == 503
+        assert float(answer.headers["retry-after"]) > 0.0
+        assert "response-signature" not in answer.headers
+
+    play(story)
+
+
+@pytest.mark.parametrize("status", [500, 504, 422, 400, 404, 303])
+def test_a_servers_own_failure_is_passed_on_unchanged(status: int) -> None:
+    async def story(world: World) -> None:
+        async def fail(side: Side, seen: Seen) -> None:
+            await side.answer(seen, status, b"why")
+
+        server = await world.server(fail)
+        answer = await (await world.client()).ask("/once/1")
+        assert (answer.status, answer.body) == (status, b"why")
+        assert answer.headers["response-signature"] == "sig-r1"
+        assert len(server.seen) == 1
+
+    play(story)
