Control role: operator's orders, heartbeats, drains and pulls, end to end

Checks, patches and digests of configurations are decided inside the register's swap, refusals on a value that a quorum confirmed. Servers are stated by the control nodes that hear them; a drain is acknowledged when another control node has it. Tests run three control nodes over loopback with a register in memory.

--- a/emberring/configuration/reading.py
+++ b/emberring/configuration/reading.py
@@ -40,7 +40,9 @@
     try:
         text = body.decode("utf-8")
         value = json.loads(text, object_pairs_hook=_unique, parse_constant=_no_constant)
-        json.dumps(value, ensure_ascii=False).encode("utf-8")
+        json.dumps(value, ensure_ascii=False, allow_nan=False).encode(
+            "utf-8"
+        )  # no infinity, no half character
     except (ValueError, RecursionError) as error:
         raise InvalidConfigurationError((f"not readable as JSON: {error}",)) from error
     if not isinstance(value, dict):
--- /dev/null
+++ b/emberring/control/board.py
@@ -0,0 +1,245 @@
+"""What a control node knows and states, in one place, and the wake-up of those who wait for something new."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable
+
+from emberring.configuration.state import ControlState
+from emberring.control.signal import Signal
+from emberring.distribution.contacts import Contacts, summed
+from emberring.distribution.facts import NodeFact, NodeRole, ServerFact
+from emberring.distribution.facts_store import FactStore
+from emberring.distribution.messages import Delta, Exchange, Exchanged
+from emberring.distribution.peers import Peer, PeerTable
+from emberring.registry.heartbeats import Heartbeat
+from emberring.registry.merge import level
+from emberring.registry.servers import ServerRegistry
+
+LONGEST_GAP_S = 1.0  # between ticks; after a longer one this node was frozen
+FORGET_ORIGIN_S = 60.0  # statements about nodes by an origin that has ended are dropped after so long
+HEARD_SPAN_S = 1.5  # heartbeats of so long are told in each exchange
+
+
+class Board:
+    """Statements, contacts, peers and servers of one control node. All calls give the time in seconds of the
+    steady clock; nothing here waits."""
+
+    def __init__(self, now_s: float, me: NodeFact, seeds: Iterable[str], heartbeat_s: float) -> None:
+        self.me = me
+        self.state = ControlState()
+        self.store = FactStore(me.incarnation)
+        self.peers = PeerTable(me, seeds)
+        self.contacts = Contacts()
+        self.registry = ServerRegistry(now_s, heartbeat_s)
+        self.quorum_age_s: Callable[[], float] = lambda: 0.0
+        self._news = Signal()
+        self._exchanges = Signal()
+        self._hurry = Signal()
+        self._last_tick_s = now_s
+        self._seen_origins: dict[str, float] = {}
+        self.store.state_node(me, present=True)
+
+    # -- waking
+
+    def changed(self) -> None:
+        """Wake all who wait for something new."""
+        self._news.give()
+
+    async def wait(self, timeout_s: float) -> None:
+        """Wait until something changes, or the time is over."""
+        await self._news.wait(timeout_s)
+
+    def exchanged(self) -> None:
+        """An exchange with another control node ended."""
+        self._exchanges.give()
+
+    async def wait_for_exchange(self, timeout_s: float) -> None:
+        """Wait until an exchange ends, or the time is over."""
+        await self._exchanges.wait(timeout_s)
+
+    def hurry(self, now_s: float) -> None:
+        """Have the other control nodes told at once."""
+        self.peers.hurry(now_s)
+        self._hurry.give()
+
+    async def wait_hurry(self, timeout_s: float) -> None:
+        """Wait until the others are to be told at once, or the time is over."""
+        await self._hurry.wait(timeout_s)
+
+    # -- the register's value
+
+    def take_state(self, state: ControlState) -> None:
+        """A chosen value of the register."""
+        self.state = state
+        self.changed()
+
+    # -- liveness
+
+    def live_origins(self, now_s: float) -> set[str]:
+        """Incarnations of the control nodes that live, this one too."""
+        return {self.me.incarnation, *(peer.origin for peer in self.peers.live(now_s))}
+
+    def live_nodes(self, now_s: float) -> list[NodeFact]:
+        """All nodes that live, as far as this control node knows."""
+        roles = (NodeRole.GATEWAY, NodeRole.STORE, NodeRole.CONTROL)
+        return list(self.store.live_nodes(self.live_origins(now_s), roles).values())
+
+    def gateways(self, now_s: float) -> int:
+        """How many gateways live; at least 1."""
+        live = self.store.live_nodes(self.live_origins(now_s), (NodeRole.GATEWAY,))
+        return max(1, sum(1 for fact in live.values() if not fact.leaving))
+
+    def load(self, now_s: float) -> dict[str, int]:
+        """Calls in flight by server id, over all gateways."""
+        return summed([self.contacts.load(now_s), *self.peers.loads(now_s)])
+
+    # -- nodes
+
+    def node_called(self, now_s: float, fact: NodeFact, load: dict[str, int]) -> None:
+        """A gateway or store pulled."""
+        if self.contacts.note(now_s, fact, load):
+            self._state_node(now_s, fact, present=True)
+
+    def _state_node(self, now_s: float, fact: NodeFact, present: bool) -> None:
+        self.store.state_node(fact, present)
+        self.hurry(now_s)
+        self.changed()
+
+    def _answer_other_incarnations(self, now_s: float, names: Iterable[str]) -> None:
+        """Where another control node has a newer incarnation of a node, this one's contact is with a dead one."""
+        for name in names:
+            mine = self.contacts.fact_of(name)
+            if mine is not None and self._elsewhere_as_another(mine):
+                self.contacts.drop(name)
+                self._state_node(now_s, mine, present=False)
+
+    def _elsewhere_as_another(self, mine: NodeFact) -> bool:
+        return any(
+            entry.present
+            and entry.origin != self.me.incarnation
+            and entry.fact.name == mine.name
+            and entry.fact.incarnation != mine.incarnation
+            for entry in self.store.node_entries()
+        )
+
+    # -- servers
+
+    def on_heartbeat(self, now_s: float, beat: Heartbeat) -> None:
+        """A server's heartbeat came here."""
+        listed = self.listed(now_s, beat.fact.id)
+        self.state_servers(now_s, self.registry.on_heartbeat(now_s, beat, self.store.servers(), listed))
+
+    def on_goodbye(self, now_s: float, server_id: str) -> None:
+        """A server said that it ends."""
+        self.state_servers(now_s, self.registry.on_goodbye(server_id, self.store.servers()))
+
+    def listed(self, now_s: float, server_id: str) -> bool:
+        """Whether a control node that lives has a statement about this server."""
+        live = self.live_origins(now_s)
+        return any(origin in live for origin in self.store.server_origins(server_id))
+
+    def state_servers(self, now_s: float, facts: list[ServerFact]) -> None:
+        """State these facts in this node's own name, and have them told at once."""
+        for fact in facts:
+            self.store.state_server(fact)
+        if facts:
+            self.hurry(now_s)
+            self.changed()
+
+    def holders_of_end(self, now_s: float, server_id: str) -> int:
+        """How many other control nodes that live know that this server drains or is gone."""
+        entries = [entry for entry in self.store.server_entries(server_id) if level(entry.fact.state) > 0]
+        return sum(
+            1
+            for peer in self.peers.live(now_s)
+            if any(peer.vector.get(entry.origin, 0) >= entry.number for entry in entries)
+        )
+
+    # -- other control nodes
+
+    def exchange_for(self, now_s: float, peer: Peer) -> Exchange:
+        """What to tell this control node now."""
+        return Exchange(
+            me=self.me,
+            to=peer.origin,
+            delta=self.store.newer_than(peer.vector) if peer.origin else Delta(),
+            vector=dict(self.store.vector),
+            heard=self.registry.heard_since(now_s - HEARD_SPAN_S),
+            load=self.contacts.load(now_s),
+        )
+
+    def on_exchange(self, now_s: float, said: Exchange) -> Exchanged:
+        """Another control node told this; the answer has what it lacks."""
+        if said.to != self.me.incarnation:
+            said = Exchange(said.me, "", Delta(), said.vector, said.heard, said.load)
+        self.take_exchange(now_s, said)
+        return Exchanged(
+            me=self.me,
+            delta=self.store.newer_than(said.vector),
+            vector=dict(self.store.vector),
+            heard=self.registry.heard_since(now_s - HEARD_SPAN_S),
+            load=self.contacts.load(now_s),
+        )
+
+    def take_exchange(self, now_s: float, said: Exchange | Exchanged) -> None:
+        """Take in what another control node said."""
+        if self.peers.take(now_s, said) is None:
+            return
+        mine = self.store.entry_of(said.me.name, self.me.incarnation)
+        if mine is None or not mine.present or mine.fact != said.me:
+            self._state_node(now_s, said.me, present=True)
+        self.registry.note_heard(now_s, said.heard)
+        learnt = self.store.take(said.delta)
+        if learnt:
+            self._learnt(now_s, learnt.servers, learnt.nodes)
+
+    def _learnt(self, now_s: float, servers: frozenset[str], nodes: frozenset[str]) -> None:
+        known = self.store.servers()
+        for server in servers:
+            if server in known:
+                self.state_servers(now_s, self.registry.on_learnt(now_s, known[server]))
+        self._answer_other_incarnations(now_s, nodes)
+        controls = [
+            e.fact for e in self.store.node_entries() if e.fact.role is NodeRole.CONTROL and e.present
+        ]
+        self.peers.note(now_s, [fact.address for fact in controls])
+        self.changed()
+
+    # -- time
+
+    def tick(self, now_s: float) -> None:
+        """To be called about ten times a second."""
+        gap_s, self._last_tick_s = now_s - self._last_tick_s, now_s
+        frozen = gap_s > LONGEST_GAP_S
+        if frozen:
+            self.contacts.renew(now_s)
+        else:
+            for fact in self.contacts.expired(now_s):
+                self._state_node(now_s, fact, present=False)
+            self._expire_peers(now_s)
+        alone = self.peers.others_exist() and not self.peers.live(now_s)
+        trusted = not frozen and not alone and self.quorum_age_s() < LONGEST_GAP_S
+        known = self.store.servers()
+        silent = self.registry.on_tick(now_s, known, lambda server: self.listed(now_s, server), trusted)
+        self.state_servers(now_s, silent)
+        for server in self.registry.forgettable(now_s, known):
+            self.store.forget_server(server)
+        self._forget(now_s)
+
+    def _expire_peers(self, now_s: float) -> None:
+        live = {peer.origin for peer in self.peers.live(now_s)}
+        for entry in list(self.store.node_entries()):
+            mine = entry.origin == self.me.incarnation and entry.present
+            other = entry.fact.role is NodeRole.CONTROL and entry.fact.incarnation != self.me.incarnation
+            if mine and other and entry.fact.incarnation not in live:
+                self._state_node(now_s, entry.fact, present=False)
+
+    def _forget(self, now_s: float) -> None:
+        for origin in self.live_origins(now_s):
+            self._seen_origins[origin] = now_s
+        for origin in list(self.store.vector):
+            seen_s = self._seen_origins.setdefault(origin, now_s)
+            if now_s - seen_s > FORGET_ORIGIN_S:
+                self.store.forget_origin(origin)
+                del self._seen_origins[origin]
+        self.peers.forget(now_s)
--- /dev/null
+++ b/emberring/control/exchanger.py
@@ -0,0 +1,69 @@
+"""Carries out the exchanges with other control nodes, and lets the board's time pass."""
+
+from __future__ import annotations
+
+import asyncio
+
+from emberring.control.board import Board
+from emberring.distribution.messages import Exchange, Exchanged
+from emberring.distribution.peers import Peer
+from emberring.errors import EmberringError
+from emberring.logs import get_logger
+from emberring.transport.network import Caller, Network
+
+TICK_S = 0.1
+EXCHANGE_TIMEOUT_S = 0.6
+
+logger = get_logger("control")
+
+
+class Exchanger:
+    """Runs the exchanges that are due, each in a task of its own, so that a silent node holds up no other."""
+
+    def __init__(self, network: Network, board: Board) -> None:
+        self._network = network
+        self._board = board
+        self._tasks: set[asyncio.Task[None]] = set()
+        network.handle(Exchange, self._on_exchange)
+
+    async def _on_exchange(self, said: Exchange, caller: Caller) -> Exchanged:
+        answer = self._board.on_exchange(asyncio.get_running_loop().time(), said)
+        self._board.exchanged()
+        return answer
+
+    async def run(self) -> None:
+        """Exchange and tick until cancelled."""
+        loop = asyncio.get_running_loop()
+        next_tick_s = loop.time()
+        while True:
+            if loop.time() >= next_tick_s:
+                next_tick_s = loop.time() + TICK_S
+                self._board.tick(loop.time())
+            for peer in self._board.peers.due(loop.time()):
+                self._begin(peer)
+            await self._board.wait_hurry(max(0.0, next_tick_s - loop.time()))
+
+    def _begin(self, peer: Peer) -> None:
+        self._board.peers.began(peer)
+        task = asyncio.get_running_loop().create_task(self._exchange(peer))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _exchange(self, peer: Peer) -> None:
+        loop = asyncio.get_running_loop()
+        answered = False
+        try:
+            said = self._board.exchange_for(loop.time(), peer)
+            answer = await self._network.call(peer.address, said, Exchanged, EXCHANGE_TIMEOUT_S)
+            self._board.take_exchange(loop.time(), answer)
+            answered = True
+        except EmberringError as error:
+            logger.debug("event=exchange_failed address=%s error=%s", peer.address, error.detail)
+        finally:
+            self._board.peers.ended(loop.time(), peer, answered)
+            self._board.exchanged()
+
+    async def stop(self) -> None:
+        """End the exchanges under way."""
+        for task in list(self._tasks):
+            task.cancel()
--- /dev/null
+++ b/emberring/control/heartbeat_desk.py
@@ -0,0 +1,41 @@
+"""Model servers' heartbeats and goodbyes. A drain is acknowledged when enough other control nodes know of it."""
+
+from __future__ import annotations
+
+import asyncio
+
+from emberring.control.board import Board
+from emberring.errors import NotReadyError
+from emberring.registry.heartbeats import read_heartbeat
+
+CONFIRM_TIMEOUT_S = 0.8
+
+
+class HeartbeatDesk:
+    """Takes heartbeats; `holders` is how many other control nodes must know of a drain, 0 where there are none."""
+
+    def __init__(self, board: Board, holders: int) -> None:
+        self._board = board
+        self._holders = holders
+
+    async def heartbeat(self, server_id: str, body: bytes) -> None:
+        """A server says how it is; `NotReadyError` where its drain could not be told to others in time."""
+        beat = read_heartbeat(server_id, body)
+        self._board.on_heartbeat(asyncio.get_running_loop().time(), beat)
+        if beat.draining:
+            await self._confirm(server_id)
+
+    async def goodbye(self, server_id: str) -> None:
+        """A server says that it ends; `NotReadyError` where that could not be told to others in time."""
+        self._board.on_goodbye(asyncio.get_running_loop().time(), server_id)
+        await self._confirm(server_id)
+
+    async def _confirm(self, server_id: str) -> None:
+        loop = asyncio.get_running_loop()
+        give_up_at = loop.time() + CONFIRM_TIMEOUT_S
+        while self._board.holders_of_end(loop.time(), server_id) < self._holders:
+            left_s = give_up_at - loop.time()
+            if left_s <= 0:
+                raise NotReadyError(f"no other control node knows yet that {server_id} ends")
+            self._board.hurry(loop.time())
+            await self._board.wait_for_exchange(left_s)
--- /dev/null
+++ b/emberring/control/http_server.py
@@ -0,0 +1,58 @@
+"""uvicorn inside a role's own loop, without handlers for signals of its own."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+from collections.abc import Generator
+from typing import Any
+
+import uvicorn
+
+KEEP_ALIVE_S = 30
+GRACE_S = 2
+BACKLOG = 1024
+
+
+class _QuietServer(uvicorn.Server):
+    @contextlib.contextmanager
+    def capture_signals(self) -> Generator[None, None, None]:
+        """Signals belong to the role."""
+        yield
+
+
+class HttpServer:
+    """Serves an ASGI program at one address."""
+
+    def __init__(self, app: Any, address: str) -> None:
+        host, _, port = address.rpartition(":")
+        config = uvicorn.Config(
+            app,
+            host=host,
+            port=int(port),
+            loop="none",
+            http="httptools",
+            ws="none",
+            lifespan="off",
+            interface="asgi3",
+            access_log=False,
+            log_config=None,
+            server_header=False,
+            date_header=False,
+            proxy_headers=False,
+            timeout_keep_alive=KEEP_ALIVE_S,
+            timeout_graceful_shutdown=GRACE_S,
+            backlog=BACKLOG,
+        )
+        self._server = _QuietServer(config)
+        self._task: asyncio.Task[None] | None = None
+
+    def start(self) -> None:
+        """Begin to listen in the background."""
+        self._task = asyncio.get_running_loop().create_task(self._server.serve())
+
+    async def stop(self) -> None:
+        """Take no more connections, finish the calls that are open, and end."""
+        self._server.should_exit = True
+        if self._task is not None:
+            await self._task
--- /dev/null
+++ b/emberring/control/node.py
@@ -0,0 +1,117 @@
+"""A control node put together: register, board, exchanges, feed, placement and the HTTP interface."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import uuid
+from collections.abc import Callable, Coroutine, Sequence
+from typing import Any
+
+import attrs
+
+from emberring.configuration.state import ControlState
+from emberring.control.app import ControlApp
+from emberring.control.board import Board
+from emberring.control.exchanger import Exchanger
+from emberring.control.feed import Feed
+from emberring.control.heartbeat_desk import HeartbeatDesk
+from emberring.control.operator_orders import OperatorOrders
+from emberring.control.placement_loop import PlacementLoop
+from emberring.control.register_port import Register
+from emberring.distribution.facts import NodeFact, NodeRole
+from emberring.distribution.messages import PlacementMoved, Pull
+from emberring.errors import EmberringError
+from emberring.logs import get_logger
+from emberring.settings import CONTROL_PORT_OFFSET, Settings
+from emberring.transport.messages import Ok
+from emberring.transport.network import Caller, Network
+
+NOTE_PEERS_EVERY_S = 0.2
+
+logger = get_logger("control")
+
+
+def new_incarnation() -> str:
+    """A name for this start of the process."""
+    return uuid.uuid4().hex[:12]
+
+
+class ControlNode:
+    """All parts of a control node but its HTTP listener. `seeds` are internal addresses of control nodes."""
+
+    def __init__(
+        self, settings: Settings, network: Network, register: Register, seeds: Sequence[str] | None = None
+    ) -> None:
+        loop = asyncio.get_running_loop()
+        me = NodeFact(
+            name=settings.node_name,
+            role=NodeRole.CONTROL,
+            address=settings.internal_address(CONTROL_PORT_OFFSET),
+            zone=settings.zone,
+            identity=register.identity,
+            incarnation=new_incarnation(),
+        )
+        tolerance = settings.fault_tolerance.machines
+        known = settings.internal_seeds() if seeds is None else tuple(seeds)
+        others = len(set(known) - {me.address})
+        self.board = Board(loop.time(), me, known, settings.heartbeat_ms / 1000)
+        self.board.quorum_age_s = register.majority_age_s
+        self._register = register
+        self._exchanger = Exchanger(network, self.board)
+        self._feed = Feed(self.board)
+        self._orders = OperatorOrders(register, self.board, tolerance)
+        self._placement = PlacementLoop(register, self.board, tolerance)
+        self.app = ControlApp(self._orders, HeartbeatDesk(self.board, min(others, max(1, tolerance))))
+        self._tasks: list[asyncio.Task[None]] = []
+        network.handle(Pull, self._feed.on_pull)
+        network.handle(PlacementMoved, self._on_moved)
+        register.subscribe(self._on_chosen)
+
+    def _on_chosen(self, value: bytes) -> None:
+        try:
+            self.board.take_state(ControlState.decode(value))
+        except EmberringError:
+            logger.exception("event=unreadable_state bytes=%d", len(value))
+
+    async def _on_moved(self, moved: PlacementMoved, caller: Caller) -> Ok:
+        await self._orders.moved(moved.shard, moved.epoch)
+        return Ok()
+
+    def start(self) -> None:
+        """Begin to exchange, plan and tell the register who lives."""
+        self._spawn(self._exchanger.run)
+        self._spawn(self._placement.run)
+        self._spawn(self._note_peers)
+
+    def _spawn(self, run: Callable[[], Coroutine[Any, Any, None]]) -> None:
+        self._tasks.append(asyncio.get_running_loop().create_task(run()))
+
+    async def _note_peers(self) -> None:
+        told: list[NodeFact] = []
+        while True:
+            now_s = asyncio.get_running_loop().time()
+            live = [fact for fact in self.board.live_nodes(now_s) if fact.role is NodeRole.CONTROL]
+            others = sorted((fact for fact in live if fact.name != self.board.me.name), key=lambda f: f.name)
+            if others != told:
+                told = others
+                self._register.note_peers(others)
+            await asyncio.sleep(NOTE_PEERS_EVERY_S)
+
+    def leave(self) -> None:
+        """Say that this node is about to end."""
+        now_s = asyncio.get_running_loop().time()
+        self.board.me = attrs.evolve(self.board.me, leaving=True)
+        self.board.peers.me = self.board.me
+        self.board.store.state_node(self.board.me, present=True)
+        self.board.hurry(now_s)
+        self.board.changed()
+
+    async def stop(self) -> None:
+        """End the work in the background."""
+        for task in self._tasks:
+            task.cancel()
+        for task in self._tasks:
+            with contextlib.suppress(asyncio.CancelledError):
+                await task
+        await self._exchanger.stop()
--- /dev/null
+++ b/emberring/control/operator_orders.py
@@ -0,0 +1,118 @@
+"""The operator's orders: configurations taken, read back, stores emptied. Each ends inside the operator's patience
+of one second; where the outcome is not known, the error makes no promise and the order comes again."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+
+import attrs
+
+from emberring.configuration.orders import Order, OrderKind, Refused, Taken, judge, read_order
+from emberring.configuration.state import ControlState
+from emberring.control.board import Board
+from emberring.control.register_port import Register
+from emberring.distribution.facts import NodeRole
+from emberring.errors import ConflictError, NotFoundError, NotReadyError
+from emberring.logs import get_logger
+from emberring.lots.placement import begin_retire, finish_move, retire_state
+
+ORDER_TIMEOUT_S = 0.8
+CUT_OFF_TIMEOUT_S = 0.25  # while no majority is in contact: the operator had better ask another node soon
+CUT_OFF_S = 1.2
+LARGE_BODY_BYTES = 256 * 1024
+LARGE_TIMEOUT_S = 1.6  # the operator waits longer for large bodies
+WARM_S = 3.0  # a node started less long ago may not know all stores yet
+
+logger = get_logger("control")
+
+
+class OperatorOrders:
+    """Carries out orders on the register."""
+
+    def __init__(self, register: Register, board: Board, tolerance: int) -> None:
+        self._register = register
+        self._board = board
+        self._tolerance = tolerance
+        self._started_s = asyncio.get_running_loop().time()
+
+    def _timeout_s(self, body_bytes: int = 0) -> float:
+        if self._register.majority_age_s() > CUT_OFF_S:
+            return CUT_OFF_TIMEOUT_S
+        return LARGE_TIMEOUT_S if body_bytes > LARGE_BODY_BYTES else ORDER_TIMEOUT_S
+
+    async def configure(self, kind: OrderKind, if_match: str | None, body: bytes) -> int:
+        """Take a configuration or a patch; the version that it made current, now or before."""
+        order = read_order(kind, if_match, body)
+        state = await self._swap(lambda state: _wanted(state, order), self._timeout_s(len(body)))
+        outcome = judge(state, order)  # on a value that a quorum holds: a refusal is certain
+        if isinstance(outcome, Refused):
+            raise outcome.error
+        logger.info("event=configuration_taken version=%d routes=%d", order.version, len(order.change))
+        return order.version
+
+    async def _swap(
+        self, wanted: Callable[[ControlState], ControlState | None], timeout_s: float
+    ) -> ControlState:
+        def decide(value: bytes | None) -> bytes | None:
+            state = wanted(ControlState.decode(value))
+            return state.encode() if state is not None else None
+
+        return ControlState.decode(await self._register.change(decide, timeout_s))
+
+    async def current(self) -> bytes:
+        """The newest configuration, whole; `NotFoundError` before the first one."""
+        state = ControlState.decode(await self._register.read(self._timeout_s()))
+        if not state.packed:
+            raise NotFoundError("no configuration has been taken yet")
+        return state.document
+
+    async def retire(self, name: str) -> str:
+        """Have a store emptied; its state."""
+        loop = asyncio.get_running_loop()
+        refusal: list[NotFoundError | ConflictError] = []
+
+        def wanted(state: ControlState) -> ControlState | None:
+            refusal.clear()
+            live = [fact for fact in self._board.live_nodes(loop.time()) if fact.role is NodeRole.STORE]
+            try:
+                placement = begin_retire(state.placement, name, live, self._tolerance)
+            except (NotFoundError, ConflictError) as error:
+                refusal.append(error)
+                return None
+            return None if placement == state.placement else attrs.evolve(state, placement=placement)
+
+        state = await self._swap(wanted, self._timeout_s())
+        if refusal:
+            self._must_be_certain(state)
+            raise refusal[0]
+        return retire_state(state.placement, name)
+
+    def _must_be_certain(self, state: ControlState) -> None:
+        """A node that has just started doesn't know all stores."""
+        warm = asyncio.get_running_loop().time() - self._started_s > WARM_S
+        if state.placement is None or not warm:
+            raise NotReadyError("the stores are not all known yet")
+
+    async def retirement(self, name: str) -> str:
+        """`active` or `completed`."""
+        state = ControlState.decode(await self._register.read(self._timeout_s()))
+        return retire_state(state.placement, name)
+
+    async def moved(self, shard: int, epoch: int) -> None:
+        """An owner says that a shard's records stand on its joining group."""
+
+        def wanted(state: ControlState) -> ControlState | None:
+            if state.placement is None:
+                return None
+            placement = finish_move(state.placement, shard, epoch)
+            return None if placement == state.placement else attrs.evolve(state, placement=placement)
+
+        await self._swap(wanted, self._timeout_s())
+
+
+def _wanted(state: ControlState, order: Order) -> ControlState | None:
+    outcome = judge(state, order)
+    if isinstance(outcome, Taken) and not outcome.again:
+        return outcome.state
+    return None
--- /dev/null
+++ b/emberring/control/placement_loop.py
@@ -0,0 +1,65 @@
+"""One control node at a time plans the placement of shards: of those that live, the one with the lowest name. Two
+that take each other for dead do no harm, as every plan goes through the register."""
+
+from __future__ import annotations
+
+import asyncio
+
+import attrs
+
+from emberring.configuration.state import ControlState
+from emberring.control.board import Board
+from emberring.control.register_port import Register
+from emberring.distribution.facts import NodeRole
+from emberring.errors import EmberringError
+from emberring.logs import get_logger
+from emberring.lots.placement import PlanMemory, plan
+
+PLAN_EVERY_S = 0.3
+CHANGE_TIMEOUT_S = 1.0
+
+logger = get_logger("control")
+
+
+class PlacementLoop:
+    """Compares the placement with the stores that live, and changes it where they differ."""
+
+    def __init__(self, register: Register, board: Board, tolerance: int) -> None:
+        self._register = register
+        self._board = board
+        self._tolerance = tolerance
+        self._memory = PlanMemory()
+
+    async def run(self) -> None:
+        """Plan until cancelled."""
+        while True:
+            await asyncio.sleep(PLAN_EVERY_S)
+            try:
+                await self._plan_once()
+            except EmberringError as error:
+                logger.info("event=placement_not_changed error=%s", error.detail)
+
+    async def _plan_once(self) -> None:
+        now_s = asyncio.get_running_loop().time()
+        live = self._board.live_nodes(now_s)
+        before = self._board.state.placement
+        wanted = plan(before, live, now_s, self._tolerance, self._memory)
+        if wanted is None or wanted == before or not self._in_charge(now_s):
+            return
+
+        def decide(value: bytes | None) -> bytes | None:
+            state = ControlState.decode(value)
+            if state.placement != before:
+                return None
+            return attrs.evolve(state, placement=wanted).encode()
+
+        await self._register.change(decide, CHANGE_TIMEOUT_S)
+        logger.info("event=placement_changed epoch=%d stores=%d", wanted.epoch, len(wanted.stores))
+
+    def _in_charge(self, now_s: float) -> bool:
+        """Whether this node plans now: it has a majority, and no live control node has a lower name."""
+        if self._register.majority_age_s() > 1.0:
+            return False
+        live = self._board.live_nodes(now_s)
+        names = [fact.name for fact in live if fact.role is NodeRole.CONTROL and not fact.leaving]
+        return not names or self._board.me.name <= min(names)
--- /dev/null
+++ b/emberring/control/register_port.py
@@ -0,0 +1,36 @@
+"""What the control role needs of the register."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Protocol
+
+from emberring.distribution.facts import NodeFact
+
+
+class Register(Protocol):
+    """A replicated value that is changed by compare-and-swap; `emberring.register.service.RegisterService`."""
+
+    identity: str
+
+    async def start(self) -> None:
+        """Read what the disk holds and begin to answer the other replicas."""
+
+    async def stop(self) -> None:
+        """End."""
+
+    async def change(self, decide: Callable[[bytes | None], bytes | None], timeout_s: float) -> bytes | None:
+        """Swap the value for `decide(value)`, or confirm it where that is None; the value that holds then.
+        `NoQuorumError` or `InDoubtError` where the outcome is not known."""
+
+    async def read(self, timeout_s: float) -> bytes | None:
+        """The value that a quorum holds."""
+
+    def subscribe(self, callback: Callable[[bytes], None]) -> None:
+        """Tell every chosen value that this node learns of, none older than one told before."""
+
+    def majority_age_s(self) -> float:
+        """How long ago a majority was in contact (seconds)."""
+
+    def note_peers(self, peers: list[NodeFact]) -> None:
+        """The other control nodes that live."""
--- /dev/null
+++ b/emberring/control/role.py
@@ -0,0 +1,43 @@
+"""The control role: a replica of the register, the operator's interface, and the servers' heartbeats."""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+from pathlib import Path
+
+from emberring.control.http_server import HttpServer
+from emberring.control.node import ControlNode
+from emberring.logs import get_logger
+from emberring.register.service import RegisterService
+from emberring.settings import CONTROL_PORT_OFFSET, Settings
+from emberring.transport.network import Network
+
+LEAVE_S = 0.3  # between the word that this node ends and its end
+
+logger = get_logger("control")
+
+
+async def run(settings: Settings) -> None:
+    """Run until SIGTERM."""
+    loop = asyncio.get_running_loop()
+    ended = asyncio.Event()
+    loop.add_signal_handler(signal.SIGTERM, ended.set)
+    loop.add_signal_handler(signal.SIGINT, ended.set)
+    loop.add_signal_handler(signal.SIGHUP, lambda: None)  # no setting of this role changes while it runs
+    network = Network()
+    register = RegisterService(settings, network, Path(settings.data_dir) / "register")
+    await register.start()
+    node = ControlNode(settings, network, register)
+    await network.listen(settings.internal_address(CONTROL_PORT_OFFSET))
+    node.start()
+    http = HttpServer(node.app, settings.listen.control_plane)
+    http.start()
+    logger.info("event=control_started identity=%s", register.identity)
+    await ended.wait()
+    node.leave()
+    await asyncio.sleep(LEAVE_S)
+    await http.stop()
+    await node.stop()
+    await register.stop()
+    await network.close()
--- /dev/null
+++ b/emberring/control/signal.py
@@ -0,0 +1,30 @@
+"""A wake-up for all tasks that wait at the moment."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+
+
+class Signal:
+    """Each `give` ends every `wait` that is under way, and none that begins later."""
+
+    def __init__(self) -> None:
+        self._waiting: set[asyncio.Future[None]] = set()
+
+    def give(self) -> None:
+        """Wake all who wait."""
+        for future in self._waiting:
+            if not future.done():
+                future.set_result(None)
+        self._waiting.clear()
+
+    async def wait(self, timeout_s: float) -> None:
+        """Wait for the next `give`, at most this long (seconds)."""
+        future = asyncio.get_running_loop().create_future()
+        self._waiting.add(future)
+        try:
+            with contextlib.suppress(TimeoutError):
+                await asyncio.wait_for(future, max(0.0, timeout_s))
+        finally:
+            self._waiting.discard(future)
--- a/emberring/distribution/facts_store.py
+++ b/emberring/distribution/facts_store.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Collection, Iterable, Mapping
 
 import attrs
 
@@ -63,6 +63,10 @@
         """Whose statements about this server are kept."""
         return self._servers.get(server_id, {}).keys()
 
+    def server_entries(self, server_id: str) -> Iterable[ServerEntry]:
+        """The statements about this server that are kept."""
+        return self._servers.get(server_id, {}).values()
+
     def node_entries(self) -> Iterable[NodeEntry]:
         """Every origin's newest statement about every node."""
         for by_origin in self._nodes.values():
@@ -72,6 +76,17 @@
         """What this origin stated last about a node."""
         return self._nodes.get(name, {}).get(origin)
 
+    def live_nodes(self, live: Collection[str], roles: Collection[NodeRole]) -> dict[str, NodeFact]:
+        """Nodes of these roles in contact with an origin that lives; of two incarnations the one told last."""
+        found: dict[str, NodeEntry] = {}
+        for entry in self.node_entries():
+            if not entry.present or entry.origin not in live or entry.fact.role not in roles:
+                continue
+            other = found.get(entry.fact.name)
+            if other is None or self.order_of(entry) > self.order_of(other):
+                found[entry.fact.name] = entry
+        return {name: entry.fact for name, entry in found.items()}
+
     def order_of(self, entry: NodeEntry) -> int:
         """When a statement about a node arrived here, as a number that rises."""
         return self._arrivals.get((entry.fact.name, entry.origin), 0)
--- a/emberring/distribution/follower.py
+++ b/emberring/distribution/follower.py
@@ -22,7 +22,7 @@
 PULLERS = 2
 WAIT_S = 0.5  # how long a control node may hold an answer back
 REPORT_WAIT_S = 0.3  # the same while this node reports calls in flight
-REPLY_SLACK_S = 0.7  # beyond that wait, an answer that has not come is not waited for
+REPLY_SLACK_S = 0.5  # beyond that wait, an answer that has not come is not waited for
 SHORTEST_PULL_S = 0.02  # many changes in a row are taken in bundles of this length
 
 logger = get_logger("distribution")
@@ -43,6 +43,7 @@
         self._network = network
         self._view: FollowerView | None = None
         self._sources = SourceChoice(seeds, random.Random(f"{me.name}/{me.incarnation}"))
+        self._gateways_told: dict[str, int] = {}
         self._callbacks: list[Callable[[], None]] = []
         self._tasks: list[asyncio.Task[None]] = []
 
@@ -127,7 +128,7 @@
             vector=dict(view.store.vector),
             configuration_version=view.configuration_version,
             placement_epoch=view.placement_epoch,
-            gateways=view.gateways,
+            gateways=self._gateways_told.get(address, 0),
             wait_ms=int(wait_s * 1000) if self._sources.settled(address) else 0,
             load=report() if report is not None and slot == 0 else {},
         )
@@ -137,6 +138,7 @@
             self._sources.failed(loop.time(), address)
             logger.debug("event=pull_failed address=%s error=%s", address, error.detail)
             return
+        self._gateways_told[address] = update.gateways
         self._sources.answered(loop.time(), address, update.quorum_age_ms / 1000)
         if self._take(loop.time(), view, update):
             self._tell()
--- a/emberring/distribution/messages.py
+++ b/emberring/distribution/messages.py
@@ -82,9 +82,11 @@
 @attrs.frozen
 class Exchange:
     """A control node tells another what that one lacks, and says what it has itself. `heard` has the newest
-    sequence by server id of heartbeats taken here lately, `load` the calls in flight that nodes told this one."""
+    sequence by server id of heartbeats taken here lately, `load` the calls in flight that nodes told this one.
+    `to` is the origin for which `delta` was made; any other takes nothing from it."""
 
     me: NodeFact
+    to: str
     delta: Delta
     vector: dict[str, int]
     heard: dict[str, int] = attrs.field(factory=dict)
--- /dev/null
+++ b/emberring/distribution/peers.py
@@ -0,0 +1,112 @@
+"""What a control node knows of the other control nodes: who lives, what each has, when to talk next. No sockets."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Mapping
+
+import attrs
+
+from emberring.distribution.facts import NodeFact
+from emberring.distribution.messages import Exchange, Exchanged
+
+EXCHANGE_EVERY_S = 0.3
+RETRY_S = 0.8  # an address that does not answer is tried again after so long
+LIVE_S = 1.3  # a control node that was not heard for so long counts as absent
+FORGET_S = 60.0  # an address that is no seed is forgotten after so long without a word
+LOAD_FRESH_S = 1.6  # loads told longer ago do not count
+
+
+@attrs.define
+class Peer:
+    """Another control node, by its address."""
+
+    address: str
+    seed: bool
+    known_since_s: float
+    fact: NodeFact | None = None
+    vector: dict[str, int] = attrs.field(factory=dict)
+    load: dict[str, int] = attrs.field(factory=dict)
+    heard_s: float = -1e9
+    told_s: float = -1e9
+    next_s: float = 0.0
+    busy: bool = False
+    again: bool = False
+
+    @property
+    def origin(self) -> str:
+        """The incarnation last heard; empty before the first word."""
+        return self.fact.incarnation if self.fact is not None else ""
+
+
+class PeerTable:
+    """The other control nodes by address."""
+
+    def __init__(self, me: NodeFact, seeds: Iterable[str]) -> None:
+        self.me = me
+        self._peers: dict[str, Peer] = {}
+        for address in seeds:
+            if address != me.address:
+                self._peers[address] = Peer(address, True, 0.0)
+
+    def note(self, now_s: float, addresses: Iterable[str]) -> None:
+        """Control nodes that may exist."""
+        for address in addresses:
+            if address != self.me.address and address not in self._peers:
+                self._peers[address] = Peer(address, False, now_s, next_s=now_s)
+
+    def take(self, now_s: float, said: Exchange | Exchanged) -> Peer | None:
+        """A control node said this; None if it is this very node."""
+        if said.me.incarnation == self.me.incarnation:
+            return None
+        self.note(now_s, [said.me.address])
+        peer = self._peers.get(said.me.address)
+        if peer is None:
+            return None
+        if peer.origin != said.me.incarnation:
+            peer.vector = {}
+        peer.fact, peer.heard_s = said.me, now_s
+        peer.load = said.load
+        for origin, number in said.vector.items():
+            peer.vector[origin] = max(number, peer.vector.get(origin, 0))
+        return peer
+
+    def live(self, now_s: float) -> list[Peer]:
+        """Those heard lately."""
+        return [peer for peer in self._peers.values() if now_s - peer.heard_s < LIVE_S]
+
+    def others_exist(self) -> bool:
+        """Whether there is any other control node as far as is known."""
+        return bool(self._peers)
+
+    def due(self, now_s: float) -> list[Peer]:
+        """Those to exchange with now."""
+        return [peer for peer in self._peers.values() if not peer.busy and peer.next_s <= now_s]
+
+    def hurry(self, now_s: float) -> None:
+        """Something changed that all live ones should have at once."""
+        for peer in self.live(now_s):
+            peer.next_s = now_s
+            peer.again = peer.busy
+
+    def began(self, peer: Peer) -> None:
+        """An exchange with this one is under way."""
+        peer.busy, peer.again = True, False
+
+    def ended(self, now_s: float, peer: Peer, answered: bool) -> None:
+        """The exchange ended."""
+        peer.busy = False
+        if peer.again and answered:
+            peer.next_s = now_s
+        else:
+            peer.next_s = now_s + (EXCHANGE_EVERY_S if answered else RETRY_S)
+
+    def loads(self, now_s: float) -> Iterable[Mapping[str, int]]:
+        """The loads that the live ones told."""
+        return [peer.load for peer in self._peers.values() if now_s - peer.heard_s < LOAD_FRESH_S]
+
+    def forget(self, now_s: float) -> None:
+        """Drop addresses that stayed silent."""
+        for address, peer in list(self._peers.items()):
+            silent_s = now_s - max(peer.heard_s, peer.known_since_s)
+            if not peer.seed and not peer.busy and silent_s > FORGET_S:
+                del self._peers[address]
--- a/emberring/distribution/view.py
+++ b/emberring/distribution/view.py
@@ -6,7 +6,7 @@
 from emberring.configuration.reading import unpack_configuration
 from emberring.distribution.facts import NodeFact, NodeRole, ServerFact, ServerState
 from emberring.distribution.facts_store import FactStore
-from emberring.distribution.messages import NodeEntry, Update
+from emberring.distribution.messages import Update
 from emberring.lots.placement import Placement
 
 ORPHAN_S = 10.0  # a server that no live control node lists for so long is dropped
@@ -15,9 +15,11 @@
     3.0  # without any configuration, one from a control node without a majority is taken after so long
 )
 FORGET_ORIGIN_S = 60.0  # statements about nodes by an origin that has ended are dropped after so long
+TOLD_S = 2.0  # what a control node told holds for so long after its last answer
 MAX_STEP_S = 1.0  # time that passes between two answers counts up to this: nothing ages while nobody answers
 
 _SHOWN = (ServerState.READY, ServerState.DRAINING)
+_SHOWN_ROLES = (NodeRole.STORE, NodeRole.CONTROL)
 
 
 class FollowerView:
@@ -30,6 +32,7 @@
         self.servers: dict[str, ServerFact] = {}
         self.nodes: dict[str, NodeFact] = {}
         self.gateways = 1
+        self._gateways_told: dict[str, tuple[float, int]] = {}
         self.server_load: dict[str, int] = {}
         self.configuration_version = 0
         self._started_s = now_s
@@ -80,7 +83,10 @@
         return True
 
     def _take_gateways(self, update: Update) -> bool:
-        before, self.gateways = self.gateways, max(1, update.gateways)
+        """The most that a control node told lately: a share that is too small costs less than one too large."""
+        self._gateways_told[update.origin] = (self._alive_s, update.gateways)
+        recent = [count for at_s, count in self._gateways_told.values() if self._alive_s - at_s < TOLD_S]
+        before, self.gateways = self.gateways, max(1, *recent)
         return before != self.gateways
 
     def _live(self, origin: str, within_s: float) -> bool:
@@ -91,6 +97,7 @@
             if self._alive_s - seen_s > FORGET_ORIGIN_S:
                 del self._origins_seen[origin]
                 self._answers.pop(origin, None)
+                self._gateways_told.pop(origin, None)
                 self.store.forget_origin(origin)
 
     def _show_servers(self) -> bool:
@@ -106,17 +113,10 @@
 
     def _show_nodes(self) -> bool:
         """Nodes that a live control node has contact with; of two incarnations the one told last."""
-        live = {origin for origin, (_, origins) in self._answers.items() if self._live(origin, 2.0)}
+        live = {origin for origin, (_, origins) in self._answers.items() if self._live(origin, TOLD_S)}
         for origin in list(live):
             live.update(self._answers[origin][1])
-        found: dict[str, NodeEntry] = {}
-        for entry in self.store.node_entries():
-            if not entry.present or entry.origin not in live or entry.fact.role is NodeRole.GATEWAY:
-                continue
-            other = found.get(entry.fact.name)
-            if other is None or self.store.order_of(entry) > self.store.order_of(other):
-                found[entry.fact.name] = entry
-        nodes = {name: entry.fact for name, entry in found.items()}
+        nodes = self.store.live_nodes(live, _SHOWN_ROLES)
         changed = nodes != self.nodes
         self.nodes = nodes
         return changed
--- /dev/null
+++ b/emberring/registry/heartbeats.py
@@ -0,0 +1,52 @@
+"""A model server's heartbeat, read from its call."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import attrs
+import orjson
+
+from emberring.distribution.facts import ServerFact, ServerState
+from emberring.errors import BadRequestError
+
+_STATES = {"ready": ServerState.READY, "draining": ServerState.DRAINING}
+
+
+@attrs.frozen
+class Heartbeat:
+    """What a server says of itself; `fact.sequence` rises with each call of the server."""
+
+    fact: ServerFact
+
+    @property
+    def draining(self) -> bool:
+        """Whether the server is about to end."""
+        return self.fact.state is ServerState.DRAINING
+
+
+def read_heartbeat(server_id: str, body: bytes) -> Heartbeat:
+    """The heartbeat in a call; `BadRequestError` where it is none. Fields that are not known are skipped."""
+    try:
+        table = orjson.loads(body)
+        fact = ServerFact(
+            id=server_id,
+            service=_text(table, "Service"),
+            address=_text(table, "Address"),
+            zone=str(table.get("Zone") or ""),
+            capacity=int(table.get("Capacity") or 0),
+            state=_STATES.get(str(table.get("State")), ServerState.READY),
+            sequence=int(table.get("Sequence") or 0),
+            cold_ms=float(table.get("ColdRemainingMs") or 0.0),
+            version=str(table.get("Version") or ""),
+        )
+    except (ValueError, TypeError, AttributeError, KeyError) as error:
+        raise BadRequestError(f"not a heartbeat: {error}") from error
+    return Heartbeat(fact)
+
+
+def _text(table: dict[str, Any], key: str) -> str:
+    value = table[key]
+    if not isinstance(value, str) or not value:
+        raise ValueError(f"{key} is missing")
+    return value
--- /dev/null
+++ b/emberring/registry/servers.py
@@ -0,0 +1,150 @@
+"""Which statements about model servers a control node makes: on heartbeats, goodbyes and silence. No sockets.
+
+The caller keeps the statements of all control nodes joined; this object decides what has to be added to them.
+Heartbeats that bring nothing new are only remembered, so that silence can be known.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Mapping
+
+import attrs
+
+from emberring.distribution.facts import ServerFact, ServerState
+from emberring.registry.heartbeats import Heartbeat
+from emberring.registry.merge import merged
+
+MISSED_BEATS = 4  # so many in a row, and a little more, are silence
+SILENCE_SLACK_S = 0.6
+ORPHAN_SLACK_S = (
+    6.0  # more patience with servers whose control node can't be asked: they may beat to it still
+)
+REUSE_QUIET_S = 1.0  # a server silent for so long has ended if another one beats from its address
+LONGEST_GAP_S = 1.0  # between ticks; after a longer one this node was frozen and has heard nobody
+FORGET_S = 120.0  # a server that is gone is forgotten after so long
+
+
+@attrs.define
+class _Heard:
+    sequence: int
+    at_s: float
+
+
+class ServerRegistry:
+    """What this control node heard of servers, itself or through the others."""
+
+    def __init__(self, now_s: float, heartbeat_s: float) -> None:
+        self._last_tick_s = now_s
+        self.silence_s = MISSED_BEATS * heartbeat_s + SILENCE_SLACK_S
+        self._heard: dict[str, _Heard] = {}
+        self._gone_since: dict[str, float] = {}
+
+    def heard_since(self, since_s: float) -> dict[str, int]:
+        """The newest sequence of servers heard at or after this time, by id."""
+        return {server: heard.sequence for server, heard in self._heard.items() if heard.at_s >= since_s}
+
+    def note_heard(self, now_s: float, sequences: Mapping[str, int]) -> None:
+        """Another control node took heartbeats of these servers."""
+        for server, sequence in sequences.items():
+            self._note(now_s, server, sequence)
+
+    def _note(self, now_s: float, server: str, sequence: int) -> bool:
+        heard = self._heard.get(server)
+        if heard is None:
+            self._heard[server] = _Heard(sequence, now_s)
+        elif sequence > heard.sequence:
+            heard.sequence, heard.at_s = sequence, now_s
+        else:
+            return False
+        return True
+
+    def on_heartbeat(
+        self, now_s: float, beat: Heartbeat, known: Mapping[str, ServerFact], listed: bool
+    ) -> list[ServerFact]:
+        """What to state after a heartbeat. `known` is the join of all statements; `listed` whether one about this
+        server is of a control node that lives."""
+        fact = beat.fact
+        self._note(now_s, fact.id, fact.sequence)
+        before = known.get(fact.id)
+        if before is None:
+            return [fact, *self._ended_at(now_s, fact, known)]
+        if fact.sequence < before.sequence and not beat.draining:
+            return []
+        after = merged(before, fact)
+        if before.state is ServerState.GONE or (listed and _alike(before, after)):
+            return []
+        return [after]
+
+    def _ended_at(self, now_s: float, fact: ServerFact, known: Mapping[str, ServerFact]) -> list[ServerFact]:
+        """Older servers at the address of a new one: they have ended."""
+        ended = []
+        for other in known.values():
+            if other.address != fact.address or other.id == fact.id or other.state is ServerState.GONE:
+                continue
+            heard = self._heard.get(other.id)
+            if heard is not None and now_s - heard.at_s > REUSE_QUIET_S:
+                ended.append(attrs.evolve(other, state=ServerState.GONE))
+        return ended
+
+    def on_goodbye(self, server_id: str, known: Mapping[str, ServerFact]) -> list[ServerFact]:
+        """What to state after a server said that it ends; a server never heard of is stated as well."""
+        before = known.get(server_id)
+        if before is None:
+            return [ServerFact(server_id, "", "", "", 0, ServerState.GONE, 0)]
+        if before.state is ServerState.GONE:
+            return []
+        return [attrs.evolve(before, state=ServerState.GONE)]
+
+    def on_learnt(self, now_s: float, fact: ServerFact) -> list[ServerFact]:
+        """What to state after others stated something: that a server lives which they took for lost."""
+        heard = self._heard.get(fact.id)
+        if fact.state is not ServerState.LOST or heard is None or heard.sequence <= fact.sequence:
+            return []
+        if now_s - heard.at_s > self.silence_s:
+            return []
+        return [attrs.evolve(fact, state=ServerState.READY, sequence=heard.sequence)]
+
+    def on_tick(
+        self,
+        now_s: float,
+        known: Mapping[str, ServerFact],
+        listed: Callable[[str], bool],
+        trusted: bool,
+    ) -> list[ServerFact]:
+        """What to state of servers that fell silent. Where silence proves nothing, as this node is cut off or was
+        frozen, `trusted` is false, and every server gets its patience anew."""
+        gap_s, self._last_tick_s = now_s - self._last_tick_s, now_s
+        if not trusted or gap_s > LONGEST_GAP_S:
+            for heard in self._heard.values():
+                heard.at_s = now_s
+            return []
+        return [lost for fact in known.values() if (lost := self._silent(now_s, fact, listed)) is not None]
+
+    def _silent(self, now_s: float, fact: ServerFact, listed: Callable[[str], bool]) -> ServerFact | None:
+        if fact.state not in (ServerState.READY, ServerState.DRAINING):
+            return None
+        heard = self._heard.setdefault(fact.id, _Heard(fact.sequence, now_s))
+        patience_s = self.silence_s if listed(fact.id) else self.silence_s + ORPHAN_SLACK_S
+        if now_s - heard.at_s <= patience_s:
+            return None
+        state = ServerState.GONE if fact.state is ServerState.DRAINING else ServerState.LOST
+        return attrs.evolve(fact, state=state, sequence=max(fact.sequence, heard.sequence))
+
+    def forgettable(self, now_s: float, known: Mapping[str, ServerFact]) -> list[str]:
+        """Servers gone or lost for long, of which nothing needs to be kept."""
+        out = {fact.id for fact in known.values() if fact.state in (ServerState.GONE, ServerState.LOST)}
+        for server in list(self._gone_since):
+            if server not in out:
+                del self._gone_since[server]
+        for server in out:
+            self._gone_since.setdefault(server, now_s)
+        old = [server for server, since_s in self._gone_since.items() if now_s - since_s > FORGET_S]
+        for server in old:
+            del self._gone_since[server]
+            self._heard.pop(server, None)
+        return old
+
+
+def _alike(first: ServerFact, second: ServerFact) -> bool:
+    """Whether two facts differ in nothing that other nodes need."""
+    return attrs.evolve(first, sequence=0, cold_ms=0.0) == attrs.evolve(second, sequence=0, cold_ms=0.0)
--- /dev/null
+++ b/tests/emberring/control/test_tier_control_node.py
@@ -0,0 +1,110 @@
+"""Control nodes over loopback: orders, heartbeats and drains, and what followers learn of them."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable, Callable
+
+from tier_control_fixture import Cluster, a_document, a_heartbeat, eventually
+
+from emberring.distribution.facts import NodeFact, NodeRole, ServerState
+from emberring.distribution.follower import Follower
+from emberring.transport.network import Network
+
+
+def on_cluster(scenario: Callable[[Cluster], Awaitable[None]], count: int = 3) -> None:
+    """Run a scenario on control nodes that are up."""
+
+    async def run() -> None:
+        cluster = Cluster(count)
+        await cluster.start()
+        try:
+            await eventually(
+                lambda: all(len(node.board.live_origins(now())) == count for node in alive(cluster))
+            )
+            await scenario(cluster)
+        finally:
+            await cluster.stop()
+
+    asyncio.run(asyncio.wait_for(run(), 30))
+
+
+def now() -> float:
+    return asyncio.get_running_loop().time()
+
+
+def alive(cluster: Cluster) -> list:
+    return [node for node in cluster.nodes if node is not None]
+
+
+class AFollower:
+    """A follower with a network of its own."""
+
+    def __init__(self, seeds: list[str], name: str = "edge-1", role: NodeRole = NodeRole.GATEWAY) -> None:
+        self.network = Network()
+        me = NodeFact(name, role, "127.0.0.1:1", "zone-0", incarnation=f"{name}-a")
+        self.follower = Follower(self.network, me, seeds)
+
+    async def __aenter__(self) -> Follower:
+        await self.follower.start()
+        return self.follower
+
+    async def __aexit__(self, *_: object) -> None:
+        await self.follower.stop()
+        await self.network.close()
+
+
+def test_a_configuration_reaches_a_follower_and_is_read_back() -> None:
+    async def scenario(cluster: Cluster) -> None:
+        async with AFollower(cluster.seeds) as follower:
+            answer = await cluster.http(0, "PUT", "/v1/config", a_document(3), If_Match="0")
+            assert answer.status == 200, answer.body
+            began = now()
+            await eventually(
+                lambda: follower.configuration is not None and follower.configuration.version == 3
+            )
+            assert now() - began < 0.5
+            read = await cluster.http(1, "GET", "/v1/config")
+            assert read.json == a_document(3)
+            patch = {"Version": 9, "Upsert": {"Routes": [a_document()["Routes"][0] | {"TimeoutMs": 5000}]}}
+            assert (await cluster.http(2, "PATCH", "/v1/config", patch, If_Match="3")).status == 200
+            await eventually(lambda: follower.configuration.version == 9)
+            assert follower.configuration.route_for("ONE.example", "/one/x").timeout_ms == 5000
+
+    on_cluster(scenario)
+
+
+def test_heartbeats_and_drains_reach_followers() -> None:
+    async def scenario(cluster: Cluster) -> None:
+        async with AFollower(cluster.seeds) as follower:
+            await eventually(lambda: bool(follower.nodes))
+            assert (await cluster.http(0, "PUT", "/v1/instances/i-1", a_heartbeat(1))).status == 200
+            await eventually(lambda: "i-1" in follower.servers, 0.5)
+            drain = await cluster.http(1, "PUT", "/v1/instances/i-1", a_heartbeat(2, "draining"))
+            assert drain.status == 200
+            holders = [node.board.store.servers()["i-1"].state for node in alive(cluster)]
+            assert holders.count(ServerState.DRAINING) >= 2
+            await eventually(lambda: follower.servers["i-1"].state is ServerState.DRAINING, 0.5)
+            late = await cluster.http(2, "PUT", "/v1/instances/i-1", a_heartbeat(1))
+            assert late.status == 200
+            assert (await cluster.http(0, "DELETE", "/v1/instances/i-1")).status == 200
+            await eventually(lambda: "i-1" not in follower.servers, 0.5)
+
+    on_cluster(scenario)
+
+
+def test_followers_know_nodes_gateways_and_loads() -> None:
+    async def scenario(cluster: Cluster) -> None:
+        async with (
+            AFollower(cluster.seeds, "edge-1") as first,
+            AFollower(cluster.seeds, "edge-2") as second,
+            AFollower(cluster.seeds, "store-1", NodeRole.STORE) as store,
+        ):
+            first.report = lambda: {"i-1": 2}
+            second.report = lambda: {"i-1": 3, "i-2": 1}
+            wanted = {"core-0", "core-1", "core-2", "store-1"}
+            await eventually(lambda: set(first.nodes) == wanted and set(store.nodes) == wanted)
+            await eventually(lambda: first.gateway_count == 2 and second.gateway_count == 2)
+            await eventually(lambda: first.server_load == {"i-1": 5, "i-2": 1})
+
+    on_cluster(scenario)
