Register: a replicated compare-and-swap value, changed in two quorum rounds

Cause: the operator's configuration must outlive kills, losses of power, lost disks and replaced machines. The replica set is part of the value; a set leaves it only on top of a state known to be chosen. The oldest segment is also reclaimed while appends wait.

--- a/emberring/journal/journal.py
+++ b/emberring/journal/journal.py
@@ -87,15 +87,19 @@
         self._reclaiming: asyncio.Task[None] | None = None
 
     @classmethod
-    def open(cls, directory: Path, segment_bytes: int, max_bytes: int) -> tuple[Journal, list[Record]]:
+    def open(
+        cls, directory: Path, segment_bytes: int, max_bytes: int, reclaim_above: int | None = None
+    ) -> tuple[Journal, list[Record]]:
         """Open or make the journal in a folder and read all records, oldest first. Blocks on the disk.
 
+        Segments are `segment_bytes` long, or as long as one record that is longer. The oldest is reclaimed while
+        more than `reclaim_above` bytes are in use; never are more than `max_bytes`.
         `DiskFailedError` where the disk refuses; `CorruptRecordError` where records that were synced are damaged,
         which no loss of power does: such a journal must not be trusted.
         """
         nonce = int.from_bytes(os.urandom(4), "little")
         try:
-            ring, records = Ring.open(DiskFolder(directory), segment_bytes, max_bytes, nonce)
+            ring, records = Ring.open(DiskFolder(directory), segment_bytes, max_bytes, nonce, reclaim_above)
         except OSError as error:
             raise DiskFailedError(f"{type(error).__name__}: {error}") from error
         return cls(ring), records
@@ -242,6 +246,7 @@
         with self._condition:
             self._full = True
             self._queue.extendleft(reversed(group))
+        self._post(self._finish, _Outcome(()))
 
     def _heal(self) -> None:
         with contextlib.suppress(DiskFailedError):
@@ -269,15 +274,19 @@
         self._reclaim_when_crowded()
 
     def _reclaim_when_crowded(self) -> None:
-        if self._rewriter is None or self._reclaiming is not None or not self._ring.crowded:
+        if self._rewriter is None or self._reclaiming is not None or not self._wants_reclaim:
             return
         self._reclaiming = asyncio.get_running_loop().create_task(self._reclaim(self._rewriter))
 
+    @property
+    def _wants_reclaim(self) -> bool:
+        return self._full or self._ring.crowded
+
     async def _reclaim(self, rewriter: Rewriter) -> None:
         """Empty the oldest segments until there is room again, each at most once."""
         try:
             newest = max(self._ring.numbers, default=0)
-            while self._ring.crowded and not self._stopping:
+            while self._wants_reclaim and not self._stopping:
                 number = self._ring.oldest
                 if number is None or number > newest:
                     break
--- a/emberring/journal/ring.py
+++ b/emberring/journal/ring.py
@@ -56,12 +56,19 @@
 
 
 class Ring:
-    """The segments in use, the files that are free, and the end of the newest segment. Sizes are in bytes."""
+    """The segments in use, the files that are free, and the end of the newest segment. Sizes are in bytes.
 
-    def __init__(self, folder: Folder, segment_bytes: int, max_bytes: int, nonce: int) -> None:
+    The oldest segment is to be reclaimed while more than `reclaim_above` is in use, by default all but a reserve.
+    """
+
+    def __init__(
+        self, folder: Folder, segment_bytes: int, max_bytes: int, nonce: int, reclaim_above: int | None = None
+    ) -> None:
         self._folder = folder
         self._segment_bytes = segment_bytes
         self._max_bytes = max(max_bytes, (RESERVED_SEGMENTS + 2) * segment_bytes)
+        reserve = self._max_bytes - RESERVED_SEGMENTS * segment_bytes
+        self._reclaim_above = reserve if reclaim_above is None else min(reserve, reclaim_above)
         self._nonce = nonce
         self._used: dict[int, _Slot] = {}
         self._free: deque[_Slot] = deque()
@@ -71,10 +78,10 @@
 
     @classmethod
     def open(
-        cls, folder: Folder, segment_bytes: int, max_bytes: int, nonce: int
+        cls, folder: Folder, segment_bytes: int, max_bytes: int, nonce: int, reclaim_above: int | None = None
     ) -> tuple[Ring, list[Record]]:
         """The ring in this folder with all its records in order; `CorruptRecordError` where synced ones are damaged."""
-        ring = cls(folder, segment_bytes, max_bytes, nonce)
+        ring = cls(folder, segment_bytes, max_bytes, nonce, reclaim_above)
         return ring, ring._recover()
 
     def _recover(self) -> list[Record]:
@@ -129,7 +136,7 @@
     @property
     def crowded(self) -> bool:
         """Whether the oldest segment should be released soon."""
-        return self.used_bytes + RESERVED_SEGMENTS * self._segment_bytes > self._max_bytes
+        return self.used_bytes > self._reclaim_above
 
     def release(self, number: int) -> None:
         """The records of the oldest segment are needed no longer; its file may be used again."""
--- /dev/null
+++ b/emberring/register/keeper.py
@@ -0,0 +1,110 @@
+"""Whether, and by which node, the replica set is to be changed now."""
+
+from __future__ import annotations
+
+import attrs
+
+from emberring.register.changes import Candidate, View, next_set
+from emberring.register.contacts import Contacts
+from emberring.register.model import Member, Proposal, ReplicaSet
+
+IN_TOUCH_S = 1.0
+RANK_DELAY_S = 0.5
+JOINER_WAIT_S = 1.0
+NAME_SILENT_S = 0.5
+
+
+@attrs.frozen
+class SetStep:
+    """A wanted step from one replica set to the next."""
+
+    previous: ReplicaSet
+    following: ReplicaSet
+
+
+class SetKeeper:
+    """Plans steps from what the contacts show. Replicas further down the set wait longer before they act."""
+
+    def __init__(self, me: Member, wanted: int, contacts: Contacts) -> None:
+        self._me = me
+        self._wanted = wanted
+        self._contacts = contacts
+        self._wanted_since: float | None = None
+        self._joint_epoch = -1
+        self._joint_since = 0.0
+
+    def step(self, now_s: float, learned: Proposal | None) -> SetStep | None:
+        """The step that this node should propose now, on top of what it knows to be chosen."""
+        following = None if learned is None else self._following(now_s, learned)
+        if following is None or learned is None:
+            self._wanted_since = None
+            return None
+        if self._wanted_since is None:
+            self._wanted_since = now_s
+        current = learned.state.replicas
+        if now_s - self._wanted_since < self._rank(now_s, current) * RANK_DELAY_S:
+            return None
+        return SetStep(current, following)
+
+    def _following(self, now_s: float, learned: Proposal) -> ReplicaSet | None:
+        current = learned.state.replicas
+        if not self._contacts.voting or not current.names(self._me.identity):
+            return None
+        if self._contacts.quorum_age_s(now_s, current) > IN_TOUCH_S:
+            return None
+        if current.joining and not self._joiners_hold(now_s, learned):
+            return None
+        return next_set(current, self._view(now_s, current), self._wanted)
+
+    def _joiners_hold(self, now_s: float, learned: Proposal) -> bool:
+        """Whether the new replicas have the value, or have had their time."""
+        current = learned.state.replicas
+        if self._joint_epoch != current.epoch:
+            self._joint_epoch, self._joint_since = current.epoch, now_s
+        if now_s - self._joint_since > JOINER_WAIT_S:
+            return True
+        for member in current.joining:
+            if member in current.members or member.identity == self._me.identity:
+                continue
+            held = self._contacts.learned(member)
+            if held is None or held < learned.ballot:
+                return False
+        return True
+
+    def _rank(self, now_s: float, current: ReplicaSet) -> int:
+        """How many replicas that are in touch come before this one."""
+        rank = 0
+        for member in current.everyone:
+            if member.identity == self._me.identity:
+                break
+            if self._contacts.silent_s(now_s, member) < IN_TOUCH_S:
+                rank += 1
+        return rank
+
+    def _view(self, now_s: float, current: ReplicaSet) -> View:
+        contacts = self._contacts
+        silent = {member.identity: contacts.silent_s(now_s, member) for member in current.members}
+        displaced: dict[str, str] = {}
+        replaced: dict[str, str] = {}
+        candidates = {
+            peer.member.identity: Candidate(peer.member, peer.zone)
+            for peer in contacts.peers
+            if not peer.leaving and contacts.heard_s(now_s, peer.member) < IN_TOUCH_S
+        }
+        for member in current.members:
+            other = contacts.displaced_by(member)
+            if other is not None:
+                displaced[member.identity] = other.identity
+                if contacts.heard_s(now_s, other) < IN_TOUCH_S:
+                    candidates.setdefault(other.identity, Candidate(other))
+            namesake = contacts.namesake(member)
+            if namesake in candidates and silent[member.identity] > NAME_SILENT_S:
+                replaced[member.identity] = namesake
+        return View(
+            silent_s=silent,
+            displaced=displaced,
+            leaving=frozenset(peer.member.identity for peer in contacts.peers if peer.leaving),
+            replaced=replaced,
+            zones={peer.member.identity: peer.zone for peer in contacts.peers},
+            candidates=tuple(candidates[name] for name in sorted(candidates)),
+        )
