--- a/emberring/cli/__init__.py
+++ b/emberring/cli/__init__.py
@@ -1,1 +1,1 @@
-"""The command line: one module for each role and tool."""
+"""The command line's tools: one module a concern, imported only for tools, never by a role."""
--- /dev/null
+++ b/emberring/cli/app.py
@@ -0,0 +1,38 @@
+"""The command `emberring`: all tools in one typer app. Roles do not import this module."""
+
+from __future__ import annotations
+
+import typer
+
+from emberring.cli import check_commands, config_commands, retire_command, role_commands
+from emberring.cli.printing import EXIT_CODES_TEXT, ExitCode, complain, exit_code_of
+from emberring.errors import EmberringError
+
+ROLES = "Roles"
+TOOLS = "Tools"
+
+app = typer.Typer(
+    name="emberring",
+    no_args_is_help=True,
+    add_completion=False,
+    pretty_exceptions_enable=False,
+    help="A serving tier for model servers with a batch interface. Begin with `emberring try`.",
+    epilog=EXIT_CODES_TEXT,
+)
+for role in (role_commands.gateway, role_commands.control, role_commands.store):
+    app.command(rich_help_panel=ROLES)(role)
+app.add_typer(config_commands.app, name="config", help="Check, compare, read and change the configuration.")
+app.add_typer(check_commands.app, name="check", help="Check settings, and what a node keeps on disk.")
+app.command(epilog=EXIT_CODES_TEXT)(retire_command.retire)
+
+
+def main(arguments: list[str] | None = None) -> int:
+    """Run a tool; its exit code."""
+    try:
+        app(args=arguments, prog_name="emberring")
+    except SystemExit as end:
+        return end.code if isinstance(end.code, int) else int(ExitCode.DONE)
+    except EmberringError as error:
+        complain(error.detail or error.kind.value)
+        return int(exit_code_of(error))
+    return int(ExitCode.DONE)
--- /dev/null
+++ b/emberring/cli/config_commands.py
@@ -0,0 +1,164 @@
+"""`emberring config`: check, compare, read and change the configuration."""
+
+from __future__ import annotations
+
+from pathlib import Path
+from typing import Annotated, Any
+
+import attrs
+import orjson
+import typer
+
+from emberring.cli.config_diff import differences
+from emberring.cli.control_plane import order
+from emberring.cli.places import ControlOption, JsonOption, TimeoutOption, control_addresses
+from emberring.cli.printing import EXIT_CODES_TEXT, ExitCode, complain, leave, print_json, print_line
+from emberring.configuration.checks import mistakes_in
+from emberring.configuration.reading import read_strictly
+from emberring.errors import BadRequestError, InvalidConfigurationError
+
+LIVE = "live"  # stands for the configuration that is in force
+DEFAULT_TIMEOUT_S = 10.0
+
+app = typer.Typer(no_args_is_help=True, epilog=EXIT_CODES_TEXT)
+
+FileArgument = Annotated[Path, typer.Argument(metavar="FILE", help="A configuration in JSON.")]
+
+
+def read_file(path: Path) -> bytes:
+    """The bytes of a file; `BadRequestError` where it can't be read."""
+    try:
+        return path.read_bytes()
+    except OSError as error:
+        raise BadRequestError(f"{path}: {error.strerror or error}") from error
+
+
+def mistakes_of(content: bytes) -> tuple[str, ...]:
+    """Every mistake in a whole configuration."""
+    try:
+        return mistakes_in(read_strictly(content))
+    except InvalidConfigurationError as error:
+        return error.mistakes
+
+
+@app.command(epilog=EXIT_CODES_TEXT)
+def check(file: FileArgument, as_json: JsonOption = False) -> None:
+    """Check a whole configuration without sending it; every mistake is named."""
+    mistakes = mistakes_of(read_file(file))
+    if as_json:
+        print_json({"File": str(file), "Valid": not mistakes, "Mistakes": mistakes})
+    elif not mistakes:
+        print_line(f"{file}: valid")
+    for mistake in mistakes if not as_json else ():
+        complain(f"{file}: {mistake}")
+    if mistakes:
+        leave(ExitCode.REFUSED)
+
+
+@app.command(epilog=EXIT_CODES_TEXT)
+def diff(
+    before: Annotated[str, typer.Argument(help=f"A file, or '{LIVE}' for the one in force.")],
+    after: Annotated[str, typer.Argument(help=f"A file, or '{LIVE}' for the one in force.")],
+    control: ControlOption = None,
+    timeout: TimeoutOption = DEFAULT_TIMEOUT_S,
+    as_json: JsonOption = False,
+) -> None:
+    """Show what differs between two configurations. Exit code 1 where something does."""
+    found = differences(_load(before, control, timeout), _load(after, control, timeout))
+    if as_json:
+        print_json([attrs.asdict(item) for item in found])
+    else:
+        for item in found:
+            print_line(item.text())
+    if found:
+        leave(ExitCode.REFUSED)
+
+
+def _load(place: str, control: list[str] | None, timeout_s: float) -> dict[str, Any]:
+    if place == LIVE:
+        return _live(control, timeout_s)
+    try:
+        return read_strictly(read_file(Path(place)))
+    except InvalidConfigurationError as error:
+        raise BadRequestError(f"{place}: {error.detail}") from error
+
+
+def _live(control: list[str] | None, timeout_s: float) -> dict[str, Any]:
+    found = order(control_addresses(control), "GET", "/v1/config", within_s=timeout_s)
+    if not isinstance(found, dict):
+        raise BadRequestError("the control node's answer is no configuration")
+    return found
+
+
+@app.command(epilog=EXIT_CODES_TEXT)
+def get(
+    control: ControlOption = None,
+    output: Annotated[Path | None, typer.Option("--output", "-o", help="Write it to a file.")] = None,
+    timeout: TimeoutOption = DEFAULT_TIMEOUT_S,
+    as_json: JsonOption = False,
+) -> None:
+    """Read the configuration in force; it is JSON in any case."""
+    found = _live(control, timeout)
+    if output is None:
+        print_json(found)
+        return
+    output.write_bytes(orjson.dumps(found, option=orjson.OPT_INDENT_2) + b"\n")
+    if as_json:
+        print_json({"File": str(output), "Version": found.get("Version")})
+    else:
+        print_line(f"{output}: version {found.get('Version')}")
+
+
+IfMatchOption = Annotated[
+    int | None,
+    typer.Option("--if-match", min=0, help="The version that it builds on. Default: the one in force."),
+]
+
+
+@app.command(epilog=EXIT_CODES_TEXT)
+def put(
+    file: FileArgument,
+    control: ControlOption = None,
+    if_match: IfMatchOption = None,
+    timeout: TimeoutOption = DEFAULT_TIMEOUT_S,
+    as_json: JsonOption = False,
+) -> None:
+    """Bring a whole configuration into force; it is checked before it is sent."""
+    content = read_file(file)
+    mistakes = mistakes_of(content)
+    if mistakes:
+        raise InvalidConfigurationError(mistakes)
+    _send("PUT", content, control, if_match, timeout, as_json)
+
+
+@app.command(epilog=EXIT_CODES_TEXT)
+def patch(
+    file: Annotated[Path, typer.Argument(metavar="FILE", help="Version, Upsert and Remove in JSON.")],
+    control: ControlOption = None,
+    if_match: IfMatchOption = None,
+    timeout: TimeoutOption = DEFAULT_TIMEOUT_S,
+    as_json: JsonOption = False,
+) -> None:
+    """Change named items of the configuration in force."""
+    content = read_file(file)
+    read_strictly(content)
+    _send("PATCH", content, control, if_match, timeout, as_json)
+
+
+def _send(
+    method: str,
+    content: bytes,
+    control: list[str] | None,
+    if_match: int | None,
+    timeout_s: float,
+    as_json: bool,
+) -> None:
+    controls = control_addresses(control)
+    base = if_match if if_match is not None else int(_live(control, timeout_s).get("Version") or 0)
+    headers = {"If-Match": str(base)}
+    order(controls, method, "/v1/config", content=content, headers=headers, within_s=timeout_s)
+    version = read_strictly(content).get("Version")
+    if as_json:
+        print_json({"Taken": True, "Version": version, "BuiltOn": base})
+    else:
+        print_line(f"version {version} is in force (built on {base})")
--- /dev/null
+++ b/emberring/cli/control_plane.py
@@ -0,0 +1,59 @@
+"""Calls of the tools to the control plane's HTTP interface."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Mapping, Sequence
+from typing import Any
+
+import orjson
+
+from emberring.errors import EmberringError, InDoubtError, PeerUnavailableError, error_from_wire
+from emberring.standin.operator import Operator, OrderOutcome
+
+_KIND_OF_STATUS = {
+    400: "bad_request",
+    404: "not_found",
+    409: "conflict",
+    412: "version_conflict",
+    413: "too_large",
+    422: "bad_request",
+}
+
+
+def order(
+    controls: Sequence[str],
+    method: str,
+    path: str,
+    *,
+    content: bytes = b"",
+    headers: Mapping[str, str] | None = None,
+    within_s: float,
+) -> Any:
+    """The answer's JSON to an order that was taken; otherwise the error that fits."""
+    operator = Operator(controls)
+    outcome = asyncio.run(operator.order(method, path, content, headers or {}, within_s))
+    if outcome.acknowledged:
+        return orjson.loads(outcome.body or b"{}")
+    raise _error(outcome, controls, method)
+
+
+def _error(outcome: OrderOutcome, controls: Sequence[str], method: str) -> EmberringError:
+    told = _told(outcome.body)
+    if outcome.status == 0:
+        where = ", ".join(controls)
+        detail = f"no clear answer from {where} after {outcome.tries} tries in {outcome.took_s:.1f} s"
+        last = f" (last: {told.get('Detail')})" if told.get("Detail") else ""
+        if method == "GET":
+            return PeerUnavailableError(detail + last)
+        return InDoubtError(f"{detail}{last}: the order may or may not have been taken")
+    kind = told.get("Error") or _KIND_OF_STATUS.get(outcome.status, "internal")
+    return error_from_wire(str(kind), str(told.get("Detail") or f"answered {outcome.status}"))
+
+
+def _told(body: bytes) -> dict[str, Any]:
+    try:
+        found = orjson.loads(body)
+    except orjson.JSONDecodeError:
+        return {}
+    return found if isinstance(found, dict) else {}
--- /dev/null
+++ b/tests/emberring/cli/test_tier_cli.py
@@ -0,0 +1,182 @@
+"""The tools as a user calls them: outputs, exit codes, errors, without any node."""
+
+from __future__ import annotations
+
+import copy
+import json
+
+import pytest
+
+from emberring.cli.app import main
+from emberring.cli.config_diff import differences
+from emberring.standin.configurations import trial_configuration
+
+NODE = """
+NodeName = "core-1"
+Ip = "127.0.0.1"
+Zone = "a"
+PortRange = [7720, 7735]
+SeedNodes = ["127.0.0.1:9"]
+"""
+
+
+@pytest.fixture(autouse=True)
+def no_known_control(monkeypatch):
+    monkeypatch.delenv("EMBERRING_CONTROL", raising=False)
+    monkeypatch.delenv("EMBERRING_NODE_FILE", raising=False)
+
+
+@pytest.fixture
+def files(tmp_path):
+    def write(name: str, content: object) -> str:
+        place = tmp_path / name
+        place.write_text(content if isinstance(content, str) else json.dumps(content))
+        return str(place)
+
+    return write
+
+
+@pytest.mark.parametrize(
+    "words",
+    [
+        [],
+        ["config"],
+        ["config", "check"],
+        ["config", "diff"],
+        ["config", "get"],
+        ["config", "put"],
+        ["config", "patch"],
+        ["check"],
+        ["check", "settings"],
+        ["retire"],
+        ["gateway"],
+        ["control"],
+        ["store"],
+    ],
+    ids=" ".join,
+)
+def test_every_command_has_a_help(words, capsys):
+    assert main([*words, "--help"]) == 0
+    assert "Usage: emberring" in capsys.readouterr().out
+
+
+@pytest.mark.parametrize("words", [["nosuch"], ["config", "nosuch"], ["retire"], ["config", "put"]])
+def test_a_wrong_call_ends_with_2(words, capsys):
+    assert main(words) == 2
+    assert "Usage: emberring" in capsys.readouterr().err
+
+
+def test_a_valid_configuration(files, capsys):
+    place = files("c.json", trial_configuration())
+    assert main(["config", "check", place]) == 0
+    assert capsys.readouterr().out == f"{place}: valid\n"
+    assert main(["config", "check", place, "--json"]) == 0
+    assert json.loads(capsys.readouterr().out) == {"File": place, "Valid": True, "Mistakes": []}
+
+
+def test_every_mistake_of_a_configuration_is_named(files, capsys):
+    wrong = trial_configuration()
+    wrong["Routes"][0]["TimeoutMs"] = 0
+    wrong["Routes"][1]["Service"] = "nobody"
+    place = files("c.json", wrong)
+    assert main(["config", "check", place]) == 1
+    told = capsys.readouterr()
+    assert told.out == ""
+    assert len(told.err.splitlines()) == 2
+    assert main(["config", "check", place, "--json"]) == 1
+    assert len(json.loads(capsys.readouterr().out)["Mistakes"]) == 2
+
+
+@pytest.mark.parametrize(
+    ("text", "code", "said"),
+    [
+        (None, 2, "No such file"),
+        ('{"Version": 1', 1, "not readable"),
+        ('{"Version": 1, "Version": 2}', 1, "twice"),
+        ("[]", 1, "not a JSON object"),
+    ],
+)
+def test_a_file_that_cannot_be_read(text, code, said, files, tmp_path, capsys):
+    place = files("c.json", text) if text is not None else str(tmp_path / "none")
+    assert main(["config", "check", place]) == code
+    assert said in capsys.readouterr().err
+
+
+def changed(**more: object) -> dict[str, object]:
+    document = copy.deepcopy(trial_configuration())
+    document["Routes"][0].update(more)
+    return document
+
+
+@pytest.mark.parametrize(
+    ("after", "texts"),
+    [
+        (trial_configuration(), []),
+        (trial_configuration(2), ["changed configuration Version: 1 -> 2"]),
+        (changed(TimeoutMs=9), ["changed route explain TimeoutMs: 5000 -> 9"]),
+        (changed(Name="other"), ["removed route explain", "added route other"]),
+        ({**trial_configuration(), "Services": []}, ["removed service ledger-llm"]),
+        (
+            {**trial_configuration(), "Limits": {**trial_configuration()["Limits"], "IdleTimeoutMs": 1}},
+            ["changed limits IdleTimeoutMs: 15000 -> 1"],
+        ),
+    ],
+)
+def test_differences(after, texts):
+    assert [item.text() for item in differences(trial_configuration(), after)] == texts
+
+
+def test_diff_ends_with_1_where_something_differs(files, capsys):
+    one, two = files("1.json", trial_configuration()), files("2.json", trial_configuration(5))
+    assert main(["config", "diff", one, one]) == 0
+    assert main(["config", "diff", one, two]) == 1
+    assert capsys.readouterr().out == "changed configuration Version: 1 -> 5\n"
+    assert main(["config", "diff", one, two, "--json"]) == 1
+    assert json.loads(capsys.readouterr().out)[0]["after"] == 5
+    assert main(["config", "diff", one, files("3.json", "{")]) == 2
+
+
+@pytest.mark.parametrize("words", [["config", "get"], ["retire", "store-1"]])
+def test_without_a_control_node_the_call_cannot_be_carried_out(words, capsys):
+    assert main(words) == 2
+    assert "no control node is known" in capsys.readouterr().err
+
+
+@pytest.mark.parametrize(
+    ("words", "said"),
+    [
+        (["config", "get"], "no clear answer"),
+        (["retire", "store-1"], "may or may not"),
+    ],
+)
+def test_silence_ends_with_3(words, said, capsys):
+    assert main([*words, "--control", "127.0.0.1:9", "--timeout", "0.1"]) == 3
+    assert said in capsys.readouterr().err
+
+
+def test_the_settings_file_and_the_variable_name_control_nodes(files, monkeypatch, capsys):
+    monkeypatch.setenv("EMBERRING_NODE_FILE", files("node.toml", NODE))
+    assert main(["config", "get", "--timeout", "0.1"]) == 3
+    assert "127.0.0.1:9" in capsys.readouterr().err
+    monkeypatch.setenv("EMBERRING_CONTROL", "127.0.0.1:10, 127.0.0.1:11")
+    assert main(["config", "get", "--timeout", "0.1"]) == 3
+    assert "127.0.0.1:10, 127.0.0.1:11" in capsys.readouterr().err
+    assert main(["config", "get", "--control", "nonsense"]) == 2
+
+
+def test_a_configuration_with_mistakes_is_not_sent(files, capsys):
+    wrong = {**trial_configuration(), "Services": []}
+    assert main(["config", "put", files("c.json", wrong), "--control", "127.0.0.1:9"]) == 1
+    assert "unknown" in capsys.readouterr().err
+
+
+def test_settings_are_checked_whole(files, capsys):
+    place = files("node.toml", NODE)
+    assert main(["check", "settings", place]) == 0
+    assert main(["check", "settings", place, "--json"]) == 0
+    capsys.readouterr()
+    wrong = files("wrong.toml", NODE.replace('Zone = "a"', "Zone = 3").replace("7720, ", ""))
+    assert main(["check", "settings", wrong]) == 2
+    error = capsys.readouterr().err
+    assert "Zone" in error
+    assert "PortRange" in error
