--- /dev/null
+++ b/tests/emberring/gateway/test_tier_gateway_failures.py
@@ -0,0 +1,649 @@
+"""Servers that fail: what may be sent again, what is answered, and that no answer is another's."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+
+import pytest
+from gateway_world import (
+    Script,
+    Seen,
+    Side,
+    World,
+    chunk,
+    event,
+    events,
+    head,
+    play,
+    request,
+    route,
+    stream_head,
+    until,
+)
+
+from emberring.admission.types import Refused
+from emberring.configuration.model import RouteType
+from emberring.distribution.facts import ServerState
+
+REPEATABLE = ("/again/1", "/plain/1")
+ONCE = ("/live/1", "/once/1")
+
+
+async def say_ok(side: Side, seen: Seen) -> None:
+    if seen.start.startswith((b"POST /live", b"POST /again")):
+        await side.stream(seen, (1, 2))
+    else:
+        await side.answer(seen, 200, events(1, 2))
+
+
+async def reset(side: Side, seen: Seen) -> None:
+    side.reset()
+
+
+async def close(side: Side, seen: Seen) -> None:
+    side.close()
+
+
+async def garble(side: Side, seen: Seen) -> None:
+    await side.write(b"\x00\x01 this is no answer\r\n\r\n")
+    await side.gone()
+
+
+async def half_a_head(side: Side, seen: Seen) -> None:
+    await side.write(b"HTTP/1.1 200 OK\r\nRequest-Id: " + seen.headers["request-id"].encode())
+    side.close()
+
+
+async def head_alone(side: Side, seen: Seen) -> None:
+    await side.write(stream_head(seen))
+    side.close()
+
+
+async def unsigned(side: Side, seen: Seen) -> None:
+    await side.write(head(seen, 200, 2, signed=False) + b"ok")
+
+
+async def encoded(side: Side, seen: Seen) -> None:
+    await side.write(head(seen, 200, 2, Content_Encoding="gzip") + b"ok")
+
+
+async def nameless(side: Side, seen: Seen) -> None:
+    await side.write(b"HTTP/1.1 200 OK\r\nResponse-Signature: x\r\nContent-Length: 2\r\n\r\nok")
+
+
+async def endless(side: Side, seen: Seen) -> None:
+    """A body that only the end of the connection ends."""
+    await side.write(head(seen, 200, None) + b"looks whole")
+    side.close()
+
+
+async def cut_body(side: Side, seen: Seen) -> None:
+    await side.write(head(seen, 200, 100) + b"not all")
+    side.close()
+
+
+async def unpromised_503(side: Side, seen: Seen) -> None:
+    await side.answer(seen, 503)
+
+
+async def full(side: Side, seen: Seen) -> None:
+    await side.write(b"HTTP/1.1 503 X\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n")
+
+
+async def busy(side: Side, seen: Seen) -> None:
+    await side.answer(seen, 429, Not_Executed="1", Retry_After="0.7")
+
+
+async def misdirected(side: Side, seen: Seen) -> None:
+    await side.write(b"HTTP/1.1 421 X\r\nInstance-Id: i-other\r\nContent-Length: 0\r\n\r\n")
+
+
+MAY_HAVE_RUN = (
+    reset,
+    close,
+    garble,
+    half_a_head,
+    head_alone,
+    unsigned,
+    encoded,
+    nameless,
+    endless,
+    cut_body,
+    unpromised_503,
+)
+CERTAINLY_NOT_RUN = (full, busy, misdirected)
+
+
+@pytest.mark.parametrize("script", MAY_HAVE_RUN)
+@pytest.mark.parametrize("path", ONCE)
+def test_what_may_have_run_once_is_not_sent_again(path: str, script: Script) -> None:
+    async def story(world: World) -> None:
+        first, second = await world.server(script), await world.server(say_ok)
+        answer = await (await world.client()).ask(path)
+        assert answer.status == 502
+        assert answer.whole
+        assert "response-signature" not in answer.headers
+        assert (len(first.seen), len(second.seen)) == (1, 0)
+        assert world.admission.in_flight == 0
+
+    play(story)
+
+
+@pytest.mark.parametrize("script", MAY_HAVE_RUN)
+@pytest.mark.parametrize("path", REPEATABLE)
+def test_what_may_be_repeated_goes_to_another_server(path: str, script: Script) -> None:
+    async def story(world: World) -> None:
+        first, second = await world.server(script), await world.server(say_ok)
+        answer = await (await world.client()).ask(path)
+        assert (answer.status, answer.body, answer.whole) == (200, events(1, 2), True)
+        assert (len(first.seen), len(second.seen)) == (1, 1)
+
+    play(story)
+
+
+@pytest.mark.parametrize("script", MAY_HAVE_RUN)
+def test_no_more_servers_than_max_attempts_may_run_it(script: Script) -> None:
+    async def story(world: World) -> None:
+        servers = [await world.server(script) for _ in range(4)]
+        answer = await (await world.client()).ask("/plain/1")
+        assert answer.status == 502
+        assert sum(len(server.seen) for server in servers) == 2
+
+    play(story)
+
+
+@pytest.mark.parametrize("script", CERTAINLY_NOT_RUN)
+@pytest.mark.parametrize("path", [*ONCE, *REPEATABLE])
+def test_a_promise_allows_another_server(path: str, script: Script) -> None:
+    async def story(world: World) -> None:
+        first, second = await world.server(script), await world.server(say_ok)
+        answer = await (await world.client()).ask(path)
+        assert (answer.status, answer.body) == (200, events(1, 2))
+        assert (len(first.seen), len(second.seen)) == (1, 1)
+
+    play(story)
+
+
+@pytest.mark.parametrize("script", CERTAINLY_NOT_RUN)
+@pytest.mark.parametrize("path", [*ONCE, *REPEATABLE])
+def test_what_no_server_took_is_refused_with_a_time_to_come_back(path: str, script: Script) -> None:
+    async def story(world: World) -> None:
+        await world.server(script)
+        answer = await (await world.client()).ask(path)
+        assert answer.status == 503
+        assert float(answer.headers["retry-after"]) == (0.7 if script is busy else 0.2)
+        assert "response-signature" not in answer.headers
+
+    play(story)
+
+
+def test_after_a_run_that_broke_a_full_server_makes_no_promise() -> None:
+    async def story(world: World) -> None:
+        await world.server(reset)
+        await world.server(full)
+        assert (await (await world.client()).ask("/plain/1")).status == 502
+
+    play(story)
+
+
+def test_an_admission_that_refuses_is_heard_at_once() -> None:
+    async def story(world: World) -> None:
+        server = await world.server(say_ok)
+        world.admission.script.append(Refused(0.35))
+        answer = await (await world.client()).ask()
+        assert (answer.status, answer.headers["retry-after"]) == (503, "0.350")
+        assert not server.seen
+
+    play(story)
+
+
+def test_an_address_that_another_server_has_is_forgotten() -> None:
+    async def story(world: World) -> None:
+        first, second = await world.server(misdirected), await world.server(say_ok)
+        client = await world.client()
+        for number in range(3):
+            assert (await client.ask(request_id=f"r{number}")).status == 200
+        assert (len(first.seen), len(second.seen)) == (1, 3)
+        assert world.book.sendable(first.id) is None
+        assert world.pool.size(first.id) == 0
+
+    play(story)
+
+
+def test_a_421_of_the_server_itself_concerns_this_request_alone() -> None:
+    async def story(world: World) -> None:
+        async def other_version(side: Side, seen: Seen) -> None:
+            await side.answer(seen, 421, Instance_Id="i-1")
+
+        await world.server(other_version, say_ok)
+        await world.server(say_ok)
+        assert (await (await world.client()).ask()).status == 200
+        assert world.book.sendable("i-1") is not None
+
+    play(story)
+
+
+@pytest.mark.parametrize("path", [*ONCE, *REPEATABLE])
+def test_a_server_that_refuses_connections_was_sent_nothing(path: str) -> None:
+    async def story(world: World) -> None:
+        with socket.socket() as unused:
+            unused.bind(("127.0.0.1", 0))
+            port = unused.getsockname()[1]
+        world.know("i-dead", f"127.0.0.1:{port}")
+        second = await world.server(say_ok)
+        assert (await (await world.client()).ask(path)).status == 200
+        assert len(second.seen) == 1
+        assert world.admission.outcomes == ["connect_failed", "completed"]
+
+    play(story)
+
+
+def test_a_connection_that_does_not_come_up_is_given_up_soon() -> None:
+    async def story(world: World) -> None:
+        with socket.socket() as stuffed:
+            stuffed.bind(("127.0.0.1", 0))
+            stuffed.listen(0)
+            port = stuffed.getsockname()[1]
+            fillers = [socket.socket() for _ in range(4)]
+            for filler in fillers:
+                filler.setblocking(False)
+                filler.connect_ex(("127.0.0.1", port))
+            world.know("i-dark", f"127.0.0.1:{port}")
+            await world.server(say_ok)
+            began = asyncio.get_running_loop().time()
+            answer = await (await world.client()).ask("/once/1")
+            assert answer.status == 200
+            assert 0.25 < asyncio.get_running_loop().time() - began < 1.0
+            for filler in fillers:
+                filler.close()
+
+    play(story)
+
+
+def test_a_draining_server_gets_nothing_even_when_it_was_picked() -> None:
+    async def story(world: World) -> None:
+        first, second = await world.server(say_ok), await world.server(say_ok)
+        world.know(first.id, first.address, ServerState.DRAINING)
+        assert (await (await world.client()).ask()).status == 200
+        assert (len(first.seen), len(second.seen)) == (0, 1)
+        assert world.admission.outcomes == ["not_sent", "completed"]
+
+    play(story)
+
+
+def test_a_drain_known_while_a_connection_opens_holds() -> None:
+    async def story(world: World) -> None:
+        first, second = await world.server(say_ok), await world.server(say_ok)
+        take = world.pool.take
+
+        async def take_and_drain(server_id: str, address: str, fresh: bool):  # type: ignore[no-untyped-def]
+            found = await take(server_id, address, fresh)
+            if server_id == first.id:
+                world.know(first.id, first.address, ServerState.DRAINING)
+            return found
+
+        world.pool.take = take_and_drain  # type: ignore[method-assign]
+        assert (await (await world.client()).ask()).status == 200
+        assert (len(first.seen), len(second.seen)) == (0, 1)
+
+    play(story)
+
+
+# ------------------------------------------------------------------ answers that are another's
+
+
+def test_a_surplus_answer_in_the_place_of_the_next_is_skipped() -> None:
+    async def story(world: World) -> None:
+        async def late_copy_first(side: Side, seen: Seen) -> None:
+            other = Seen(b"", {"request-id": "r0"}, b"", 0)
+            await side.write(head(other, 200, 5) + b"other")
+            await side.write(head(other, 500, 0))
+            await side.stream(seen, (1, 2))
+
+        server = await world.server(late_copy_first)
+        client = await world.client()
+        answer = await client.ask(request_id="r1")
+        assert (answer.status, answer.body) == (200, events(1, 2))
+        assert answer.headers["response-signature"] == "sig-r1"
+        assert (await client.ask(request_id="r2")).whole
+        assert server.connections == 1
+
+    play(story)
+
+
+def test_bytes_behind_a_whole_answer_end_the_connection() -> None:
+    async def story(world: World) -> None:
+        async def twice(side: Side, seen: Seen) -> None:
+            await side.write(2 * (head(seen, 200, 5) + b"first"))
+
+        server = await world.server(twice, say_ok)
+        client = await world.client()
+        assert (await client.ask("/once/1", request_id="r1")).body == b"first"
+        assert (await client.ask("/once/2", request_id="r2")).body == events(1, 2)
+        assert server.connections == 2
+
+    play(story)
+
+
+def test_a_surplus_answer_on_a_resting_connection_ends_it() -> None:
+    async def story(world: World) -> None:
+        told = asyncio.Event()
+
+        async def late_copy(side: Side, seen: Seen) -> None:
+            await side.answer(seen, 200, b"first")
+            await told.wait()
+            await side.answer(seen, 200, b"again")
+            await side.gone()
+
+        server = await world.server(late_copy, say_ok)
+        client = await world.client()
+        assert (await client.ask("/once/1", request_id="r1")).body == b"first"
+        told.set()
+        await until(lambda: world.pool.size(server.id) == 0)
+        assert (await client.ask("/once/2", request_id="r2")).body == events(1, 2)
+        assert server.connections == 2
+
+    play(story)
+
+
+# ---------------------------------------------------------------------------- idle connections
+
+
+def test_an_idle_connection_that_has_ended_is_found_out_before_use() -> None:
+    async def story(world: World) -> None:
+        async def answer_and_close(side: Side, seen: Seen) -> None:
+            await side.answer(seen, 200, b"done")
+            side.close()
+
+        server = await world.server(answer_and_close)
+        client = await world.client()
+        for number in range(4):
+            assert (await client.ask("/once/1", request_id=f"r{number}")).status == 200
+        assert server.connections == 4
+
+    play(story)
+
+
+@pytest.mark.parametrize(("path", "status"), [("/once/1", 502), ("/plain/1", 200)])
+def test_an_idle_connection_closed_under_a_fresh_request(path: str, status: int) -> None:
+    async def story(world: World) -> None:
+        first = await world.server(say_ok, close)
+        second = await world.server(say_ok)
+        client = await world.client()
+        assert (await client.ask("/once/0", request_id="r0")).status == 200
+        assert (await client.ask(path)).status == status
+        assert (len(first.seen), len(second.seen)) == (2, int(status == 200))
+
+    play(story)
+
+
+def test_keep_alive_bounds_the_rest_of_a_connection() -> None:
+    async def story(world: World) -> None:
+        async def short(side: Side, seen: Seen) -> None:
+            await side.answer(seen, 200, b"done", Keep_Alive="timeout=0")
+
+        server = await world.server(short)
+        client = await world.client()
+        for number in range(2):
+            assert (await client.ask("/once/1", request_id=f"r{number}")).status == 200
+        assert server.connections == 2
+
+    play(story)
+
+
+# ------------------------------------------------------------------------- streams that break
+
+
+async def cut_inside_an_event(side: Side, seen: Seen) -> None:
+    await side.write(stream_head(seen) + chunk(event(1)) + chunk(event(2)) + chunk(event(3)[:8]))
+    side.close()
+
+
+async def reset_in_the_stream(side: Side, seen: Seen) -> None:
+    await side.write(stream_head(seen) + chunk(event(1) + event(2)))
+    await asyncio.sleep(0)
+    await side.gone() if seen.headers.get("never") else side.close()
+
+
+async def going_on(side: Side, seen: Seen) -> None:
+    await side.stream(
+        seen, range(int(seen.headers.get("last-event-id", "0")) + 1, 6), Response_Signature="later"
+    )
+
+
+@pytest.mark.parametrize("script", [cut_inside_an_event, reset_in_the_stream])
+def test_a_stream_that_breaks_gives_whole_events_and_no_end(script: Script) -> None:
+    async def story(world: World) -> None:
+        await world.server(script)
+        second = await world.server(going_on)
+        answer = await (await world.client()).ask("/live/1")
+        assert (answer.status, answer.body, answer.whole) == (200, events(1, 2), False)
+        assert not second.seen
+
+    play(story)
+
+
+@pytest.mark.parametrize("script", [cut_inside_an_event, reset_in_the_stream])
+def test_a_resumable_stream_goes_on_in_one_answer(script: Script) -> None:
+    async def story(world: World) -> None:
+        await world.server(script)
+        second = await world.server(going_on)
+        answer = await (await world.client()).ask("/again/1")
+        assert (answer.status, answer.body, answer.whole) == (200, events(1, 2, 3, 4, 5), True)
+        assert answer.headers["response-signature"] == "sig-r1"
+        (seen,) = second.seen
+        assert seen.headers["last-event-id"] == "2"
+        assert seen.headers["request-id"] == "r1"
+
+    play(story)
+
+
+@pytest.mark.parametrize("ids", [(1, 2, 3), (2, 3), (4, 5)])
+def test_a_run_that_does_not_go_on_where_it_was_asked_is_not_joined(ids: tuple[int, ...]) -> None:
+    async def story(world: World) -> None:
+        async def wrong(side: Side, seen: Seen) -> None:
+            await side.stream(seen, ids)
+
+        await world.server(cut_inside_an_event)
+        await world.server(wrong)
+        answer = await (await world.client()).ask("/again/1")
+        assert (answer.body, answer.whole) == (events(1, 2), False)
+
+    play(story)
+
+
+@pytest.mark.parametrize("script", [unpromised_503, unsigned, nameless, reset, full])
+def test_a_stream_that_can_not_be_resumed_never_looks_complete(script: Script) -> None:
+    async def story(world: World) -> None:
+        await world.server(cut_inside_an_event)
+        await world.server(script)
+        answer = await (await world.client()).ask("/again/1")
+        assert (answer.status, answer.body, answer.whole) == (200, events(1, 2), False)
+        assert world.admission.in_flight == 0
+
+    play(story)
+
+
+def test_a_stream_resumed_by_the_client_goes_on_from_there() -> None:
+    async def story(world: World) -> None:
+        server = await world.server(going_on)
+        answer = await (await world.client()).ask("/again/1", Last_Event_Id="3")
+        assert (answer.body, answer.whole) == (events(4, 5), True)
+        assert server.seen[0].headers["last-event-id"] == "3"
+
+    play(story)
+
+
+def test_a_piece_that_comes_twice_breaks_the_stream() -> None:
+    async def story(world: World) -> None:
+        async def doubled(side: Side, seen: Seen) -> None:
+            await side.stream(seen, (1, 2, 2, 3))
+
+        await world.server(doubled)
+        answer = await (await world.client()).ask("/live/1")
+        assert (answer.body, answer.whole) == (events(1, 2), False)
+
+    play(story)
+
+
+# --------------------------------------------------------------------------- clients and time
+
+
+@pytest.mark.parametrize("path", ["/live/1", "/plain/1"])
+def test_a_client_that_leaves_ends_the_servers_work(path: str) -> None:
+    async def story(world: World) -> None:
+        ended = asyncio.Event()
+
+        async def work(side: Side, seen: Seen) -> None:
+            if path == "/live/1":
+                await side.write(stream_head(seen) + chunk(event(1)))
+            await side.gone()
+            ended.set()
+
+        server = await world.server(work)
+        client = await world.client()
+        await client.send(request(path))
+        await server.arrived.wait()
+        client.close()
+        await ended.wait()
+        await until(lambda: world.admission.outcomes == ["cancelled"])
+        await until(lambda: world.pool.size(server.id) == 0)
+
+    play(story)
+
+
+def test_a_slow_reader_holds_up_its_own_server_alone() -> None:
+    async def story(world: World) -> None:
+        text = b"x" * 20_000
+        made = 0
+
+        async def flood(side: Side, seen: Seen) -> None:
+            nonlocal made
+            await side.write(stream_head(seen))
+            for number in range(1, 2001):
+                await side.write(chunk(b"id: %d\ndata: " % number + text + b"\n\n"))
+                made = number
+            await side.write(b"0\r\n\r\n")
+
+        await world.server(flood, say_ok)
+        slow, quick = await world.client(), await world.client()
+        await slow.send(request("/long/1"))
+        await until(lambda: made > 10)
+        seen_last = -1
+        while seen_last != made:
+            seen_last = made
+            assert (await quick.ask("/live/2", request_id="r2")).whole
+        assert made < 2000
+        answer = await slow.receive()
+        assert answer.whole
+        assert len(answer.body) > 2000 * len(text)
+
+    play(story, lambda: World((route("/long/", RouteType.STREAMING), route("/live/", RouteType.STREAMING))))
+
+
+@pytest.mark.parametrize("more", [{}, {"Deadline_Ms": "150"}])
+def test_a_request_in_progress_is_given_up_at_its_time(more: dict[str, str]) -> None:
+    async def story(world: World) -> None:
+        async def silent(side: Side, seen: Seen) -> None:
+            await side.gone()
+
+        await world.server(silent)
+        loop = asyncio.get_running_loop()
+        began = loop.time()
+        answer = await (await world.client()).ask("/short/1", **more)
+        assert answer.status == 504
+        assert 0.14 < loop.time() - began < 0.45
+        assert world.admission.outcomes == ["silent"]
+
+    play(story)
+
+
+def test_a_stream_under_way_is_broken_off_at_its_time() -> None:
+    async def story(world: World) -> None:
+        async def begin(side: Side, seen: Seen) -> None:
+            await side.write(stream_head(seen) + chunk(event(1)))
+            await side.gone()
+
+        await world.server(begin)
+        answer = await (await world.client()).ask(Deadline_Ms="150")
+        assert (answer.status, answer.body, answer.whole) == (200, events(1), False)
+
+    play(story)
+
+
+def test_time_that_ran_out_before_anything_was_sent_is_a_promise() -> None:
+    async def story(world: World) -> None:
+        server = await world.server(say_ok)
+
+        async def never(server_id: str, address: str, fresh: bool) -> None:
+            await asyncio.Event().wait()
+
+        world.pool.take = never  # type: ignore[method-assign, assignment]
+        answer = await (await world.client()).ask("/short/1")
+        assert answer.status == 503
+        assert float(answer.headers["retry-after"]) > 0.0
+        assert not server.seen
+
+    play(story)
+
+
+@pytest.mark.parametrize("path", REPEATABLE)
+def test_a_server_gone_dark_is_left_for_another(path: str, monkeypatch: pytest.MonkeyPatch) -> None:
+    from emberring.gateway import execution
+    from emberring.gateway.reply import Patience
+
+    monkeypatch.setattr(execution, "LIVE_PATIENCE", Patience(0.1, 0.2))
+
+    async def story(world: World) -> None:
+        async def silent(side: Side, seen: Seen) -> None:
+            await side.gone()
+
+        await world.server(silent)
+        await world.server(say_ok)
+        answer = await (await world.client()).ask(path)
+        assert (answer.status, answer.body) == (200, events(1, 2))
+        assert world.admission.outcomes == ["silent", "completed"]
+
+    play(story)
+
+
+def test_a_stream_that_falls_silent_goes_on_elsewhere(monkeypatch: pytest.MonkeyPatch) -> None:
+    from emberring.gateway import execution
+    from emberring.gateway.reply import Patience
+
+    monkeypatch.setattr(execution, "LIVE_PATIENCE", Patience(0.1, 0.2))
+
+    async def story(world: World) -> None:
+        async def begin(side: Side, seen: Seen) -> None:
+            await side.write(stream_head(seen) + chunk(event(1) + event(2)))
+            await side.gone()
+
+        await world.server(begin)
+        await world.server(going_on)
+        answer = await (await world.client()).ask("/again/1")
+        assert (answer.body, answer.whole) == (events(1, 2, 3, 4, 5), True)
+
+    play(story)
+
+
+def test_a_server_has_no_more_connections_than_this_gateways_share() -> None:
+    async def story(world: World) -> None:
+        told = asyncio.Event()
+
+        async def held(side: Side, seen: Seen) -> None:
+            await told.wait()
+            await side.stream(seen, (1,))
+
+        world.directory.gateway_count = 40  # of 100 connections, two each
+        first, second = await world.server(held), await world.server(say_ok)
+        clients = [await world.client() for _ in range(4)]
+        for number, client in enumerate(clients):
+            await client.send(request(request_id=f"r{number}"))
+        await until(lambda: len(second.seen) == 2)
+        assert first.connections == 2
+        told.set()
+        answers = [await client.receive() for client in clients]
+        assert all(answer.whole for answer in answers)
+
+    play(story)
