--- a/emberring/configuration/checks.py
+++ b/emberring/configuration/checks.py
@@ -56,6 +56,10 @@
     return isinstance(value, str) and value != ""
 
 
+def _is_one_of(value: Any, known: set[str]) -> bool:
+    return isinstance(value, str) and value in known
+
+
 def _services(services: list[dict[str, Any]]) -> Iterator[str]:
     yield from _twice("service", [service.get("Name") for service in services])
     for position, service in enumerate(services):
@@ -119,7 +123,7 @@
     prefix = route.get("PathPrefix")
     if not _is_name(prefix) or not (str(prefix).startswith("/") and str(prefix).endswith("/")):
         yield f"{where}: PathPrefix does not begin and end with a slash"
-    if route.get("Type") not in _TYPES:
+    if not _is_one_of(route.get("Type"), _TYPES):
         yield f"{where}: Type {route.get('Type')!r} is unknown"
     timeout = route.get("TimeoutMs")
     if not is_number(timeout) or timeout is None or timeout <= 0:
@@ -130,18 +134,18 @@
 def _targets(where: str, route: Mapping[str, Any], services: set[str]) -> Iterator[str]:
     split, service = route.get("TrafficSplit"), route.get("Service")
     if split is None or split == []:
-        if not isinstance(service, str) or service not in services:
+        if not _is_one_of(service, services):
             yield f"{where}: Service {service!r} is unknown"
         return
     if not _is_list_of_objects(split):
         yield f"{where}: TrafficSplit is not a list of objects"
         return
-    if service not in (None, "") and service not in services:
+    if service not in (None, "") and not _is_one_of(service, services):
         yield f"{where}: Service {service!r} is unknown"
     total = 0.0
     for part in split:
         target, weight = part.get("Service"), part.get("Weight", 0)
-        if not isinstance(target, str) or target not in services:
+        if not _is_one_of(target, services):
             yield f"{where}: Service {target!r} of TrafficSplit is unknown"
         if not is_number(weight) or weight < 0:
             yield f"{where}: Weight {weight!r} is not a number of at least 0"
--- a/emberring/configuration/state.py
+++ b/emberring/configuration/state.py
@@ -53,8 +53,8 @@
 
     @staticmethod
     def decode(value: bytes | None) -> ControlState:
-        """The state in a register's value; the first state where there is none yet."""
-        if value is None:
+        """The state in a register's value; the first state where there is none yet, or an empty one."""
+        if not value:
             return ControlState()
         try:
             return _decode(value)
--- a/emberring/control/board.py
+++ b/emberring/control/board.py
@@ -16,6 +16,7 @@
 from emberring.registry.servers import ServerRegistry
 
 LONGEST_GAP_S = 1.0  # between ticks; after a longer one this node was frozen
+GRACE_S = 1.0  # after that, before others' silence counts
 FORGET_ORIGIN_S = 60.0  # statements about nodes by an origin that has ended are dropped after so long
 HEARD_SPAN_S = 1.5  # heartbeats of so long are told in each exchange
 
@@ -36,6 +37,7 @@
         self._exchanges = Signal()
         self._hurry = Signal()
         self._last_tick_s = now_s
+        self._grace_until_s = now_s
         self._seen_origins: dict[str, float] = {}
         self.store.state_node(me, present=True)
 
@@ -213,7 +215,8 @@
         frozen = gap_s > LONGEST_GAP_S
         if frozen:
             self.contacts.renew(now_s)
-        else:
+            self._grace_until_s = now_s + GRACE_S
+        elif now_s >= self._grace_until_s:
             for fact in self.contacts.expired(now_s):
                 self._state_node(now_s, fact, present=False)
             self._expire_peers(now_s)
--- a/emberring/control/feed.py
+++ b/emberring/control/feed.py
@@ -10,6 +10,7 @@
 from emberring.transport.network import Caller
 
 LONGEST_WAIT_S = 2.0
+NEVER_MS = 1e9  # stands for "no majority since the start"
 BUNDLE_S = 0.005  # changes that come together are told together
 
 
@@ -39,7 +40,7 @@
         newer_placement = placement is not None and placement.epoch > pull.placement_epoch
         return Update(
             origin=board.me.incarnation,
-            quorum_age_ms=board.quorum_age_s() * 1000,
+            quorum_age_ms=min(NEVER_MS, board.quorum_age_s() * 1000),
             delta=board.store.newer_than(pull.vector, gateways=False),
             live_origins=tuple(board.live_origins(now_s)),
             gateways=board.gateways(now_s),
--- a/emberring/control/placement_loop.py
+++ b/emberring/control/placement_loop.py
@@ -17,6 +17,7 @@
 
 PLAN_EVERY_S = 0.3
 CHANGE_TIMEOUT_S = 1.0
+CUT_OFF_S = 1.0  # without a majority for longer, or not run for longer, this node knows nothing of absences
 
 logger = get_logger("control")
 
@@ -29,6 +30,7 @@
         self._board = board
         self._tolerance = tolerance
         self._memory = PlanMemory()
+        self._last_s = asyncio.get_running_loop().time()
 
     async def run(self) -> None:
         """Plan until cancelled."""
@@ -41,6 +43,10 @@
 
     async def _plan_once(self) -> None:
         now_s = asyncio.get_running_loop().time()
+        gap_s, self._last_s = now_s - self._last_s, now_s
+        if gap_s > CUT_OFF_S + PLAN_EVERY_S or self._register.majority_age_s() > CUT_OFF_S:
+            self._memory = PlanMemory()
+            return
         live = self._board.live_nodes(now_s)
         before = self._board.state.placement
         wanted = plan(before, live, now_s, self._tolerance, self._memory)
@@ -57,9 +63,7 @@
         logger.info("event=placement_changed epoch=%d stores=%d", wanted.epoch, len(wanted.stores))
 
     def _in_charge(self, now_s: float) -> bool:
-        """Whether this node plans now: it has a majority, and no live control node has a lower name."""
-        if self._register.majority_age_s() > 1.0:
-            return False
+        """Whether this node plans now: no live control node has a lower name."""
         live = self._board.live_nodes(now_s)
         names = [fact.name for fact in live if fact.role is NodeRole.CONTROL and not fact.leaving]
         return not names or self._board.me.name <= min(names)
--- a/emberring/control/register_port.py
+++ b/emberring/control/register_port.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from typing import Protocol
 
 from emberring.distribution.facts import NodeFact
@@ -11,7 +11,9 @@
 class Register(Protocol):
     """A replicated value that is changed by compare-and-swap; `emberring.register.service.RegisterService`."""
 
-    identity: str
+    @property
+    def identity(self) -> str:
+        """The identity of this node's replica."""
 
     async def start(self) -> None:
         """Read what the disk holds and begin to answer the other replicas."""
@@ -20,7 +22,8 @@
         """End."""
 
     async def change(self, decide: Callable[[bytes | None], bytes | None], timeout_s: float) -> bytes | None:
-        """Swap the value for `decide(value)`, or confirm it where that is None; the value that holds then.
+        """Swap the value for `decide(value)`, or confirm it where that is None; the value that holds then, None
+        or nothing where there is none yet.
         `NoQuorumError` or `InDoubtError` where the outcome is not known."""
 
     async def read(self, timeout_s: float) -> bytes | None:
@@ -32,5 +35,5 @@
     def majority_age_s(self) -> float:
         """How long ago a majority was in contact (seconds)."""
 
-    def note_peers(self, peers: list[NodeFact]) -> None:
+    def note_peers(self, facts: Sequence[NodeFact]) -> None:
         """The other control nodes that live."""
--- a/emberring/distribution/facts_store.py
+++ b/emberring/distribution/facts_store.py
@@ -10,6 +10,8 @@
 from emberring.distribution.messages import Delta, NodeEntry, ServerEntry
 from emberring.registry.merge import dominates, merged
 
+MOST_CACHED = 8  # answers about who lives, each for a set of origins
+
 
 @attrs.frozen
 class Learnt:
@@ -33,6 +35,7 @@
         self._nodes: dict[str, dict[str, NodeEntry]] = {}
         self._arrivals: dict[tuple[str, str], int] = {}
         self._arrived = 0
+        self._live_nodes: dict[tuple[frozenset[str], tuple[NodeRole, ...]], dict[str, NodeFact]] = {}
 
     # -- statements of this node
 
@@ -76,8 +79,17 @@
         """What this origin stated last about a node."""
         return self._nodes.get(name, {}).get(origin)
 
-    def live_nodes(self, live: Collection[str], roles: Collection[NodeRole]) -> dict[str, NodeFact]:
+    def live_nodes(self, live: Collection[str], roles: Collection[NodeRole]) -> Mapping[str, NodeFact]:
         """Nodes of these roles in contact with an origin that lives; of two incarnations the one told last."""
+        key = (frozenset(live), tuple(roles))
+        known = self._live_nodes.get(key)
+        if known is None:
+            if len(self._live_nodes) >= MOST_CACHED:
+                self._live_nodes.clear()
+            known = self._live_nodes[key] = self._find_live(live, roles)
+        return known
+
+    def _find_live(self, live: Collection[str], roles: Collection[NodeRole]) -> dict[str, NodeFact]:
         found: dict[str, NodeEntry] = {}
         for entry in self.node_entries():
             if not entry.present or entry.origin not in live or entry.fact.role not in roles:
@@ -145,6 +157,7 @@
         by_origin = self._nodes.setdefault(entry.fact.name, {})
         before = by_origin.get(entry.origin)
         by_origin[entry.origin] = entry
+        self._live_nodes.clear()
         self._arrived += 1
         self._arrivals[(entry.fact.name, entry.origin)] = self._arrived
         return before is None or (before.fact, before.present) != (entry.fact, entry.present)
@@ -158,6 +171,7 @@
 
     def forget_origin(self, origin: str) -> None:
         """Drop an ended origin's statements about nodes, and its place in the vector if nothing of it is kept."""
+        self._live_nodes.clear()
         for name in list(self._nodes):
             if self._nodes[name].pop(origin, None) is not None:
                 self._arrivals.pop((name, origin), None)
--- a/emberring/distribution/view.py
+++ b/emberring/distribution/view.py
@@ -116,7 +116,7 @@
         live = {origin for origin, (_, origins) in self._answers.items() if self._live(origin, TOLD_S)}
         for origin in list(live):
             live.update(self._answers[origin][1])
-        nodes = self.store.live_nodes(live, _SHOWN_ROLES)
+        nodes = dict(self.store.live_nodes(live, _SHOWN_ROLES))
         changed = nodes != self.nodes
         self.nodes = nodes
         return changed
--- a/tests/emberring/control/tier_control_fixture.py
+++ b/tests/emberring/control/tier_control_fixture.py
@@ -5,7 +5,7 @@
 import asyncio
 import json
 import socket
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from typing import Any
 
 import httptools
@@ -102,8 +102,8 @@
     def majority_age_s(self) -> float:
         return self.age_s if self.identity in self.shared.up else max(self.age_s, 5.0)
 
-    def note_peers(self, peers: list[NodeFact]) -> None:
-        self.peers = peers
+    def note_peers(self, facts: Sequence[NodeFact]) -> None:
+        self.peers = list(facts)
 
 
 class Cluster:
