--- a/emberring/gateway/app.py
+++ b/emberring/gateway/app.py
@@ -60,9 +60,13 @@
             await answer.own(final)
 
     async def _carry_out(self, scope: Any, receive: Any, answer: ClientAnswer) -> OwnAnswer | None:
+        if scope["http_version"] != "1.1":
+            return OwnAnswer(505, "HTTP/1.1 is wanted", close=True)
         configuration = self._directory.configuration
         if configuration is None:
             raise NotReadyError("no configuration is known yet")
+        if scope["state"]["head_bytes"] > configuration.limits.max_header_bytes:
+            return OwnAnswer(431, "the head is too long", close=True)
         host = _host(scope)
         target: bytes = scope["state"]["target"]
         path = target.partition(b"?")[0].decode("latin-1")
--- a/emberring/gateway/clients.py
+++ b/emberring/gateway/clients.py
@@ -90,7 +90,7 @@
 
 
 class ClientConnection(HttpToolsProtocol):
-    """One client's connection. The state of a request's scope holds `connection`, `target` and `arrived_s`."""
+    """One client's connection. A request's scope holds in its state `connection`, `target`, `arrived_s`, `head_bytes`."""
 
     def __init__(
         self,
@@ -103,7 +103,9 @@
         self.owner: ClientPort = app_state["port"]
         self.on_gone: Callable[[], None] | None = None
         self._in_head = False
-        self._head_bytes = 0
+        self._begun = 0  # requests
+        self._fed_bytes = 0  # since the head began, as far as that is known
+        self._head_bytes = 0  # in names and values that are whole
         self._began_s = 0.0
         self._idle_since_s = 0.0
         self._head_timer: asyncio.TimerHandle | None = None
@@ -152,17 +154,21 @@
             gone()
 
     def data_received(self, data: bytes) -> None:
-        if self._in_head:
-            self._head_bytes += len(data)
+        between = not self._in_head and (self.cycle is None or not self.cycle.more_body)
+        begun = self._begun
+        self._fed_bytes += len(data)
         super().data_received(data)
-        if self._in_head and self._head_bytes > self.owner.limits().max_header_bytes:
+        if between and self._begun == begun + 1:
+            self._fed_bytes = len(data)
+        if self._in_head and self._fed_bytes > self.owner.limits().max_header_bytes:
             self._refuse(b"431 Request Header Fields Too Large")
 
     # ------------------------------------------------------------------- parser's callbacks
 
     def on_message_begin(self) -> None:
         super().on_message_begin()
-        self._in_head, self._head_bytes = True, 0
+        self._in_head, self._fed_bytes, self._head_bytes = True, 0, 0
+        self._begun += 1
         self._began_s = self.loop.time()
         self._stop_head_timer()
         self._head_timer = self.loop.call_later(
@@ -178,6 +184,7 @@
         self._stop_head_timer()
         state = self.scope["state"]
         state["connection"], state["target"], state["arrived_s"] = self, self.url, self._began_s
+        state["head_bytes"] = self._head_bytes + len(self.url)
         super().on_headers_complete()
 
     def on_response_complete(self) -> None:
--- a/emberring/gateway/execution.py
+++ b/emberring/gateway/execution.py
@@ -8,7 +8,7 @@
 from typing import Protocol
 
 from emberring.admission.attempts import AttemptBudget
-from emberring.admission.types import Admitted, CallInfo, CallOutcome, Decision, Refused
+from emberring.admission.types import Admitted, CallInfo, CallOutcome, Decision, NoServer, Refused
 from emberring.configuration.model import Route
 from emberring.gateway.answers import PROMISES, RETRY_SOON_S, OwnAnswer
 from emberring.gateway.attempt import Attempt, Call, Ended, Means, Receiver
@@ -81,9 +81,16 @@
         self, call: Call, route: Route, receiver: LiveReceiver, progress: _Progress
     ) -> OwnAnswer | None:
         excluded: set[str] = set()
+        broken: set[str] = (
+            set()
+        )  # of these, those that answered and may be asked again where there is no other
         last: Ended | None = None
         while True:
             decision = self._offer(call, route, excluded, batch=False, admitted=last is not None)
+            if isinstance(decision, NoServer) and broken:
+                excluded -= broken
+                broken.clear()
+                decision = self._offer(call, route, excluded, batch=False, admitted=True)
             if not isinstance(decision, Admitted):
                 return await self._give_up(call, receiver, progress, last, decision)
             excluded.add(decision.server_id)
@@ -92,6 +99,8 @@
                 if last.head is not None:
                     await receiver.end(last.head, last.body)
                 return None
+            if last.outcome is CallOutcome.BROKEN:
+                broken.add(decision.server_id)
             progress.value = progress.value.after(last.outcome)
             resumable = not receiver.started or (route.resumable and call.last_event_id is not None)
             if not resumable or not progress.value.allows_another(last.outcome):
--- a/emberring/gateway/lots_api.py
+++ b/emberring/gateway/lots_api.py
@@ -2,11 +2,12 @@
 
 from __future__ import annotations
 
+import asyncio
 from typing import Protocol
 from urllib.parse import parse_qs
 
 from emberring.configuration.model import Route, RouteType
-from emberring.errors import BadRequestError, NotReadyError
+from emberring.errors import BadRequestError, EmberringError, InDoubtError, NotFoundError, NotReadyError
 from emberring.gateway.answers import OwnAnswer
 from emberring.gateway.calls import read_milliseconds
 from emberring.gateway.client_answer import ClientAnswer
@@ -16,6 +17,8 @@
 ITEMS_PATH = "/v1/items/"
 OWN_PATHS = "/v1/"
 MAX_WAIT_MS = 2000.0  # for which a page may be held until there is a result
+READ_SLACK_S = 1.2  # for an answer beyond the wait that was allowed: clients wait 1.5 s
+END_LIMIT_S = 3.0
 
 JSON = b"application/json"
 BYTES = b"application/octet-stream"
@@ -54,26 +57,44 @@
     async def answer(
         self, request: ClientRequest, route: Route | None, answer: ClientAnswer
     ) -> OwnAnswer | None:
-        """Carry it out and answer; an `EmberringError` is the caller's to answer."""
-        if route is not None and route.type is RouteType.BATCH and request.method == b"POST":
-            await self._submit(request, route)
-            await answer.whole(202, JSON, b"{}")
-            return None
-        if request.path.startswith(ITEMS_PATH) and request.method == b"GET":
-            await answer.whole(200, BYTES, await self._item(request))
-        elif request.path.startswith(LOTS_PATH) and request.method == b"GET":
-            await answer.whole(200, JSON, await self._read(request))
-        elif request.path.startswith(LOTS_PATH) and request.method == b"DELETE":
-            await self._lots.end(request.host, request.path[len(LOTS_PATH) :])
-            await answer.whole(200, JSON, b"{}")
-        else:
-            return OwnAnswer(405, "GET or DELETE is wanted")
+        """Carry it out and answer; an `EmberringError` is the caller's to answer. An order without a clear end
+        in its time is in doubt (504); a question without one is refused (503), as it changed nothing."""
+        try:
+            if route is not None and route.type is RouteType.BATCH and request.method == b"POST":
+                await self._submit(request, route)
+                await answer.whole(202, JSON, b"{}")
+            elif request.path.startswith(LOTS_PATH) and request.method == b"DELETE":
+                await self._end(request)
+                await answer.whole(200, JSON, b"{}")
+            elif request.method == b"GET":
+                kind, body = await self._look_up(request)
+                await answer.whole(200, kind, body)
+            else:
+                return OwnAnswer(405, "GET or DELETE is wanted")
+        except TimeoutError:
+            raise InDoubtError("no clear end in time") from None
         return None
 
+    async def _look_up(self, request: ClientRequest) -> tuple[bytes, bytes]:
+        try:
+            if request.path.startswith(ITEMS_PATH):
+                return BYTES, await self._item(request)
+            return JSON, await self._read(request)
+        except (NotFoundError, BadRequestError):
+            raise
+        except (EmberringError, TimeoutError) as error:
+            raise NotReadyError(f"not certain: {error}") from error
+
     async def _submit(self, request: ClientRequest, route: Route) -> None:
         if not request.request_id:
             raise BadRequestError("a lot wants a Request-Id")
-        await self._lots.submit(request.host, route, request.request_id.decode("latin-1"), request.body)
+        lot = request.request_id.decode("latin-1")
+        async with asyncio.timeout_at(request.arrived_s + route.timeout_ms / 1000.0):
+            await self._lots.submit(request.host, route, lot, request.body)
+
+    async def _end(self, request: ClientRequest) -> None:
+        async with asyncio.timeout(END_LIMIT_S):
+            await self._lots.end(request.host, request.path[len(LOTS_PATH) :])
 
     async def _read(self, request: ClientRequest) -> bytes:
         start_text = _query(request, "StartAfter") or "0"
@@ -81,13 +102,16 @@
             raise BadRequestError("StartAfter is no number")
         wait_ms = read_milliseconds(request.header(b"wait-ms")) or 0.0
         lot = request.path[len(LOTS_PATH) :]
-        return await self._lots.read(request.host, lot, int(start_text), min(wait_ms, MAX_WAIT_MS))
+        wait_ms = min(wait_ms, MAX_WAIT_MS)
+        async with asyncio.timeout(wait_ms / 1000.0 + READ_SLACK_S):
+            return await self._lots.read(request.host, lot, int(start_text), wait_ms)
 
     async def _item(self, request: ClientRequest) -> bytes:
         item = _query(request, "Id")
         if not item:
             raise BadRequestError("Id is missing")
-        return await self._lots.item(request.host, request.path[len(ITEMS_PATH) :], item)
+        async with asyncio.timeout(READ_SLACK_S):
+            return await self._lots.item(request.host, request.path[len(ITEMS_PATH) :], item)
 
 
 def _query(request: ClientRequest, name: str) -> str:
