--- a/emberring/standin/live_client.py
+++ b/emberring/standin/live_client.py
@@ -29,6 +29,10 @@
     DENIED = "denied"  # another 4xx
     BROKEN = "broken"  # the connection ended early
     SILENT = "silent"
+    NOT_REACHED = "not reached"  # no connection came up
+
+
+MAY_TRY_AGAIN = frozenset({StreamEnd.REFUSED, StreamEnd.NOT_REACHED})
 
 
 @attrs.frozen
@@ -134,6 +138,8 @@
             await _read_answer(frontend, call, left_s, reading)
     except TimeoutError:
         return reading.result(StreamEnd.SILENT, loop.time(), "deadline")
+    except (httpcore.ConnectError, httpcore.ConnectTimeout) as error:
+        return reading.result(StreamEnd.NOT_REACHED, loop.time(), str(error))
     except httpcore.TimeoutException as error:
         return reading.result(StreamEnd.SILENT, loop.time(), type(error).__name__)
     except (httpcore.NetworkError, httpcore.ProtocolError, ValueError) as error:
@@ -181,7 +187,7 @@
                 break
             result = await try_once(self._random.choice(places), call, give_up_at - loop.time())
             results.append(result)
-            if result.end is not StreamEnd.REFUSED or at == self._retries:
+            if result.end not in MAY_TRY_AGAIN or at == self._retries:
                 break
             pause_s = min(result.retry_after_s, (give_up_at - loop.time()) / 3)
             await asyncio.sleep(max(0.0, pause_s))
--- /dev/null
+++ b/emberring/standin/server_fleet.py
@@ -0,0 +1,66 @@
+"""The model servers of a trial: they start, crash, drain and are replaced."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable, Sequence
+
+from emberring.standin.engine import EngineSpec
+from emberring.standin.heartbeats import Heartbeats
+from emberring.standin.model_server import ModelServer, ServerSpec
+from emberring.standin.observations import Observations
+from emberring.standin.waiting import wait_until
+
+SERVE_ON_S = 2.5  # after a drain was acknowledged; longer than gateways may take to hear of it
+
+
+class ServerFleet:
+    """Servers of one service with their heartbeats."""
+
+    def __init__(
+        self,
+        service: str,
+        engine: EngineSpec,
+        controls: Callable[[], Sequence[str]],
+        seen: Observations,
+        heartbeat_s: float = 0.5,
+    ) -> None:
+        self.servers: dict[str, tuple[ModelServer, Heartbeats]] = {}
+        self._service = service
+        self._engine = engine
+        self._controls = controls
+        self._seen = seen
+        self._heartbeat_s = heartbeat_s
+
+    async def add(self) -> ModelServer:
+        """Start a server at a free address."""
+        spec = ServerSpec(self._service, zone=f"zone-{'abc'[len(self.servers) % 3]}", engine=self._engine)
+        server = ModelServer(spec, self._seen)
+        await server.start()
+        beats = Heartbeats(server, self._controls, self._heartbeat_s)
+        beats.start()
+        self.servers[server.id] = (server, beats)
+        return server
+
+    async def crash(self, server_id: str) -> None:
+        """A server ends without a word."""
+        server, beats = self.servers.pop(server_id)
+        server.stop(crash=True)
+        await beats.stop()
+
+    async def release(self, server_id: str) -> bool:
+        """A server drains, says goodbye and ends; whether both were acknowledged."""
+        server, beats = self.servers.pop(server_id)
+        drained = await beats.drain()
+        await asyncio.sleep(SERVE_ON_S)
+        await wait_until(lambda: server.in_flight == 0, SERVE_ON_S)
+        left = await beats.leave()
+        server.stop()
+        return drained and left
+
+    async def stop(self) -> None:
+        """End all servers."""
+        for server, beats in self.servers.values():
+            server.stop()
+            await beats.stop()
+        self.servers.clear()
--- /dev/null
+++ b/emberring/standin/traffic.py
@@ -0,0 +1,141 @@
+"""Clients' traffic of a trial: streams at a steady rate and a lot now and then, counted and judged."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import random
+from collections import Counter
+from collections.abc import Callable
+
+import attrs
+
+from emberring.standin.configurations import ADDED_PREFIX, EXPLAIN_PREFIX, REVIEW_PREFIX
+from emberring.standin.judge import Breach, judge_lot, judge_stream, judge_unasked
+from emberring.standin.live_client import LiveClient, StreamCall, StreamEnd
+from emberring.standin.lot_client import LotClient, LotHistory, make_lot
+from emberring.standin.observations import Observations
+
+SHARED_PARTS = (("5eed02", 400), ("5eed03", 400))
+OUTPUT_TOKENS = 40
+LOT_ITEMS = 20
+RESUMABLE_SHARE = 0.4
+
+
+@attrs.frozen
+class TrafficPlan:
+    """How much is asked for: streams a second, seconds between lots, and how long a lot may take."""
+
+    streams_per_s: float = 20.0
+    lot_every_s: float = 3.0
+    lot_patience_s: float = 30.0
+    stride: int = 8
+
+
+@attrs.define
+class Tally:
+    """What came of the calls of one route. Waits are seconds to the first event, from the first try."""
+
+    asked: int = 0
+    served: int = 0
+    tries: int = 0
+    ends: Counter[str] = attrs.field(factory=Counter)  # of calls that were not served
+    waits_s: list[float] = attrs.field(factory=list)
+
+    def wait_s(self, share: float) -> float:
+        """The wait that this share of the served calls did not exceed."""
+        if not self.waits_s:
+            return 0.0
+        ordered = sorted(self.waits_s)
+        return ordered[min(len(ordered) - 1, int(share * len(ordered)))]
+
+
+class Traffic:
+    """Asks until it is stopped; then `breaches` has all broken rules that it can see."""
+
+    def __init__(
+        self, frontends: Callable[[], list[str]], seen: Observations, plan: TrafficPlan, seed: int = 1
+    ) -> None:
+        self.tallies: dict[str, Tally] = {"explain": Tally(), "review": Tally()}
+        self.lots: list[LotHistory] = []
+        self.breaches: list[Breach] = []
+        self.added_route = False
+        self._seen = seen
+        self._plan = plan
+        self._random = random.Random(seed)
+        self._client = LiveClient(frontends, seed, retries=2)
+        self._lot_client = LotClient(frontends, seed)
+        self._asked_ids: set[str] = set()
+        self._calls: set[asyncio.Task[None]] = set()
+        self._sources: list[asyncio.Task[None]] = []
+
+    def start(self) -> None:
+        """Begin to ask."""
+        loop = asyncio.get_running_loop()
+        self._sources = [loop.create_task(self._streams()), loop.create_task(self._lots())]
+
+    async def stop(self, within_s: float) -> None:
+        """Ask nothing new, wait for what is open, and judge the lots."""
+        for source in self._sources:
+            source.cancel()
+            with contextlib.suppress(asyncio.CancelledError):
+                await source
+        if self._calls:
+            await asyncio.wait(self._calls, timeout=within_s)
+        for call in self._calls:
+            call.cancel()
+        for history in self.lots:
+            self.breaches += judge_lot(history, self._seen, self._plan.stride)
+        self.breaches += judge_unasked(self._asked_ids, self._seen)
+
+    def _spawn(self, task: asyncio.Task[None]) -> None:
+        self._calls.add(task)
+        task.add_done_callback(self._calls.discard)
+
+    async def _streams(self) -> None:
+        loop = asyncio.get_running_loop()
+        while True:
+            self._spawn(loop.create_task(self._one_stream()))
+            await asyncio.sleep(self._random.expovariate(self._plan.streams_per_s))
+
+    async def _lots(self) -> None:
+        loop = asyncio.get_running_loop()
+        while True:
+            self._spawn(loop.create_task(self._one_lot()))
+            await asyncio.sleep(self._plan.lot_every_s)
+
+    def _make_call(self) -> tuple[str, StreamCall]:
+        name, prefix = "explain", EXPLAIN_PREFIX
+        drawn = self._random.random()
+        if drawn < RESUMABLE_SHARE:
+            name, prefix = "review", REVIEW_PREFIX
+        elif self.added_route and drawn > 0.8:
+            name, prefix = "added", ADDED_PREFIX
+        own = self._random.randbytes(4).hex()
+        parts = (self._random.choice(SHARED_PARTS), (own, self._random.randint(50, 300)))
+        return name, StreamCall(f"{prefix}{own}", self._random.randbytes(32), parts, OUTPUT_TOKENS)
+
+    async def _one_stream(self) -> None:
+        name, call = self._make_call()
+        tally = self.tallies.setdefault(name, Tally())
+        tally.asked += 1
+        results = await self._client.ask(call)
+        tally.tries += len(results)
+        for result in results:
+            self._asked_ids.add(result.request_id)
+            self.breaches += judge_stream(
+                call, result, self._seen, self._plan.stride, may_repeat=name == "review"
+            )
+        if results and results[-1].end is StreamEnd.SERVED:
+            tally.served += 1
+            tally.waits_s.append(results[-1].began_s - results[0].began_s + results[-1].first_s)
+        else:
+            tally.ends[results[-1].end.value if results else "no gateway"] += 1
+
+    async def _one_lot(self) -> None:
+        lot = make_lot(LOT_ITEMS, self._random.getrandbits(32), OUTPUT_TOKENS)
+        self._asked_ids.update(item.id for item in lot.items)
+        history = await self._lot_client.submit(lot)
+        self.lots.append(history)
+        if history.accepted:
+            await self._lot_client.follow(history, self._plan.lot_patience_s)
--- /dev/null
+++ b/emberring/standin/trial.py
@@ -0,0 +1,180 @@
+"""A trial of the whole tier on loopback: traffic, a node of each role killed once, servers lost and replaced."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from pathlib import Path
+
+import attrs
+
+from emberring.errors import NotReadyError
+from emberring.standin.configurations import SERVICE, TrialTerms, added_route, trial_configuration
+from emberring.standin.engine import EngineSpec
+from emberring.standin.judge import Breach
+from emberring.standin.local_tier import LocalTier, TierSize
+from emberring.standin.lot_client import LotHistory
+from emberring.standin.observations import Observations
+from emberring.standin.operator import Operator
+from emberring.standin.server_fleet import ServerFleet
+from emberring.standin.traffic import Tally, Traffic, TrafficPlan
+
+START_S = 15.0
+BACK_S = 15.0
+
+
+@attrs.frozen
+class TrialPlan:
+    """What happens and when; times in seconds. `apart_s` is the calm between two troubles of machines that count
+    for a quorum."""
+
+    size: TierSize = attrs.field(factory=TierSize)
+    traffic: TrafficPlan = attrs.field(factory=TrafficPlan)
+    servers: int = 3
+    calm_s: float = 2.0
+    down_s: float = 1.0
+    apart_s: float = 4.0
+    finish_s: float = 10.0
+    kill_roles: tuple[str, ...] = ("gateway", "store", "control")
+    server_troubles: bool = True
+
+
+@attrs.frozen
+class Trouble:
+    """A trouble and how long the way back took from the restart (seconds); None where there was none."""
+
+    what: str
+    who: str
+    back_s: float | None
+
+
+@attrs.frozen
+class TrialReport:
+    """What came of a trial."""
+
+    started_s: float
+    troubles: tuple[Trouble, ...]
+    tallies: dict[str, Tally]
+    lots: tuple[LotHistory, ...]
+    breaches: tuple[Breach, ...]
+    exit_codes: dict[str, int | None]
+    logs: dict[str, tuple[str, ...]]  # the last lines of nodes that did not end in order
+
+    @property
+    def clean(self) -> bool:
+        """Whether no rule was broken, every lot that was taken is whole and every node came back and ended."""
+        back = all(trouble.back_s is not None for trouble in self.troubles)
+        taken = [history for history in self.lots if history.accepted]
+        lots = bool(taken) and all(history.complete for history in taken)
+        ended = all(code == 0 for code in self.exit_codes.values())
+        asked = sum(tally.asked for tally in self.tallies.values())
+        served = sum(tally.served for tally in self.tallies.values())
+        return not self.breaches and back and lots and ended and served * 2 > asked
+
+
+class Trial:
+    """Plays a plan; `say` is told each step."""
+
+    def __init__(self, folder: Path, plan: TrialPlan, say: Callable[[str], None], seed: int = 1) -> None:
+        self._plan = plan
+        self._say = say
+        self._seen = Observations()
+        self._tier = LocalTier(folder, plan.size)
+        self._operator = Operator(self._tier.controls())
+        engine = EngineSpec(stride=plan.traffic.stride)
+        self._fleet = ServerFleet(SERVICE, engine, self._tier.controls, self._seen)
+        self._traffic = Traffic(self._tier.frontends, self._seen, plan.traffic, seed)
+        self._troubles: list[Trouble] = []
+
+    async def play(self) -> TrialReport:
+        """The whole trial; `NotReadyError` where the tier does not come up."""
+        try:
+            started_s = await self._start()
+            self._traffic.start()
+            await asyncio.sleep(self._plan.calm_s)
+            await self._make_trouble()
+            self._say("traffic ends; waiting for open streams and lots")
+            await self._traffic.stop(self._plan.finish_s)
+            self._say("asking every node to end")
+            codes = await self._tier.stop()
+            return self._report(started_s, codes)
+        finally:
+            self._tier.kill_all()
+            await self._fleet.stop()
+
+    async def _start(self) -> float:
+        loop = asyncio.get_running_loop()
+        began = loop.time()
+        size = self._plan.size
+        self._say(f"starting {size.controls} control nodes, {size.stores} stores, {size.gateways} gateways")
+        self._tier.start()
+        for _ in range(self._plan.servers):
+            await self._fleet.add()
+        outcome = await self._operator.put_configuration(self._configuration(), 0, START_S)
+        if not outcome.acknowledged:
+            raise NotReadyError(f"no control node took the first configuration ({self._first_log()})")
+        self._say(f"version 1 taken after {loop.time() - began:.1f} s")
+        if await self._tier.wait_up(self._tier.nodes, START_S) is None:
+            raise NotReadyError(f"not every node came up ({self._first_log()})")
+        await self._tier.wait_frontends(size.gateways, START_S)
+        self._say(f"all nodes up after {loop.time() - began:.1f} s")
+        return loop.time() - began
+
+    def _configuration(self) -> dict[str, object]:
+        return trial_configuration(1, TrialTerms(stride=self._plan.traffic.stride))
+
+    async def _make_trouble(self) -> None:
+        for role in self._plan.kill_roles:
+            await self._kill_one(role)
+            if role == "gateway" and self._plan.server_troubles:
+                await self._trouble_servers()
+            elif role != "gateway":
+                await asyncio.sleep(self._plan.apart_s)
+
+    async def _kill_one(self, role: str) -> None:
+        node = self._tier.of_role(role)[0]
+        self._say(f"kill -9 {node.pid} ({node.place.name})")
+        node.kill()
+        await asyncio.sleep(self._plan.down_s)
+        node.start(bootstrap=False)
+        back_s = await self._tier.wait_up([node.place.name], BACK_S)
+        told = "did not come back" if back_s is None else f"back {back_s:.1f} s after its restart"
+        self._say(f"{node.place.name} {told}")
+        self._troubles.append(Trouble(f"{role} killed", node.place.name, back_s))
+
+    async def _trouble_servers(self) -> None:
+        first, second, *_ = self._fleet.servers
+        self._say(f"model server {first} crashes, {second} drains, two new ones come")
+        loop = asyncio.get_running_loop()
+        began = loop.time()
+        await self._fleet.crash(first)
+        await self._fleet.add()
+        await self._fleet.add()
+        released = await self._fleet.release(second)
+        self._troubles.append(Trouble("server released", second, loop.time() - began if released else None))
+        await self._change_configuration()
+
+    async def _change_configuration(self) -> None:
+        outcome = await self._operator.patch_configuration(added_route(2), 1)
+        took_s = outcome.took_s if outcome.acknowledged else None
+        self._say(f"version 2 adds a route: status {outcome.status}")
+        self._troubles.append(Trouble("route added", "version 2", took_s))
+        self._traffic.added_route = outcome.acknowledged
+
+    def _first_log(self) -> str:
+        for node in self._tier.nodes.values():
+            if not node.running and node.log_tail(1):
+                return f"{node.place.name}: {node.log_tail(1)[0]}"
+        return "all nodes run"
+
+    def _report(self, started_s: float, codes: dict[str, int | None]) -> TrialReport:
+        bad = [name for name, code in codes.items() if code != 0]
+        return TrialReport(
+            started_s=started_s,
+            troubles=tuple(self._troubles),
+            tallies=self._traffic.tallies,
+            lots=tuple(self._traffic.lots),
+            breaches=tuple(self._traffic.breaches),
+            exit_codes=codes,
+            logs={name: tuple(self._tier.nodes[name].log_tail(8)) for name in bad},
+        )
