--- /dev/null
+++ b/emberring/lots/calls.py
@@ -0,0 +1,185 @@
+"""Messages between gateways and the owner of a shard. An owner that may not answer refuses with `NotOwnerError`."""
+
+from __future__ import annotations
+
+import attrs
+
+from emberring.transport.messages import message
+
+
+@attrs.frozen
+class LotTerms:
+    """What a lot's route said when the lot was handed in. `version` is the configuration's; times as named."""
+
+    route: str
+    path: str
+    version: int
+    completion_ms: float
+    retention_s: float
+    max_attempts: int
+    max_queued_tokens: int
+
+
+@message("lots.submit")
+@attrs.frozen
+class SubmitLot:
+    """A lot is handed in: `body` as the client sent it."""
+
+    host: str
+    lot: str
+    terms: LotTerms
+    body: bytes
+
+
+@message("lots.read")
+@attrs.frozen
+class ReadLot:
+    """Results from position `start_after` on; the answer may be held back up to `wait_ms` until there is one."""
+
+    host: str
+    lot: str
+    start_after: int
+    wait_ms: int
+
+
+@message("lots.page")
+@attrs.frozen
+class LotPage:
+    """The JSON answer for the client."""
+
+    body: bytes
+
+
+@message("lots.item")
+@attrs.frozen
+class ReadItem:
+    """The decoded body of an item."""
+
+    host: str
+    lot: str
+    item: str
+
+
+@message("lots.body")
+@attrs.frozen
+class ItemBody:
+    """An item's decoded body."""
+
+    body: bytes
+
+
+@message("lots.end")
+@attrs.frozen
+class EndLot:
+    """The client ends a lot."""
+
+    host: str
+    lot: str
+
+
+@attrs.frozen
+class EventData:
+    """One event of an item's answer."""
+
+    id: int
+    data: str
+
+
+@message("lots.lease")
+@attrs.frozen
+class LeaseItems:
+    """A gateway asks for up to `room` items of any shard that the store owns; held back up to `wait_ms`."""
+
+    gateway: str
+    room: int
+    wait_ms: int
+
+
+@attrs.frozen
+class Assignment:
+    """An item to run under a ticket. `events` are those already held: the run goes on after the last of them."""
+
+    shard: int
+    key: str
+    index: int
+    ticket: int
+    id: str
+    host: str
+    path: str
+    route: str
+    lot_path: str
+    headers: dict[str, str]
+    body: bytes
+    tokens: int
+    due_ms: int
+    events: tuple[EventData, ...] = ()
+
+
+@message("lots.leased")
+@attrs.frozen
+class LeasedItems:
+    """The items to run."""
+
+    items: tuple[Assignment, ...] = ()
+
+
+@attrs.frozen
+class RunProgress:
+    """A run that goes on: its events from number `start` (counted from 0) on, as far as the owner lacks them."""
+
+    key: str
+    index: int
+    ticket: int
+    start: int
+    events: tuple[EventData, ...] = ()
+
+
+@message("lots.report")
+@attrs.frozen
+class ReportRuns:
+    """A gateway keeps the leases of its runs in a shard and tells how far they are."""
+
+    gateway: str
+    shard: int
+    runs: tuple[RunProgress, ...]
+
+
+@attrs.frozen
+class RunAnswer:
+    """`go_on`: the lease is renewed. `have`: how many events of this run the owner holds."""
+
+    ticket: int
+    go_on: bool
+    have: int
+
+
+@message("lots.reported")
+@attrs.frozen
+class ReportAnswer:
+    """An answer for each run."""
+
+    runs: tuple[RunAnswer, ...]
+
+
+@message("lots.finish")
+@attrs.frozen
+class FinishRun:
+    """A run has ended: `kind` is an `OutcomeKind`'s value. `events` from number `start` on, of `total` in all."""
+
+    gateway: str
+    shard: int
+    key: str
+    index: int
+    ticket: int
+    kind: str
+    start: int
+    total: int
+    events: tuple[EventData, ...] = ()
+
+
+@message("lots.finished")
+@attrs.frozen
+class RunFinished:
+    """`taken`: nothing more is to be said of this run. Otherwise all its events are wanted again, from 0 on."""
+
+    taken: bool
--- /dev/null
+++ b/emberring/lots/client.py
@@ -0,0 +1,167 @@
+"""The gateway's calls about lots: finds the owner, tries again, and never promises what is not certain."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import Any, TypeVar
+
+import attrs
+
+from emberring.configuration.model import Route
+from emberring.errors import (
+    DiskFailedError,
+    EmberringError,
+    FencedError,
+    InDoubtError,
+    InternalError,
+    NoQuorumError,
+    NotFoundError,
+    NotOwnerError,
+    NotReadyError,
+    PeerTimeoutError,
+    PeerUnavailableError,
+    ProtocolViolationError,
+    QuotaExceededError,
+)
+from emberring.lots.calls import (
+    EndLot,
+    ItemBody,
+    LotPage,
+    LotTerms,
+    ReadItem,
+    ReadLot,
+    SubmitLot,
+)
+from emberring.lots.directory import Knowledge, OwnerDirectory
+from emberring.lots.placement import shard_of
+from emberring.transport.messages import Ok
+from emberring.transport.network import Network
+
+SUBMIT_LIMIT_S = 2.6
+END_LIMIT_S = 2.8
+READ_SLACK_S = 1.1
+ITEM_LIMIT_S = 1.1
+ATTEMPT_S = 0.8  # for one store's answer, beyond any wait that was allowed
+PAUSE_S = 0.04
+
+Reply = TypeVar("Reply")
+
+_IN_DOUBT = (
+    PeerTimeoutError,
+    InDoubtError,
+    NoQuorumError,
+    FencedError,
+    DiskFailedError,
+    ProtocolViolationError,
+    InternalError,
+)
+
+
+@attrs.define
+class _Search:
+    """One call on its way to the owner. `doubt`: an attempt may have been carried out."""
+
+    shard: int
+    until_s: float
+    attempt_s: float
+    doubt: bool = False
+    reason: str = ""
+
+
+class LotClient:
+    """Calls about lots. Used from one event loop."""
+
+    def __init__(
+        self, network: Network, knowledge: Knowledge, directory: OwnerDirectory | None = None
+    ) -> None:
+        self._network = network
+        self._knowledge = knowledge
+        self._directory = directory or OwnerDirectory(knowledge)
+
+    async def submit(self, host: str, route: Route, lot: str, body: bytes) -> None:
+        """Have a lot taken; returns once it is kept. `QuotaExceededError` and `NotReadyError` only where nothing
+        was written; `InDoubtError` where that is not certain."""
+        configuration = self._knowledge.configuration
+        terms = LotTerms(
+            route=route.name,
+            path=route.path_prefix,
+            version=configuration.version if configuration else 0,
+            completion_ms=route.completion_target_ms,
+            retention_s=route.retention_s,
+            max_attempts=route.max_attempts,
+            max_queued_tokens=route.max_queued_tokens,
+        )
+        search = self._search(host, min(SUBMIT_LIMIT_S, 0.8 * route.timeout_ms / 1000), ATTEMPT_S)
+        try:
+            await self._ask(search, SubmitLot(host, lot, terms, body), Ok)
+        except (QuotaExceededError, NotReadyError) as error:
+            if search.doubt:
+                raise InDoubtError(f"{search.reason}; then {error.detail}") from error
+            raise
+
+    async def read(self, host: str, lot: str, start_after: int, wait_ms: float) -> bytes:
+        """A page of results as JSON. `NotFoundError` where there is certainly no such lot."""
+        wait_s = wait_ms / 1000
+        search = self._search(host, wait_s + READ_SLACK_S, wait_s + ATTEMPT_S)
+        loop = asyncio.get_running_loop()
+        wait_until_s = loop.time() + wait_s
+
+        def message() -> ReadLot:
+            return ReadLot(host, lot, start_after, max(0, int((wait_until_s - loop.time()) * 1000)))
+
+        return (await self._ask(search, message, LotPage)).body
+
+    async def item(self, host: str, lot: str, item: str) -> bytes:
+        """The body of an item. `NotFoundError` where there is certainly no such lot or item."""
+        search = self._search(host, ITEM_LIMIT_S, ATTEMPT_S)
+        return (await self._ask(search, ReadItem(host, lot, item), ItemBody)).body
+
+    async def end(self, host: str, lot: str) -> None:
+        """End a lot; returns once the end lasts."""
+        search = self._search(host, END_LIMIT_S, ATTEMPT_S)
+        try:
+            await self._ask(search, EndLot(host, lot), Ok)
+        except NotReadyError as error:
+            if search.doubt:
+                raise InDoubtError(search.reason) from error
+            raise
+
+    def _search(self, host: str, limit_s: float, attempt_s: float) -> _Search:
+        now_s = asyncio.get_running_loop().time()
+        return _Search(shard_of(host), now_s + limit_s, attempt_s)
+
+    async def _ask(self, search: _Search, message: Any, reply: type[Reply]) -> Reply:
+        """Ask the owner, wherever it is. `NotReadyError` where none answered in time."""
+        loop = asyncio.get_running_loop()
+        while (left_s := search.until_s - loop.time()) > 0:
+            address = self._directory.address(search.shard)
+            if address is None:
+                search.reason = "no store is known"
+                await asyncio.sleep(PAUSE_S)
+                continue
+            body = message() if callable(message) else message
+            try:
+                found = await self._network.call(address, body, reply, min(left_s, search.attempt_s))
+            except EmberringError as error:
+                self._note(search, address, error)
+                if search.until_s - loop.time() > PAUSE_S:
+                    await asyncio.sleep(PAUSE_S)
+                continue
+            self._directory.confirm(search.shard, address)
+            return found
+        raise NotReadyError(search.reason or "no owner answered in time")
+
+    def _note(self, search: _Search, address: str, error: EmberringError) -> None:
+        """What a failed attempt means; an error that is an answer is raised."""
+        if isinstance(error, NotOwnerError):
+            self._directory.redirect(search.shard, address, error.detail)
+        elif isinstance(error, _IN_DOUBT):
+            search.doubt = True
+            self._directory.forget(search.shard, address)
+        elif isinstance(error, PeerUnavailableError):
+            self._directory.forget(search.shard, address)
+        elif not isinstance(error, NotReadyError):
+            if not isinstance(error, NotFoundError):
+                self._directory.confirm(search.shard, address)
+            raise error
+        search.reason = f"{address}: {error.kind.value} {error.detail}"
--- /dev/null
+++ b/emberring/lots/definition.py
@@ -0,0 +1,103 @@
+"""A lot as its client handed it in: checked on arrival, kept as bytes, read again when its items run."""
+
+from __future__ import annotations
+
+import base64
+import binascii
+from typing import Any
+
+import attrs
+import orjson
+
+from emberring.errors import BadRequestError, CorruptRecordError
+from emberring.lots.calls import LotTerms
+
+MAX_ITEMS = 200
+_END_OF_TERMS = b"\n"
+
+
+@attrs.frozen
+class ItemSpec:
+    """One item as submitted; `body` is still in base64."""
+
+    id: str
+    path: str
+    headers: dict[str, str]
+    body: str
+    tokens: int
+
+    def decoded_body(self) -> bytes:
+        """The body's bytes."""
+        return base64.b64decode(self.body)
+
+
+def parse_items(body: bytes) -> list[ItemSpec]:
+    """The items of a submitted lot; `BadRequestError` says what is wrong with it."""
+    try:
+        document = orjson.loads(body)
+    except orjson.JSONDecodeError as error:
+        raise BadRequestError(f"not JSON: {error}") from error
+    listed = document.get("Requests") if isinstance(document, dict) else None
+    if not isinstance(listed, list) or not 0 < len(listed) <= MAX_ITEMS:
+        raise BadRequestError(f"Requests: a list of 1 to {MAX_ITEMS} items is wanted")
+    items = [_parse_item(number, entry) for number, entry in enumerate(listed)]
+    if len({item.id for item in items}) != len(items):
+        raise BadRequestError("Requests: an Id stands twice")
+    return items
+
+
+def _parse_item(number: int, entry: Any) -> ItemSpec:
+    if not isinstance(entry, dict):
+        raise BadRequestError(f"Requests[{number}]: not an object")
+    headers = entry.get("Headers") or {}
+    named = {
+        "Id": isinstance(entry.get("Id"), str) and bool(entry["Id"]),
+        "Path": isinstance(entry.get("Path"), str) and entry["Path"].startswith("/"),
+        "Headers": isinstance(headers, dict) and all(isinstance(value, str) for value in headers.values()),
+        "Body": isinstance(entry.get("Body", ""), str) and _is_base64(entry.get("Body", "")),
+        "Tokens": _is_count(entry.get("Tokens", 0)),
+    }
+    wrong = [name for name, good in named.items() if not good]
+    if wrong:
+        raise BadRequestError(f"Requests[{number}]: {', '.join(wrong)}")
+    return _spec(entry)
+
+
+def _is_base64(text: str) -> bool:
+    try:
+        base64.b64decode(text, validate=True)
+    except (binascii.Error, ValueError):
+        return False
+    return True
+
+
+def _is_count(value: Any) -> bool:
+    return not isinstance(value, bool) and isinstance(value, int) and value >= 0
+
+
+def _spec(entry: dict[str, Any]) -> ItemSpec:
+    return ItemSpec(
+        entry["Id"], entry["Path"], entry.get("Headers") or {}, entry.get("Body", ""), entry.get("Tokens", 0)
+    )
+
+
+def encode_definition(terms: LotTerms, body: bytes) -> bytes:
+    """The value of a lot's definition: its terms on one line, then the body as it came."""
+    return orjson.dumps(attrs.asdict(terms)) + _END_OF_TERMS + body
+
+
+def decode_terms(value: bytes) -> LotTerms:
+    """The terms in a definition's value."""
+    try:
+        return LotTerms(**orjson.loads(value[: value.index(_END_OF_TERMS)]))
+    except (ValueError, TypeError) as error:
+        raise CorruptRecordError(f"definition: {error}") from error
+
+
+def decode_items(value: bytes) -> list[ItemSpec]:
+    """The items in a definition's value, which were checked when it was taken."""
+    try:
+        document = orjson.loads(memoryview(value)[value.index(_END_OF_TERMS) + 1 :])
+        return [_spec(entry) for entry in document["Requests"]]
+    except (ValueError, TypeError, KeyError) as error:
+        raise CorruptRecordError(f"definition: {error}") from error
--- /dev/null
+++ b/emberring/lots/lease.py
@@ -0,0 +1,43 @@
+"""The lease under which an owner answers reads: a quorum was in contact a short while ago."""
+
+from __future__ import annotations
+
+import math
+
+from emberring.lots.placement import Group, quorum
+
+LEASE_S = 0.6  # after the sending of a touch that a quorum granted; replicas refuse others for longer
+
+
+def has_quorum(group: Group, identities: set[str]) -> bool:
+    """Whether these are a majority of the members, and of those joining if there are any."""
+    return all(
+        len(identities.intersection(members)) >= quorum(members)
+        for members in (group.members, group.joining)
+        if members
+    )
+
+
+class OwnerLease:
+    """When each replica last granted the owner's lease, by the time at which it was asked."""
+
+    def __init__(self) -> None:
+        self._granted: dict[str, float] = {}
+
+    def grant(self, identity: str, sent_s: float) -> None:
+        """A replica granted what was sent to it at this time."""
+        self._granted[identity] = max(sent_s, self._granted.get(identity, -math.inf))
+
+    def clear(self) -> None:
+        """The term is another one now."""
+        self._granted.clear()
+
+    def until_s(self, group: Group) -> float:
+        """Until when reads may be answered."""
+        return LEASE_S + min(
+            self._quorum_time(members) for members in (group.members, group.joining) if members
+        )
+
+    def _quorum_time(self, members: tuple[str, ...]) -> float:
+        times = sorted((self._granted.get(identity, -math.inf) for identity in members), reverse=True)
+        return times[quorum(members) - 1]
--- /dev/null
+++ b/emberring/lots/merge.py
@@ -0,0 +1,81 @@
+"""What a new owner makes of the replicas' inventories: for each slot the record of the highest term."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+
+import attrs
+
+from emberring.lots.lease import has_quorum
+from emberring.lots.placement import Group
+from emberring.lots.records import FORGOTTEN, LotState, SlotState, Term
+
+
+@attrs.frozen
+class MergedSlot:
+    """The record to adopt, who holds it under its highest term, and whether those are a quorum."""
+
+    state: SlotState
+    holders: tuple[str, ...]
+    chosen: bool
+
+
+@attrs.frozen
+class MergedLot:
+    """A lot's slots, and its greatest known age."""
+
+    age_ms: int
+    slots: dict[int, MergedSlot]
+
+
+Inventories = Mapping[str, Mapping[str, LotState]]
+
+
+def merge(inventories: Inventories, group: Group) -> dict[str, MergedLot]:
+    """The records that an owner of this group adopts, given what a quorum of replicas holds."""
+    keys = {key for inventory in inventories.values() for key in inventory}
+    quorums: dict[tuple[str, ...], bool] = {}
+    return {key: _merge_lot(key, inventories, group, quorums) for key in keys}
+
+
+def _merge_lot(
+    key: str, inventories: Inventories, group: Group, quorums: dict[tuple[str, ...], bool]
+) -> MergedLot:
+    held = [(identity, inventory[key]) for identity, inventory in inventories.items() if key in inventory]
+    best: dict[int, tuple[SlotState, list[str]]] = {}
+    for identity, lot in held:
+        for slot, state in lot.slots.items():
+            known = best.get(slot)
+            if known is None or state.term > known[0].term:
+                best[slot] = (state, [identity])
+            elif state.term == known[0].term:
+                known[1].append(identity)
+    if FORGOTTEN in best:
+        best = {FORGOTTEN: best[FORGOTTEN]}
+    slots: dict[int, MergedSlot] = {}
+    for slot, (state, names) in best.items():
+        holders = tuple(names)
+        if holders not in quorums:
+            quorums[holders] = has_quorum(group, set(holders))
+        slots[slot] = MergedSlot(state, holders, quorums[holders])
+    return MergedLot(max(lot.age_ms for _, lot in held), slots)
+
+
+def misplaced(results: Mapping[int, tuple[Term, int]]) -> set[int]:
+    """Positions to be left out: of those that name one item, all but the one of the highest term.
+
+    `results` has the term and the item by position. A chosen result is never left out: every owner of a later
+    term knows it, so that another position of its item can only be of a lower term.
+    """
+    best: dict[int, int] = {}
+    out: set[int] = set()
+    for position, (term, item) in sorted(results.items()):
+        other = best.get(item)
+        if other is None:
+            best[item] = position
+        elif term > results[other][0]:
+            out.add(other)
+            best[item] = position
+        else:
+            out.add(position)
+    return out
--- /dev/null
+++ b/emberring/lots/owned.py
@@ -0,0 +1,78 @@
+"""The records of a shard as its owner holds them."""
+
+from __future__ import annotations
+
+import attrs
+
+from emberring.lots.records import checksum
+from emberring.lots.replica import slot_digest
+
+
+@attrs.define(eq=False)
+class OwnedSlot:
+    """A value, and whether a quorum has it. `acks` are the replicas that confirmed it while it is not chosen."""
+
+    value: bytes
+    checksum: int
+    chosen: bool = False
+    acks: set[str] | None = None
+
+
+@attrs.define(eq=False)
+class OwnedLot:
+    """The slots of a lot, and when it was accepted (seconds of the steady clock, at the latest)."""
+
+    accepted_s: float
+    slots: dict[int, OwnedSlot] = attrs.field(factory=dict)
+
+
+class OwnedRecords:
+    """All lots of a shard."""
+
+    def __init__(self) -> None:
+        self.lots: dict[str, OwnedLot] = {}
+        self.unchosen = 0
+        self.digest = 0
+
+    def replace(self, lots: dict[str, OwnedLot]) -> None:
+        """Begin anew with these."""
+        self.lots = lots
+        self.unchosen = 0
+        self.digest = 0
+        for key, lot in lots.items():
+            for slot, owned in lot.slots.items():
+                self.digest ^= slot_digest(key, slot, owned.checksum)
+                self.unchosen += not owned.chosen
+
+    def find(self, key: str, slot: int) -> OwnedSlot | None:
+        """The slot, or None."""
+        lot = self.lots.get(key)
+        return lot.slots.get(slot) if lot else None
+
+    def put(self, key: str, slot: int, value: bytes, accepted_s: float) -> None:
+        """A new value, not chosen yet."""
+        lot = self.lots.get(key)
+        if lot is None:
+            lot = self.lots[key] = OwnedLot(accepted_s)
+        self.erase(key, slot)
+        owned = OwnedSlot(value, checksum(value), acks=set())
+        self.lots.setdefault(key, lot).slots[slot] = owned
+        self.digest ^= slot_digest(key, slot, owned.checksum)
+        self.unchosen += 1
+
+    def erase(self, key: str, slot: int) -> None:
+        """Forget a slot; a lot without slots is gone."""
+        lot = self.lots.get(key)
+        owned = lot.slots.pop(slot, None) if lot else None
+        if lot is None or owned is None:
+            return
+        self.digest ^= slot_digest(key, slot, owned.checksum)
+        self.unchosen -= not owned.chosen
+        if not lot.slots:
+            del self.lots[key]
+
+    def choose(self, owned: OwnedSlot) -> None:
+        """A quorum has it."""
+        owned.chosen = True
+        owned.acks = None
+        self.unchosen -= 1
--- /dev/null
+++ b/emberring/lots/owner.py
@@ -0,0 +1,399 @@
+"""The owner of one shard: takes a term from a quorum, adopts what the replicas hold, writes under its term. No I/O.
+
+Every call gives actions. A `Send` is a call to a replica (this store's own too); its end is handed back by
+`answered` or `failed` with the same ticket. Times are seconds of the steady clock.
+"""
+
+from __future__ import annotations
+
+import random
+from enum import Enum
+from typing import Any
+
+import attrs
+
+from emberring.lots.adoption import Adoption
+from emberring.lots.lease import OwnerLease, has_quorum
+from emberring.lots.messages import (
+    AskInventory,
+    Claim,
+    ClaimReply,
+    Fetch,
+    Fetched,
+    Inventory,
+    Lease,
+    LeaseAnswer,
+    Release,
+    WriteReply,
+)
+from emberring.lots.owned import OwnedLot, OwnedRecords
+from emberring.lots.placement import Group, in_order
+from emberring.lots.records import FORGOTTEN, NO_TERM, LotState, Term, unpack_inventory, unpack_records
+from emberring.lots.replica import Replica
+from emberring.lots.replication import Replication
+
+RANK_DELAY_S = 0.25  # each store waits so much longer than the one before it in the order
+CLAIM_WAIT_S = 0.7
+CLAIM_PAUSE_S = (0.05, 0.25)
+FETCH_WAIT_S = 2.5
+MOVED_EVERY_S = 0.5
+SWEEP_EVERY_S = 2.0
+
+
+class Stage(Enum):
+    """How far a store is with a shard."""
+
+    FOLLOWING = "following"
+    CLAIMING = "claiming"
+    FETCHING = "fetching"
+    REWRITING = "rewriting"
+    SERVING = "serving"
+
+
+@attrs.frozen
+class Send:
+    """Call the store of this identity."""
+
+    ticket: int
+    target: str
+    message: Any
+
+
+@attrs.frozen
+class Chosen:
+    """This slot's value is on a quorum's disks: it may be shown and stays."""
+
+    key: str
+    slot: int
+
+
+@attrs.frozen
+class BecameOwner:
+    """These lots, all chosen, are the shard's whole truth."""
+
+    lots: dict[str, OwnedLot]
+
+
+@attrs.frozen
+class LostOwnership:
+    """Nothing may be said of the shard any more."""
+
+
+@attrs.frozen
+class Moved:
+    """All records stand on the joining replicas of this epoch's group."""
+
+    epoch: int
+
+
+OwnerAction = Send | Chosen | BecameOwner | LostOwnership | Moved
+
+
+class ShardOwner:
+    """One shard, as seen by a store that may own it."""
+
+    def __init__(self, me: str, replica: Replica, seed: int) -> None:
+        self.me = me
+        self.replica = replica
+        self.group: Group | None = None
+        self.stage = Stage.FOLLOWING
+        self.term = NO_TERM
+        self.lease = OwnerLease()
+        self.records = OwnedRecords()
+        self._replication = Replication(self.records)
+        self._random = random.Random(seed)
+        self._counter = 0
+        self._inventories: dict[str, dict[str, LotState]] = {}
+        self._adoption: Adoption | None = None
+        self._stage_since_s = 0.0
+        self._not_before_s = 0.0
+        self._told_moved_s = 0.0
+        self._swept_s = 0.0
+        self._announced = False  # `BecameOwner` was given, and `LostOwnership` not yet
+        self._sent: dict[int, Send] = {}
+        self._next_ticket = 1
+        self._out: list[OwnerAction] = []
+
+    # What the store asks.
+
+    def serving(self, now_s: float) -> bool:
+        """Whether this store may answer for the shard now."""
+        if self.stage is not Stage.SERVING or self.group is None:
+            return False
+        return now_s < self.lease.until_s(self.group)
+
+    def leases(self, identity: str) -> list[Lease]:
+        """What to keep with a replica."""
+        if self.group is None or identity not in self.group.everyone:
+            return []
+        owns = self.stage in (Stage.FETCHING, Stage.REWRITING, Stage.SERVING)
+        return [Lease(self.group.shard, self.term)] if owns else []
+
+    def set_group(self, now_s: float, group: Group) -> list[OwnerAction]:
+        """The table has this group for the shard."""
+        if self.group is not None and group.epoch <= self.group.epoch:
+            return []
+        before, self.group = self.group, group
+        if before is None:
+            self._not_before_s = now_s
+        if self.stage is not Stage.FOLLOWING:
+            if self.me in group.everyone:
+                self._claim(now_s)
+            else:
+                self._release(now_s, group)
+        return self._take()
+
+    def tick(self, now_s: float, fit: bool, live: set[str]) -> list[OwnerAction]:
+        """Time goes on. `fit`: this store's disk works and it is not leaving; `live`: identities heard of lately."""
+        if self.group is None or self.me not in self.group.everyone:
+            return []
+        if not fit:
+            if self.stage is not Stage.FOLLOWING:
+                self._release(now_s, self.group)
+        elif self.stage is Stage.FOLLOWING:
+            if now_s >= self._claim_at_s(now_s, live):
+                self._claim(now_s)
+        elif self.stage is Stage.CLAIMING:
+            if now_s - self._stage_since_s > CLAIM_WAIT_S:
+                self._step_down(now_s)
+        elif self.stage is Stage.FETCHING:
+            if now_s - self._stage_since_s > FETCH_WAIT_S:
+                self._step_down(now_s)
+        else:
+            self._flush(now_s)
+            self._tell_moved(now_s)
+            self._sweep(now_s)
+        return self._take()
+
+    def propose(
+        self, now_s: float, key: str, slot: int, value: bytes, accepted_s: float
+    ) -> list[OwnerAction]:
+        """Write a value into a slot that has none; `Chosen` follows once it lasts."""
+        self.records.put(key, slot, value, accepted_s)
+        self._replication.write((key, slot))
+        self._flush(now_s)
+        return self._take()
+
+    def forget(self, now_s: float, key: str) -> list[OwnerAction]:
+        """Let go of a lot. It is marked first, so that no replica that was away can bring it back."""
+        lot = self.records.lots.get(key)
+        if lot is None or FORGOTTEN in lot.slots:
+            return []
+        return self.propose(now_s, key, FORGOTTEN, b"", lot.accepted_s)
+
+    # What replicas answer.
+
+    def touched(self, now_s: float, identity: str, sent_s: float, answer: LeaseAnswer) -> list[OwnerAction]:
+        """A replica answered a touch that was sent at this time."""
+        if self.stage in (Stage.FOLLOWING, Stage.CLAIMING):
+            return []
+        if answer.promised > self.term:
+            self._overruled(now_s, answer.promised)
+        elif answer.granted and answer.promised == self.term:
+            self.lease.grant(identity, sent_s)
+            if self.stage in (Stage.REWRITING, Stage.SERVING):
+                self._look_after(now_s, identity, sent_s, answer.digest)
+        return self._take()
+
+    def _look_after(self, now_s: float, identity: str, sent_s: float, digest: int) -> None:
+        assert self.group is not None
+        if self._replication.wants_inventory(now_s, identity, sent_s, digest):
+            self._send(identity, AskInventory(self.group.shard, identity, self.term))
+
+    def answered(self, now_s: float, ticket: int, reply: Any) -> list[OwnerAction]:
+        """A call had this reply."""
+        sent = self._sent.pop(ticket, None)
+        if sent is None:
+            return []
+        if isinstance(reply, ClaimReply):
+            self._on_claim_reply(now_s, sent, reply)
+        elif isinstance(reply, WriteReply):
+            self._on_write_reply(now_s, sent, reply)
+        elif isinstance(reply, Inventory):
+            self._on_inventory(now_s, sent, reply)
+        elif isinstance(reply, Fetched):
+            self._on_fetched(now_s, sent, reply)
+        return self._take()
+
+    def failed(self, now_s: float, ticket: int) -> list[OwnerAction]:
+        """A call had no reply in time, or a refusal of the disk."""
+        sent = self._sent.pop(ticket, None)
+        if sent is not None and isinstance(sent.message, Fetch) and self._adoption is not None:
+            self._adoption.failed(sent.target)
+            self._fetch(now_s)
+        elif sent is not None:
+            self._replication.failed(now_s, sent.target, ticket)
+        return self._take()
+
+    # Taking a term.
+
+    def _claim_at_s(self, now_s: float, live: set[str]) -> float:
+        assert self.group is not None
+        staying = self.group.joining or self.group.members
+        settled = [identity for identity in self.group.members if identity in staying]
+        order = in_order(self.group.shard, settled)
+        order += [
+            identity for identity in in_order(self.group.shard, self.group.everyone) if identity not in order
+        ]
+        before = order[: order.index(self.me)]
+        rank = sum(1 for identity in before if identity in live)
+        return max(self._not_before_s, self.replica.held_until_s) + rank * RANK_DELAY_S
+
+    def _claim(self, now_s: float) -> None:
+        assert self.group is not None
+        self._counter = max(self._counter, self.replica.promised.counter, self.term.counter) + 1
+        self.term = Term(self.group.epoch, self._counter, self.me)
+        self._enter(now_s, Stage.CLAIMING)
+        self._inventories.clear()
+        self._adoption = None
+        self._sent.clear()
+        self.lease.clear()
+        for identity in self.group.everyone:
+            self._send(identity, Claim(self.group.shard, identity, self.term))
+
+    def _on_claim_reply(self, now_s: float, sent: Send, reply: ClaimReply) -> None:
+        if sent.message.term != self.term or self.stage is Stage.FOLLOWING:
+            return
+        if not reply.granted:
+            self._counter = max(self._counter, reply.promised.counter)
+            if reply.promised > self.term and self.stage is not Stage.CLAIMING:
+                self._overruled(now_s, reply.promised)
+            return
+        inventory = unpack_inventory(reply.inventory)
+        if self.stage is Stage.CLAIMING:
+            self._inventories[sent.target] = inventory
+            self._adopt_if_granted(now_s)
+        elif self.stage is Stage.FETCHING:
+            self._inventories[sent.target] = inventory
+        else:
+            self._replication.compare(sent.target, inventory)
+            self._flush(now_s)
+
+    def _adopt_if_granted(self, now_s: float) -> None:
+        assert self.group is not None
+        if not has_quorum(self.group, set(self._inventories)):
+            return
+        self._enter(now_s, Stage.FETCHING)
+        self._adoption = Adoption(now_s, dict(self._inventories), self.group, self.me, self.replica)
+        self._fetch(now_s)
+
+    def _fetch(self, now_s: float) -> None:
+        assert self.group is not None
+        adoption = self._adoption
+        if adoption is None or self.stage is not Stage.FETCHING:
+            return
+        for identity, records in adoption.wanted():
+            self._send(identity, Fetch(self.group.shard, identity, records))
+        if adoption.stuck:
+            self._step_down(now_s)
+        elif adoption.done:
+            self._rewrite(now_s, adoption)
+
+    def _on_fetched(self, now_s: float, sent: Send, reply: Fetched) -> None:
+        if self._adoption is not None and self.stage is Stage.FETCHING:
+            self._adoption.fetched(sent.target, unpack_records(reply.records))
+            self._fetch(now_s)
+
+    def _rewrite(self, now_s: float, adoption: Adoption) -> None:
+        assert self.group is not None
+        self._adoption = None
+        self._enter(now_s, Stage.REWRITING)
+        self.records.replace(adoption.lots())
+        self._replication.begin(self.group, self.term)
+        for identity, inventory in self._inventories.items():
+            self._replication.compare(identity, inventory)
+        self._inventories.clear()
+        self._flush(now_s)
+        self._serve_if_rewritten(now_s)
+
+    def _serve_if_rewritten(self, now_s: float) -> None:
+        if self.stage is Stage.REWRITING and not self.records.unchosen:
+            self._enter(now_s, Stage.SERVING)
+            self._announced = True
+            self._out.append(BecameOwner(self.records.lots))
+
+    # Writing.
+
+    def _flush(self, now_s: float) -> None:
+        if self.group is None or self.stage not in (Stage.REWRITING, Stage.SERVING):
+            return
+        for identity in self.group.everyone:
+            while (message := self._replication.next_message(now_s, identity, self._next_ticket)) is not None:
+                self._send(identity, message)
+
+    def _on_write_reply(self, now_s: float, sent: Send, reply: WriteReply) -> None:
+        if sent.message.term != self.term or self.stage not in (Stage.REWRITING, Stage.SERVING):
+            return
+        if not reply.written:
+            if reply.promised > self.term:
+                self._overruled(now_s, reply.promised)
+            else:
+                self._replication.failed(now_s, sent.target, sent.ticket)
+            return
+        for key, slot in self._replication.answered(sent.target, sent.ticket):
+            self._out.append(Chosen(key, slot))
+            if slot == FORGOTTEN:
+                self._replication.shed(key)
+        self._flush(now_s)
+        self._serve_if_rewritten(now_s)
+
+    def _on_inventory(self, now_s: float, sent: Send, reply: Inventory) -> None:
+        if sent.message.term != self.term or self.stage not in (Stage.REWRITING, Stage.SERVING):
+            return
+        if reply.inventory is None:
+            self._overruled(now_s, reply.promised)
+            return
+        self._replication.compare(sent.target, unpack_inventory(reply.inventory))
+        self._flush(now_s)
+
+    def _tell_moved(self, now_s: float) -> None:
+        assert self.group is not None
+        if self.stage is not Stage.SERVING or not self.group.joining:
+            return
+        if now_s - self._told_moved_s >= MOVED_EVERY_S and self._replication.moved():
+            self._told_moved_s = now_s
+            self._out.append(Moved(self.group.epoch))
+
+    def _sweep(self, now_s: float) -> None:
+        if self.stage is Stage.SERVING and now_s - self._swept_s >= SWEEP_EVERY_S:
+            self._swept_s = now_s
+            self._replication.sweep()
+
+    # Letting go.
+
+    def _overruled(self, now_s: float, promised: Term) -> None:
+        self._counter = max(self._counter, promised.counter)
+        self._step_down(now_s)
+
+    def _step_down(self, now_s: float) -> None:
+        self._enter(now_s, Stage.FOLLOWING)
+        self._adoption = None
+        self._inventories.clear()
+        self._sent.clear()
+        self.records.replace({})
+        self._replication.clear()
+        self._not_before_s = now_s + self._random.uniform(*CLAIM_PAUSE_S)
+        if self._announced:
+            self._announced = False
+            self._out.append(LostOwnership())
+
+    def _release(self, now_s: float, group: Group) -> None:
+        term = self.term
+        self._step_down(now_s)
+        for identity in group.everyone:
+            if identity != self.me:
+                self._send(identity, Release(group.shard, identity, term))
+
+    def _enter(self, now_s: float, stage: Stage) -> None:
+        self.stage = stage
+        self._stage_since_s = now_s
+
+    def _send(self, target: str, message: Any) -> None:
+        send = Send(self._next_ticket, target, message)
+        self._next_ticket += 1
+        self._sent[send.ticket] = send
+        self._out.append(send)
+
+    def _take(self) -> list[OwnerAction]:
+        out, self._out = self._out, []
+        return out
--- /dev/null
+++ b/emberring/lots/records.py
@@ -0,0 +1,162 @@
+"""Terms, slots and records of lots, and their binary form on disk and between stores.
+
+A lot is a set of slots: its definition, its results by position, its end, and the mark that it is forgotten. Each
+slot holds one value, written under the term of the owner that wrote it.
+"""
+
+from __future__ import annotations
+
+import struct
+import zlib
+from collections.abc import Iterable
+
+import attrs
+
+from emberring.errors import CorruptRecordError
+
+DEFINITION = -1
+END = -2
+FORGOTTEN = -3
+
+MAX_AGE_MS = 0xFFFFFFFF
+_TERM = struct.Struct("<QQB")  # epoch, counter, length of the owner's identity
+_RECORD = struct.Struct("<HiII")  # length of the key, slot, age in ms, length of the value
+_COUNT = struct.Struct("<I")
+_LOT = struct.Struct("<HII")  # length of the key, age in ms, slots
+_SLOT = struct.Struct("<iHII")  # slot, index of its term, checksum and length of its value
+
+
+@attrs.frozen(order=True)
+class Term:
+    """The fencing token of a shard's owner: a higher one wins. The epoch is that of the shard's group."""
+
+    epoch: int
+    counter: int
+    owner: str
+
+
+NO_TERM = Term(0, 0, "")
+
+
+@attrs.frozen
+class Record:
+    """A value for a slot. `age_ms` tells how long ago the lot was accepted, as far as the sender knows."""
+
+    key: str
+    slot: int
+    age_ms: int
+    value: bytes
+
+
+@attrs.frozen
+class SlotState:
+    """What a replica holds in a slot, without the value itself."""
+
+    term: Term
+    checksum: int
+    length: int
+
+
+@attrs.frozen
+class LotState:
+    """What a replica holds of a lot."""
+
+    age_ms: int
+    slots: dict[int, SlotState]
+
+
+def lot_key(host: str, lot_id: str) -> str:
+    """The key of a lot: one id under two hosts is two lots."""
+    return f"{host.lower()}/{lot_id}"
+
+
+def checksum(value: bytes) -> int:
+    """The checksum by which two copies of a value are compared."""
+    return zlib.crc32(value)
+
+
+def pack_term(term: Term) -> bytes:
+    """A term's bytes."""
+    owner = term.owner.encode()
+    return _TERM.pack(term.epoch, term.counter, len(owner)) + owner
+
+
+def unpack_term(data: bytes, offset: int) -> tuple[Term, int]:
+    """The term at this offset, and the offset behind it."""
+    epoch, counter, length = _TERM.unpack_from(data, offset)
+    start = offset + _TERM.size
+    return Term(epoch, counter, data[start : start + length].decode()), start + length
+
+
+def pack_records(records: Iterable[Record]) -> bytes:
+    """Records back to back."""
+    parts: list[bytes] = []
+    for record in records:
+        key = record.key.encode()
+        parts.append(_RECORD.pack(len(key), record.slot, min(record.age_ms, MAX_AGE_MS), len(record.value)))
+        parts.append(key)
+        parts.append(record.value)
+    return b"".join(parts)
+
+
+def unpack_records(data: bytes, offset: int = 0) -> list[Record]:
+    """The records that stand back to back from this offset on; `CorruptRecordError` where they do not."""
+    records: list[Record] = []
+    try:
+        while offset < len(data):
+            key_length, slot, age_ms, length = _RECORD.unpack_from(data, offset)
+            offset += _RECORD.size
+            key = data[offset : offset + key_length].decode()
+            offset += key_length
+            value = data[offset : offset + length]
+            offset += length
+            records.append(Record(key, slot, age_ms, value))
+    except (struct.error, UnicodeDecodeError) as error:
+        raise CorruptRecordError(f"records: {error}") from error
+    if offset != len(data):
+        raise CorruptRecordError("records end early")
+    return records
+
+
+def pack_inventory(lots: dict[str, LotState]) -> bytes:
+    """What a replica holds, compactly: the terms that occur, then each lot with its slots."""
+    terms: dict[Term, int] = {}
+    body: list[bytes] = []
+    for key, lot in lots.items():
+        name = key.encode()
+        body.append(_LOT.pack(len(name), min(lot.age_ms, MAX_AGE_MS), len(lot.slots)))
+        body.append(name)
+        for slot, state in lot.slots.items():
+            index = terms.setdefault(state.term, len(terms))
+            body.append(_SLOT.pack(slot, index, state.checksum, state.length))
+    return b"".join((_COUNT.pack(len(terms)), *(pack_term(term) for term in terms), *body))
+
+
+def unpack_inventory(data: bytes) -> dict[str, LotState]:
+    """The reverse of `pack_inventory`; `CorruptRecordError` where the bytes are none."""
+    try:
+        return _unpack_inventory(data)
+    except (struct.error, UnicodeDecodeError, IndexError) as error:
+        raise CorruptRecordError(f"inventory: {error}") from error
+
+
+def _unpack_inventory(data: bytes) -> dict[str, LotState]:
+    (count,) = _COUNT.unpack_from(data, 0)
+    offset = _COUNT.size
+    terms: list[Term] = []
+    for _ in range(count):
+        term, offset = unpack_term(data, offset)
+        terms.append(term)
+    lots: dict[str, LotState] = {}
+    while offset < len(data):
+        key_length, age_ms, slots = _LOT.unpack_from(data, offset)
+        offset += _LOT.size
+        key = data[offset : offset + key_length].decode()
+        offset += key_length
+        found: dict[int, SlotState] = {}
+        for _ in range(slots):
+            slot, index, check, length = _SLOT.unpack_from(data, offset)
+            offset += _SLOT.size
+            found[slot] = SlotState(terms[index], check, length)
+        lots[key] = LotState(age_ms, found)
+    return lots
--- /dev/null
+++ b/emberring/lots/replica_log.py
@@ -0,0 +1,104 @@
+"""What a replica writes to its journal, in binary form."""
+
+from __future__ import annotations
+
+import struct
+from collections.abc import Sequence
+
+import attrs
+
+from emberring.errors import CorruptRecordError
+from emberring.lots.records import Record, Term, pack_records, pack_term, unpack_records, unpack_term
+
+_HEAD = struct.Struct("<BBd")  # kind, shard, clock
+_WRITTEN, _PROMISED, _DROPPED, _EMPTIED = 1, 2, 3, 4
+
+
+@attrs.frozen
+class Written:
+    """Records taken under a term."""
+
+    term: Term
+    records: tuple[Record, ...]
+
+
+@attrs.frozen
+class Promised:
+    """No lower term is taken any more."""
+
+    term: Term
+
+
+@attrs.frozen
+class Dropped:
+    """These slots are erased, unless a higher term has written them."""
+
+    term: Term
+    records: tuple[Record, ...]
+
+
+@attrs.frozen
+class Emptied:
+    """The replica holds nothing any more; what it promised stands."""
+
+
+Entry = Written | Promised | Dropped | Emptied
+
+
+@attrs.frozen
+class Logged:
+    """An entry as found in the journal: its shard and the steady clock's time at which it was written."""
+
+    shard: int
+    clock_s: float
+    entry: Entry
+
+
+def encode_entry(shard: int, clock_s: float, entry: Entry) -> bytes:
+    """The journal's payload for an entry."""
+    if isinstance(entry, Written):
+        return _head(_WRITTEN, shard, clock_s) + pack_term(entry.term) + pack_records(entry.records)
+    if isinstance(entry, Promised):
+        return _head(_PROMISED, shard, clock_s) + pack_term(entry.term)
+    if isinstance(entry, Dropped):
+        return _head(_DROPPED, shard, clock_s) + pack_term(entry.term) + pack_records(entry.records)
+    return _head(_EMPTIED, shard, clock_s)
+
+
+def _head(kind: int, shard: int, clock_s: float) -> bytes:
+    return _HEAD.pack(kind, shard, clock_s)
+
+
+def decode_entry(payload: bytes) -> Logged:
+    """The reverse of `encode_entry`; `CorruptRecordError` where the payload is none."""
+    try:
+        kind, shard, clock_s = _HEAD.unpack_from(payload, 0)
+        if kind == _EMPTIED:
+            return Logged(shard, clock_s, Emptied())
+        term, offset = unpack_term(payload, _HEAD.size)
+    except (struct.error, UnicodeDecodeError) as error:
+        raise CorruptRecordError(f"entry: {error}") from error
+    if kind == _PROMISED:
+        return Logged(shard, clock_s, Promised(term))
+    records = tuple(unpack_records(payload, offset))
+    if kind == _WRITTEN:
+        return Logged(shard, clock_s, Written(term, records))
+    if kind == _DROPPED:
+        return Logged(shard, clock_s, Dropped(term, records))
+    raise CorruptRecordError(f"entry of kind {kind}")
+
+
+def split_by_size(records: Sequence[Record], limit: int) -> list[tuple[Record, ...]]:
+    """The records in runs of about this many bytes of values at most."""
+    runs: list[tuple[Record, ...]] = []
+    run: list[Record] = []
+    size = 0
+    for record in records:
+        if run and size + len(record.value) > limit:
+            runs.append(tuple(run))
+            run, size = [], 0
+        run.append(record)
+        size += len(record.value)
+    if run:
+        runs.append(tuple(run))
+    return runs
--- /dev/null
+++ b/emberring/lots/runner.py
@@ -0,0 +1,284 @@
+"""Runs items of lots at this gateway: asks the owners for some, reports how far they are, hands the ends in."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+from collections.abc import Coroutine
+from typing import Any
+
+import attrs
+
+from emberring.errors import EmberringError, NotOwnerError, PeerError
+from emberring.lots.calls import (
+    Assignment,
+    EventData,
+    FinishRun,
+    LeasedItems,
+    LeaseItems,
+    ReportAnswer,
+    ReportRuns,
+    RunFinished,
+    RunProgress,
+)
+from emberring.lots.directory import Knowledge, OwnerDirectory
+from emberring.lots.items import ItemCall, ItemEvent, ItemExecutor, OutcomeKind
+from emberring.transport.network import Network
+
+LEASE_S = 1.5  # from the sending of a report that the owner granted
+FIRST_LEASE_S = 0.8  # from the arrival of an item, which may have been on its way for a while
+REPORT_S = 0.2
+REPORT_AGE_S = 0.1  # runs younger than this are not reported yet
+POLL_WAIT_MS = 800
+POLL_SLACK_S = 0.6
+CALL_S = 0.8
+MOST_AT_ONCE = 32
+NO_ROOM_S = 0.03
+NOT_RUN_PAUSE_S = 0.05
+DELIVER_S = 20.0  # for so long a result is offered to owners
+DELIVER_PAUSE_S = 0.1
+
+
+@attrs.define(eq=False)
+class _Run:
+    """An item that this gateway runs, or whose end it has not handed in yet."""
+
+    assignment: Assignment
+    began_s: float
+    allowed_until_s: float
+    events: list[EventData]
+    acked: int = 0  # how many of the events the owner holds
+    stopped: bool = False
+    ended: bool = False
+    task: asyncio.Task[None] | None = None
+
+
+class UnitRunner:
+    """The runner of one gateway. Used from one event loop."""
+
+    def __init__(
+        self,
+        network: Network,
+        knowledge: Knowledge,
+        executor: ItemExecutor,
+        gateway: str,
+        directory: OwnerDirectory | None = None,
+    ) -> None:
+        self._network = network
+        self._knowledge = knowledge
+        self._executor = executor
+        self._gateway = gateway
+        self._directory = directory or OwnerDirectory(knowledge)
+        self._runs: dict[int, _Run] = {}
+        self._pollers: dict[str, asyncio.Task[None]] = {}
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._ended = asyncio.Event()
+        self._pause_until_s = 0.0
+        self._leaving = False
+
+    @property
+    def running(self) -> int:
+        """How many runs are not handed in yet."""
+        return len(self._runs)
+
+    async def start(self) -> None:
+        """Begin to ask for items; returns at once."""
+        self._spawn(self._report_on())
+        self._spawn(self._poll_all())
+
+    async def leave(self, limit_s: float) -> None:
+        """Take no more items, and wait for those that run; the rest is given back after the limit (seconds)."""
+        self._leaving = True
+        for poller in self._pollers.values():
+            poller.cancel()
+        until_s = _now_s() + limit_s
+        while self._runs and _now_s() < until_s:
+            await asyncio.sleep(0.05)
+        for run in self._runs.values():
+            if run.task is not None and not run.ended:
+                run.task.cancel()
+        while self._runs and _now_s() < until_s + CALL_S:
+            await asyncio.sleep(0.05)
+
+    async def stop(self) -> None:
+        """End at once."""
+        self._leaving = True
+        for task in (*self._tasks, *self._pollers.values()):
+            task.cancel()
+
+    # Asking for items.
+
+    async def _poll_all(self) -> None:
+        """One poll for each live store."""
+        while not self._leaving:
+            wanted = set(self._directory.stores())
+            for address in wanted - set(self._pollers):
+                self._pollers[address] = asyncio.get_running_loop().create_task(self._poll_on(address))
+            for address in set(self._pollers) - wanted:
+                self._pollers.pop(address).cancel()
+            await asyncio.sleep(REPORT_S)
+
+    async def _poll_on(self, address: str) -> None:
+        while not self._leaving:
+            room = min(MOST_AT_ONCE, self._executor.batch_room())
+            if room <= 0 or _now_s() < self._pause_until_s:
+                await self._wait_for_room()
+                continue
+            message = LeaseItems(self._gateway, room, POLL_WAIT_MS)
+            timeout_s = POLL_WAIT_MS / 1000 + POLL_SLACK_S
+            try:
+                leased = await self._network.call(address, message, LeasedItems, timeout_s)
+            except EmberringError:
+                await asyncio.sleep(REPORT_S)
+                continue
+            for assignment in leased.items:
+                self._directory.confirm(assignment.shard, address)
+                self._begin(assignment)
+            await asyncio.sleep(0)  # those that were begun take their places before the next question
+
+    async def _wait_for_room(self) -> None:
+        self._ended.clear()
+        with contextlib.suppress(TimeoutError):
+            await asyncio.wait_for(self._ended.wait(), NO_ROOM_S)
+
+    # Running.
+
+    def _begin(self, assignment: Assignment) -> None:
+        now_s = _now_s()
+        events = list(assignment.events)
+        run = _Run(assignment, now_s, now_s + FIRST_LEASE_S, events, len(events))
+        self._runs[assignment.ticket] = run
+        run.task = self._spawn(self._run(run))
+
+    async def _run(self, run: _Run) -> None:
+        try:
+            kind = await self._execute(run)
+        except asyncio.CancelledError:
+            if run.stopped or not self._leaving:
+                self._runs.pop(run.assignment.ticket, None)
+                raise
+            kind = OutcomeKind.BROKEN
+        run.ended = True
+        self._ended.set()
+        if kind is OutcomeKind.NOT_RUN:
+            self._pause_until_s = _now_s() + NOT_RUN_PAUSE_S
+        try:
+            await self._deliver(run, kind)
+        finally:
+            self._runs.pop(run.assignment.ticket, None)
+
+    async def _execute(self, run: _Run) -> OutcomeKind:
+        item = run.assignment
+        configuration = self._knowledge.configuration
+        route = configuration.route_for(item.host, item.lot_path) if configuration else None
+        if route is None:
+            return OutcomeKind.NOT_RUN
+        call = ItemCall(
+            id=item.id,
+            host=item.host,
+            path=item.path,
+            headers=tuple(item.headers.items()),
+            body=item.body,
+            resume_after=run.events[-1].id if run.events else None,
+            tokens=item.tokens,
+            route=route,
+            due_s=run.began_s + item.due_ms / 1000,
+            still_allowed=lambda: not run.stopped and _now_s() < run.allowed_until_s,
+        )
+
+        def on_events(events: list[ItemEvent]) -> None:
+            run.events.extend(EventData(event.id, event.data) for event in events)
+
+        return (await self._executor.run_item(call, on_events)).kind
+
+    async def _deliver(self, run: _Run, kind: OutcomeKind) -> None:
+        """Hand the end of a run in, until an owner has it for good."""
+        item = run.assignment
+        until_s = _now_s() + DELIVER_S
+        start = run.acked
+        while _now_s() < until_s and not run.stopped:
+            address = self._directory.address(item.shard)
+            message = FinishRun(
+                self._gateway,
+                item.shard,
+                item.key,
+                item.index,
+                item.ticket,
+                kind.value,
+                start,
+                len(run.events),
+                tuple(run.events[start:]),
+            )
+            try:
+                if address is not None:
+                    reply = await self._network.call(address, message, RunFinished, CALL_S)
+                    if reply.taken:
+                        return
+                start = 0
+            except EmberringError as error:
+                start = 0
+                self._note(item.shard, address or "", error)
+            await asyncio.sleep(DELIVER_PAUSE_S)
+
+    # Reporting.
+
+    async def _report_on(self) -> None:
+        while True:
+            await asyncio.sleep(REPORT_S)
+            by_shard: dict[int, list[_Run]] = {}
+            old_s = _now_s() - REPORT_AGE_S
+            for run in self._runs.values():
+                if run.began_s <= old_s:
+                    by_shard.setdefault(run.assignment.shard, []).append(run)
+            for shard, runs in by_shard.items():
+                self._spawn(self._report(shard, runs))
+
+    async def _report(self, shard: int, runs: list[_Run]) -> None:
+        address = self._directory.address(shard)
+        if address is None:
+            return
+        told = tuple(
+            RunProgress(
+                run.assignment.key,
+                run.assignment.index,
+                run.assignment.ticket,
+                run.acked,
+                tuple(run.events[run.acked :]),
+            )
+            for run in runs
+        )
+        sent_s = _now_s()
+        try:
+            message = ReportRuns(self._gateway, shard, told)
+            answer = await self._network.call(address, message, ReportAnswer, CALL_S)
+        except EmberringError as error:
+            self._note(shard, address, error)
+            return
+        self._directory.confirm(shard, address)
+        for reply in answer.runs:
+            run = self._runs.get(reply.ticket)
+            if run is None:
+                continue
+            if reply.go_on:
+                run.allowed_until_s = max(run.allowed_until_s, sent_s + LEASE_S)
+                run.acked = min(reply.have, len(run.events))
+            elif not run.ended:
+                run.stopped = True
+                if run.task is not None:
+                    run.task.cancel()
+
+    def _note(self, shard: int, address: str, error: EmberringError) -> None:
+        if isinstance(error, NotOwnerError):
+            self._directory.redirect(shard, address, error.detail)
+        elif isinstance(error, PeerError):
+            self._directory.forget(shard, address)
+
+    def _spawn(self, coroutine: Coroutine[Any, Any, None]) -> asyncio.Task[None]:
+        task = asyncio.get_running_loop().create_task(coroutine)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        return task
+
+
+def _now_s() -> float:
+    return asyncio.get_running_loop().time()
--- /dev/null
+++ b/emberring/store/gateway_calls.py
@@ -0,0 +1,52 @@
+"""Calls of gateways to this store as the owner of a lot's shard."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import Any
+
+from emberring.errors import NotReadyError
+from emberring.lots.calls import EndLot, FinishRun, ReadItem, ReadLot, ReportAnswer, ReportRuns, SubmitLot
+from emberring.lots.placement import shard_of
+from emberring.store.shards import Shards
+
+
+class GatewayCalls:
+    """The handlers of messages about lots."""
+
+    def __init__(self, shards: Shards) -> None:
+        self._shards = shards
+
+    async def submit(self, message: SubmitLot) -> Any:
+        """A lot is handed in."""
+        shard = shard_of(message.host)
+        return await self._shards.ask(shard, lambda book, call: book.submit(_now_s(), call, message))
+
+    async def read(self, message: ReadLot) -> Any:
+        """Results are read. After a wait, this store must still be the owner."""
+        shard = shard_of(message.host)
+        page = await self._shards.ask(shard, lambda book, call: book.read(_now_s(), call, message))
+        if not self._shards.owners[shard].serving(_now_s()):
+            raise NotReadyError("the owner may have changed")
+        return page
+
+    async def item(self, message: ReadItem) -> Any:
+        """An item's body is read."""
+        shard = shard_of(message.host)
+        return await self._shards.ask(shard, lambda book, call: book.item(call, message))
+
+    async def end(self, message: EndLot) -> Any:
+        """A lot is ended."""
+        return await self._shards.ask(shard_of(message.host), lambda book, call: book.end(call, message))
+
+    async def report(self, message: ReportRuns) -> ReportAnswer:
+        """Runs go on."""
+        return self._shards.serving(message.shard).report(_now_s(), message)
+
+    async def finish(self, message: FinishRun) -> Any:
+        """A run has ended."""
+        return await self._shards.ask(message.shard, lambda book, call: book.finish(_now_s(), call, message))
+
+
+def _now_s() -> float:
+    return asyncio.get_running_loop().time()
--- /dev/null
+++ b/emberring/store/identity.py
@@ -0,0 +1,46 @@
+"""The identity of a disk: drawn at random when the disk is first used, gone when the disk is."""
+
+from __future__ import annotations
+
+import os
+import secrets
+import zlib
+from pathlib import Path
+
+FILE_NAME = "identity"
+IDENTITY_BYTES = 8
+
+
+def read_identity(directory: Path) -> str | None:
+    """The identity kept in this folder; None where there is none that is whole."""
+    try:
+        parts = (directory / FILE_NAME).read_text(encoding="ascii").split()
+    except (OSError, UnicodeDecodeError):
+        return None
+    if len(parts) != 2 or parts[1] != _check(parts[0]):
+        return None
+    return parts[0]
+
+
+def create_identity(directory: Path) -> str:
+    """A new identity, synced into this folder. `OSError` where the disk refuses."""
+    identity = secrets.token_hex(IDENTITY_BYTES)
+    with open(directory / FILE_NAME, "wb") as file:
+        file.write(f"{identity} {_check(identity)}\n".encode("ascii"))
+        file.flush()
+        os.fsync(file.fileno())
+    sync_folder(directory)
+    return identity
+
+
+def sync_folder(directory: Path) -> None:
+    """Make the names in a folder last."""
+    handle = os.open(directory, os.O_RDONLY)
+    try:
+        os.fsync(handle)
+    finally:
+        os.close(handle)
+
+
+def _check(identity: str) -> str:
+    return f"{zlib.crc32(identity.encode('ascii')):08x}"
--- /dev/null
+++ b/tests/emberring/store/tier_store_cluster.py
@@ -0,0 +1,276 @@
+"""Stores, a gateway's client and runner in one process, on loopback sockets, with the control plane made up."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+from collections.abc import Callable, Sequence
+from pathlib import Path
+from typing import Any
+
+import attrs
+import orjson
+
+from emberring.configuration.model import Configuration, Route, RouteType, Service, Share
+from emberring.distribution.facts import NodeFact, NodeRole
+from emberring.distribution.messages import PlacementMoved
+from emberring.errors import NotReadyError
+from emberring.lots.client import LotClient
+from emberring.lots.directory import OwnerDirectory
+from emberring.lots.items import ItemCall, ItemEvent, ItemOutcome, OutcomeKind
+from emberring.lots.placement import Placement, PlanMemory, finish_move, plan
+from emberring.lots.runner import UnitRunner
+from emberring.settings import Limits, Settings
+from emberring.store.role import Store
+from emberring.transport.messages import Ok
+from emberring.transport.network import Network
+
+HOST = "lots.example"
+ROUTE = Route(
+    name="r-lots",
+    host=HOST,
+    path_prefix="/batch/",
+    type=RouteType.BATCH,
+    timeout_ms=4000,
+    split=(Share("llm", 1),),
+    max_attempts=2,
+    completion_target_ms=8000,
+    retention_s=60.0,
+    max_queued_tokens=100_000,
+)
+CONFIGURATION = Configuration(3, (ROUTE,), (Service("llm"),))
+
+
+def free_port() -> int:
+    with socket.socket() as sock:
+        sock.bind(("127.0.0.1", 0))
+        return int(sock.getsockname()[1])
+
+
+class World:
+    """What control nodes would tell; `plan` is run on demand."""
+
+    def __init__(self) -> None:
+        self.facts: dict[str, NodeFact] = {}
+        self.placement: Placement | None = None
+        self.configuration: Configuration | None = CONFIGURATION
+        self.memory = PlanMemory()
+        self.followers: list[FakeFollower] = []
+        self.control = Network()
+        self.control_fact: NodeFact | None = None
+
+    async def start(self) -> None:
+        address = f"127.0.0.1:{free_port()}"
+        self.control_fact = NodeFact("control-1", NodeRole.CONTROL, address, "z")
+        self.control.handle(PlacementMoved, self._moved)
+        await self.control.listen(address)
+
+    async def _moved(self, message: PlacementMoved, _: Any) -> Ok:
+        assert self.placement is not None
+        self.placement = finish_move(self.placement, message.shard, message.epoch)
+        self.tell()
+        return Ok()
+
+    def live(self) -> list[NodeFact]:
+        controls = [self.control_fact] if self.control_fact else []
+        return [*self.facts.values(), *controls]
+
+    def replan(self, later_s: float = 0.0) -> None:
+        now_s = asyncio.get_running_loop().time() + later_s
+        plan(self.placement, self.live(), now_s, 1, self.memory)
+        self.placement = plan(self.placement, self.live(), now_s + 0.5, 1, self.memory)
+        self.tell()
+
+    def tell(self) -> None:
+        for follower in list(self.followers):
+            follower.changed()
+
+
+class FakeFollower:
+    def __init__(self, world: World, me: NodeFact) -> None:
+        self.world = world
+        self.me = me
+        self.callbacks: list[Callable[[], None]] = []
+        self.cut = False
+        world.followers.append(self)
+
+    @property
+    def configuration(self) -> Configuration | None:
+        return self.world.configuration
+
+    @property
+    def placement(self) -> Placement | None:
+        return self.world.placement
+
+    @property
+    def nodes(self) -> dict[str, NodeFact]:
+        return {fact.name: fact for fact in self.world.live()}
+
+    def subscribe(self, callback: Callable[[], None]) -> None:
+        self.callbacks.append(callback)
+
+    def changed(self) -> None:
+        for callback in self.callbacks:
+            callback()
+
+    async def start(self) -> None:
+        if self.me.role is NodeRole.STORE:
+            self.world.facts[self.me.name] = self.me
+
+    async def stop(self) -> None:
+        self.world.followers.remove(self)
+
+
+class FakeExecutor:
+    """Answers each item with events that its script gives; counts the runs."""
+
+    def __init__(self, events: int = 3, pause_s: float = 0.0) -> None:
+        self.events = events
+        self.pause_s = pause_s
+        self.runs: list[tuple[str, int | None]] = []
+        self.bodies: dict[str, bytes] = {}
+        self.script: dict[str, list[OutcomeKind]] = {}
+        self.active = 0
+        self.room = 20
+
+    def batch_room(self) -> int:
+        return self.room - self.active
+
+    async def run_item(self, item: ItemCall, on_events: Callable[[list[ItemEvent]], None]) -> ItemOutcome:
+        if not item.still_allowed():
+            return ItemOutcome(OutcomeKind.NOT_RUN)
+        self.active += 1
+        try:
+            self.runs.append((item.id, item.resume_after))
+            self.bodies[item.id] = item.body
+            script = self.script.get(item.id)
+            kind = script.pop(0) if script else OutcomeKind.COMPLETED
+            if kind is not OutcomeKind.COMPLETED:
+                return ItemOutcome(kind)
+            first = 0 if item.resume_after is None else item.resume_after + 1
+            for number in range(first, self.events):
+                if self.pause_s:
+                    await asyncio.sleep(self.pause_s)
+                on_events([ItemEvent(number, f"{item.id} says {number}")])
+            return ItemOutcome(OutcomeKind.COMPLETED)
+        finally:
+            self.active -= 1
+
+
+def text_of(item: str, events: int = 3) -> str:
+    return "\n".join(f"{item} says {number}" for number in range(events))
+
+
+def lot_body(lot: str, items: int, tokens: int = 10) -> bytes:
+    listed = [
+        {
+            "Id": f"{lot}-{number}",
+            "Path": f"/batch/{number}",
+            "Headers": {"Model": "m"},
+            "Body": "q83vEjRWeJA=",
+            "Tokens": tokens,
+        }
+        for number in range(items)
+    ]
+    return orjson.dumps({"Requests": listed})
+
+
+def store_settings(name: str, directory: Path, port: int) -> Settings:
+    return Settings(
+        node_name=name,
+        ip="127.0.0.1",
+        zone=f"zone-{name}",
+        port_range=(port - 2, port + 10),
+        seed_nodes=(),
+        data_dir=str(directory / name),
+        limits=Limits(disk_mb=200),
+    )
+
+
+@attrs.define(eq=False)
+class Cluster:
+    """Some stores, one gateway."""
+
+    world: World
+    directory: Path
+    stores: dict[str, Store] = attrs.field(factory=dict)
+    ports: dict[str, int] = attrs.field(factory=dict)
+
+    @classmethod
+    async def begin(cls, directory: Path, names: Sequence[str] = ("s1", "s2", "s3")) -> Cluster:
+        world = World()
+        await world.start()
+        cluster = cls(world, directory)
+        for name in names:
+            await cluster.start_store(name)
+        world.replan()
+        return cluster
+
+    async def start_store(self, name: str) -> Store:
+        port = self.ports.setdefault(name, free_port())
+        settings = store_settings(name, self.directory, port)
+        store = Store(settings, lambda _, me, __: FakeFollower(self.world, me))
+        await store.start()
+        self.stores[name] = store
+        self.world.tell()
+        return store
+
+    async def kill(self, name: str) -> None:
+        """End a store without a word."""
+        store = self.stores.pop(name)
+        for task in list(store._tasks):
+            task.cancel()
+        await store.follower.stop()
+        store.peers.close()
+        await store.network.close()
+        await store.journal.close()
+        self.world.facts.pop(name, None)
+
+    def gateway(self, executor: FakeExecutor | None = None, name: str = "g1") -> Gateway:
+        me = NodeFact(name, NodeRole.GATEWAY, "", "z")
+        follower = FakeFollower(self.world, me)
+        network = Network()
+        directory = OwnerDirectory(follower)
+        client = LotClient(network, follower, directory)
+        runner = UnitRunner(network, follower, executor or FakeExecutor(), name, directory)
+        return Gateway(network, client, runner)
+
+    def owner_of(self, shard: int) -> str | None:
+        now_s = asyncio.get_running_loop().time()
+        for name, store in self.stores.items():
+            if store.shards.owners[shard].serving(now_s):
+                return name
+        return None
+
+    async def end(self) -> None:
+        for name in list(self.stores):
+            await self.kill(name)
+        await self.world.control.close()
+
+
+@attrs.frozen
+class Gateway:
+    network: Network
+    client: LotClient
+    runner: UnitRunner
+
+    async def end(self) -> None:
+        await self.runner.stop()
+        await self.network.close()
+
+
+async def read_all(client: LotClient, lot: str, limit_s: float = 5.0) -> list[dict[str, str]]:
+    """All results of a lot, page after page."""
+    loop = asyncio.get_running_loop()
+    until_s = loop.time() + limit_s
+    found: list[dict[str, str]] = []
+    while loop.time() < until_s:
+        try:
+            page = orjson.loads(await client.read(HOST, lot, len(found), 500))
+        except NotReadyError:
+            continue
+        found += page["Results"]
+        assert page["NextPageToken"] == len(found)
+        if len(found) == page["Total"]:
+            return found
+    raise AssertionError(f"{len(found)} results in time")
