--- /dev/null
+++ b/tests/emberring/test_tier_errors.py
@@ -0,0 +1,85 @@
+"""The closed list of errors: every kind has an answer, every class survives the wire."""
+
+from __future__ import annotations
+
+import pytest
+
+from emberring import errors
+from emberring.errors import ANSWERS, EmberringError, ErrorKind, InternalError, error_from_wire
+
+PROMISES = {429, 503}
+
+
+def classes() -> list[type[EmberringError]]:
+    found: list[type[EmberringError]] = []
+    pending: list[type[EmberringError]] = [EmberringError]
+    while pending:
+        cls = pending.pop()
+        found.append(cls)
+        pending += cls.__subclasses__()
+    return sorted(found, key=lambda cls: cls.__name__)
+
+
+def make(cls: type[EmberringError]) -> EmberringError:
+    if cls is errors.InvalidConfigurationError:
+        return cls(("one", "two"))
+    return cls("detail")
+
+
+@pytest.mark.parametrize("kind", ErrorKind, ids=lambda kind: kind.value)
+def test_every_kind_has_an_answer(kind):
+    assert 400 <= ANSWERS[kind].status < 600
+
+
+@pytest.mark.parametrize("kind", ErrorKind, ids=lambda kind: kind.value)
+def test_a_promise_is_made_by_the_statuses_that_are_promises_and_by_no_other(kind):
+    answer = ANSWERS[kind]
+    assert answer.promises_not_executed == (answer.status in PROMISES)
+
+
+@pytest.mark.parametrize("kind", [ErrorKind.IN_DOUBT, ErrorKind.PEER_TIMEOUT, ErrorKind.NO_QUORUM])
+def test_doubt_is_no_promise(kind):
+    assert ANSWERS[kind].status in (502, 504)
+
+
+@pytest.mark.parametrize("cls", classes(), ids=lambda cls: cls.__name__)
+def test_an_error_says_its_kind_and_its_detail(cls):
+    error = make(cls)
+    assert isinstance(error.kind, ErrorKind)
+    assert error.detail
+    assert error.detail in str(error)
+    assert error.answer is ANSWERS[error.kind]
+
+
+@pytest.mark.parametrize("cls", classes(), ids=lambda cls: cls.__name__)
+def test_an_error_comes_over_the_wire_as_its_kind(cls):
+    error = make(cls)
+    back = error_from_wire(error.kind.value, error.detail)
+    if back.kind is not error.kind:
+        assert cls in (errors.InvalidConfigurationError,)
+    assert error.detail in back.detail
+
+
+@pytest.mark.parametrize(
+    ("kind", "cls"),
+    [
+        ("fenced", errors.FencedError),
+        ("not_owner", errors.NotOwnerError),
+        ("peer_unavailable", errors.PeerUnavailableError),
+        ("peer_timeout", errors.PeerTimeoutError),
+        ("quota_exceeded", errors.QuotaExceededError),
+        ("in_doubt", errors.InDoubtError),
+        ("nonsense", InternalError),
+        ("", InternalError),
+    ],
+)
+def test_kinds_on_the_wire(kind, cls):
+    assert type(error_from_wire(kind, "x")) is cls
+
+
+def test_no_kind_stands_twice():
+    by_kind: dict[ErrorKind, list[str]] = {}
+    for cls in classes():
+        if cls not in (EmberringError, errors.PeerError):
+            by_kind.setdefault(cls.kind, []).append(cls.__name__)
+    assert {kind: names for kind, names in by_kind.items() if len(names) > 1} == {}
