--- a/emberring/gateway/clients.py
+++ b/emberring/gateway/clients.py
@@ -90,7 +90,7 @@
 
 
 class ClientConnection(HttpToolsProtocol):
-    """One client's connection. A request's scope holds in its state `connection`, `target`, `arrived_s`, `head_bytes`."""
+    """One client's connection. The state of a scope has `connection`, `target`, `arrived_s` and `head_bytes`."""
 
     def __init__(
         self,
--- a/emberring/gateway/role.py
+++ b/emberring/gateway/role.py
@@ -18,17 +18,21 @@
 from emberring.gateway.clients import ClientPort
 from emberring.gateway.departure import Departure, Seen, Stage
 from emberring.gateway.execution import Executor
-from emberring.gateway.lots_api import LotsApi, NoLots
+from emberring.gateway.lots_api import LotsApi
 from emberring.gateway.pool import ServerPool
 from emberring.gateway.readiness import Readiness, ReadinessPages
 from emberring.gateway.servers import ServerBook
 from emberring.logs import get_logger
+from emberring.lots.client import LotClient
+from emberring.lots.directory import OwnerDirectory
+from emberring.lots.runner import UnitRunner
 from emberring.settings import GATEWAY_PORT_OFFSET, Settings
 from emberring.transport.network import Network
 
 REFRESH_S = 0.2  # between looks at the load of servers over all gateways
 STEP_S = 0.05  # between looks while the process comes to its end
 SEED_BITS = 32
+ITEMS_SHARE = 0.6  # of the grace, within which items of lots that run may come to their end here
 
 logger = get_logger("gateway")
 
@@ -53,7 +57,11 @@
         self.book = ServerBook(self.follower)
         self.executor = Executor(self.admission, self.pool, self.book)
         self.readiness = Readiness(self.follower)
-        self.clients = ClientPort(Application(self.follower, self.executor, LotsApi(NoLots())), self._limits)
+        owners = OwnerDirectory(self.follower)
+        lots = LotsApi(LotClient(self.network, self.follower, owners))
+        name = f"{me.name}/{me.incarnation}"
+        self.runner = UnitRunner(self.network, self.follower, self.executor, name, owners)
+        self.clients = ClientPort(Application(self.follower, self.executor, lots), self._limits)
         self.probes = ClientPort(ReadinessPages(self._ready, self._figures), ClientLimits)
         self._refresher: asyncio.TimerHandle | None = None
         self._refresh_soon = False
@@ -69,6 +77,7 @@
         if self._settings.listen.readiness:
             await self.probes.listen(self._settings.listen.readiness)
         self._tick()
+        await self.runner.start()
 
     def _limits(self) -> ClientLimits:
         configuration = self.follower.configuration
@@ -116,6 +125,7 @@
             "client_connections_total": float(self.clients.accepted),
             "requests_in_progress": float(self.clients.busy),
             "calls_in_flight": float(sum(self.admission.in_flight().values())),
+            "items_running": float(self.runner.running),
             "server_connections_total": float(self.pool.opened),
         }
 
@@ -124,9 +134,12 @@
         self.readiness.leaving = True
         self.clients.leaving = True
         self.follower.me = attrs.evolve(self.follower.me, leaving=True)
-        departure = Departure(self._loop.time(), self._settings.bounds.grace_s)
+        grace_s = self._settings.bounds.grace_s
+        departure = Departure(self._loop.time(), grace_s)
+        handing_back = self._loop.create_task(self.runner.leave(grace_s * ITEMS_SHARE))
         while True:
-            seen = Seen(self.clients.accepted_s, len(self.clients.connections), self.clients.busy)
+            open_now = len(self.clients.connections) + self.runner.running
+            seen = Seen(self.clients.accepted_s, open_now, self.clients.busy)
             stage = departure.step(self._loop.time(), seen)
             if stage is Stage.END:
                 break
@@ -135,11 +148,13 @@
             if stage is not Stage.SERVE:
                 self.clients.close_idle()
             await asyncio.sleep(STEP_S)
+        handing_back.cancel()
 
     async def stop(self) -> None:
         """End what is left."""
         if self._refresher is not None:
             self._refresher.cancel()
+        await self.runner.stop()
         await self.clients.stop_listening()
         await self.probes.stop_listening()
         self.clients.abort()
--- /dev/null
+++ b/tests/emberring/gateway/test_tier_gateway_role.py
@@ -0,0 +1,235 @@
+"""The whole program: what it learns from a control node, its readiness, its signals and its end."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import signal
+import socket
+import sys
+from pathlib import Path
+from typing import Any
+
+import orjson
+import pytest
+from gateway_world import HOST, Client, ScriptedServer, Seen, Side, events, request, until
+
+from emberring.configuration.reading import pack
+from emberring.distribution.facts import ServerFact, ServerState
+from emberring.distribution.messages import Delta, Pull, ServerEntry, Update
+from emberring.gateway import departure
+from emberring.gateway.role import Gateway
+from emberring.settings import Bounds, Listen, Settings
+from emberring.transport.network import Caller, Network
+
+HELD_S = 0.02
+PATIENCE_S = 10.0
+ROOT = Path(__file__).parent.parent.parent.parent
+
+
+def free_ports() -> tuple[int, int, int]:
+    """For clients, for probes, and the first of two in a row for nodes; all free at once."""
+    while True:
+        sockets = [socket.socket() for _ in range(4)]
+        try:
+            for sock in sockets[:3]:
+                sock.bind(("127.0.0.1", 0))
+            ports = [sock.getsockname()[1] for sock in sockets[:3]]
+            sockets[3].bind(("127.0.0.1", ports[2] + 1))
+            return ports[0], ports[1], ports[2]
+        except (OSError, OverflowError):
+            continue
+        finally:
+            for sock in sockets:
+                sock.close()
+
+
+def document(version: int) -> bytes:
+    route = {
+        "Name": "r",
+        "Host": HOST,
+        "PathPrefix": "/live/",
+        "Type": "streaming",
+        "TimeoutMs": 3000,
+        "Service": "s",
+        "MaxAttempts": 2,
+    }
+    service = {"Name": "s", "MaxConnections": 10}
+    return orjson.dumps({"Version": version, "Routes": [route], "Services": [service], "Limits": {}})
+
+
+class FakeControl:
+    """A control node that tells what a test puts into it."""
+
+    def __init__(self) -> None:
+        self.network = Network()
+        self.network.handle(Pull, self._pull)
+        self.version = 0
+        self.facts: list[ServerFact] = []
+        self.pulls: list[Pull] = []
+
+    async def _pull(self, pull: Pull, caller: Caller) -> Update:
+        self.pulls.append(pull)
+        await asyncio.sleep(HELD_S)
+        known = pull.vector.get("c1", 0)
+        entries = tuple(
+            ServerEntry("c1", number, fact) for number, fact in enumerate(self.facts, 1) if number > known
+        )
+        return Update(
+            "c1",
+            0.0,
+            Delta({"c1": len(self.facts)}, entries),
+            ("c1",),
+            1,
+            self.version,
+            pack(document(self.version)) if self.version > pull.configuration_version else None,
+        )
+
+
+def settings_for(grace_s: float) -> Settings:
+    frontend, readiness, internal = free_ports()
+    return Settings(
+        node_name="g1",
+        ip="127.0.0.1",
+        zone="z",
+        port_range=(internal, internal + 1),
+        seed_nodes=("127.0.0.1:1",),
+        listen=Listen(f"127.0.0.1:{frontend}", f"127.0.0.1:{readiness}"),
+        bounds=Bounds(grace_s=grace_s),
+    )
+
+
+async def stream_two(side: Side, seen: Seen) -> None:
+    await side.stream(seen, (1, 2))
+
+
+async def ask(port: int, data: bytes) -> Any:
+    client = await Client.connect(port)
+    await client.send(data)
+    answer = await client.receive()
+    client.close()
+    return answer
+
+
+PROBE = b"GET /v1/readyz HTTP/1.1\r\nHost: n\r\n\r\n"
+
+
+async def with_control(story: Any, grace_s: float) -> None:
+    settings = settings_for(grace_s)
+    control = FakeControl()
+    # The follower finds control nodes at the second internal port of the seeds' machines.
+    await control.network.listen(settings.internal_seeds()[0])
+    server = ScriptedServer("i-1", (stream_two,))
+    await server.start()
+    try:
+        async with asyncio.timeout(PATIENCE_S):
+            await story(settings, control, server)
+    finally:
+        server.close()
+        await control.network.close()
+
+
+def test_ready_once_configuration_and_servers_are_known_and_not_while_leaving() -> None:
+    async def story(settings: Settings, control: FakeControl, server: ScriptedServer) -> None:
+        gateway = Gateway(settings)
+        await gateway.start()
+        front, probe = gateway.clients.port, gateway.probes.port
+        assert (await ask(probe, PROBE)).status == 503
+        assert (await ask(front, request())).status == 503
+        control.version = 3
+        await until(lambda: gateway.follower.configuration is not None)
+        assert (await ask(probe, PROBE)).status == 503
+        control.facts.append(ServerFact("i-1", "s", server.address, "z", 4, ServerState.READY, 1))
+        await until(lambda: "i-1" in gateway.follower.servers)
+        assert (await ask(probe, PROBE)).status == 200
+        assert (await ask(front, request())).body == events(1, 2)
+        metrics = await ask(probe, b"GET /metrics HTTP/1.1\r\nHost: n\r\n\r\n")
+        assert b"emberring_gateway_configuration_version 3\n" in metrics.body
+        assert (await ask(probe, b"GET /x HTTP/1.1\r\nHost: n\r\n\r\n")).status == 404
+        control.facts.append(ServerFact("i-1", "s", server.address, "z", 4, ServerState.DRAINING, 2))
+        await until(lambda: gateway.book.sendable("i-1") is None)
+        assert (await ask(front, request())).status == 503
+        assert len(server.seen) == 1
+        leaving = asyncio.create_task(gateway.leave())
+        await until(lambda: gateway.clients.leaving)
+        assert (await ask(probe, PROBE)).status == 503
+        assert (await ask(front, request())).headers["connection"] == "close"
+        await leaving
+        await gateway.stop()
+        assert any(pull.me.leaving for pull in control.pulls)
+
+    asyncio.run(with_control(story, 1.0))
+
+
+def test_a_gateway_that_leaves_answers_what_is_open(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(departure, "UNNOTICED_S", 0.1)
+
+    async def story(settings: Settings, control: FakeControl, server: ScriptedServer) -> None:
+        told = asyncio.Event()
+
+        async def wait_and_stream(side: Side, seen: Seen) -> None:
+            await told.wait()
+            await side.stream(seen, (1, 2))
+
+        server.scripts = [wait_and_stream]
+        control.version = 1
+        control.facts.append(ServerFact("i-1", "s", server.address, "z", 4, ServerState.READY, 1))
+        gateway = Gateway(settings)
+        await gateway.start()
+        await until(lambda: gateway.readiness.ready(0.0))
+        client = await Client.connect(gateway.clients.port)
+        await client.send(request())
+        await server.arrived.wait()
+        leaving = asyncio.create_task(gateway.leave())
+        await until(lambda: gateway.clients._server is None)
+        assert not leaving.done()
+        told.set()
+        answer = await client.receive()
+        assert (answer.body, answer.whole) == (events(1, 2), True)
+        await leaving
+        await gateway.stop()
+
+    asyncio.run(with_control(story, 8.0))
+
+
+def test_the_process_lives_through_sighup_and_ends_at_sigterm(tmp_path: Path) -> None:
+    async def story(settings: Settings, control: FakeControl, server: ScriptedServer) -> None:
+        control.version = 1
+        control.facts.append(ServerFact("i-1", "s", server.address, "z", 4, ServerState.READY, 1))
+        path = tmp_path / "local.toml"
+        path.write_text(
+            f'NodeName = "g1"\nIp = "127.0.0.1"\nZone = "z"\nPortRange = {list(settings.port_range)}\n'
+            f'SeedNodes = ["{settings.seed_nodes[0]}"]\n[Listen]\nFrontend = "{settings.listen.frontend}"\n'
+            f'Readiness = "{settings.listen.readiness}"\n[Bounds]\nGraceS = 1.0\n'
+        )
+        process = await asyncio.create_subprocess_exec(
+            sys.executable,
+            "-m",
+            "emberring",
+            "gateway",
+            cwd=ROOT,
+            env={**os.environ, "EMBERRING_NODE_FILE": str(path)},
+        )
+        try:
+            front = int(settings.listen.frontend.rsplit(":", 1)[1])
+            probe = int(settings.listen.readiness.rsplit(":", 1)[1])
+            await until_ready(probe)
+            process.send_signal(signal.SIGHUP)
+            path.write_text("nonsense")
+            assert (await ask(front, request())).body == events(1, 2)
+            process.send_signal(signal.SIGTERM)
+            assert await process.wait() == 0
+        finally:
+            if process.returncode is None:
+                process.kill()
+
+    async def until_ready(port: int) -> None:
+        while True:
+            try:
+                if (await ask(port, PROBE)).status == 200:
+                    return
+            except OSError:
+                pass
+            await asyncio.sleep(0.01)
+
+    asyncio.run(with_control(story, 1.0))
