Tools: status, nodes, servers, lots, from a page of control nodes and an answer of stores

Cause: an operator could not see who lives, where calls are and who owns a shard. Change: GET /v1/status at the control plane and a read-only call of stores, one line each in their wiring; four commands on them.

--- a/emberring/cli/app.py
+++ b/emberring/cli/app.py
@@ -4,7 +4,15 @@
 
 import typer
 
-from emberring.cli import check_commands, config_commands, retire_command, role_commands, trial_command
+from emberring.cli import (
+    check_commands,
+    config_commands,
+    lot_commands,
+    retire_command,
+    role_commands,
+    status_commands,
+    trial_command,
+)
 from emberring.cli.printing import EXIT_CODES_TEXT, ExitCode, complain, exit_code_of
 from emberring.errors import EmberringError
 
@@ -22,6 +30,9 @@
 for role in (role_commands.gateway, role_commands.control, role_commands.store):
     app.command(rich_help_panel=ROLES)(role)
 app.command("try")(trial_command.try_out)
+for tool in (status_commands.status, status_commands.nodes, status_commands.servers):
+    app.command(epilog=EXIT_CODES_TEXT)(tool)
+app.add_typer(lot_commands.app, name="lots", help="What stores hold of lots.")
 app.add_typer(config_commands.app, name="config", help="Check, compare, read and change the configuration.")
 app.add_typer(check_commands.app, name="check", help="Check settings, and what a node keeps on disk.")
 app.command(epilog=EXIT_CODES_TEXT)(retire_command.retire)
--- /dev/null
+++ b/emberring/cli/lot_commands.py
@@ -0,0 +1,106 @@
+"""`emberring lots`: what stores hold of lots, by shard and by lot."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import Any
+
+import attrs
+import typer
+
+from emberring.cli.places import ControlOption, JsonOption, TimeoutOption, control_addresses
+from emberring.cli.printing import EXIT_CODES_TEXT, complain, print_json, print_table
+from emberring.cli.status_commands import first_status
+from emberring.distribution.facts import NodeRole
+from emberring.errors import EmberringError, PeerUnavailableError
+from emberring.store.status import AskStoreStatus, StoreStatus
+from emberring.transport.network import Network
+
+DEFAULT_TIMEOUT_S = 2.0
+
+app = typer.Typer(no_args_is_help=True, epilog=EXIT_CODES_TEXT)
+
+
+async def ask_stores(addresses: dict[str, str], lots: bool, timeout_s: float) -> dict[str, StoreStatus]:
+    """The answers of stores by name; those that did not come are told on standard error."""
+    network = Network()
+
+    async def ask(name: str, address: str) -> tuple[str, StoreStatus | None]:
+        try:
+            return name, await network.call(address, AskStoreStatus(lots), StoreStatus, timeout_s)
+        except EmberringError as error:
+            complain(f"{name}: {error.detail}")
+            return name, None
+
+    found = await asyncio.gather(*(ask(name, address) for name, address in addresses.items()))
+    await network.close()
+    return {name: status for name, status in found if status is not None}
+
+
+def _ask(control: list[str] | None, lots: bool, timeout_s: float) -> dict[str, StoreStatus]:
+    nodes = first_status(control_addresses(control), timeout_s)["Nodes"]
+    addresses = {node["Name"]: node["Address"] for node in nodes if node["Role"] == NodeRole.STORE.value}
+    found = asyncio.run(ask_stores(addresses, lots, timeout_s))
+    if not found:
+        raise PeerUnavailableError("no store answers")
+    return found
+
+
+@app.command(epilog=EXIT_CODES_TEXT)
+def shards(
+    control: ControlOption = None, timeout: TimeoutOption = DEFAULT_TIMEOUT_S, as_json: JsonOption = False
+) -> None:
+    """Show, shard by shard, which store owns it, who replicates it, and what waits there."""
+    found = _ask(control, False, timeout)
+    rows = [_shard_row(shard, found) for shard in sorted(_all_shards(found))]
+    if as_json:
+        print_json(rows)
+        return
+    print_table(
+        ("shard", "owner", "replicas", "epoch", "term", "lots", "items waiting", "tokens waiting"),
+        [tuple(row.values()) for row in rows],
+    )
+
+
+def _all_shards(found: dict[str, StoreStatus]) -> set[int]:
+    return {shard.shard for status in found.values() for shard in status.shards}
+
+
+def _shard_row(number: int, found: dict[str, StoreStatus]) -> dict[str, Any]:
+    held = {name: shard for name, status in found.items() for shard in status.shards if shard.shard == number}
+    owner = next((name for name, shard in held.items() if shard.owner), "")
+    told = held[owner] if owner else next(iter(held.values()))
+    return {
+        "Shard": number,
+        "Owner": owner or "none",
+        "Replicas": " ".join(sorted(held)),
+        "Epoch": told.epoch,
+        "Term": told.term,
+        "Lots": told.lots,
+        "WaitingItems": told.waiting_items,
+        "WaitingTokens": told.waiting_tokens,
+    }
+
+
+@app.command("list", epilog=EXIT_CODES_TEXT)
+def list_lots(
+    control: ControlOption = None, timeout: TimeoutOption = DEFAULT_TIMEOUT_S, as_json: JsonOption = False
+) -> None:
+    """List lots with how many of their items have a result; at most 500 of each store."""
+    found = _ask(control, True, timeout)
+    lots = sorted((lot for status in found.values() for lot in status.lots), key=lambda lot: -lot.age_s)
+    if as_json:
+        print_json([attrs.asdict(lot) for lot in lots])
+        return
+    rows = [
+        (
+            lot.id,
+            lot.host,
+            lot.shard,
+            f"{lot.listed} of {lot.total}",
+            "ended" if lot.ended else "open",
+            f"{lot.age_s:.0f}",
+        )
+        for lot in lots
+    ]
+    print_table(("lot", "host", "shard", "results", "state", "age s"), rows)
--- a/emberring/control/app.py
+++ b/emberring/control/app.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import re
 from collections.abc import Awaitable, Callable, Iterable
 from typing import Any
@@ -12,6 +13,7 @@
 from emberring.configuration.orders import OrderKind
 from emberring.control.heartbeat_desk import HeartbeatDesk
 from emberring.control.operator_orders import OperatorOrders
+from emberring.control.status_page import StatusPage
 from emberring.errors import BadRequestError, EmberringError, NotFoundError
 from emberring.logs import get_logger
 
@@ -44,9 +46,10 @@
 class ControlApp:
     """Hands each call to the part that answers it."""
 
-    def __init__(self, orders: OperatorOrders, desk: HeartbeatDesk) -> None:
+    def __init__(self, orders: OperatorOrders, desk: HeartbeatDesk, page: StatusPage) -> None:
         self._orders = orders
         self._desk = desk
+        self._page = page
         self._table: tuple[tuple[str, re.Pattern[str], Callable[[Call, str], Awaitable[Reply]]], ...] = (
             ("PUT", re.compile(r"/v1/instances/(.+)"), self._heartbeat),
             ("DELETE", re.compile(r"/v1/instances/(.+)"), self._goodbye),
@@ -56,6 +59,7 @@
             ("POST", re.compile(r"/v1/retire/(.+)"), self._retire),
             ("GET", re.compile(r"/v1/retire/(.+)"), self._retirement),
             ("GET", re.compile(r"/v1/(readyz)"), self._ready),
+            ("GET", re.compile(r"/v1/(status)"), self._status),
         )
 
     async def __call__(self, scope: Any, receive: Receive, send: Send) -> None:
@@ -107,6 +111,9 @@
     async def _ready(self, call: Call, _: str) -> Reply:
         return Reply(200)
 
+    async def _status(self, call: Call, _: str) -> Reply:
+        return Reply(200, self._page.render(asyncio.get_running_loop().time()))
+
 
 def _failed(error: EmberringError) -> Reply:
     return Reply(error.answer.status, orjson.dumps({"Error": error.kind.value, "Detail": error.detail}))
--- a/emberring/control/node.py
+++ b/emberring/control/node.py
@@ -19,6 +19,7 @@
 from emberring.control.operator_orders import OperatorOrders
 from emberring.control.placement_loop import PlacementLoop
 from emberring.control.register_port import Register
+from emberring.control.status_page import StatusPage
 from emberring.distribution.facts import NodeFact, NodeRole
 from emberring.distribution.messages import PlacementMoved, Pull
 from emberring.errors import EmberringError
@@ -62,7 +63,8 @@
         self._feed = Feed(self.board)
         self._orders = OperatorOrders(register, self.board, tolerance)
         self._placement = PlacementLoop(register, self.board, tolerance)
-        self.app = ControlApp(self._orders, HeartbeatDesk(self.board, min(others, max(1, tolerance))))
+        desk = HeartbeatDesk(self.board, min(others, max(1, tolerance)))
+        self.app = ControlApp(self._orders, desk, StatusPage(self.board))
         self._tasks: list[asyncio.Task[None]] = []
         network.handle(Pull, self._feed.on_pull)
         network.handle(PlacementMoved, self._on_moved)
--- /dev/null
+++ b/emberring/control/status_page.py
@@ -0,0 +1,82 @@
+"""What a control node tells tools: nodes, model servers, configuration and placement as it knows them."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import orjson
+
+from emberring.control.board import Board
+from emberring.distribution.facts import NodeFact, ServerFact
+from emberring.lots.placement import Placement
+
+
+class StatusPage:
+    """Answers `GET /v1/status`; reading it changes nothing and asks no other node."""
+
+    def __init__(self, board: Board) -> None:
+        self._board = board
+
+    def render(self, now_s: float) -> bytes:
+        """The page in JSON. `MajorityAgeS` is how long ago a majority of the register was in contact; null
+        where it never was."""
+        board = self._board
+        age_s = board.quorum_age_s()
+        load = board.load(now_s)
+        shown = {
+            "Node": board.me.name,
+            "MajorityAgeS": round(age_s, 3) if age_s < float("inf") else None,
+            "ConfigurationVersion": board.state.version,
+            "Gateways": board.gateways(now_s),
+            "Nodes": [_node(fact) for fact in sorted(board.live_nodes(now_s), key=lambda fact: fact.name)],
+            "Servers": [
+                _server(fact, load.get(fact.id, 0))
+                for fact in sorted(board.store.servers().values(), key=lambda fact: (fact.service, fact.id))
+            ],
+            "Placement": _placement(board.state.placement),
+        }
+        return orjson.dumps(shown)
+
+
+def _node(fact: NodeFact) -> dict[str, Any]:
+    return {
+        "Name": fact.name,
+        "Role": fact.role.value,
+        "Address": fact.address,
+        "Zone": fact.zone,
+        "Identity": fact.identity,
+        "Leaving": fact.leaving,
+    }
+
+
+def _server(fact: ServerFact, load: int) -> dict[str, Any]:
+    return {
+        "Id": fact.id,
+        "Service": fact.service,
+        "Address": fact.address,
+        "Zone": fact.zone,
+        "State": fact.state.value,
+        "Capacity": fact.capacity,
+        "InFlight": load,
+        "Version": fact.version,
+    }
+
+
+def _placement(placement: Placement | None) -> dict[str, Any] | None:
+    if placement is None:
+        return None
+    names = {identity: member.name for identity, member in placement.stores.items()}
+    return {
+        "Epoch": placement.epoch,
+        "Retiring": placement.retiring,
+        "Retired": placement.retired,
+        "Shards": [
+            {
+                "Shard": group.shard,
+                "Epoch": group.epoch,
+                "Members": [names.get(identity, identity) for identity in group.members],
+                "Joining": [names.get(identity, identity) for identity in group.joining],
+            }
+            for group in placement.groups
+        ],
+    }
--- a/emberring/store/role.py
+++ b/emberring/store/role.py
@@ -28,6 +28,7 @@
 from emberring.store.peers import Peers
 from emberring.store.replicas import ReplicaHost
 from emberring.store.shards import Shards
+from emberring.store.status import AskStoreStatus, StatusDesk
 from emberring.transport.messages import Ok
 from emberring.transport.network import Network
 
@@ -95,6 +96,7 @@
         network.handle(ReportRuns, lambda message, _: calls.report(message))
         network.handle(FinishRun, lambda message, _: calls.finish(message))
         network.handle(LeaseItems, lambda message, _: dispatch.lease(message))
+        network.handle(AskStoreStatus, StatusDesk(self.shards).answer)
 
     async def _on_touch(self, message: Touch, _: object) -> object:
         return self.host.touch(message)
