--- /dev/null
+++ b/tests/emberring/gateway/test_tier_gateway_pure.py
@@ -0,0 +1,266 @@
+"""The parts without sockets: events cut from bytes, headers, services chosen by weight, verdicts, readiness."""
+
+from __future__ import annotations
+
+import attrs
+import pytest
+from gateway_world import HOST, ROUTES, FakeDirectory, event, route
+from hypothesis import given
+from hypothesis import strategies as st
+
+from emberring.admission.types import PrefixPart
+from emberring.configuration.model import ClientLimits, Configuration, RouteType, Service, Share
+from emberring.distribution.facts import ServerFact, ServerState
+from emberring.errors import NotReadyError, OverloadedError, QuotaExceededError
+from emberring.gateway.answers import Verdict, answer_to, judge
+from emberring.gateway.calls import choose_service, read_milliseconds, read_parts, read_token_count
+from emberring.gateway.events import EventCutter
+from emberring.gateway.messages import AnswerHead, ClientRequest, render_request
+from emberring.gateway.readiness import SERVERS_WAIT_S, Readiness, render_metrics
+from emberring.gateway.servers import UNLIMITED, ServerBook
+
+BLANKS = st.sampled_from([b"\n\n", b"\r\n\r\n", b"\n\r\n", b"\r\r"])
+TEXT = st.text(st.characters(exclude_characters="\r\n", codec="utf-8"), max_size=20).map(str.encode)
+
+
+@given(
+    st.lists(st.tuples(st.none() | st.integers(0, 10**9), TEXT, BLANKS), max_size=8),
+    st.lists(st.integers(1, 12), min_size=1, max_size=200),
+)
+def test_events_are_the_same_however_their_bytes_arrive(
+    wanted: list[tuple[int | None, bytes, bytes]], cuts: list[int]
+) -> None:
+    raws = []
+    for number, text, blank in wanted:
+        line_end = b"\r" if blank == b"\r\r" else b"\n"
+        first = b"" if number is None else b"id: %d" % number + line_end
+        raws.append(first + b"data: " + text + blank)
+    stream, found, at, turn = b"".join(raws), [], 0, 0
+    cutter = EventCutter()
+    while at < len(stream):
+        size = cuts[turn % len(cuts)]
+        found += cutter.feed(stream[at : at + size])
+        at, turn = at + size, turn + 1
+    assert b"".join(event.raw for event in found) + cutter.rest() == stream
+    assert [event.id for event in found] == [number for number, _, _ in wanted]
+    assert [event.data for event in found] == [text for _, text, _ in wanted]
+
+
+@pytest.mark.parametrize(
+    ("raw", "number", "data"),
+    [
+        (b"id: 7\ndata: a\ndata: b\n\n", 7, b"a\nb"),
+        (b"versions: 3\nid:8\ndata:x\n\n", 8, b"x"),
+        (b"data: id: 9\n\n", None, b"id: 9"),
+        (b": a comment\n\n", None, b""),
+        (b"id: x\ndata: y\n\n", None, b"y"),
+    ],
+)
+def test_what_stands_in_an_event(raw: bytes, number: int | None, data: bytes) -> None:
+    (found,) = EventCutter().feed(raw)
+    assert (found.raw, found.id, found.data) == (raw, number, data)
+
+
+def test_an_event_that_is_cut_is_held() -> None:
+    cutter = EventCutter()
+    assert cutter.feed(event(1)[:-1]) == []
+    assert (cutter.pending, cutter.rest()) == (len(event(1)) - 1, event(1)[:-1])
+    assert not cutter.too_long
+    cutter.feed(b"x" * (1024 * 1024))
+    assert cutter.too_long
+
+
+@pytest.mark.parametrize(
+    ("status", "headers", "verdict"),
+    [
+        (200, {b"response-signature": b"s"}, Verdict.PASS_ON),
+        (206, {b"response-signature": b"s"}, Verdict.PASS_ON),
+        (200, {}, Verdict.NO_ANSWER),
+        (200, {b"response-signature": b"s", b"content-encoding": b"gzip"}, Verdict.NO_ANSWER),
+        (421, {}, Verdict.WRONG_SERVER),
+        (503, {b"not-executed": b"1"}, Verdict.FULL),
+        (429, {b"not-executed": b"1"}, Verdict.FULL),
+        (408, {b"not-executed": b"1"}, Verdict.FULL),
+        (503, {}, Verdict.FAILED),
+        (429, {}, Verdict.FAILED),
+        (500, {b"response-signature": b"s"}, Verdict.FAILED),
+        (504, {}, Verdict.FAILED),
+        (422, {}, Verdict.PASS_ON),
+        (400, {b"not-executed": b"1"}, Verdict.PASS_ON),
+        (302, {}, Verdict.PASS_ON),
+    ],
+)
+def test_what_an_answer_stands_for(status: int, headers: dict[bytes, bytes], verdict: Verdict) -> None:
+    assert judge(AnswerHead(status, tuple(headers.items()), 0)) is verdict
+
+
+@pytest.mark.parametrize(
+    ("error", "status", "retry_after"),
+    [
+        (OverloadedError("x", 0.25), 503, b"0.250"),
+        (NotReadyError(), 503, b"0.200"),
+        (QuotaExceededError(), 429, b"0.200"),
+    ],
+)
+def test_answers_that_promise_say_when_to_come_back(
+    error: NotReadyError, status: int, retry_after: bytes
+) -> None:
+    answer = answer_to(error)
+    assert answer.status == status
+    assert dict(answer.headers(b"r1"))[b"retry-after"] == retry_after
+    assert dict(answer.headers(b"r1"))[b"request-id"] == b"r1"
+
+
+@pytest.mark.parametrize(
+    ("value", "found"),
+    [
+        (b"1460,80", (1460, 80)),
+        (b" 1 , 2 ", (1, 2)),
+        (b"1", (0, 0)),
+        (b"a,b", (0, 0)),
+        (None, (0, 0)),
+        (b"-1,2", (0, 0)),
+    ],
+)
+def test_token_counts(value: bytes | None, found: tuple[int, int]) -> None:
+    assert read_token_count(value) == found
+
+
+@pytest.mark.parametrize(
+    ("value", "found"),
+    [
+        (b"5c1e:800,91bd:410", (PrefixPart("5c1e", 800), PrefixPart("91bd", 410))),
+        (b" a:1 , b:x,c:3", (PrefixPart("a", 1),)),
+        (b"", ()),
+        (None, ()),
+    ],
+)
+def test_parts_of_a_prompt(value: bytes | None, found: tuple[PrefixPart, ...]) -> None:
+    assert read_parts(value) == found
+
+
+@pytest.mark.parametrize(
+    ("value", "found"),
+    [
+        (b"900", 900.0),
+        (b"1.5", 1.5),
+        (b"x", None),
+        (None, None),
+        (b"-1", None),
+        (b"nan", None),
+        (b"inf", None),
+    ],
+)
+def test_milliseconds(value: bytes | None, found: float | None) -> None:
+    assert read_milliseconds(value) == found
+
+
+def test_services_are_chosen_by_weight() -> None:
+    shares = (Share("a", 90.0), Share("b", 10.0), Share("never", 0.0))
+    split = attrs.evolve(route("/x/", RouteType.STREAMING), split=shares)
+    keys = [b"key%d" % number for number in range(4000)]
+    chosen = [choose_service(split, key, lambda service: True) for key in keys]
+    assert 0.85 < chosen.count("a") / len(keys) < 0.95
+    assert chosen.count("never") == 0
+    assert {choose_service(split, key, lambda service: service == "b") for key in keys} == {"b"}
+    assert {choose_service(split, key, lambda service: False) for key in keys} == {"a", "b"}
+    none = attrs.evolve(split, split=(Share("a", 0.0),))
+    assert choose_service(none, b"k", lambda service: True) is None
+
+
+def made(**headers: str) -> ClientRequest:
+    found = tuple((name.replace("_", "-").encode(), value.encode()) for name, value in headers.items())
+    return ClientRequest(b"POST", b"/a?b", HOST, found, b"body", 0.0)
+
+
+@pytest.mark.parametrize(
+    ("headers", "left_ms", "last", "there", "absent"),
+    [
+        ({"deadline_ms": "9"}, 5, None, [b"Deadline-Ms: 5"], [b"deadline-ms: 9"]),
+        ({"deadline_ms": "9"}, None, None, [b"deadline-ms: 9"], [b"Deadline-Ms"]),
+        ({}, 0, None, [b"Deadline-Ms: 1"], []),
+        ({"last_event_id": "3"}, 5, None, [b"last-event-id: 3"], []),
+        ({"last_event_id": "3"}, 5, 7, [b"Last-Event-Id: 7"], [b"last-event-id: 3"]),
+        ({"expected_instance": "me"}, 5, None, [b"Expected-Instance: i-1"], [b"expected-instance: me"]),
+        ({"content_length": "99"}, 5, None, [b"Content-Length: 4"], [b"99"]),
+        ({"connection": "x-hop", "x_hop": "1"}, 5, None, [], [b"x-hop", b"connection"]),
+    ],
+)
+def test_the_bytes_that_a_server_gets(
+    headers: dict[str, str], left_ms: int | None, last: int | None, there: list[bytes], absent: list[bytes]
+) -> None:
+    data = render_request(made(**headers), "i-1", left_ms, last)
+    assert data.startswith(b"POST /a?b HTTP/1.1\r\nHost: bank.example\r\n")
+    assert data.endswith(b"\r\n\r\nbody")
+    for line in there:
+        assert line + b"\r\n" in data
+    for text in absent:
+        assert text not in data
+
+
+def directory() -> FakeDirectory:
+    services = (Service("s", max_connections=70), Service("t"))
+    found = FakeDirectory(Configuration(1, ROUTES, services, ClientLimits()))
+    for number, (service, state) in enumerate(
+        [("s", ServerState.READY), ("s", ServerState.DRAINING), ("t", ServerState.READY)]
+    ):
+        found.servers[f"i-{number}"] = ServerFact(f"i-{number}", service, "a:1", "z", 4, state, 1)
+    return found
+
+
+def test_who_may_get_something_new() -> None:
+    known = directory()
+    book = ServerBook(known)
+    assert [fact.id for fact in book.usable()] == ["i-0", "i-2"]
+    assert book.sendable("i-1") is None
+    assert book.sendable("i-9") is None
+    book.misdirect("i-0")
+    assert book.sendable("i-0") is None
+    assert not book.has_servers("s")
+    book.forget_absent()
+    assert book.sendable("i-0") is None
+    del known.servers["i-0"]
+    book.forget_absent()
+    assert book.has_servers("t")
+
+
+@pytest.mark.parametrize(("gateways", "share"), [(1, 66), (7, 9), (70, 1), (500, 1)])
+def test_a_share_of_the_connections(gateways: int, share: int) -> None:
+    known = directory()
+    known.gateway_count = gateways
+    assert ServerBook(known).connection_share("i-0") == share
+    assert ServerBook(known).connection_share("i-2") == UNLIMITED
+    assert ServerBook(known).connection_share("i-9") == UNLIMITED
+
+
+def test_ready_with_a_configuration_and_servers_until_it_leaves() -> None:
+    known = directory()
+    configuration, servers = known.configuration, known.servers
+    known.configuration, known.servers = None, {}
+    readiness = Readiness(known)
+    assert not readiness.ready(0.0)
+    known.configuration = configuration
+    assert not readiness.ready(1.0)
+    assert not readiness.ready(1.0 + SERVERS_WAIT_S - 0.1)
+    known.servers = servers
+    assert readiness.ready(1.5)
+    known.servers = {}
+    assert readiness.ready(1.6)
+    readiness.leaving = True
+    assert not readiness.ready(1.7)
+
+
+def test_ready_without_any_server_after_a_while() -> None:
+    known = directory()
+    known.servers = {}
+    readiness = Readiness(known)
+    assert not readiness.ready(0.0)
+    assert readiness.ready(SERVERS_WAIT_S)
+
+
+def test_figures_for_prometheus() -> None:
+    page = render_metrics({"ready": 1.0, "calls_total": 7.0})
+    assert page == (
+        b"# TYPE emberring_gateway_ready gauge\nemberring_gateway_ready 1\n"
+        b"# TYPE emberring_gateway_calls_total counter\nemberring_gateway_calls_total 7\n"
+    )
