An ended control node's newer word about a server neither hides nor holds it at followers

A follower kept of one server only the statement with the highest sequence. When its origin had ended and told nobody else, a living server was dropped after 10 s and a dead one was shown on. Statements are kept by origin; those of origins that live decide, a drain of any origin sticks.

--- a/emberring/distribution/facts_store.py
+++ b/emberring/distribution/facts_store.py
@@ -25,7 +25,7 @@
 
 
 class FactStore:
-    """Statements by origin and number. Of one server only those are kept that no other says as well."""
+    """Statements by origin and number. Those of an ended origin are dropped where another says as much."""
 
     def __init__(self, origin: str = "") -> None:
         self.origin = origin
@@ -141,16 +141,8 @@
         return entry.number > self.vector.get(entry.origin, 0)
 
     def _take_server(self, entry: ServerEntry) -> bool:
-        """Keep a statement unless others say as much; whether what is known of the server changed."""
-        kept = self._servers.setdefault(entry.fact.id, {})
-        if any(
-            origin != entry.origin and dominates(other.fact, entry.fact) for origin, other in kept.items()
-        ):
-            kept.pop(entry.origin, None)
-        else:
-            for origin in [origin for origin, other in kept.items() if dominates(entry.fact, other.fact)]:
-                del kept[origin]
-            kept[entry.origin] = entry
+        """Keep an origin's newest statement; whether what is known of the server changed."""
+        self._servers.setdefault(entry.fact.id, {})[entry.origin] = entry
         before = self._merged.get(entry.fact.id)
         after = merged(before, entry.fact) if before is not None else entry.fact
         self._merged[entry.fact.id] = after
@@ -173,12 +165,26 @@
         self._merged.pop(server_id, None)
 
     def forget_origin(self, origin: str) -> None:
-        """Drop an ended origin's statements about nodes, and its place in the vector if nothing of it is kept."""
+        """Drop an ended origin's statements about nodes, and those about servers that others say as well; its place
+        in the vector too if nothing of it is kept."""
         self._live_nodes.clear()
         for name in list(self._nodes):
             if self._nodes[name].pop(origin, None) is not None:
                 self._arrivals.pop((name, origin), None)
             if not self._nodes[name]:
                 del self._nodes[name]
-        if not any(origin in by_origin for by_origin in self._servers.values()):
+        if not self._needed(origin):
             self.vector.pop(origin, None)
+
+    def _needed(self, origin: str) -> bool:
+        """Drop an ended origin's statements about servers that others say as well; whether any is left."""
+        left = False
+        for by_origin in self._servers.values():
+            entry = by_origin.get(origin)
+            if entry is None:
+                continue
+            if any(other is not entry and dominates(other.fact, entry.fact) for other in by_origin.values()):
+                del by_origin[origin]
+            else:
+                left = True
+        return left
--- a/emberring/distribution/peers.py
+++ b/emberring/distribution/peers.py
@@ -27,7 +27,6 @@
     vector: dict[str, int] = attrs.field(factory=dict)
     load: dict[str, int] = attrs.field(factory=dict)
     heard_s: float = -1e9
-    told_s: float = -1e9
     next_s: float = 0.0
     busy: bool = False
     again: bool = False
--- a/emberring/distribution/view.py
+++ b/emberring/distribution/view.py
@@ -2,12 +2,17 @@
 
 from __future__ import annotations
 
+import functools
+
+import attrs
+
 from emberring.configuration.model import Configuration
 from emberring.configuration.reading import unpack_configuration
 from emberring.distribution.facts import NodeFact, NodeRole, ServerFact, ServerState
 from emberring.distribution.facts_store import FactStore
 from emberring.distribution.messages import Update
 from emberring.lots.placement import Placement
+from emberring.registry.merge import merged
 
 ORPHAN_S = 10.0  # a server that no live control node lists for so long is dropped
 QUORUM_FRESH_S = 1.0  # a control node that had no majority for longer may hold an old configuration
@@ -93,7 +98,8 @@
         return self._origins_seen.get(origin, -within_s) > self._alive_s - within_s
 
     def _forget(self) -> None:
-        for origin, seen_s in list(self._origins_seen.items()):
+        for origin in list(self.store.vector):
+            seen_s = self._origins_seen.setdefault(origin, self._alive_s)
             if self._alive_s - seen_s > FORGET_ORIGIN_S:
                 del self._origins_seen[origin]
                 self._answers.pop(origin, None)
@@ -101,16 +107,23 @@
                 self.store.forget_origin(origin)
 
     def _show_servers(self) -> bool:
-        shown = {
-            server_id: fact
-            for server_id, fact in self.store.servers().items()
-            if fact.state in _SHOWN
-            and any(self._live(origin, ORPHAN_S) for origin in self.store.server_origins(server_id))
-        }
+        shown = {}
+        for server_id, known in self.store.servers().items():
+            fact = self._listed(server_id)
+            if fact is not None and fact.state in _SHOWN and known.state in _SHOWN:
+                shown[server_id] = attrs.evolve(fact, state=known.state)
         changed = shown != self.servers
         self.servers = shown
         return changed
 
+    def _listed(self, server_id: str) -> ServerFact | None:
+        """What origins that live, or did a short while ago, say of a server together. An ended origin's word for
+        a server's life must not outlast it; its word for a drain does."""
+        listed = [
+            entry.fact for entry in self.store.server_entries(server_id) if self._live(entry.origin, ORPHAN_S)
+        ]
+        return functools.reduce(merged, listed) if listed else None
+
     def _show_nodes(self) -> bool:
         """Nodes that a live control node has contact with; of two incarnations the one told last."""
         live = {origin for origin, (_, origins) in self._answers.items() if self._live(origin, TOLD_S)}
--- /dev/null
+++ b/tests/emberring/control/test_tier_board_simulation.py
@@ -0,0 +1,298 @@
+"""Control nodes' boards, followers and servers under seeded troubles: kills, freezes, cuts, restarts, lost calls.
+
+Time is a number. Every seed plays troubles and then a calm time, after which all must agree with the truth; a drain
+that was acknowledged must never be taken back at a follower that is in contact.
+"""
+
+from __future__ import annotations
+
+import random
+
+import attrs
+import pytest
+
+from emberring.control.board import Board
+from emberring.distribution.facts import NodeFact, NodeRole, ServerFact, ServerState
+from emberring.distribution.messages import Delta, Pull, Update
+from emberring.distribution.peers import Peer
+from emberring.distribution.view import FollowerView
+from emberring.registry.heartbeats import Heartbeat
+
+STEP_S = 0.05
+BEAT_S = 1.2
+DRAIN_SEEN_S = 1.0
+CONTACT_S = 3.0
+
+
+@attrs.define
+class AServer:
+    name: str
+    address: str
+    sequence: int = 0
+    state: ServerState = ServerState.READY
+    alive: bool = True
+    next_beat_s: float = 0.0
+    drained_s: float | None = None
+
+    def beat(self) -> Heartbeat:
+        self.sequence += 1
+        return Heartbeat(ServerFact(self.name, "engine", self.address, "zone", 48, self.state, self.sequence))
+
+
+@attrs.define
+class AControl:
+    address: str
+    board: Board
+    up: bool = True
+    frozen: bool = False
+
+    @property
+    def answers(self) -> bool:
+        return self.up and not self.frozen
+
+
+@attrs.define
+class AFollower:
+    fact: NodeFact
+    view: FollowerView
+    cut_until_s: float = 0.0
+    next_s: float = 0.0
+
+
+class World:
+    """Three control nodes, two gateways, a store and four servers."""
+
+    def __init__(self, seed: int) -> None:
+        self.random = random.Random(seed)
+        self.now_s = 0.0
+        self.starts = 0
+        self.cuts: set[frozenset[str]] = set()
+        self.seeds = ["c0", "c1", "c2"]
+        self.controls = [AControl(address, self._new_board(address)) for address in self.seeds]
+        self.followers = [
+            AFollower(NodeFact(name, role, name, "zone", name, "1"), FollowerView(0.0))
+            for name, role in (("e0", NodeRole.GATEWAY), ("e1", NodeRole.GATEWAY), ("s0", NodeRole.STORE))
+        ]
+        self.servers = [AServer(f"i{number}", f"10.0.0.{number}:80") for number in range(4)]
+        self.core_trouble_s = -CONTACT_S
+        self.is_calm = False
+
+    def _new_board(self, address: str) -> Board:
+        self.starts += 1
+        me = NodeFact(
+            f"core-{address}", NodeRole.CONTROL, address, "zone", address, f"{address}.{self.starts}"
+        )
+        board = Board(self.now_s, me, self.seeds, BEAT_S)
+        board.quorum_age_s = lambda: 0.0 if self._has_majority(address) else 5.0
+        return board
+
+    def _has_majority(self, address: str) -> bool:
+        return (
+            sum(1 for other in self.controls if other.answers and self._linked(address, other.address)) >= 2
+        )
+
+    def _linked(self, one: str, other: str) -> bool:
+        return one == other or frozenset((one, other)) not in self.cuts
+
+    # -- a step
+
+    def step(self) -> None:
+        self.now_s += STEP_S
+        for control in self.controls:
+            if control.answers:
+                control.board.tick(self.now_s)
+        self.exchange()
+        self.beat()
+        for follower in self.followers:
+            if follower.next_s <= self.now_s:
+                self.pull(follower)
+        self.exchange()
+        self.check_drains()
+
+    def exchange(self) -> None:
+        for control in self.controls:
+            if not control.answers:
+                continue
+            for peer in control.board.peers.due(self.now_s):
+                control.board.peers.began(peer)
+                answered = self._exchange_with(control, peer)
+                control.board.peers.ended(self.now_s, peer, answered)
+
+    def _exchange_with(self, control: AControl, peer: Peer) -> bool:
+        address = peer.address
+        other = next((one for one in self.controls if one.address == address), None)
+        if other is None or not other.answers or not self._linked(control.address, address):
+            return False
+        said = control.board.exchange_for(self.now_s, peer)
+        fate = self.random.random()
+        if fate < 0.03:
+            return False
+        answer = other.board.on_exchange(self.now_s, said)
+        if fate < 0.06:
+            return False
+        control.board.take_exchange(self.now_s, answer)
+        return True
+
+    def beat(self) -> None:
+        for server in self.servers:
+            if not server.alive or server.next_beat_s > self.now_s:
+                continue
+            server.next_beat_s = self.now_s + BEAT_S * self.random.uniform(0.9, 1.1)
+            ready = [control for control in self.controls if control.answers]
+            if not ready:
+                server.next_beat_s = self.now_s + 0.2
+                continue
+            control = self.random.choice(ready)
+            control.board.on_heartbeat(self.now_s, server.beat())
+            if server.state is ServerState.DRAINING and server.drained_s is None:
+                self.exchange()
+                if control.board.holders_of_end(self.now_s, server.name) >= 1 and self._stable():
+                    server.drained_s = self.now_s
+                    if not self.is_calm and self.random.random() < 0.3:
+                        self.kill(control)
+
+    def pull(self, follower: AFollower) -> None:
+        follower.next_s = self.now_s + self.random.uniform(0.1, 0.4)
+        if follower.cut_until_s > self.now_s:
+            return
+        asked = [control for control in self.controls if control.answers]
+        self.random.shuffle(asked)
+        for control in asked[:2]:
+            follower.view.take(self.now_s, self._answer(control, follower))
+
+    def _answer(self, control: AControl, follower: AFollower) -> Update:
+        view, board = follower.view, control.board
+        pull = Pull(follower.fact, dict(view.store.vector))
+        board.node_called(self.now_s, pull.me, {})
+        return Update(
+            origin=board.me.incarnation,
+            quorum_age_ms=board.quorum_age_s() * 1000,
+            delta=board.store.newer_than(pull.vector, gateways=False),
+            live_origins=tuple(board.live_origins(self.now_s)),
+            gateways=board.gateways(self.now_s),
+        )
+
+    # -- troubles
+
+    def kill(self, control: AControl) -> None:
+        control.up = False
+        self.core_trouble_s = self.now_s
+
+    def restart(self, control: AControl) -> None:
+        if not control.up:
+            control.up, control.frozen = True, False
+            control.board = self._new_board(control.address)
+
+    def trouble(self) -> None:
+        control = self.random.choice(self.controls)
+        kind = self.random.randrange(8)
+        if kind < 6:
+            self.core_trouble_s = self.now_s
+        if kind == 0:
+            self.kill(control)
+        elif kind == 1:
+            control.frozen = True
+        elif kind == 2:
+            control.frozen = False
+        elif kind == 3:
+            self.restart(control)
+        elif kind == 4:
+            self.cuts.add(frozenset(self.random.sample(self.seeds, 2)))
+        elif kind == 5:
+            self.cuts.clear()
+        elif kind == 6:
+            self.random.choice(self.followers).cut_until_s = self.now_s + self.random.uniform(0.5, 8)
+        else:
+            self.server_trouble()
+
+    def server_trouble(self) -> None:
+        server = self.random.choice(self.servers)
+        if server.alive and self.random.random() < 0.5:
+            server.state = ServerState.DRAINING
+            server.next_beat_s = self.now_s
+        elif server.alive:
+            server.alive = False
+        else:
+            fresh = AServer(f"{server.name}x", server.address, next_beat_s=self.now_s + 2.0)
+            self.servers[self.servers.index(server)] = fresh
+
+    def calm(self) -> None:
+        self.is_calm = True
+        self.cuts.clear()
+        for control in self.controls:
+            control.frozen = False
+            self.restart(control)
+        for follower in self.followers:
+            follower.cut_until_s = 0.0
+
+    # -- what must hold
+
+    def check_drains(self) -> None:
+        if not self._stable():
+            return
+        for server in self.servers:
+            if server.drained_s is None or self.now_s - server.drained_s < DRAIN_SEEN_S:
+                continue
+            for follower in self.followers:
+                if self.now_s - follower.cut_until_s < CONTACT_S:
+                    continue
+                fact = follower.view.servers.get(server.name)
+                what = (self.now_s, server, follower.fact.name)
+                assert fact is None or fact.state is not ServerState.READY, what
+
+    def _stable(self) -> bool:
+        """Whether most of the core has been up and connected, and left alone, for a while."""
+        return self.now_s - self.core_trouble_s >= CONTACT_S and all(
+            self._has_majority(control.address) for control in self.controls if control.answers
+        )
+
+    def check_truth(self) -> None:
+        wanted = {server.name: server.state for server in self.servers if server.alive}
+        for follower in self.followers:
+            shown = {name: fact.state for name, fact in follower.view.servers.items()}
+            assert shown == wanted, (follower.fact.name, shown, wanted)
+            assert set(follower.view.nodes) == {"core-c0", "core-c1", "core-c2", "s0"}
+            assert follower.view.gateways == 2
+        for control in self.controls:
+            live = {fact.name for fact in control.board.live_nodes(self.now_s)}
+            assert live == {"core-c0", "core-c1", "core-c2", "s0", "e0", "e1"}
+
+
+def play(seed: int, troubles_s: float, calm_s: float) -> World:
+    world = World(seed)
+    next_trouble_s = 3.0
+    while world.now_s < troubles_s:
+        world.step()
+        if world.now_s >= next_trouble_s:
+            next_trouble_s = world.now_s + world.random.choice((0.05, 0.5, 1.5, 4.0))
+            world.trouble()
+    world.calm()
+    while world.now_s < troubles_s + calm_s:
+        world.step()
+    return world
+
+
+@pytest.mark.parametrize("seed", range(40))
+def test_all_agree_with_the_truth_after_any_troubles(seed: int) -> None:
+    play(seed, 30.0, 20.0).check_truth()
+
+
+def test_all_agree_where_nothing_happens() -> None:
+    world = play(0, 2.9, 0.0)
+    world.check_truth()
+
+
+def test_a_delta_for_another_incarnation_is_not_taken() -> None:
+    world = World(1)
+    for _ in range(20):
+        world.step()
+    first, second = world.controls[0], world.controls[1]
+    peer = next(peer for peer in first.board.peers.live(world.now_s) if peer.address == "c1")
+    said = first.board.exchange_for(world.now_s, peer)
+    world.kill(second)
+    world.restart(second)
+    second.board.on_exchange(
+        world.now_s, attrs.evolve(said, delta=attrs.evolve(said.delta, vector={"c0.1": 99}))
+    )
+    assert "c0.1" not in second.board.store.vector
+    assert second.board.on_exchange(world.now_s, said).delta != Delta()
--- /dev/null
+++ b/tests/emberring/distribution/test_tier_follower_view.py
@@ -0,0 +1,301 @@
+"""What a follower makes of control nodes' answers, and which control nodes it asks."""
+
+from __future__ import annotations
+
+import json
+import random
+from typing import Any
+
+import attrs
+import pytest
+
+from emberring.configuration.reading import pack
+from emberring.distribution.contacts import Contacts, summed
+from emberring.distribution.facts import NodeFact, NodeRole, ServerFact, ServerState
+from emberring.distribution.facts_store import FactStore
+from emberring.distribution.messages import Delta, Update
+from emberring.distribution.sources import SourceChoice
+from emberring.distribution.view import ORPHAN_S, PATIENCE_S, FollowerView
+from emberring.lots.placement import Placement
+
+READY, DRAINING, GONE, LOST = ServerState.READY, ServerState.DRAINING, ServerState.GONE, ServerState.LOST
+
+
+def configured(version: int) -> bytes:
+    return pack(json.dumps({"Version": version, "Routes": [], "Services": []}).encode())
+
+
+def server(name: str, state: ServerState = READY, sequence: int = 1) -> ServerFact:
+    return ServerFact(name, "engine", "10.0.0.9:80", "zone", 48, state, sequence)
+
+
+class AControl:
+    """A control node's answers."""
+
+    def __init__(self, origin: str = "a") -> None:
+        self.store = FactStore(origin)
+
+    def tell(self, view: FollowerView, now_s: float, **parts: Any) -> bool:
+        base = Update(
+            origin=self.store.origin,
+            quorum_age_ms=50.0,
+            delta=self.store.newer_than(view.store.vector),
+            live_origins=(self.store.origin,),
+        )
+        return view.take(now_s, attrs.evolve(base, **parts))
+
+
+def test_nothing_is_known_at_first() -> None:
+    view = FollowerView(0.0)
+    assert (view.configuration, view.placement, view.servers, view.nodes, view.gateways) == (
+        None,
+        None,
+        {},
+        {},
+        1,
+    )
+
+
+def test_the_configuration_never_goes_back() -> None:
+    view, control, other = FollowerView(0.0), AControl("a"), AControl("b")
+    assert control.tell(view, 0.1, configuration=configured(7), configuration_version=7)
+    assert not other.tell(view, 0.2, configuration=configured(5), configuration_version=5)
+    assert not other.tell(view, 0.2, configuration=configured(7), configuration_version=7)
+    assert view.configuration is not None
+    assert view.configuration.version == 7
+    assert other.tell(view, 0.3, configuration=configured(9), configuration_version=9)
+    assert view.configuration.version == 9
+
+
+FIRST_CONFIGURATION = [
+    (50.0, 0.1, True),  # from a control node with a majority
+    (5000.0, 0.1, False),  # from one that has been cut off: it may be old
+    (1e9, 0.1, False),
+    (5000.0, PATIENCE_S + 0.1, True),  # there is no other
+]
+
+
+@pytest.mark.parametrize(("quorum_age_ms", "at_s", "taken"), FIRST_CONFIGURATION)
+def test_the_first_configuration_is_a_quorum_s(quorum_age_ms: float, at_s: float, taken: bool) -> None:
+    view, control = FollowerView(0.0), AControl()
+    told = {"configuration": configured(7), "configuration_version": 7, "quorum_age_ms": quorum_age_ms}
+    control.tell(view, at_s, **told)
+    assert (view.configuration is not None) is taken
+
+
+def test_a_newer_configuration_is_taken_from_a_control_node_that_was_cut_off() -> None:
+    view, control = FollowerView(0.0), AControl()
+    control.tell(view, 0.1, configuration=configured(7), configuration_version=7)
+    control.tell(view, 0.2, configuration=configured(9), configuration_version=9, quorum_age_ms=9000.0)
+    assert view.configuration_version == 9
+
+
+def test_the_placement_never_goes_back() -> None:
+    view, control = FollowerView(0.0), AControl()
+    assert control.tell(view, 0.1, placement=Placement(4, {}, ()))
+    assert not control.tell(view, 0.2, placement=Placement(3, {}, ()))
+    assert view.placement_epoch == 4
+
+
+def test_servers_that_serve_or_drain_are_shown() -> None:
+    view, control = FollowerView(0.0), AControl()
+    for name, state in (("r", READY), ("d", DRAINING), ("g", GONE), ("l", LOST)):
+        control.store.state_server(server(name, state))
+    assert control.tell(view, 0.1)
+    assert set(view.servers) == {"r", "d"}
+    assert not control.tell(view, 0.2)
+    control.store.state_server(server("r", LOST, 2))
+    assert control.tell(view, 0.3)
+    assert set(view.servers) == {"d"}
+    control.store.state_server(server("r", READY, 3))
+    assert control.tell(view, 0.4)
+    assert set(view.servers) == {"r", "d"}
+
+
+def test_a_drain_told_by_one_holds_against_another_that_has_not_heard_of_it() -> None:
+    view, first, second = FollowerView(0.0), AControl("a"), AControl("b")
+    first.store.state_server(server("i", DRAINING, 5))
+    second.store.state_server(server("i", READY, 6))
+    first.tell(view, 0.1)
+    second.tell(view, 0.2)
+    assert view.servers["i"].state is DRAINING
+
+
+def test_servers_outlast_all_control_nodes_and_go_when_new_ones_do_not_list_them() -> None:
+    view, old, new = FollowerView(0.0), AControl("old"), AControl("new")
+    old.store.state_server(server("stays"))
+    old.store.state_server(server("ended"))
+    old.tell(view, 0.1)
+    new.tell(view, 500.0)  # nobody answered for long: that says nothing about servers
+    assert set(view.servers) == {"stays", "ended"}
+    new.store.state_server(server("stays", READY, 40))
+    at_s = 500.0
+    while at_s < 500.0 + ORPHAN_S - 1.5:
+        at_s += 0.5
+        new.tell(view, at_s)
+    assert set(view.servers) == {"stays", "ended"}
+    while at_s < 500.0 + ORPHAN_S + 1.0:
+        at_s += 0.5
+        new.tell(view, at_s)
+    assert set(view.servers) == {"stays"}
+
+
+def test_an_ended_origin_s_newer_word_neither_hides_nor_holds_a_server() -> None:
+    """It heard the last heartbeats and told nobody else; others go on with what they heard."""
+    view, ended, lives = FollowerView(0.0), AControl("ended"), AControl("lives")
+    for name in ("lives", "dies"):
+        lives.store.state_server(server(name, READY, 1))
+        ended.store.state_server(server(name, READY, 5))
+    ended.tell(view, 0.1)
+    lives.tell(view, 0.2)
+    lives.store.state_server(server("dies", LOST, 3))
+    at_s = 0.2
+    while at_s < ORPHAN_S + 2.0:
+        at_s += 0.5
+        lives.tell(view, at_s)
+        assert "lives" in view.servers
+    assert set(view.servers) == {"lives"}
+
+
+def test_nodes_are_those_in_contact_with_a_control_node_that_lives() -> None:
+    view, first, second = FollowerView(0.0), AControl("a"), AControl("b")
+    store = NodeFact("store-1", NodeRole.STORE, "10.0.0.1:70", "zone", "id", "x")
+    edge = NodeFact("edge-1", NodeRole.GATEWAY, "10.0.0.2:70", "zone", "", "y")
+    first.store.state_node(store, present=True)
+    first.store.state_node(edge, present=True)
+    first.tell(view, 0.1)
+    assert set(view.nodes) == {"store-1"}
+    first.store.state_node(store, present=False)
+    second.store.state_node(store, present=True)
+    first.tell(view, 0.2)
+    assert view.nodes == {}
+    second.tell(view, 0.3)
+    assert set(view.nodes) == {"store-1"}
+    at_s = 0.3
+    while at_s < 4.0:  # the second control node answers no more, and the first does not name it
+        at_s += 0.3
+        first.tell(view, at_s)
+    assert view.nodes == {}
+
+
+def test_the_number_of_gateways_is_the_most_told_lately() -> None:
+    view, first, second = FollowerView(0.0), AControl("a"), AControl("b")
+    assert first.tell(view, 0.1, gateways=7)
+    second.tell(view, 0.2, gateways=2)  # has just started
+    assert view.gateways == 7
+    for step in range(1, 12):
+        second.tell(view, 0.2 + step * 0.3, gateways=6)
+    assert view.gateways == 6
+    second.tell(view, 4.0, gateways=0)
+    assert view.gateways >= 1
+
+
+def test_loads_are_taken_without_waking_anybody() -> None:
+    view, control = FollowerView(0.0), AControl()
+    assert not control.tell(view, 0.1, server_load={"i": 3})
+    assert view.server_load == {"i": 3}
+
+
+# -- contacts
+
+
+def test_contacts_end_with_silence() -> None:
+    contacts = Contacts()
+    fact = NodeFact("edge-1", NodeRole.GATEWAY, "10.0.0.2:70", "zone")
+    assert contacts.note(0.0, fact, {"i": 1})
+    assert not contacts.note(0.5, fact, {})
+    assert contacts.load(1.0) == {"i": 1}
+    assert contacts.load(1.5) == {}
+    assert contacts.note(0.6, attrs.evolve(fact, leaving=True), {})
+    assert contacts.expired(1.9) == []
+    assert [one.name for one in contacts.expired(2.1)] == ["edge-1"]
+    assert contacts.note(2.2, fact, {})
+
+
+def test_loads_are_added_up() -> None:
+    assert summed([{"i": 1, "j": 2}, {}, {"i": 4}]) == {"i": 5, "j": 2}
+
+
+# -- sources
+
+
+def choice(count: int = 3) -> SourceChoice:
+    return SourceChoice([f"c{number}" for number in range(count)], random.Random(1))
+
+
+def test_two_pullers_have_two_different_sources() -> None:
+    sources = choice()
+    assert sources.pick(0.0, 0) != sources.pick(0.0, 1)
+    assert sources.pick(0.0, 0) == sources.pick(0.0, 0)
+    lonely = choice(1)
+    assert lonely.pick(0.0, 0) == "c0"
+    assert lonely.pick(0.0, 1) is None
+
+
+def test_a_source_that_fails_is_left_and_tried_again_later() -> None:
+    sources = choice(2)
+    first = sources.pick(0.0, 0)
+    assert first is not None
+    sources.failed(0.0, first)
+    second = sources.pick(0.0, 0)
+    assert second not in (None, first)
+    assert sources.pick(0.01, 1) is None
+    assert 0 < sources.pause_s(0.01) <= 0.2
+    assert sources.pick(0.2, 1) == first
+
+
+def test_pauses_grow_up_to_a_bound() -> None:
+    sources = choice(1)
+    for _ in range(30):
+        sources.failed(100.0, "c0")
+    assert sources.pick(100.0, 0) is None
+    assert sources.pick(101.6, 0) == "c0"
+
+
+def test_a_source_without_a_majority_is_left_for_another() -> None:
+    sources = choice(3)
+    weak = sources.pick(0.0, 0)
+    assert weak is not None
+    sources.answered(0.0, weak, 5.0)
+    assert sources.pick(0.0, 0) not in (None, weak)
+    assert not sources.in_contact(0.0)
+
+
+def test_among_sources_without_a_majority_each_is_still_asked() -> None:
+    sources = choice(2)
+    for now_s in (0.0, 1.0, 2.0):
+        for slot in (0, 1):
+            picked = sources.pick(now_s, slot)
+            assert picked is not None
+            sources.answered(now_s, picked, 5.0)
+    assert sources.pick(2.1, 0) is None
+    assert sources.pick(3.0, 0) is not None
+
+
+def test_contact_is_a_recent_answer_of_a_node_with_a_majority() -> None:
+    sources = choice()
+    assert not sources.in_contact(0.0)
+    sources.answered(1.0, "c1", 0.1)
+    assert sources.in_contact(2.0)
+    assert not sources.in_contact(3.0)
+    assert sources.settled("c1")
+    sources.failed(3.0, "c1")
+    assert not sources.settled("c1")
+
+
+def test_nodes_heard_of_are_asked_and_forgotten_when_they_stay_silent() -> None:
+    sources = choice(1)
+    sources.note(["new"])
+    assert {sources.pick(0.0, 0), sources.pick(0.0, 1)} == {"c0", "new"}
+    for _ in range(40):
+        sources.failed(1.0, "new")
+    assert sources.pick(10.0, 0) == "c0"
+    assert sources.pick(10.0, 1) is None
+    for _ in range(40):
+        sources.failed(11.0, "c0")  # a seed is never forgotten
+    assert sources.pick(20.0, 0) == "c0"
+
+
+def test_delta_of_another_origin_needs_no_order() -> None:
+    view = FollowerView(0.0)
+    assert view.take(0.1, Update("a", 1.0, Delta(), ("a",))) is False
--- /dev/null
+++ b/tests/emberring/distribution/test_tier_peers.py
@@ -0,0 +1,92 @@
+"""Which control nodes are talked to, and when."""
+
+from __future__ import annotations
+
+from emberring.distribution.facts import NodeFact, NodeRole
+from emberring.distribution.messages import Delta, Exchanged
+from emberring.distribution.peers import EXCHANGE_EVERY_S, FORGET_S, LIVE_S, RETRY_S, PeerTable
+
+
+def control(number: int, incarnation: str = "x") -> NodeFact:
+    return NodeFact(f"core-{number}", NodeRole.CONTROL, f"c{number}", "zone", "", f"{incarnation}{number}")
+
+
+def said(fact: NodeFact, vector: dict[str, int] | None = None) -> Exchanged:
+    return Exchanged(fact, Delta(), vector or {}, {}, {"i": 2})
+
+
+def table() -> PeerTable:
+    return PeerTable(control(0), ["c0", "c1", "c2"])
+
+
+def test_seeds_other_than_this_node_are_due_at_once() -> None:
+    peers = table()
+    assert [peer.address for peer in peers.due(0.0)] == ["c1", "c2"]
+    assert peers.others_exist()
+    assert not PeerTable(control(0), ["c0"]).others_exist()
+
+
+def test_exchanges_recur_and_silent_nodes_are_tried_less_often() -> None:
+    peers = table()
+    first, second = peers.due(0.0)
+    for peer in (first, second):
+        peers.began(peer)
+    assert peers.due(0.0) == []
+    peers.ended(0.0, first, answered=True)
+    peers.ended(0.0, second, answered=False)
+    assert peers.due(EXCHANGE_EVERY_S) == [first]
+    assert peers.due(RETRY_S) == [first, second]
+
+
+def test_news_hurry_the_live_ones_also_while_an_exchange_is_under_way() -> None:
+    peers = table()
+    first, second = peers.due(0.0)
+    peers.take(0.0, said(control(1)))
+    peers.ended(0.0, first, answered=True)
+    peers.ended(0.0, second, answered=False)
+    peers.hurry(0.01)
+    assert peers.due(0.01) == [first]
+    peers.began(first)
+    peers.hurry(0.02)
+    assert peers.due(0.02) == []
+    peers.ended(0.03, first, answered=True)
+    assert peers.due(0.03) == [first]
+
+
+def test_a_node_lives_while_it_is_heard() -> None:
+    peers = table()
+    peers.take(1.0, said(control(1), {"x1": 4}))
+    assert [peer.origin for peer in peers.live(1.0 + LIVE_S / 2)] == ["x1"]
+    assert list(peers.loads(1.5)) == [{"i": 2}]
+    assert peers.live(1.1 + LIVE_S) == []
+
+
+def test_a_new_incarnation_has_forgotten_everything() -> None:
+    peers = table()
+    peers.take(1.0, said(control(1), {"x1": 4, "x2": 9}))
+    peer = peers.take(2.0, said(control(1, "y"), {"x2": 3}))
+    assert peer is not None
+    assert peer.vector == {"x2": 3}
+
+
+def test_answers_out_of_order_do_not_lower_what_a_node_has() -> None:
+    peers = table()
+    peers.take(1.0, said(control(1), {"x1": 4}))
+    peer = peers.take(1.1, said(control(1), {"x1": 3}))
+    assert peer is not None
+    assert peer.vector == {"x1": 4}
+
+
+def test_this_node_is_no_peer_of_its_own() -> None:
+    peers = table()
+    assert peers.take(0.0, said(control(0))) is None
+    peers.note(0.0, ["c0"])
+    assert len(peers.due(0.0)) == 2
+
+
+def test_nodes_that_call_are_known_and_forgotten_when_silent() -> None:
+    peers = table()
+    peers.take(1.0, said(control(3)))
+    assert len(peers.due(10.0)) == 3
+    peers.forget(1.0 + FORGET_S + 1)
+    assert len(peers.due(100.0)) == 2
