Gateway: a new connection settles before a request that may go out once; cut off is not ready

Cause: a server resets connections beyond its limit just after they come up, and a request written at once counted as one that may have run. Change: such a request waits as long as coming up took and 3 ms; silence is borne until 1.1 s and only from servers that say nothing to anyone; a gateway without control nodes and servers is not ready; answers are counted.

--- a/emberring/gateway/app.py
+++ b/emberring/gateway/app.py
@@ -6,6 +6,8 @@
 import contextlib
 from typing import Any
 
+import attrs
+
 from emberring.configuration.model import ClientLimits, Configuration, Route, RouteType
 from emberring.errors import BadRequestError, EmberringError, NotReadyError
 from emberring.gateway.answers import OwnAnswer, answer_to
@@ -67,28 +69,21 @@
             raise NotReadyError("no configuration is known yet")
         if scope["state"]["head_bytes"] > configuration.limits.max_header_bytes:
             return OwnAnswer(431, "the head is too long", close=True)
-        host = _host(scope)
-        target: bytes = scope["state"]["target"]
-        path = target.partition(b"?")[0].decode("latin-1")
-        route = configuration.route_for(host, path)
+        request = _request_of(scope)
+        route = _route_of(configuration, request)
         limit_s = route.timeout_ms / 1000.0 if route else BODY_TIMEOUT_S
         body = await _read_body(scope, receive, configuration.limits, limit_s)
         if isinstance(body, OwnAnswer):
             return body
-        request = ClientRequest(
-            scope["method"].encode("ascii"),
-            target,
-            host,
-            tuple(scope["headers"]),
-            body,
-            scope["state"]["arrived_s"],
-        )
+        request = attrs.evolve(request, body=body)
+        # What is in force once the request is whole decides.
+        route = _route_of(self._directory.configuration or configuration, request)
         if self._lots.takes(request, route):
             return await self._lots.answer(request, route, answer)
-        return await self._forward(configuration, request, route, answer)
+        return await self._forward(request, route, answer)
 
     async def _forward(
-        self, configuration: Configuration, request: ClientRequest, route: Route | None, answer: ClientAnswer
+        self, request: ClientRequest, route: Route | None, answer: ClientAnswer
     ) -> OwnAnswer | None:
         if route is None:
             return OwnAnswer(404, "no route")
@@ -104,12 +99,23 @@
     return b""
 
 
-def _host(scope: Any) -> str:
-    """The name in `Host`, without a port; `BadRequestError` unless there is exactly one."""
+def _request_of(scope: Any) -> ClientRequest:
+    """The request of a scope, its body still to come; `BadRequestError` unless it names exactly one host."""
     hosts = [value for name, value in scope["headers"] if name == b"host"]
     if len(hosts) != 1:
         raise BadRequestError("one Host header is wanted")
-    return str(hosts[0], "latin-1").strip()
+    return ClientRequest(
+        scope["method"].encode("ascii"),
+        scope["state"]["target"],
+        str(hosts[0], "latin-1").strip(),
+        tuple(scope["headers"]),
+        b"",
+        scope["state"]["arrived_s"],
+    )
+
+
+def _route_of(configuration: Configuration, request: ClientRequest) -> Route | None:
+    return configuration.route_for(request.host_name, request.path)
 
 
 async def _read_body(scope: Any, receive: Any, limits: ClientLimits, limit_s: float) -> bytes | OwnAnswer:
--- a/emberring/gateway/attempt.py
+++ b/emberring/gateway/attempt.py
@@ -19,6 +19,7 @@
 from emberring.gateway.upstream import ServerConnection
 
 BUFFERED_BODY_BYTES = 256 * 1024  # of an answer that is no stream, until which it can still be asked for anew
+SILENT_FROM_S = 0.9  # a server that said nothing for so long before the caller left counts as silent
 MAX_FAILURE_BYTES = 256 * 1024
 
 
@@ -117,7 +118,7 @@
 
     async def _run(self) -> Ended:
         server, call = self._server, self._call
-        taken = await self._means.pool.take(server.id, server.address, fresh=not call.may_repeat)
+        taken = await self._means.pool.take(server.id, server.address, sure=not call.may_repeat)
         if isinstance(taken, NoConnection):
             unreachable = taken is NoConnection.UNREACHABLE
             return Ended(CallOutcome.CONNECT_FAILED if unreachable else CallOutcome.NOT_SENT)
@@ -221,6 +222,11 @@
             if not reply.over and not reply.held:
                 await reply.changed()
 
+    def _was_silent(self, reply: Reply, now_s: float) -> bool:
+        """Whether the caller's patience, or its time, ended with a server that said nothing to anyone."""
+        heard_s = self._means.hearing.last(self._server.id)
+        return not reply.heard_any and heard_s <= reply.heard_s and now_s - reply.heard_s >= SILENT_FROM_S
+
     def _failure(self) -> CallOutcome:
         silent = self._reply is not None and self._reply.silent
         return CallOutcome.SILENT if silent else CallOutcome.BROKEN
@@ -235,7 +241,7 @@
             else:
                 connection.abort()
         now_s = self._loop.time()
-        if outcome is CallOutcome.CANCELLED and now_s >= self._call.end_s and reply and not reply.heard_any:
+        if outcome is CallOutcome.CANCELLED and reply is not None and self._was_silent(reply, now_s):
             outcome = CallOutcome.SILENT
         if outcome in (CallOutcome.FULL, CallOutcome.WRONG_SERVER, CallOutcome.CONNECT_FAILED):
             self._call.sent = False
--- a/emberring/gateway/client_answer.py
+++ b/emberring/gateway/client_answer.py
@@ -66,10 +66,12 @@
 
     def break_off(self) -> None:
         """End an answer that was begun so that it can't look complete."""
+        self._connection.owner.answers["broken_off"] += 1
         self._connection.break_off()
 
     async def _start(self, status: int, headers: list[Header]) -> None:
         self._started = True
+        self._connection.owner.answers[str(status)] += 1
         if self._connection.owner.leaving:
             self._connection.close_after_answer()
         await self._send({"type": "http.response.start", "status": status, "headers": headers})
--- a/emberring/gateway/clients.py
+++ b/emberring/gateway/clients.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections import Counter
 from collections.abc import Awaitable, Callable
 from typing import Any
 
@@ -41,6 +42,7 @@
         self._server: asyncio.Server | None = None
         self.limits = limits
         self.leaving = False
+        self.answers: Counter[str] = Counter()  # begun, by status, and those broken off
         self.accepted = 0
         self.accepted_s = 0.0
 
--- a/emberring/gateway/execution.py
+++ b/emberring/gateway/execution.py
@@ -21,8 +21,11 @@
 from emberring.gateway.servers import ServerBook
 from emberring.lots.items import ItemCall, ItemEvent, ItemOutcome, OutcomeKind
 
-LIVE_PATIENCE = Patience(dark_s=0.8, alive_s=1.6)  # with calls that may go to another server
+# With calls that may go to another server. Clients leave after 2 s of silence at the earliest; a server that is heard
+# elsewhere is at work on what came before.
+LIVE_PATIENCE = Patience(dark_s=1.1, alive_s=10.0)
 ITEM_PATIENCE = Patience(dark_s=1.5, alive_s=4.0)
+CUT_OFF_S = 1.0  # without a word from any server, while connections to them fail
 ITEM_LIMIT_S = 60.0  # an item that still speaks after so long is begun anew later
 
 
@@ -39,6 +42,7 @@
     def __init__(self, admission: AdmissionPort, pool: ServerPool, book: ServerBook) -> None:
         self._admission = admission
         self._book = book
+        self._pool = pool
         self._hearing = Hearing()
         self._means = Means(pool, admission, self._hearing, book.sendable)
         self._numbers = count(1)
@@ -135,6 +139,10 @@
             return OwnAnswer(504, "the server fell silent")
         return OwnAnswer(502, "the server's answer broke off or was none")
 
+    def cut_off(self, now_s: float) -> bool:
+        """Whether connections to servers fail and none was heard since, for a while."""
+        return self._pool.unreachable_s > self._hearing.latest and now_s - self._hearing.latest > CUT_OFF_S
+
     # ---------------------------------------------------------------- items of lots
 
     def batch_room(self) -> int:
@@ -207,7 +215,7 @@
             answered_by = ended.head.header(b"instance-id")
             if answered_by is not None and answered_by != server_id.encode("latin-1"):
                 self._book.misdirect(server_id)
-                self._means.pool.forget(server_id)
+                self._pool.forget(server_id)
                 self.on_misdirected()
         return ended
 
--- a/emberring/gateway/lots_api.py
+++ b/emberring/gateway/lots_api.py
@@ -90,11 +90,11 @@
             raise BadRequestError("a lot wants a Request-Id")
         lot = request.request_id.decode("latin-1")
         async with asyncio.timeout_at(request.arrived_s + route.timeout_ms / 1000.0):
-            await self._lots.submit(request.host, route, lot, request.body)
+            await self._lots.submit(request.host_name, route, lot, request.body)
 
     async def _end(self, request: ClientRequest) -> None:
         async with asyncio.timeout(END_LIMIT_S):
-            await self._lots.end(request.host, request.path[len(LOTS_PATH) :])
+            await self._lots.end(request.host_name, request.path[len(LOTS_PATH) :])
 
     async def _read(self, request: ClientRequest) -> bytes:
         start_text = _query(request, "StartAfter") or "0"
@@ -104,14 +104,14 @@
         lot = request.path[len(LOTS_PATH) :]
         wait_ms = min(wait_ms, MAX_WAIT_MS)
         async with asyncio.timeout(wait_ms / 1000.0 + READ_SLACK_S):
-            return await self._lots.read(request.host, lot, int(start_text), wait_ms)
+            return await self._lots.read(request.host_name, lot, int(start_text), wait_ms)
 
     async def _item(self, request: ClientRequest) -> bytes:
         item = _query(request, "Id")
         if not item:
             raise BadRequestError("Id is missing")
         async with asyncio.timeout(READ_SLACK_S):
-            return await self._lots.item(request.host, request.path[len(ITEMS_PATH) :], item)
+            return await self._lots.item(request.host_name, request.path[len(ITEMS_PATH) :], item)
 
 
 def _query(request: ClientRequest, name: str) -> str:
--- a/emberring/gateway/messages.py
+++ b/emberring/gateway/messages.py
@@ -48,6 +48,12 @@
         """The first value under this lower-case name."""
         return first(self.headers, name)
 
+    @property
+    def host_name(self) -> str:
+        """The host in lower case, without a port."""
+        name, colon, port = self.host.rpartition(":")
+        return (name if colon and port.isdigit() else self.host).lower()
+
     @property
     def request_id(self) -> bytes:
         """The id that the client gave this try; empty where it gave none."""
--- a/emberring/gateway/pool.py
+++ b/emberring/gateway/pool.py
@@ -13,6 +13,9 @@
 from emberring.gateway.upstream import ServerConnection
 
 CONNECT_TIMEOUT_S = 0.3
+# A server resets a connection beyond its limit right after it came up. A request that may go out once alone waits
+# for that: as long as coming up took, and a little.
+SETTLE_S = 0.003
 UNACKNOWLEDGED_MS = 1500  # bytes that a server's machine has not acknowledged for so long end the connection
 UNKNOWN_IDLE_S = 4.0  # kept idle, where a server has not said for how long it keeps one
 IDLE_MARGIN_S = 0.5  # before a server closes an idle connection, ours is no longer used
@@ -47,6 +50,7 @@
         self._share: Callable[[str], int] = lambda server_id: 1
         self._sweeper: asyncio.TimerHandle | None = None
         self.opened = 0
+        self.unreachable_s = 0.0  # when a connection last did not come up (the loop's time)
 
     def set_shares(self, share: Callable[[str], int]) -> None:
         """How many connections this gateway may hold to a server, by its id."""
@@ -77,25 +81,25 @@
         server = self._servers.get(server_id)
         return server.size if server else 0
 
-    async def take(self, server_id: str, address: str, fresh: bool) -> ServerConnection | NoConnection:
-        """A connection that carries nothing: an idle one that was proven to stand, or a new one. With `fresh`, an
-        idle one is taken only when it has rested for less than half of its time."""
+    async def take(self, server_id: str, address: str, sure: bool) -> ServerConnection | NoConnection:
+        """A connection that carries nothing: an idle one that was proven to stand, or a new one. With `sure`, an
+        idle one has rested for less than half of its time, and a new one was not reset as it came up."""
         server = self._servers.setdefault(server_id, _Server(address))
-        found = self._take_idle(server, fresh)
+        found = self._take_idle(server, sure)
         if found is not None:
             return found
         if server.size >= max(1, self._share(server_id)) and not self._make_room(server):
             return NoConnection.NO_ROOM
-        return await self._open(server)
+        return await self._open(server, sure)
 
-    def _take_idle(self, server: _Server, fresh: bool) -> ServerConnection | None:
+    def _take_idle(self, server: _Server, sure: bool) -> ServerConnection | None:
         now = asyncio.get_running_loop().time()
         while server.idle:
             connection = server.idle[-1]
             rested = now - connection.idle_since
             limit = _idle_limit(connection)
             if rested < limit and connection.usable:
-                if fresh and rested > limit / 2.0:
+                if sure and rested > limit / 2.0:
                     return None
                 return server.idle.pop()
             server.idle.pop().retire()
@@ -110,16 +114,20 @@
         connection.retire()
         return True
 
-    async def _open(self, server: _Server) -> ServerConnection | NoConnection:
+    async def _open(self, server: _Server, sure: bool) -> ServerConnection | NoConnection:
         loop = asyncio.get_running_loop()
         host, _, port = server.address.rpartition(":")
         server.opening += 1
+        began = loop.time()
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
                 transport, connection = await loop.create_connection(
                     lambda: ServerConnection(server.open.discard), host, int(port)
                 )
+            if sure:
+                await _settle(connection, loop.time() - began + SETTLE_S)
         except (OSError, TimeoutError):
+            self.unreachable_s = loop.time()
             return NoConnection.UNREACHABLE
         finally:
             server.opening -= 1
@@ -166,6 +174,14 @@
         self._servers.clear()
 
 
+async def _settle(connection: ServerConnection, wait_s: float) -> None:
+    try:
+        await asyncio.sleep(wait_s)
+    except asyncio.CancelledError:
+        connection.abort()
+        raise
+
+
 def _idle_limit(connection: ServerConnection) -> float:
     granted = connection.keep_alive_s
     if granted is None:
--- a/emberring/gateway/readiness.py
+++ b/emberring/gateway/readiness.py
@@ -15,10 +15,12 @@
 
 
 class Readiness:
-    """Not ready until a configuration that a quorum chose and its servers are known; ready then until the end."""
+    """Not ready until a configuration that a quorum chose and its servers are known; ready then until the end,
+    but for times in which this node is cut off: from the control nodes and from the servers alike."""
 
-    def __init__(self, directory: Directory) -> None:
+    def __init__(self, directory: Directory, cut_off: Callable[[], bool] = lambda: False) -> None:
         self._directory = directory
+        self._cut_off = cut_off
         self._configured_s: float | None = None
         self._was_ready = False
         self.leaving = False
@@ -32,15 +34,20 @@
         if not self._was_ready:
             waited = now_s - self._configured_s >= SERVERS_WAIT_S
             self._was_ready = bool(self._directory.servers) or waited
-        return self._was_ready
+        return self._was_ready and not self._cut_off()
 
 
 def render_metrics(figures: Mapping[str, float]) -> bytes:
     """Figures as Prometheus reads them; those that end in `_total` are counters."""
     lines = []
+    typed = set()
     for name, value in figures.items():
-        kind = "counter" if name.endswith("_total") else "gauge"
-        lines.append(f"# TYPE emberring_gateway_{name} {kind}\nemberring_gateway_{name} {value:g}\n")
+        family = name.partition("{")[0]
+        if family not in typed:
+            typed.add(family)
+            kind = "counter" if family.endswith("_total") else "gauge"
+            lines.append(f"# TYPE emberring_gateway_{family} {kind}\n")
+        lines.append(f"emberring_gateway_{name} {value:g}\n")
     return "".join(lines).encode()
 
 
--- a/emberring/gateway/reply.py
+++ b/emberring/gateway/reply.py
@@ -36,6 +36,11 @@
         """When that was; 0 where it never was."""
         return self._heard.get(server_id, 0.0)
 
+    @property
+    def latest(self) -> float:
+        """When any of them was; 0 where none ever was."""
+        return max(self._heard.values(), default=0.0)
+
     def keep_only(self, server_ids: set[str]) -> None:
         """Forget all others."""
         for server_id in self._heard.keys() - server_ids:
--- a/emberring/gateway/role.py
+++ b/emberring/gateway/role.py
@@ -56,7 +56,7 @@
         self.pool = ServerPool()
         self.book = ServerBook(self.follower)
         self.executor = Executor(self.admission, self.pool, self.book)
-        self.readiness = Readiness(self.follower)
+        self.readiness = Readiness(self.follower, self._cut_off)
         owners = OwnerDirectory(self.follower)
         lots = LotsApi(LotClient(self.network, self.follower, owners))
         name = f"{me.name}/{me.incarnation}"
@@ -86,6 +86,9 @@
     def _ready(self) -> bool:
         return self.readiness.ready(self._loop.time())
 
+    def _cut_off(self) -> bool:
+        return not self.follower.in_contact and self.executor.cut_off(self._loop.time())
+
     def _on_change(self) -> None:
         if not self._refresh_soon:
             self._refresh_soon = True
@@ -116,7 +119,7 @@
 
     def _figures(self) -> dict[str, float]:
         configuration = self.follower.configuration
-        return {
+        figures = {
             "ready": float(self._ready()),
             "configuration_version": float(configuration.version if configuration else 0),
             "servers": float(len(self.follower.servers)),
@@ -128,6 +131,9 @@
             "items_running": float(self.runner.running),
             "server_connections_total": float(self.pool.opened),
         }
+        for status, count in sorted(self.clients.answers.items()):
+            figures[f'answers_total{{status="{status}"}}'] = float(count)
+        return figures
 
     async def leave(self) -> None:
         """Finish all that is open and all that still comes, within the grace."""
