--- a/emberring/control/http_server.py
+++ b/emberring/control/http_server.py
@@ -12,6 +12,7 @@
 KEEP_ALIVE_S = 30
 GRACE_S = 2
 BACKLOG = 1024
+START_POLL_S = 0.005
 
 
 class _QuietServer(uvicorn.Server):
@@ -47,9 +48,11 @@
         self._server = _QuietServer(config)
         self._task: asyncio.Task[None] | None = None
 
-    def start(self) -> None:
-        """Begin to listen in the background."""
+    async def start(self) -> None:
+        """Begin to listen; returns when connections are taken."""
         self._task = asyncio.get_running_loop().create_task(self._server.serve())
+        while not self._server.started and not self._task.done():
+            await asyncio.sleep(START_POLL_S)
 
     async def stop(self) -> None:
         """Take no more connections, finish the calls that are open, and end."""
--- a/emberring/control/role.py
+++ b/emberring/control/role.py
@@ -32,7 +32,7 @@
     await network.listen(settings.internal_address(CONTROL_PORT_OFFSET))
     node.start()
     http = HttpServer(node.app, settings.listen.control_plane)
-    http.start()
+    await http.start()
     logger.info("event=control_started identity=%s", register.identity)
     await ended.wait()
     node.leave()
--- a/tests/emberring/control/test_tier_control_node.py
+++ b/tests/emberring/control/test_tier_control_node.py
@@ -2,56 +2,18 @@
 
 from __future__ import annotations
 
-import asyncio
-from collections.abc import Awaitable, Callable
-
-from tier_control_fixture import Cluster, a_document, a_heartbeat, eventually
-
-from emberring.distribution.facts import NodeFact, NodeRole, ServerState
-from emberring.distribution.follower import Follower
-from emberring.transport.network import Network
-
-
-def on_cluster(scenario: Callable[[Cluster], Awaitable[None]], count: int = 3) -> None:
-    """Run a scenario on control nodes that are up."""
-
-    async def run() -> None:
-        cluster = Cluster(count)
-        await cluster.start()
-        try:
-            await eventually(
-                lambda: all(len(node.board.live_origins(now())) == count for node in alive(cluster))
-            )
-            await scenario(cluster)
-        finally:
-            await cluster.stop()
-
-    asyncio.run(asyncio.wait_for(run(), 30))
-
-
-def now() -> float:
-    return asyncio.get_running_loop().time()
-
-
-def alive(cluster: Cluster) -> list:
-    return [node for node in cluster.nodes if node is not None]
-
-
-class AFollower:
-    """A follower with a network of its own."""
-
-    def __init__(self, seeds: list[str], name: str = "edge-1", role: NodeRole = NodeRole.GATEWAY) -> None:
-        self.network = Network()
-        me = NodeFact(name, role, "127.0.0.1:1", "zone-0", incarnation=f"{name}-a")
-        self.follower = Follower(self.network, me, seeds)
-
-    async def __aenter__(self) -> Follower:
-        await self.follower.start()
-        return self.follower
-
-    async def __aexit__(self, *_: object) -> None:
-        await self.follower.stop()
-        await self.network.close()
+from tier_control_fixture import (
+    AFollower,
+    Cluster,
+    a_document,
+    a_heartbeat,
+    alive,
+    eventually,
+    now,
+    on_cluster,
+)
+
+from emberring.distribution.facts import NodeRole, ServerState
 
 
 def test_a_configuration_reaches_a_follower_and_is_read_back() -> None:
--- a/tests/emberring/control/tier_control_fixture.py
+++ b/tests/emberring/control/tier_control_fixture.py
@@ -5,15 +5,16 @@
 import asyncio
 import json
 import socket
-from collections.abc import Callable, Sequence
+from collections.abc import Awaitable, Callable, Sequence
 from typing import Any
 
 import httptools
 
 from emberring.control.http_server import HttpServer
 from emberring.control.node import ControlNode
-from emberring.distribution.facts import NodeFact
-from emberring.errors import EmberringError, InDoubtError, NoQuorumError
+from emberring.distribution.facts import NodeFact, NodeRole
+from emberring.distribution.follower import Follower
+from emberring.errors import InDoubtError, NoQuorumError
 from emberring.settings import Listen, Settings
 from emberring.transport.network import Network
 
@@ -142,7 +143,7 @@
             await network.listen(self.seeds[index])
             node.start()
             server = HttpServer(node.app, settings.listen.control_plane)
-            server.start()
+            await server.start()
             self.nodes[index], self._networks[index], self._servers[index] = node, network, server
 
     def node(self, index: int) -> ControlNode:
@@ -211,6 +212,49 @@
         await asyncio.sleep(0.005)
 
 
+def on_cluster(scenario: Callable[[Cluster], Awaitable[None]], count: int = 3) -> None:
+    """Run a scenario on control nodes that are up."""
+
+    async def run() -> None:
+        cluster = Cluster(count)
+        await cluster.start()
+        try:
+            await eventually(
+                lambda: all(len(node.board.live_origins(now())) == count for node in alive(cluster))
+            )
+            await scenario(cluster)
+        finally:
+            await cluster.stop()
+
+    asyncio.run(asyncio.wait_for(run(), 30))
+
+
+def now() -> float:
+    return asyncio.get_running_loop().time()
+
+
+def alive(cluster: Cluster) -> list[ControlNode]:
+    return [node for node in cluster.nodes if node is not None]
+
+
+class AFollower:
+    """A follower with a network of its own."""
+
+    def __init__(self, seeds: list[str], name: str = "edge-1", role: NodeRole = NodeRole.GATEWAY) -> None:
+        self.network = Network()
+        identity = f"identity-of-{name}" if role is NodeRole.STORE else ""
+        me = NodeFact(name, role, f"{name}:1", "zone-0", identity, f"{name}-a")
+        self.follower = Follower(self.network, me, seeds)
+
+    async def __aenter__(self) -> Follower:
+        await self.follower.start()
+        return self.follower
+
+    async def __aexit__(self, *_: object) -> None:
+        await self.follower.stop()
+        await self.network.close()
+
+
 def a_document(version: int = 1, **changes: Any) -> dict[str, Any]:
     """A valid configuration."""
     document: dict[str, Any] = {
@@ -275,15 +319,3 @@
         "Sequence": sequence,
     }
     return {**beat, **changes}
-
-
-__all__ = [
-    "Answer",
-    "Cluster",
-    "EmberringError",
-    "a_document",
-    "a_heartbeat",
-    "eventually",
-    "free_ports",
-    "http",
-]
