The whole tier as processes in one test: a node of each role killed, among them the lots' owner

Cause: no test ran all roles together. Change: a test on loopback that waits on conditions; messages of the stores' status moved beside the other messages about lots, so that trials find the owner to kill.

--- /dev/null
+++ b/emberring/standin/store_survey.py
@@ -0,0 +1,39 @@
+"""Asks the stores of a local tier what they own, so that a trial can kill the one that matters."""
+
+from __future__ import annotations
+
+import asyncio
+
+from emberring.errors import EmberringError
+from emberring.lots.status import AskStoreStatus, StoreStatus
+from emberring.standin.local_tier import INTERNAL_OF_ROLE, LocalTier
+from emberring.transport.network import Network
+
+ANSWER_S = 1.0
+
+
+async def survey_stores(tier: LocalTier) -> dict[str, StoreStatus]:
+    """The status of each store that answers, by name."""
+    network = Network()
+
+    async def ask(name: str, address: str) -> tuple[str, StoreStatus | None]:
+        try:
+            return name, await network.call(address, AskStoreStatus(), StoreStatus, ANSWER_S)
+        except EmberringError:
+            return name, None
+
+    places = [node.place for node in tier.of_role("store")]
+    asked = (ask(place.name, place.address(INTERNAL_OF_ROLE["store"])) for place in places)
+    found = await asyncio.gather(*asked)
+    await network.close()
+    return {name: status for name, status in found if status is not None}
+
+
+async def busiest_store(tier: LocalTier) -> str | None:
+    """The store that owns the most lots; None where no store owns any."""
+    lots = {
+        name: sum(shard.lots for shard in status.shards if shard.owner)
+        for name, status in (await survey_stores(tier)).items()
+    }
+    best = max(lots, key=lambda name: lots[name], default=None)
+    return best if best is not None and lots[best] else None
--- a/emberring/standin/trial.py
+++ b/emberring/standin/trial.py
@@ -17,6 +17,7 @@
 from emberring.standin.observations import Observations
 from emberring.standin.operator import Operator
 from emberring.standin.server_fleet import ServerFleet
+from emberring.standin.store_survey import busiest_store
 from emberring.standin.traffic import Tally, Traffic, TrafficPlan
 
 START_S = 15.0
@@ -133,6 +134,8 @@
 
     async def _kill_one(self, role: str) -> None:
         node = self._tier.of_role(role)[0]
+        if role == "store":
+            node = self._tier.nodes[await busiest_store(self._tier) or node.place.name]
         self._say(f"kill -9 {node.pid} ({node.place.name})")
         node.kill()
         await asyncio.sleep(self._plan.down_s)
--- a/emberring/store/role.py
+++ b/emberring/store/role.py
@@ -21,6 +21,7 @@
 from emberring.lots.calls import EndLot, FinishRun, LeaseItems, ReadItem, ReadLot, ReportRuns, SubmitLot
 from emberring.lots.directory import Knowledge
 from emberring.lots.messages import AskInventory, Claim, DropSlots, Fetch, Release, Touch, WriteSlots
+from emberring.lots.status import AskStoreStatus
 from emberring.settings import STORE_PORT_OFFSET, Settings
 from emberring.store.disk import open_disk
 from emberring.store.dispatch import Dispatch
@@ -28,7 +29,7 @@
 from emberring.store.peers import Peers
 from emberring.store.replicas import ReplicaHost
 from emberring.store.shards import Shards
-from emberring.store.status import AskStoreStatus, StatusDesk
+from emberring.store.status import StatusDesk
 from emberring.transport.messages import Ok
 from emberring.transport.network import Network
 
--- a/emberring/store/status.py
+++ b/emberring/store/status.py
@@ -4,63 +4,15 @@
 
 import asyncio
 
-import attrs
-
 from emberring.lots.lot import Lot
 from emberring.lots.records import Term
+from emberring.lots.status import AskStoreStatus, LotStatus, ShardStatus, StoreStatus
 from emberring.store.shards import Shards
-from emberring.transport.messages import message
 from emberring.transport.network import Caller
 
 MOST_LOTS = 500  # that one answer lists
 
 
-@message("store.ask_status")
-@attrs.frozen
-class AskStoreStatus:
-    """A tool asks a store what it holds. `lots`: also list lots of the shards that it owns."""
-
-    lots: bool = False
-
-
-@attrs.frozen
-class ShardStatus:
-    """A shard on this store; the figures are those of its owner, and 0 on others."""
-
-    shard: int
-    owner: bool
-    epoch: int
-    term: str
-    lots: int = 0
-    waiting_items: int = 0
-    waiting_tokens: int = 0
-
-
-@attrs.frozen
-class LotStatus:
-    """A lot: how many of its items are listed, and how long ago it was accepted (seconds)."""
-
-    shard: int
-    host: str
-    id: str
-    total: int
-    listed: int
-    ended: bool
-    age_s: float
-
-
-@message("store.status")
-@attrs.frozen
-class StoreStatus:
-    """The answer."""
-
-    identity: str
-    disk_failed: bool
-    disk_stalled_s: float
-    shards: tuple[ShardStatus, ...]
-    lots: tuple[LotStatus, ...] = ()
-
-
 class StatusDesk:
     """Answers tools."""
 
--- /dev/null
+++ b/tests/emberring/test_tier_whole.py
@@ -0,0 +1,113 @@
+"""The whole tier as processes on loopback: served through the loss of a node of each role, and ended in order."""
+
+from __future__ import annotations
+
+import asyncio
+from pathlib import Path
+
+from emberring.standin.configurations import EXPLAIN_PREFIX, SERVICE, added_route, trial_configuration
+from emberring.standin.engine import EngineSpec
+from emberring.standin.judge import judge_lot, judge_stream
+from emberring.standin.live_client import LiveClient, StreamCall, StreamEnd
+from emberring.standin.local_tier import LocalTier
+from emberring.standin.lot_client import LotClient, make_lot
+from emberring.standin.observations import Observations
+from emberring.standin.operator import Operator
+from emberring.standin.server_fleet import ServerFleet
+from emberring.standin.store_survey import busiest_store
+
+START_S = 40.0  # several processes start at once, perhaps on a busy machine
+ORDER_S = 20.0
+LOT_S = 40.0
+STRIDE = 8
+
+
+class World:
+    """A tier with its servers, clients and operator."""
+
+    def __init__(self, folder: Path) -> None:
+        self.seen = Observations()
+        self.tier = LocalTier(folder)
+        self.operator = Operator(self.tier.controls())
+        self.fleet = ServerFleet(SERVICE, EngineSpec(stride=STRIDE), self.tier.controls, self.seen)
+        self.live = LiveClient(self.tier.frontends, seed=1, retries=3)
+        self.lots = LotClient(self.tier.frontends, seed=1)
+        self.asked = 0
+
+    async def start(self) -> None:
+        self.tier.start()
+        for _ in range(3):
+            await self.fleet.add()
+        first = await self.operator.put_configuration(trial_configuration(), 0, START_S)
+        assert first.acknowledged, self.logs()
+        assert await self.tier.wait_up(self.tier.nodes, START_S) is not None, self.logs()
+        assert await self.tier.wait_frontends(2, START_S), self.logs()
+
+    def logs(self) -> str:
+        return "\n".join(f"{name}: {node.log_tail()}" for name, node in self.tier.nodes.items())
+
+    async def streams(self, count: int) -> list[StreamEnd]:
+        """Ask for streams one after another; how they ended. No rule may be broken."""
+        ends = []
+        for _ in range(count):
+            self.asked += 1
+            parts = (("ab", 200), (f"{self.asked:x}", 60))
+            call = StreamCall(f"{EXPLAIN_PREFIX}{self.asked}", b"question", parts, 40)
+            results = await self.live.ask(call)
+            for result in results:
+                assert judge_stream(call, result, self.seen, STRIDE, may_repeat=False) == []
+            ends.append(results[-1].end)
+        return ends
+
+    async def restart(self, name: str) -> None:
+        self.tier.nodes[name].start(bootstrap=False)
+        assert await self.tier.wait_up([name], START_S) is not None, self.logs()
+
+
+async def play(world: World) -> None:
+    await world.start()
+    assert await world.streams(10) == [StreamEnd.SERVED] * 10
+    # A lot is taken; the store that owns it is killed while it runs.
+    lot = await world.lots.submit(make_lot(60, seed=3), ORDER_S)
+    assert lot.accepted, lot.statuses
+    owner = await busiest_store(world.tier)
+    assert owner is not None
+    world.tier.nodes[owner].kill()
+    await world.lots.follow(lot, LOT_S)
+    assert lot.complete, (len(lot.results), world.logs())
+    assert judge_lot(lot, world.seen, STRIDE) == []
+    assert {result.state for result in lot.results} == {"completed"}
+    await world.restart(owner)
+    # A gateway is killed: the other one serves.
+    world.tier.nodes["gateway-1"].kill()
+    assert (await world.streams(10))[-5:] == [StreamEnd.SERVED] * 5
+    await world.restart("gateway-1")
+    # A control node is killed: the others take a change, and it learns of it.
+    world.tier.nodes["control-1"].kill()
+    change = await world.operator.patch_configuration(added_route(2), 1, ORDER_S)
+    assert change.acknowledged
+    await world.restart("control-1")
+    found = await Operator(world.tier.controls()[:1]).read_configuration(ORDER_S)
+    assert found is not None
+    assert found["Version"] == 2
+    # What was said of the lot before stands.
+    before = list(lot.results)
+    assert await world.lots.read(lot, 0)
+    assert lot.results == before
+    assert lot.changed == []
+    assert await world.lots.end(lot.lot, ORDER_S)
+    codes = await world.tier.stop()
+    assert set(codes.values()) == {0}, (codes, world.logs())
+
+
+def test_the_tier_serves_through_the_loss_of_a_node_of_each_role(tmp_path):
+    async def run() -> None:
+        world = World(tmp_path)
+        try:
+            async with asyncio.timeout(180):
+                await play(world)
+        finally:
+            world.tier.kill_all()
+            await world.fleet.stop()
+
+    asyncio.run(run())
