--- a/emberring/configuration/orders.py
+++ b/emberring/configuration/orders.py
@@ -12,7 +12,7 @@
 
 from emberring.configuration.checks import is_whole, mistakes_in
 from emberring.configuration.patch import patched
-from emberring.configuration.reading import read_strictly
+from emberring.configuration.reading import read
 from emberring.configuration.state import DIGEST_BYTES, ControlState
 from emberring.errors import (
     BadRequestError,
@@ -60,14 +60,15 @@
 def read_order(kind: OrderKind, if_match: str | None, body: bytes) -> Order:
     """The order in a call; `BadRequestError` or `InvalidConfigurationError` where no state could take it."""
     base = _base(if_match)
-    change = read_strictly(body)
+    reading = read(body)
+    change = reading.value
     if not is_whole(change.get("Version")):
         raise InvalidConfigurationError(("Version is not a whole number",))
     if kind is OrderKind.WHOLE:
         mistakes = mistakes_in(change)
         if mistakes:
             raise InvalidConfigurationError(mistakes)
-    return Order(kind, base, change["Version"], _digest(kind, base, change), body, change)
+    return Order(kind, base, change["Version"], _digest(kind, base, reading.canonical), body, change)
 
 
 def _base(if_match: str | None) -> int:
@@ -77,8 +78,7 @@
     return int(text)
 
 
-def _digest(kind: OrderKind, base: int, change: dict[str, Any]) -> bytes:
-    canonical = json.dumps(change, sort_keys=True, separators=(",", ":")).encode()
+def _digest(kind: OrderKind, base: int, canonical: bytes) -> bytes:
     head = f"{kind.value} {base}\n".encode()
     return hashlib.blake2b(head + canonical, digest_size=DIGEST_BYTES).digest()
 
--- a/emberring/configuration/reading.py
+++ b/emberring/configuration/reading.py
@@ -3,10 +3,12 @@
 from __future__ import annotations
 
 import json
+import math
 import zlib
 from collections.abc import Mapping
 from typing import Any
 
+import attrs
 import orjson
 
 from emberring.configuration.model import ClientLimits, Configuration, Route, RouteType, Service, Share
@@ -34,20 +36,48 @@
     raise ValueError(f"{name} is no JSON value")
 
 
+def _finite(text: str) -> float:
+    value = float(text)
+    if math.isinf(value):
+        raise ValueError(f"{text} is too large a number")
+    return value
+
+
+@attrs.frozen
+class Reading:
+    """An object that was read, and the one spelling that all its spellings share."""
+
+    value: dict[str, Any]
+    canonical: bytes
+
+
 def read_strictly(body: bytes) -> dict[str, Any]:
-    """The object in this text; `InvalidConfigurationError` where it is cut short, has a key twice in one object,
+    """The object in this text; `InvalidConfigurationError` as of `read`."""
+    return read(body).value
+
+
+def read(body: bytes) -> Reading:
+    """The object in this text, with its canonical spelling; `InvalidConfigurationError` where it is cut short, has a key twice in one object,
     or is no JSON object at all."""
     try:
-        text = body.decode("utf-8")
-        value = json.loads(text, object_pairs_hook=_unique, parse_constant=_no_constant)
-        json.dumps(value, ensure_ascii=False, allow_nan=False).encode(
-            "utf-8"
-        )  # no infinity, no half character
+        value = json.loads(
+            body.decode("utf-8"), object_pairs_hook=_unique, parse_constant=_no_constant, parse_float=_finite
+        )
+        canonical = _canonical(value)
     except (ValueError, RecursionError) as error:
         raise InvalidConfigurationError((f"not readable as JSON: {error}",)) from error
     if not isinstance(value, dict):
         raise InvalidConfigurationError(("not a JSON object",))
-    return value
+    return Reading(value, canonical)
+
+
+def _canonical(value: Any) -> bytes:
+    try:
+        return orjson.dumps(value, option=orjson.OPT_SORT_KEYS)
+    except (
+        orjson.JSONEncodeError
+    ):  # numbers of over 64 bits, deep nesting, or half a character, which fails again
+        return json.dumps(value, sort_keys=True, separators=(",", ":"), ensure_ascii=False).encode("utf-8")
 
 
 def build(document: Mapping[str, Any]) -> Configuration:
--- a/tests/emberring/configuration/test_tier_checks.py
+++ b/tests/emberring/configuration/test_tier_checks.py
@@ -9,7 +9,7 @@
 
 from emberring.configuration.checks import MOST_TOLD, mistakes_in
 from emberring.configuration.model import RouteType
-from emberring.configuration.reading import build, pack, read_strictly, unpack_configuration
+from emberring.configuration.reading import build, pack, read, read_strictly, unpack_configuration
 from emberring.errors import InvalidConfigurationError
 
 
@@ -145,6 +145,22 @@
         read_strictly(body)
 
 
+READABLE = [
+    b'{"Version":1,"x":123456789012345678901234567890}',
+    b'{"Version":1,"x":1.5e300}',
+    '{"Version":1,"x":"\u00fc \U0001f600"}'.encode(),
+    b'{"Version":1,"x":"\\ud83d\\ude00"}',
+    b'{"Version":1,"x":' + b"[" * 300 + b"]" * 300 + b"}",
+]
+
+
+@pytest.mark.parametrize("body", READABLE, ids=range(len(READABLE)))
+def test_odd_values_are_read_and_have_one_spelling(body: bytes) -> None:
+    reading = read(body)
+    assert reading.value == json.loads(body)
+    assert read(reading.canonical) == reading
+
+
 def test_every_prefix_of_a_document_is_unreadable() -> None:
     body = json.dumps(document(route(TrafficSplit=split(1, 2)))).encode()
     assert read_strictly(body)["Version"] == 1
