--- a/emberring/configuration/reading.py
+++ b/emberring/configuration/reading.py
@@ -57,8 +57,8 @@
 
 
 def read(body: bytes) -> Reading:
-    """The object in this text, with its canonical spelling; `InvalidConfigurationError` where it is cut short, has a key twice in one object,
-    or is no JSON object at all."""
+    """The object in this text, with its canonical spelling; `InvalidConfigurationError` where it is cut short, has
+    a key twice in one object, or is no JSON object at all."""
     try:
         value = json.loads(
             body.decode("utf-8"), object_pairs_hook=_unique, parse_constant=_no_constant, parse_float=_finite
