Simulator of the register: schedules of troubles from a seed, histories checked

Cause: hand-made cases don't reach the orders of events that break a register. Contacts and set are looked at every 40 ms instead of at every event, ballots compare without tuples.

--- /dev/null
+++ b/emberring/lab/register_simulator.py
@@ -0,0 +1,349 @@
+"""The check of the register: schedules of troubles from a seed, played in a simulated world, histories checked.
+
+`check_register(first_seed, seeds)` plays many; a failing schedule is made as short as it gets while it still fails.
+"""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable, Iterator
+from enum import Enum
+
+import attrs
+
+from emberring.lab.register_world import Bugs, Machine, World
+from emberring.register.model import Proposal
+
+FOUNDERS = ("core-a", "core-b", "core-c")
+TROUBLE_S = 5.0  # how long troubles and callers go on
+STORM_S = 0.8
+CALM_S = 5.0  # how long everything is well before the last reads
+LAST_READ_S = 1.0
+MOST_TROUBLES = 8
+MOST_OPERATIONS = 30
+
+
+class Kind(Enum):
+    """What may happen."""
+
+    CHANGE = "change"
+    READ = "read"
+    KILL = "kill"
+    POWER = "power"
+    KILL_ALL = "kill_all"
+    POWER_ALL = "power_all"
+    WIPE = "wipe"
+    REPLACE = "replace"
+    REPLACE_FIRST = "replace_first"
+    POWER_AFTER_ACK = "power_after_ack"
+    WIPE_AFTER_ACK = "wipe_after_ack"
+    WIPE_ONE_POWER_REST = "wipe_one_power_rest"
+    FREEZE = "freeze"
+    CUT_OFF = "cut_off"
+    SLOW_DISK = "slow_disk"
+    REFUSING_DISK = "refusing_disk"
+    WEATHER = "weather"
+    ADD = "add"
+
+
+_TROUBLES = tuple(kind for kind in Kind if kind not in (Kind.CHANGE, Kind.READ))
+_STORM = (*_TROUBLES, Kind.CUT_OFF, Kind.CUT_OFF, Kind.FREEZE, Kind.WIPE, Kind.WIPE, Kind.WIPE_AFTER_ACK)
+
+
+@attrs.frozen
+class Step:
+    """Something that happens at a time (s). `slot` picks the machine among those that there are; `lasts_s` is how
+    long it goes on, or until the machine comes back."""
+
+    at_s: float
+    kind: Kind
+    slot: int
+    lasts_s: float = 0.0
+
+    def __str__(self) -> str:
+        return f"{self.at_s:6.3f} s  {self.kind.value:<20} machine {self.slot}  for {self.lasts_s:.3f} s"
+
+
+@attrs.frozen
+class Schedule:
+    """A seed, from which all chance in the world comes, and what happens."""
+
+    seed: int
+    steps: tuple[Step, ...]
+
+
+@attrs.frozen
+class Verdict:
+    """What was wrong with a schedule (empty: nothing), and how much happened in it."""
+
+    schedule: Schedule
+    mistakes: tuple[str, ...]
+    acknowledged: int = 0
+    events: int = 0
+
+
+def make_schedule(seed: int) -> Schedule:
+    """The schedule of a seed: every other one has its troubles within a short while, and most callers then."""
+    rng = random.Random(f"schedule {seed}")
+    storm_s = rng.random() * (TROUBLE_S - STORM_S) if seed % 2 else None
+    steps = []
+    for _ in range(rng.randint(1, MOST_TROUBLES)):
+        at_s = rng.random() * TROUBLE_S if storm_s is None else storm_s + rng.random() * STORM_S
+        kind = rng.choice(_TROUBLES if storm_s is None else _STORM)
+        steps.append(Step(at_s, kind, rng.randrange(6), 0.02 + rng.random() ** 2 * 2.5))
+    for _ in range(rng.randint(5, MOST_OPERATIONS)):
+        asked = Kind.READ if rng.random() < 0.3 else Kind.CHANGE
+        at_s = rng.random() * (TROUBLE_S + 1.0)
+        if storm_s is not None and rng.random() < 0.7:
+            at_s = storm_s + rng.random() * 2 * STORM_S
+        steps.append(Step(at_s, asked, rng.randrange(6)))
+    return Schedule(seed, tuple(sorted(steps, key=lambda step: step.at_s)))
+
+
+class _Play:
+    """One schedule in one world."""
+
+    def __init__(self, schedule: Schedule, bugs: Bugs) -> None:
+        self._schedule = schedule
+        self._world = World(schedule.seed, bugs)
+        self._changes = 0
+        self._added = 0
+        self._ended = False
+        self._gone: set[str] = set()
+        self._after_ack: list[Callable[[str], None]] = []
+        self._world.on_acknowledged = self._acknowledged
+
+    def run(self) -> Verdict:
+        """Play it; the verdict."""
+        world = self._world
+        for name in FOUNDERS:
+            machine = Machine(world, name, FOUNDERS, bootstrap=True)
+            world.machines[name] = machine
+            world.at(world.rng.random() * 0.3, machine.start)
+        world.at(0.0, self._note_peers)
+        for step in self._schedule.steps:
+            world.at(0.3 + step.at_s, self._do, step)
+        world.run(TROUBLE_S + 1.5)
+        self._mend()
+        world.run(world.now_s + CALM_S)
+        acknowledged = sum(1 for operation in world.history.operations if operation.value is not None)
+        self._read_last()
+        mistakes = tuple(world.history.finish())
+        return Verdict(self._schedule, mistakes, acknowledged, world.handled)
+
+    # What callers and the tier do.
+
+    def _note_peers(self) -> None:
+        for machine in self._world.machines.values():
+            machine.note_peers()
+        self._world.at(self._world.now_s + 0.3, self._note_peers)
+
+    def _mend(self) -> None:
+        """All troubles end; every machine that is still there runs."""
+        world = self._world
+        self._ended = True
+        self._after_ack.clear()
+        world.weather = type(world.weather)()
+        world.join()
+        for machine in self._present():
+            machine.folder.refusing = False
+            machine.sync_s = 0.001
+            machine.thaw_at_s = min(machine.thaw_at_s, world.now_s)
+            machine.start()
+
+    def _read_last(self) -> None:
+        """Every node must have the same value now, and every replica of the set must be there."""
+        world = self._world
+        before = len(world.history.operations)
+        for machine in self._present():
+            machine.ask(0, LAST_READ_S)
+        world.run(world.now_s + LAST_READ_S + 0.1)
+        reads = world.history.operations[before:]
+        for read in reads:
+            if read.value is None:
+                world.history.mistakes.append(
+                    f"the last read at {read.node} failed: {read.error or 'no end'}"
+                )
+        if len({read.value for read in reads if read.value is not None}) > 1:
+            world.history.mistakes.append("the last reads differ")
+        newest = self._newest()
+        identities = {machine.identity for machine in self._present()}
+        if newest is not None:
+            missing = [m.identity for m in newest.state.replicas.everyone if m.identity not in identities]
+            if missing or newest.state.replicas.joining:
+                world.history.mistakes.append(f"the replica set still has {missing}, {newest.state.replicas}")
+            for machine in self._present():
+                if machine.node is not None and machine.node.learned != newest:
+                    world.history.mistakes.append(f"{machine.name} has not learned the newest value")
+
+    # Troubles.
+
+    def _present(self) -> list[Machine]:
+        return [machine for name, machine in self._world.machines.items() if name not in self._gone]
+
+    def _pick(self, slot: int) -> Machine:
+        present = self._present()
+        return present[slot % len(present)]
+
+    def _newest(self) -> Proposal | None:
+        learned = [
+            machine.node.learned
+            for machine in self._present()
+            if machine.node is not None and machine.node.learned is not None
+        ]
+        return max(learned, key=lambda proposal: proposal.ballot, default=None)
+
+    def _may_lose(self) -> bool:
+        """Whether the loss of a disk is within what must be borne: no other loss is being repaired."""
+        newest = self._newest()
+        if newest is None or newest.state.replicas.joining:
+            return False
+        identities = {found.identity for found in self._present() if found.folder.files}
+        return all(member.identity in identities for member in newest.state.replicas.members)
+
+    def _do(self, step: Step) -> None:
+        if self._ended:
+            return
+        machine = self._pick(step.slot)
+        match step.kind:
+            case Kind.CHANGE:
+                self._changes += 1
+                machine.ask(self._changes)
+            case Kind.READ:
+                machine.ask(0)
+            case Kind.KILL:
+                self._down(machine, machine.stop, step.lasts_s)
+            case Kind.POWER:
+                self._down(machine, machine.lose_power, step.lasts_s)
+            case Kind.KILL_ALL:
+                for found in self._present():
+                    self._down(found, found.stop, step.lasts_s * self._world.rng.random())
+            case Kind.POWER_ALL:
+                for found in self._present():
+                    self._down(found, found.lose_power, step.lasts_s * self._world.rng.random())
+            case Kind.WIPE:
+                self._wipe(machine, step.lasts_s)
+            case Kind.REPLACE | Kind.REPLACE_FIRST:
+                self._replace(machine, step)
+            case Kind.WIPE_ONE_POWER_REST:
+                self._wipe_one_power_rest(machine, step.lasts_s)
+            case Kind.POWER_AFTER_ACK:
+                self._after_ack.append(lambda name: self._power_named(name, step.lasts_s))
+            case Kind.WIPE_AFTER_ACK:
+                self._after_ack.append(lambda name: self._wipe(self._world.machines[name], step.lasts_s))
+            case _:
+                self._disturb(machine, step)
+
+    def _disturb(self, machine: Machine, step: Step) -> None:
+        world = self._world
+        end_s = world.now_s + step.lasts_s
+        match step.kind:
+            case Kind.FREEZE:
+                machine.thaw_at_s = end_s
+            case Kind.CUT_OFF:
+                others = {found.name for found in self._present()} - {machine.name}
+                world.cut |= {frozenset((machine.name, other)) for other in others}
+                world.at(end_s, world.join)
+            case Kind.SLOW_DISK:
+                machine.sync_s = step.lasts_s
+                world.at(end_s, setattr, machine, "sync_s", 0.001)
+            case Kind.REFUSING_DISK:
+                machine.folder.refusing = True
+                world.at(end_s, setattr, machine.folder, "refusing", False)
+            case Kind.WEATHER:
+                world.weather.lost, world.weather.doubled = 0.2, 0.3
+                world.weather.slowest_s = step.lasts_s
+                world.at(end_s, self._fair)
+            case Kind.ADD:
+                self._add().start()
+
+    def _fair(self) -> None:
+        self._world.weather = type(self._world.weather)()
+
+    def _add(self) -> Machine:
+        self._added += 1
+        name = f"core-new-{self._added}"
+        machine = Machine(self._world, name, FOUNDERS, bootstrap=False)
+        self._world.machines[name] = machine
+        return machine
+
+    def _down(self, machine: Machine, how: Callable[[], None], lasts_s: float) -> None:
+        how()
+        machine.folder.refusing = False
+        self._world.at(self._world.now_s + lasts_s, self._up, machine)
+
+    def _up(self, machine: Machine) -> None:
+        if machine.name not in self._gone:
+            machine.start()
+
+    def _wipe(self, machine: Machine, lasts_s: float) -> None:
+        if machine.name not in self._gone and self._may_lose():
+            self._down(machine, machine.wipe, lasts_s)
+
+    def _power_named(self, name: str, lasts_s: float) -> None:
+        machine = self._world.machines[name]
+        if name not in self._gone:
+            self._down(machine, machine.lose_power, lasts_s)
+
+    def _wipe_one_power_rest(self, machine: Machine, lasts_s: float) -> None:
+        if not self._may_lose():
+            return
+        for found in self._present():
+            how = found.wipe if found is machine else found.lose_power
+            self._down(found, how, lasts_s * self._world.rng.random())
+
+    def _replace(self, machine: Machine, step: Step) -> None:
+        """The machine goes for good, its disk with it; an empty one comes at another address."""
+        if not self._may_lose():
+            return
+        successor = self._add()
+        if step.kind is Kind.REPLACE_FIRST:
+            successor.start()
+            self._world.at(self._world.now_s + step.lasts_s, self._remove, machine)
+        else:
+            self._remove(machine)
+            self._world.at(self._world.now_s + step.lasts_s, self._up, successor)
+
+    def _remove(self, machine: Machine) -> None:
+        if self._ended or not self._may_lose():
+            return
+        machine.wipe()
+        self._gone.add(machine.name)
+
+    def _acknowledged(self, name: str) -> None:
+        waiting, self._after_ack = self._after_ack, []
+        for work in waiting:
+            self._world.at(self._world.now_s, work, name)
+
+
+def play(schedule: Schedule, bugs: Bugs | None = None) -> Verdict:
+    """Play a schedule; the same one always gives the same verdict."""
+    return _Play(schedule, bugs or Bugs()).run()
+
+
+def shorten(verdict: Verdict, bugs: Bugs | None = None) -> Verdict:
+    """The verdict of a schedule that fails with as few of this one's steps as leaving them out one by one gives."""
+    best = verdict
+    shorter = True
+    while shorter:
+        shorter = False
+        for index in range(len(best.schedule.steps) - 1, -1, -1):
+            steps = best.schedule.steps[:index] + best.schedule.steps[index + 1 :]
+            trial = play(Schedule(best.schedule.seed, steps), bugs)
+            if trial.mistakes:
+                best, shorter = trial, True
+    return best
+
+
+def check_register(first_seed: int, seeds: int, bugs: Bugs | None = None) -> Iterator[Verdict]:
+    """Play the schedules of so many seeds; the verdicts as they come. The caller shortens the failing ones."""
+    for seed in range(first_seed, first_seed + seeds):
+        yield play(make_schedule(seed), bugs)
+
+
+def describe(verdict: Verdict) -> str:
+    """A failing schedule for a person: its seed, its steps, what was wrong."""
+    lines = [f"seed {verdict.schedule.seed}: {len(verdict.schedule.steps)} steps"]
+    lines += [f"  {step}" for step in verdict.schedule.steps]
+    lines += [f"  wrong: {mistake}" for mistake in verdict.mistakes]
+    return "\n".join(lines)
--- a/emberring/register/model.py
+++ b/emberring/register/model.py
@@ -5,13 +5,27 @@
 import attrs
 
 
-@attrs.frozen(order=True)
+@attrs.frozen(order=False)
 class Ballot:
     """A proposer's attempt. Counters order them; a proposer's name, new at each start, makes each one unique."""
 
     counter: int
     proposer: str
 
+    def __lt__(self, other: Ballot) -> bool:
+        if self.counter != other.counter:
+            return self.counter < other.counter
+        return self.proposer < other.proposer
+
+    def __gt__(self, other: Ballot) -> bool:
+        return other < self
+
+    def __le__(self, other: Ballot) -> bool:
+        return not other < self
+
+    def __ge__(self, other: Ballot) -> bool:
+        return not self < other
+
 
 GENESIS = Ballot(0, "")
 
--- a/emberring/register/node.py
+++ b/emberring/register/node.py
@@ -53,6 +53,7 @@
 BACKOFF_FIRST_S = 0.01
 BACKOFF_MOST_S = 0.2
 IDLE_WAKE_S = 0.1
+LOOK_EVERY_S = 0.04  # at the contacts and at the replica set
 
 
 @attrs.frozen
@@ -103,6 +104,7 @@
         self._out: list[Action] = []
         self._calls: dict[int, _Purpose] = {}
         self._numbers = 0
+        self._look_at = now_s
         self._counter = 0
         self._jobs: deque[Job] = deque()
         self._reads: deque[Job] = deque()
@@ -111,7 +113,7 @@
         self._batch: Batch | None = None
         self._query: QueryRound | None = None
         self._query_began = now_s
-        self._query_reads: list[Job] = []
+        self._query_reads: deque[Job] = deque()
         self._confirm = False
         self._failures = 0
         self._retry_at = now_s
@@ -141,13 +143,15 @@
 
     def next_wake_s(self, now_s: float) -> float:
         """When to send the next `Tick` at the latest."""
-        times = [now_s + IDLE_WAKE_S]
+        wake_s = now_s + IDLE_WAKE_S
         if self._jobs or self._confirm:
-            times.append(self._retry_at)
+            wake_s = min(wake_s, self._retry_at)
         if self._scrub_at is not None:
-            times.append(self._scrub_at)
-        times += [job.deadline_s for job in (*self._jobs, *self._reads, *self._query_reads)]
-        return max(now_s + 0.001, min(times))
+            wake_s = min(wake_s, self._scrub_at)
+        for jobs in (self._jobs, self._reads, self._query_reads):
+            for job in jobs:
+                wake_s = min(wake_s, job.deadline_s)
+        return max(now_s + 0.001, wake_s)
 
     # Events.
 
@@ -177,11 +181,13 @@
 
     def _advance(self, now_s: float) -> None:
         self.contacts.voting = self._disk.voting(now_s)
-        self._out += self._disk.probe(now_s)
         self._expire(now_s)
-        self._ping(now_s)
+        if now_s >= self._look_at:
+            self._look_at = now_s + LOOK_EVERY_S
+            self._out += self._disk.probe(now_s)
+            self._ping(now_s)
+            self._step = self._keeper.step(now_s, self.learned)
         self._scrub(now_s)
-        self._step = self._keeper.step(now_s, self.learned)
         self._start_query(now_s)
         self._start_round(now_s)
 
@@ -293,8 +299,7 @@
         if known is None:
             return
         self._query, self._query_began = QueryRound(known), now_s
-        self._query_reads = list(self._reads)
-        self._reads.clear()
+        self._query_reads, self._reads = self._reads, deque()
         self._send_query(self._query.start(known.state.replicas.everyone))
 
     def _send_query(self, sends: list[Send]) -> None:
@@ -314,7 +319,7 @@
         self._learn(now_s, query.chosen)
         payload = query.chosen.state.payload
         self._out += Batch(tuple(self._query_reads), payload).resolve()
-        self._query_reads = []
+        self._query_reads = deque()
 
     def _end_query(self) -> None:
         """The answers don't show what is chosen: a ballot has to find out."""
@@ -323,7 +328,7 @@
         self._query = None
         self._confirm = self._confirm or self._unconfirmed
         self._jobs.extend(self._query_reads)
-        self._query_reads = []
+        self._query_reads = deque()
 
     # Ballots.
 
@@ -400,13 +405,12 @@
             self._out.append(Tell(address, Chosen(chosen.ballot, self.me.address)))
 
     def _expire(self, now_s: float) -> None:
-        for jobs in (self._jobs, self._reads):
+        for jobs in (self._jobs, self._reads, self._query_reads):
+            if not jobs:
+                continue
             for job in [job for job in jobs if job.deadline_s <= now_s]:
                 jobs.remove(job)
                 self._out.append(give_up(job))
-        for job in [job for job in self._query_reads if job.deadline_s <= now_s]:
-            self._query_reads.remove(job)
-            self._out.append(give_up(job))
         if self._batch is not None:
             self._out += self._batch.expire(now_s)
 
