--- /dev/null
+++ b/emberring/cli/disk_reports.py
@@ -0,0 +1,133 @@
+"""What the offline checks find on a node's disk: every record read and decoded, nothing written."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Sequence
+from pathlib import Path
+from typing import Any
+
+import attrs
+
+from emberring.configuration.state import ControlState
+from emberring.errors import BadRequestError, CorruptRecordError
+from emberring.journal.layout import Record
+from emberring.journal.survey import JournalSurvey, survey_journal
+from emberring.lots.records import DEFINITION, END, FORGOTTEN
+from emberring.lots.replica import Replica
+from emberring.lots.replica_log import decode_entry
+from emberring.register.acceptor import Acceptor
+from emberring.store.disk import JOURNAL_FOLDER, restore
+from emberring.store.identity import FILE_NAME, read_identity
+
+REGISTER_FOLDER = "register"
+
+
+@attrs.frozen
+class DiskReport:
+    """What was found. `damages` has a line for each thing that is lost or not to be trusted."""
+
+    directory: str
+    identity: str
+    segments: int
+    records: int
+    bytes: int
+    facts: dict[str, Any]
+    damages: tuple[str, ...]
+
+
+def report_register(directory: Path) -> DiskReport:
+    """A control node's disk: its `DataDir`, or the folder of the register in it."""
+    folder = directory / REGISTER_FOLDER if (directory / REGISTER_FOLDER).is_dir() else directory
+    survey = _survey(folder)
+    acceptor = Acceptor("")
+    damages = [*survey.damages, *_each(survey.records, acceptor.restore)]
+    if survey.records and not acceptor.identity:
+        damages.append("no record names the replica's identity")
+    facts: dict[str, Any] = {"Promised": _ballot(acceptor.promised)}
+    if acceptor.accepted is not None:
+        facts["Accepted"] = _ballot(acceptor.accepted.ballot)
+        replicas = acceptor.accepted.state.replicas
+        facts["Replicas"] = [f"{member.identity} at {member.address}" for member in replicas.members]
+        facts["Joining"] = [f"{member.identity} at {member.address}" for member in replicas.joining]
+        facts |= _state_facts(acceptor.accepted.state.payload, damages)
+    return _report(folder, acceptor.identity, survey, facts, damages)
+
+
+def _state_facts(payload: bytes | None, damages: list[str]) -> dict[str, Any]:
+    try:
+        state = ControlState.decode(payload)
+    except CorruptRecordError as error:
+        damages.append(error.detail)
+        return {}
+    epoch = state.placement.epoch if state.placement is not None else None
+    return {
+        "ConfigurationVersion": state.version,
+        "ChangesRemembered": len(state.taken),
+        "PlacementEpoch": epoch,
+    }
+
+
+def _ballot(ballot: Any) -> str | None:
+    return None if ballot is None else f"{ballot.counter} by {ballot.proposer or 'nobody'}"
+
+
+def report_store(directory: Path) -> DiskReport:
+    """A store's disk: its `DataDir`."""
+    survey = _survey(directory / JOURNAL_FOLDER)
+    readable = [record for record in survey.records if not _each([record], decode_entry)]
+    damages = [*survey.damages, *_each(survey.records, decode_entry)]
+    identity = read_identity(directory)
+    if identity is None:
+        there = (directory / FILE_NAME).exists()
+        damages.append(f"the file {FILE_NAME} is {'damaged' if there else 'missing'}: it will start anew")
+    replicas = restore(readable, 0.0)
+    facts = {"Shards": [_shard_facts(replica) for replica in replicas.values() if replica.lots]}
+    return _report(directory, identity or "", survey, facts, damages)
+
+
+def _shard_facts(replica: Replica) -> dict[str, Any]:
+    slots = [slot for lot in replica.lots.values() for slot in lot.slots]
+    return {
+        "Shard": replica.shard,
+        "Promised": f"{replica.promised.epoch}.{replica.promised.counter}",
+        "Lots": len(replica.lots),
+        "WithDefinition": slots.count(DEFINITION),
+        "Results": sum(slot >= 0 for slot in slots),
+        "Ended": slots.count(END),
+        "Forgotten": slots.count(FORGOTTEN),
+    }
+
+
+def _survey(folder: Path) -> JournalSurvey:
+    try:
+        return survey_journal(folder)
+    except OSError as error:
+        raise BadRequestError(f"{folder}: {error.strerror or error}") from error
+
+
+def _each(records: Sequence[Record], read: Callable[[bytes], object]) -> list[str]:
+    """Read every record; a line for each that is whole on disk and yet can't be understood."""
+    damages = []
+    for record in records:
+        try:
+            read(record.payload)
+        except CorruptRecordError as error:
+            position = record.position
+            damages.append(f"segment {position.segment}, offset {position.offset}: {error.detail}")
+    return damages
+
+
+def _report(
+    folder: Path, identity: str, survey: JournalSurvey, facts: dict[str, Any], damages: list[str]
+) -> DiskReport:
+    if not survey.segments:
+        facts = {**facts, "Empty": True}
+    return DiskReport(
+        directory=str(folder),
+        identity=identity,
+        segments=len(survey.segments),
+        records=len(survey.records),
+        bytes=survey.used_bytes,
+        facts=facts,
+        damages=tuple(damages),
+    )
--- /dev/null
+++ b/emberring/journal/survey.py
@@ -0,0 +1,90 @@
+"""Reads a journal's folder without changing it and says what it holds and what is damaged. Blocks on the disk."""
+
+from __future__ import annotations
+
+from pathlib import Path
+
+import attrs
+
+from emberring.journal.layout import (
+    FORMAT_VERSION,
+    MAGIC,
+    SEGMENT_HEADER_BYTES,
+    Record,
+    SegmentHeader,
+    decode_segment_header,
+    scan_segment,
+)
+from emberring.journal.ring import NAME_PREFIX
+
+
+@attrs.frozen
+class SegmentSurvey:
+    """A segment in use: its file, its number, how many records are whole and where they end (bytes)."""
+
+    file: str
+    number: int
+    records: int
+    end: int
+    size: int
+
+
+@attrs.frozen
+class JournalSurvey:
+    """All segments in order, their records, the files that are free, and one line for each damage."""
+
+    segments: tuple[SegmentSurvey, ...]
+    records: tuple[Record, ...]
+    free_files: int
+    damages: tuple[str, ...]
+
+    @property
+    def used_bytes(self) -> int:
+        """The bytes of whole records and headers."""
+        return sum(segment.end for segment in self.segments)
+
+
+def survey_journal(directory: Path) -> JournalSurvey:
+    """The survey of a folder; `OSError` where it can't be read.
+
+    A last segment that ends in bytes which are no record is in order: a process or machine ended while it wrote."""
+    damages: list[str] = []
+    found: list[tuple[SegmentHeader, str, bytes]] = []
+    free_files = 0
+    for path in sorted(directory.iterdir()):
+        if not path.name.startswith(NAME_PREFIX):
+            continue
+        data = path.read_bytes()
+        header = decode_segment_header(data[:SEGMENT_HEADER_BYTES])
+        if header is not None:
+            found.append((header, path.name, data))
+            continue
+        free_files += 1
+        if data.startswith(MAGIC):
+            version = int.from_bytes(data[len(MAGIC) : len(MAGIC) + 4], "little")
+            other = f"has format version {version}, not {FORMAT_VERSION}"
+            damages.append(f"{path.name}: {other if version != FORMAT_VERSION else 'its header is damaged'}")
+    found.sort(key=lambda item: item[0].number)
+    segments, records = _read(found, damages)
+    return JournalSurvey(tuple(segments), tuple(records), free_files, tuple(damages))
+
+
+def _read(
+    found: list[tuple[SegmentHeader, str, bytes]], damages: list[str]
+) -> tuple[list[SegmentSurvey], list[Record]]:
+    segments: list[SegmentSurvey] = []
+    records: list[Record] = []
+    for index, (header, name, data) in enumerate(found):
+        following = found[index + 1][0] if index + 1 < len(found) else None
+        limit = None
+        if following is not None and following.number == header.number + 1:
+            limit = following.previous_end
+        elif following is not None:
+            damages.append(f"segments {header.number + 1} to {following.number - 1} are missing")
+        scan = scan_segment(header, data, limit)
+        if limit is not None and scan.end != limit:
+            lost = max(0, limit - scan.end)
+            damages.append(f"{name} (segment {header.number}): {lost} bytes from {scan.end} on are damaged")
+        segments.append(SegmentSurvey(name, header.number, len(scan.records), scan.end, len(data)))
+        records += scan.records
+    return segments, records
--- /dev/null
+++ b/tests/emberring/cli/test_tier_check_disk.py
@@ -0,0 +1,191 @@
+"""The offline checks: what is whole is counted, what is damaged is named, nothing is written."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import struct
+from collections.abc import Callable
+from pathlib import Path
+
+import pytest
+
+from emberring.cli.app import main
+from emberring.cli.disk_reports import report_register, report_store
+from emberring.configuration.state import ControlState
+from emberring.journal.journal import Journal
+from emberring.journal.layout import SEGMENT_HEADER_BYTES
+from emberring.journal.survey import survey_journal
+from emberring.lots.records import Record, Term
+from emberring.lots.replica_log import Promised, Written, encode_entry
+from emberring.register.acceptor import Acceptor
+from emberring.register.model import Ballot, Member, Proposal, ReplicaSet, State
+from emberring.store.disk import JOURNAL_FOLDER
+from emberring.store.identity import create_identity
+
+SEGMENT_BYTES = 4096
+
+
+def write_journal(folder: Path, payloads: list[bytes]) -> None:
+    folder.mkdir(parents=True, exist_ok=True)
+
+    async def write() -> None:
+        journal, _ = Journal.open(folder, SEGMENT_BYTES, 40 * SEGMENT_BYTES)
+        for payload in payloads:
+            await journal.append(payload)
+        await journal.close()
+
+    asyncio.run(write())
+
+
+def files(folder: Path) -> list[Path]:
+    """The files of the segments in use, oldest first."""
+    return [folder / segment.file for segment in survey_journal(folder).segments]
+
+
+def flip(path: Path, offset: int) -> None:
+    data = bytearray(path.read_bytes())
+    data[offset] ^= 0xFF
+    path.write_bytes(data)
+
+
+PAYLOADS = [bytes([number]) * 700 for number in range(20)]
+
+
+@pytest.fixture
+def journal(tmp_path):
+    folder = tmp_path / "journal"
+    write_journal(folder, PAYLOADS)
+    return folder
+
+
+def test_a_whole_journal(journal):
+    survey = survey_journal(journal)
+    assert [record.payload for record in survey.records] == PAYLOADS
+    assert len(survey.segments) > 2
+    assert [segment.number for segment in survey.segments] == list(range(len(survey.segments)))
+    assert survey.damages == ()
+
+
+def test_a_torn_tail_is_in_order(journal):
+    last = files(journal)[-1]
+    end = survey_journal(journal).segments[-1].end
+    flip(last, end - 1)
+    survey = survey_journal(journal)
+    assert survey.damages == ()
+    assert [record.payload for record in survey.records] == PAYLOADS[:-1]
+
+
+def damage_record(folder: Path) -> None:
+    flip(files(folder)[1], SEGMENT_HEADER_BYTES + 20)
+
+
+def remove_segment(folder: Path) -> None:
+    files(folder)[1].unlink()
+
+
+def damage_header(folder: Path) -> None:
+    flip(files(folder)[1], 20)
+
+
+def other_format(folder: Path) -> None:
+    path = files(folder)[1]
+    data = bytearray(path.read_bytes())
+    data[8:12] = struct.pack("<I", 77)
+    path.write_bytes(data)
+
+
+@pytest.mark.parametrize(
+    ("damage", "said"),
+    [
+        (damage_record, "are damaged"),
+        (remove_segment, "segments 1 to 1 are missing"),
+        (damage_header, "header is damaged"),
+        (other_format, "format version 77"),
+    ],
+)
+def test_damage_is_named_and_the_rest_is_read(damage: Callable[[Path], None], said, journal):
+    damage(journal)
+    before = {path.name: path.read_bytes() for path in journal.iterdir()}
+    survey = survey_journal(journal)
+    assert any(said in line for line in survey.damages)
+    assert PAYLOADS[-1] in [record.payload for record in survey.records]
+    assert len(survey.records) < len(PAYLOADS)
+    assert {path.name: path.read_bytes() for path in journal.iterdir()} == before
+
+
+TERM = Term(1, 1, "me")
+
+
+def entry(key: str, slot: int, value: bytes = b"v") -> bytes:
+    return encode_entry(3, 1.0, Written(TERM, (Record(key, slot, 0, value),)))
+
+
+@pytest.fixture
+def store(tmp_path):
+    directory = tmp_path / "store"
+    directory.mkdir()
+    create_identity(directory)
+    entries = [encode_entry(3, 1.0, Promised(TERM)), entry("h/a", -1), entry("h/a", 0), entry("h/a", 1)]
+    write_journal(directory / JOURNAL_FOLDER, [*entries, entry("h/b", -1), entry("h/a", -2)])
+    return directory
+
+
+def test_a_store_is_counted_by_shard(store, capsys):
+    report = report_store(store)
+    assert report.damages == ()
+    assert report.records == 6
+    (shard,) = report.facts["Shards"]
+    assert shard == {
+        "Shard": 3,
+        "Promised": "1.1",
+        "Lots": 2,
+        "WithDefinition": 2,
+        "Results": 2,
+        "Ended": 1,
+        "Forgotten": 0,
+    }
+    assert main(["check", "store", str(store)]) == 0
+    assert "Lots 2" in capsys.readouterr().out
+    assert main(["check", "store", str(store), "--json"]) == 0
+    assert json.loads(capsys.readouterr().out)["records"] == 6
+
+
+def test_a_store_without_its_identity_or_with_an_unknown_entry(store, capsys):
+    write_journal(store / JOURNAL_FOLDER, [b"\x09nonsense"])
+    (store / "identity").write_text("abc 00000000\n")
+    assert main(["check", "store", str(store)]) == 1
+    told = capsys.readouterr()
+    assert "identity is damaged" in told.err
+    assert "segment 0, offset" in told.err
+    assert "Lots 2" in told.out
+    (store / "identity").unlink()
+    assert any("missing" in line for line in report_store(store).damages)
+
+
+def test_a_register(tmp_path, capsys):
+    directory = tmp_path / "core"
+    acceptor = Acceptor("me")
+    member = Member("me", "10.0.0.1:7721")
+    state = State(ReplicaSet(0, (member,)), ControlState(version=4).encode())
+    records = [acceptor.snapshot()]
+    acceptor.install(Proposal(Ballot(3, "p"), state))
+    records.append(acceptor.snapshot())
+    write_journal(directory / "register", records)
+    for place in (directory, directory / "register"):
+        report = report_register(place)
+        assert report.damages == ()
+        assert report.identity == "me"
+        assert report.facts["ConfigurationVersion"] == 4
+        assert report.facts["Accepted"] == "3 by p"
+        assert report.facts["Replicas"] == ["me at 10.0.0.1:7721"]
+    assert main(["check", "register", str(directory)]) == 0
+    assert "ConfigurationVersion: 4" in capsys.readouterr().out
+    write_journal(directory / "register", [b"nonsense"])
+    assert main(["check", "register", str(directory)]) == 1
+
+
+@pytest.mark.parametrize("kind", ["store", "register"])
+def test_a_folder_that_is_not_there(kind, tmp_path, capsys):
+    assert main(["check", kind, str(tmp_path / "none")]) == 2
+    assert "No such file" in capsys.readouterr().err
--- a/tests/emberring/cli/test_tier_cli.py
+++ b/tests/emberring/cli/test_tier_cli.py
@@ -50,6 +50,8 @@
         ["config", "patch"],
         ["check"],
         ["check", "settings"],
+        ["check", "register"],
+        ["check", "store"],
         ["retire"],
         ["status"],
         ["nodes"],
