--- a/emberring/cli/check_commands.py
+++ b/emberring/cli/check_commands.py
@@ -11,6 +11,7 @@
 from emberring.cli.disk_reports import DiskReport, report_register, report_store
 from emberring.cli.places import JsonOption
 from emberring.cli.printing import EXIT_CODES_TEXT, ExitCode, complain, leave, print_json, print_line
+from emberring.cli.simulator_checks import run_check
 from emberring.errors import SettingsError
 from emberring.settings import load_settings
 
@@ -40,12 +41,29 @@
 DirectoryArgument = Annotated[
     Path, typer.Argument(metavar="DIR", help="The node's DataDir, or a copy of it. Nothing is written.")
 ]
+SeedsOption = Annotated[int, typer.Option("--seeds", min=1, help="How many schedules to play.")]
+FirstOption = Annotated[int, typer.Option("--first", min=0, help="The seed of the first one.")]
+ShownOption = Annotated[int, typer.Option("--show", min=0, help="Failing schedules to shorten and show.")]
 
 
 @app.command(epilog=EXIT_CODES_TEXT)
-def register(directory: DirectoryArgument, as_json: JsonOption = False) -> None:
-    """Verify every record of a control node's register. Best while the node is stopped."""
-    _tell(report_register(directory), as_json)
+def register(
+    directory: Annotated[
+        Path | None,
+        typer.Argument(metavar="[DIR]", help="A control node's DataDir. Without it the simulator plays."),
+    ] = None,
+    seeds: SeedsOption = 200,
+    first: FirstOption = 1,
+    show: ShownOption = 3,
+    as_json: JsonOption = False,
+) -> None:
+    """Verify every record of a control node's register (DIR), or play the register in a simulator (--seeds)."""
+    if directory is not None:
+        _tell(report_register(directory), as_json)
+        return
+    from emberring.lab.register_simulator import check_register, describe, shorten
+
+    run_check("register", check_register(first, seeds), shorten, describe, show, as_json)
 
 
 @app.command(epilog=EXIT_CODES_TEXT)
--- a/tests/emberring/cli/test_tier_check_disk.py
+++ b/tests/emberring/cli/test_tier_check_disk.py
@@ -8,10 +8,13 @@
 from collections.abc import Callable
 from pathlib import Path
 
+import attrs
 import pytest
+import typer
 
 from emberring.cli.app import main
 from emberring.cli.disk_reports import report_register, report_store
+from emberring.cli.simulator_checks import run_check
 from emberring.configuration.state import ControlState
 from emberring.journal.journal import Journal
 from emberring.journal.layout import SEGMENT_HEADER_BYTES
@@ -189,3 +192,46 @@
 def test_a_folder_that_is_not_there(kind, tmp_path, capsys):
     assert main(["check", kind, str(tmp_path / "none")]) == 2
     assert "No such file" in capsys.readouterr().err
+
+
+@attrs.frozen
+class FakeSchedule:
+    """A seed and as many steps."""
+
+    seed: int
+    steps: tuple[int, ...]
+
+
+@attrs.frozen
+class FakeVerdict:
+    """Wrong where there are mistakes."""
+
+    schedule: FakeSchedule
+    mistakes: tuple[str, ...] = ()
+    events: int = 10
+
+
+def verdicts(*wrong: int) -> list[FakeVerdict]:
+    return [
+        FakeVerdict(FakeSchedule(seed, tuple(range(seed))), ("oops",) if seed in wrong else ())
+        for seed in (5, 4, 3)
+    ]
+
+
+def test_a_simulated_check_ends_with_1_and_shows_the_shortest_schedule_first(capsys):
+    def describe(verdict: FakeVerdict) -> str:
+        return f"schedule of {verdict.schedule.seed}"
+
+    run_check("x", verdicts(), lambda verdict: verdict, describe, 3, as_json=False)
+    assert "x: 3 schedules, 30 events, 0 wrong" in capsys.readouterr().out
+    with pytest.raises(typer.Exit) as caught:
+        run_check("x", verdicts(5, 3), lambda verdict: verdict, describe, 3, as_json=True)
+    assert caught.value.exit_code == 1
+    found = json.loads(capsys.readouterr().out)
+    assert found["WrongSeeds"] == [5, 3]
+    assert found["Shortest"] == ["schedule of 3", "schedule of 5"]
+
+
+def test_the_registers_simulator_plays_from_the_command_line(capsys):
+    assert main(["check", "register", "--seeds", "2", "--first", "7", "--json"]) == 0
+    assert json.loads(capsys.readouterr().out)["Schedules"] == 2
