Gateway: idle connections are kept until a second before a server ends them; items bear longer silences

Change: one limit, a second before the server's; what is known to have ended is found out by a look at the socket.

--- a/emberring/gateway/execution.py
+++ b/emberring/gateway/execution.py
@@ -24,7 +24,7 @@
 # With calls that may go to another server. Clients leave after 2 s of silence at the earliest; a server that is heard
 # elsewhere is at work on what came before.
 LIVE_PATIENCE = Patience(dark_s=1.1, alive_s=10.0)
-ITEM_PATIENCE = Patience(dark_s=1.5, alive_s=4.0)
+ITEM_PATIENCE = Patience(dark_s=2.5, alive_s=10.0)
 CUT_OFF_S = 1.0  # without a word from any server, while connections to them fail
 ITEM_LIMIT_S = 60.0  # an item that still speaks after so long is begun anew later
 
--- a/emberring/gateway/pool.py
+++ b/emberring/gateway/pool.py
@@ -18,8 +18,10 @@
 SETTLE_S = 0.003
 UNACKNOWLEDGED_MS = 1500  # bytes that a server's machine has not acknowledged for so long end the connection
 UNKNOWN_IDLE_S = 4.0  # kept idle, where a server has not said for how long it keeps one
-IDLE_MARGIN_S = 0.5  # before a server closes an idle connection, ours is no longer used
-IDLE_SHARE = 0.8  # and never beyond this share of the server's time
+IDLE_MARGIN_S = (
+    1.0  # before a server closes an idle connection, ours is no longer used: it grants whole seconds
+)
+IDLE_SHARE = 0.5  # of a time that is too short for this margin
 SWEEP_S = 1.0
 
 
@@ -82,27 +84,24 @@
         return server.size if server else 0
 
     async def take(self, server_id: str, address: str, sure: bool) -> ServerConnection | NoConnection:
-        """A connection that carries nothing: an idle one that was proven to stand, or a new one. With `sure`, an
-        idle one has rested for less than half of its time, and a new one was not reset as it came up."""
+        """A connection that carries nothing: an idle one that was proven to stand, or a new one; with `sure`, a new
+        one that was not reset as it came up."""
         server = self._servers.setdefault(server_id, _Server(address))
-        found = self._take_idle(server, sure)
+        found = self._take_idle(server)
         if found is not None:
             return found
         if server.size >= max(1, self._share(server_id)) and not self._make_room(server):
             return NoConnection.NO_ROOM
         return await self._open(server, sure)
 
-    def _take_idle(self, server: _Server, sure: bool) -> ServerConnection | None:
+    @staticmethod
+    def _take_idle(server: _Server) -> ServerConnection | None:
         now = asyncio.get_running_loop().time()
         while server.idle:
-            connection = server.idle[-1]
-            rested = now - connection.idle_since
-            limit = _idle_limit(connection)
-            if rested < limit and connection.usable:
-                if sure and rested > limit / 2.0:
-                    return None
-                return server.idle.pop()
-            server.idle.pop().retire()
+            connection = server.idle.pop()
+            if now - connection.idle_since < _idle_limit(connection) and connection.usable:
+                return connection
+            connection.retire()
         return None
 
     @staticmethod
@@ -186,7 +185,7 @@
     granted = connection.keep_alive_s
     if granted is None:
         return UNKNOWN_IDLE_S
-    return max(0.0, min(granted - IDLE_MARGIN_S, granted * IDLE_SHARE))
+    return max(granted - IDLE_MARGIN_S, granted * IDLE_SHARE)
 
 
 def _tune(transport: asyncio.Transport) -> None:
