Control nodes are found when the seeds are cut off or replaced

A control node keeps the addresses of those it has met on its disk, and tells followers all that it has heard of; a follower whose seeds can't reach a majority goes on to one that can.

--- a/emberring/control/feed.py
+++ b/emberring/control/feed.py
@@ -48,6 +48,7 @@
             configuration=state.packed if state.version > pull.configuration_version else None,
             placement=placement if newer_placement else None,
             server_load=board.load(now_s) if pull.me.role is NodeRole.GATEWAY else {},
+            controls=board.peers.addresses(),
         )
 
 
--- a/emberring/control/node.py
+++ b/emberring/control/node.py
@@ -19,6 +19,7 @@
 from emberring.control.operator_orders import OperatorOrders
 from emberring.control.placement_loop import PlacementLoop
 from emberring.control.register_port import Register
+from emberring.control.remembered import RememberedNodes
 from emberring.control.status_page import StatusPage
 from emberring.distribution.facts import NodeFact, NodeRole
 from emberring.distribution.messages import PlacementMoved, Pull
@@ -39,10 +40,16 @@
 
 
 class ControlNode:
-    """All parts of a control node but its HTTP listener. `seeds` are internal addresses of control nodes."""
+    """All parts of a control node but its HTTP listener. `seeds` are internal addresses of control nodes, the
+    settings' if left out; `remembered` keeps those met before."""
 
     def __init__(
-        self, settings: Settings, network: Network, register: Register, seeds: Sequence[str] | None = None
+        self,
+        settings: Settings,
+        network: Network,
+        register: Register,
+        seeds: Sequence[str] | None = None,
+        remembered: RememberedNodes | None = None,
     ) -> None:
         loop = asyncio.get_running_loop()
         me = NodeFact(
@@ -58,6 +65,10 @@
         others = len(set(known) - {me.address})
         self.board = Board(loop.time(), me, known, settings.heartbeat_ms / 1000)
         self.board.quorum_age_s = register.majority_age_s
+        self._remembered = remembered
+        self._saving: asyncio.Task[None] | None = None
+        if remembered is not None:
+            self.board.peers.note(loop.time(), remembered.load())
         self._register = register
         self._exchanger = Exchanger(network, self.board)
         self._feed = Feed(self.board)
@@ -98,8 +109,15 @@
             if others != told:
                 told = others
                 self._register.note_peers(others)
+                self._remember(others)
             await asyncio.sleep(NOTE_PEERS_EVERY_S)
 
+    def _remember(self, others: list[NodeFact]) -> None:
+        """Keep the others' addresses in the background: the disk may stall."""
+        if self._remembered is not None and (self._saving is None or self._saving.done()):
+            saving = self._remembered.save([fact.address for fact in others])
+            self._saving = asyncio.get_running_loop().create_task(saving)
+
     def leave(self) -> None:
         """Say that this node is about to end."""
         now_s = asyncio.get_running_loop().time()
--- a/emberring/control/role.py
+++ b/emberring/control/role.py
@@ -8,6 +8,7 @@
 
 from emberring.control.http_server import HttpServer
 from emberring.control.node import ControlNode
+from emberring.control.remembered import RememberedNodes
 from emberring.logs import get_logger
 from emberring.register.service import RegisterService
 from emberring.settings import CONTROL_PORT_OFFSET, Settings
@@ -28,7 +29,8 @@
     network = Network()
     register = RegisterService(settings, network, Path(settings.data_dir) / "register")
     await register.start()
-    node = ControlNode(settings, network, register)
+    remembered = RememberedNodes(Path(settings.data_dir) / "control-nodes")
+    node = ControlNode(settings, network, register, remembered=remembered)
     await network.listen(settings.internal_address(CONTROL_PORT_OFFSET))
     node.start()
     http = HttpServer(node.app, settings.listen.control_plane)
--- a/emberring/distribution/follower.py
+++ b/emberring/distribution/follower.py
@@ -10,7 +10,7 @@
 import attrs
 
 from emberring.configuration.model import Configuration
-from emberring.distribution.facts import NodeFact, NodeRole, ServerFact
+from emberring.distribution.facts import NodeFact, ServerFact
 from emberring.distribution.messages import Pull, Update
 from emberring.distribution.sources import SourceChoice
 from emberring.distribution.view import FollowerView
@@ -144,10 +144,8 @@
             self._tell()
 
     def _take(self, now_s: float, view: FollowerView, update: Update) -> bool:
-        changed = view.take(now_s, update)
-        controls = [fact for fact in view.nodes.values() if fact.role is NodeRole.CONTROL]
-        self._sources.known_live(fact.address for fact in controls if not fact.leaving)
-        return changed
+        self._sources.note(update.controls)
+        return view.take(now_s, update)
 
     def _tell(self) -> None:
         for callback in self._callbacks:
--- a/emberring/distribution/messages.py
+++ b/emberring/distribution/messages.py
@@ -65,7 +65,8 @@
 @attrs.frozen
 class Update:
     """The answer to a pull. `quorum_age_ms` is how long ago this control node was in contact with a majority;
-    `configuration` is the compressed document of `configuration_version` if that is newer than the asker's."""
+    `configuration` is the compressed document of `configuration_version` if that is newer than the asker's.
+    `controls` are the addresses of all control nodes that this one has heard of, also of those it can't reach."""
 
     origin: str
     quorum_age_ms: float
@@ -76,6 +77,7 @@
     configuration: bytes | None = None
     placement: Placement | None = None
     server_load: dict[str, int] = attrs.field(factory=dict)
+    controls: tuple[str, ...] = ()
 
 
 @message("distribution.exchange")
--- a/emberring/distribution/peers.py
+++ b/emberring/distribution/peers.py
@@ -73,6 +73,10 @@
         """Those heard lately."""
         return [peer for peer in self._peers.values() if now_s - peer.heard_s < LIVE_S]
 
+    def addresses(self) -> tuple[str, ...]:
+        """All control nodes heard of, this one too."""
+        return (self.me.address, *self._peers)
+
     def others_exist(self) -> bool:
         """Whether there is any other control node as far as is known."""
         return bool(self._peers)
--- a/emberring/distribution/sources.py
+++ b/emberring/distribution/sources.py
@@ -42,10 +42,6 @@
             if address not in self._sources:
                 self._sources[address] = _Source(address, seed=False)
 
-    def known_live(self, addresses: Iterable[str]) -> None:
-        """Control nodes that another control node is in contact with."""
-        self.note(addresses)
-
     def settled(self, address: str) -> bool:
         """Whether this node answered already, so that its answers may be held back until something changes."""
         source = self._sources.get(address)
--- a/tests/emberring/control/tier_control_fixture.py
+++ b/tests/emberring/control/tier_control_fixture.py
@@ -135,11 +135,11 @@
             listen=Listen(control_plane=f"127.0.0.1:{self.outer[index]}"),
         )
 
-    async def start(self, *indices: int) -> None:
+    async def start(self, *indices: int, seeds: list[str] | None = None) -> None:
         for index in indices or range(len(self.nodes)):
             network = Network()
             settings = self.settings(index)
-            node = ControlNode(settings, network, self.registers[index], seeds=self.seeds)
+            node = ControlNode(settings, network, self.registers[index], seeds=seeds or self.seeds)
             await network.listen(self.seeds[index])
             node.start()
             server = HttpServer(node.app, settings.listen.control_plane)
