--- a/emberring/standin/trial.py
+++ b/emberring/standin/trial.py
@@ -118,6 +118,7 @@
         if await self._tier.wait_up(self._tier.nodes, START_S) is None:
             raise NotReadyError(f"not every node came up ({self._first_log()})")
         await self._tier.wait_frontends(size.gateways, START_S)
+        self._say(f"EMBERRING_CONTROL={','.join(self._tier.controls())}")
         self._say(f"all nodes up after {loop.time() - began:.1f} s")
         return loop.time() - began
 
