--- a/emberring/store/disk.py
+++ b/emberring/store/disk.py
@@ -13,7 +13,7 @@
 from emberring.logs import get_logger
 from emberring.lots.placement import SHARDS
 from emberring.lots.replica import REFUSE_S, Replica
-from emberring.lots.replica_log import Logged, decode_entry
+from emberring.lots.replica_log import decode_entry
 from emberring.store.identity import create_identity, read_identity
 
 JOURNAL_FOLDER = "journal"
@@ -64,26 +64,16 @@
 
 
 def restore(records: list[JournalRecord], now_s: float) -> dict[int, Replica]:
-    """The replicas after these entries. The steady clock may have begun anew in between: what is certain of a
-    lot's age is what it was when written, and what passed since on clocks that ran on."""
+    """The replicas after these entries.
+
+    Guard: a lot is as old as its youngest record says. The steady clock begins anew, at any value, when a machine
+    does, so a difference between its times before and after a start says nothing of a lot's age.
+    """
     replicas = {shard: Replica(shard) for shard in range(SHARDS)}
-    entries = [(record.position.segment, decode_entry(record.payload)) for record in records]
-    left_s = _time_since([logged for _, logged in entries], now_s)
-    for (segment, logged), since_s in zip(entries, left_s, strict=True):
+    for record in records:
+        logged = decode_entry(record.payload)
         if logged.shard in replicas:
-            replicas[logged.shard].apply(now_s - since_s, logged.entry, segment)
+            replicas[logged.shard].apply(now_s, logged.entry, record.position.segment)
     for replica in replicas.values():
         replica.restored(now_s + REFUSE_S)
     return replicas
-
-
-def _time_since(entries: list[Logged], now_s: float) -> list[float]:
-    """For each entry, the seconds that have certainly passed since it was written."""
-    found: list[float] = []
-    passed, later_s = 0.0, now_s
-    for logged in reversed(entries):
-        passed += max(0.0, later_s - logged.clock_s)
-        later_s = logged.clock_s
-        found.append(passed)
-    found.reverse()
-    return found
--- /dev/null
+++ b/tests/emberring/store/test_tier_store_disk.py
@@ -0,0 +1,32 @@
+"""What a store finds on its disk: lots are no older than their records say, whatever the steady clock shows."""
+
+from __future__ import annotations
+
+import pytest
+
+from emberring.journal.layout import Position
+from emberring.journal.layout import Record as JournalRecord
+from emberring.lots.records import Record, Term
+from emberring.lots.replica_log import Written, encode_entry
+from emberring.store.disk import restore
+
+
+def journal_record(clock_s: float, age_ms: int) -> JournalRecord:
+    entry = Written(Term(1, 1, "a"), (Record("lot", 0, age_ms, b"x"),))
+    payload = encode_entry(3, clock_s, entry)
+    return JournalRecord(Position(0, 0, len(payload)), payload)
+
+
+@pytest.mark.parametrize(
+    ("written_s", "restored_s"),
+    [(100.0, 100.5), (100.0, 2.0), (100.0, 2_000_000.0), (-1.8e9, 5.0)],
+    ids=["same boot", "clock back to zero", "clock far ahead", "clock began below zero"],
+)
+def test_a_restart_makes_no_lot_older_than_its_record_says(written_s: float, restored_s: float) -> None:
+    replica = restore([journal_record(written_s, 700)], restored_s)[3]
+    assert replica.lots["lot"].accepted_s == pytest.approx(restored_s - 0.7)
+
+
+def test_the_youngest_record_tells_a_lots_age() -> None:
+    replica = restore([journal_record(100.0, 0), journal_record(104.0, 4000)], 50.0)[3]
+    assert replica.lots["lot"].accepted_s == pytest.approx(46.0)
