--- a/emberring/journal/ring.py
+++ b/emberring/journal/ring.py
@@ -72,6 +72,7 @@
         self._nonce = nonce
         self._used: dict[int, _Slot] = {}
         self._free: deque[_Slot] = deque()
+        self._files: list[File] = []
         self._names = 0
         self._tail: _Tail | None = None
         self._broken = False
@@ -82,7 +83,11 @@
     ) -> tuple[Ring, list[Record]]:
         """The ring in this folder with all its records in order; `CorruptRecordError` where synced ones are damaged."""
         ring = cls(folder, segment_bytes, max_bytes, nonce, reclaim_above)
-        return ring, ring._recover()
+        try:
+            return ring, ring._recover()
+        except BaseException:
+            ring.close()
+            raise
 
     def _recover(self) -> list[Record]:
         found: list[tuple[SegmentHeader, _Slot]] = []
@@ -91,6 +96,7 @@
                 continue
             self._names = max(self._names, int(name[len(NAME_PREFIX) :]) + 1)
             file = self._folder.open(name)
+            self._files.append(file)
             slot = _Slot(file, file.size())
             header = decode_segment_header(file.read(0, SEGMENT_HEADER_BYTES))
             if header is None:
@@ -147,7 +153,8 @@
     def commit(self, payloads: Sequence[bytes], reclaiming: bool = False) -> list[Position]:
         """Write records and sync them; returns the positions of those that the ring had room for, the first ones.
 
-        On `DiskFailedError` none counts, and `heal` must come before the next commit.
+        On `DiskFailedError` a start may find the first few of them or none, and `heal` must come before the next
+        commit.
         """
         if self._broken:
             raise DiskFailedError("the ring has not healed")
@@ -196,8 +203,8 @@
 
     def close(self) -> None:
         """Let go of all files."""
-        for slot in (*self._used.values(), *self._free):
-            slot.file.close()
+        for file in self._files:
+            file.close()
 
     def _make_room(self, needed: int, reclaiming: bool) -> bool:
         """Whether the newest segment has, or a new one was begun with, room for so many bytes."""
@@ -251,6 +258,7 @@
     def _create(self, size: int) -> _Slot:
         file = self._folder.create(f"{NAME_PREFIX}{self._names:06d}")
         self._names += 1
+        self._files.append(file)
         file.resize(size)
         file.sync()
         self._folder.sync()
--- a/emberring/lab/register_disk.py
+++ b/emberring/lab/register_disk.py
@@ -43,8 +43,7 @@
         """Nothing to let go of."""
 
     def _do(self, step: _Step) -> None:
-        if self.folder.refusing:
-            raise OSError("the disk refuses")
+        self.folder.check()
         self.folder.steps.append(step)
         step.apply(self.current)
 
@@ -78,6 +77,14 @@
         self.files: dict[str, SimulatedFile] = {}
         self.steps: list[_Step] = []
         self.refusing = False
+        self.refuse_after: int | None = None  # so many more steps; then it refuses
+
+    def check(self) -> None:
+        """Raise where the disk refuses."""
+        if self.refuse_after is not None:
+            self.refuse_after -= 1
+        if self.refusing or (self.refuse_after is not None and self.refuse_after < 0):
+            raise OSError("the disk refuses")
 
     def names(self) -> list[str]:
         """The names in it."""
@@ -89,8 +96,7 @@
 
     def create(self, name: str) -> SimulatedFile:
         """A new, empty file."""
-        if self.refusing:
-            raise OSError("the disk refuses")
+        self.check()
         self.files[name] = SimulatedFile(name, self)
         return self.files[name]
 
--- /dev/null
+++ b/tests/emberring/journal/test_tier_journal_ring.py
@@ -0,0 +1,228 @@
+"""The ring on a disk that loses power: what was committed is there, in order, and nothing else comes back."""
+
+from __future__ import annotations
+
+import random
+
+import pytest
+from hypothesis import HealthCheck, settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
+
+from emberring.errors import CorruptRecordError, DiskFailedError
+from emberring.journal.ring import Ring
+from emberring.lab.register_disk import SimulatedFolder
+
+SEGMENT = 512
+LIMIT = 16 * SEGMENT
+
+
+def open_ring(folder: SimulatedFolder, nonce: int = 1) -> tuple[Ring, list[bytes]]:
+    ring, records = Ring.open(folder, SEGMENT, LIMIT, nonce)
+    folder.settle()
+    return ring, [record.payload for record in records]
+
+
+def commit(ring: Ring, folder: SimulatedFolder, payloads: list[bytes]) -> None:
+    assert len(ring.commit(payloads)) == len(payloads)
+    folder.settle()
+
+
+def test_a_new_ring_is_empty_and_writes_little() -> None:
+    folder = SimulatedFolder()
+    ring, records = open_ring(folder)
+    assert records == []
+    assert ring.used_bytes == 0
+    commit(ring, folder, [b"first"])
+    assert ring.used_bytes == SEGMENT
+
+
+def test_records_over_many_segments_come_back_after_a_loss_of_power() -> None:
+    folder = SimulatedFolder()
+    ring, _ = open_ring(folder)
+    payloads = [f"record {number}".encode() * 5 for number in range(50)]
+    commit(ring, folder, payloads)
+    folder.lose_power(random.Random(1))
+    assert open_ring(folder, 2)[1] == payloads
+
+
+def test_a_record_longer_than_a_segment_gets_one_of_its_own() -> None:
+    folder = SimulatedFolder()
+    ring, _ = open_ring(folder)
+    payloads = [b"short", b"x" * 3000, b"short again"]
+    commit(ring, folder, payloads)
+    assert open_ring(folder, 2)[1] == payloads
+
+
+def test_positions_read_back() -> None:
+    folder = SimulatedFolder()
+    ring, _ = open_ring(folder)
+    payloads = [f"record {number}".encode() * 5 for number in range(50)]
+    positions = ring.commit(payloads)
+    assert [ring.read(position) for position in positions] == payloads
+
+
+def test_a_released_segment_is_used_again_and_its_records_are_gone() -> None:
+    folder = SimulatedFolder()
+    ring, _ = open_ring(folder)
+    first = ring.commit([b"a" * 400])[0]
+    ring.commit([b"b" * 400, b"c" * 400])
+    files = len(folder.files)
+    ring.release(0)
+    ring.commit([b"d" * 400])
+    folder.settle()
+    assert len(folder.files) == files
+    with pytest.raises(CorruptRecordError):
+        ring.read(first)
+    assert open_ring(folder, 2)[1] == [b"b" * 400, b"c" * 400, b"d" * 400]
+
+
+def test_only_the_oldest_may_be_released() -> None:
+    folder = SimulatedFolder()
+    ring, _ = open_ring(folder)
+    commit(ring, folder, [b"a" * 400, b"b" * 400, b"c" * 400])
+    with pytest.raises(ValueError, match="not the oldest"):
+        ring.release(1)
+
+
+def test_a_full_ring_takes_no_more_but_from_a_reclaim() -> None:
+    folder = SimulatedFolder()
+    ring, _ = open_ring(folder)
+    written = ring.commit([b"x" * 400] * 100)
+    assert len(written) == LIMIT // SEGMENT - 1
+    assert ring.crowded
+    assert ring.commit([b"y" * 400]) == []
+    assert len(ring.commit([b"z" * 400], reclaiming=True)) == 1
+
+
+def test_a_refusing_disk_fails_the_commit_and_heals_without_it() -> None:
+    folder = SimulatedFolder()
+    ring, _ = open_ring(folder)
+    commit(ring, folder, [b"before"])
+    folder.refusing = True
+    with pytest.raises(DiskFailedError):
+        ring.commit([b"never"])
+    with pytest.raises(DiskFailedError):
+        ring.heal()
+    folder.refusing = False
+    with pytest.raises(DiskFailedError):
+        ring.commit([b"not healed"])
+    ring.heal()
+    commit(ring, folder, [b"after"])
+    folder.lose_power(random.Random(3))
+    assert open_ring(folder, 2)[1] == [b"before", b"after"]
+
+
+def test_damage_to_what_was_synced_is_told() -> None:
+    folder = SimulatedFolder()
+    ring, _ = open_ring(folder)
+    commit(ring, folder, [b"a" * 400, b"b" * 400, b"c" * 400])
+    folder.files["ring-000001"].current[200] ^= 1
+    with pytest.raises(CorruptRecordError):
+        open_ring(folder, 2)
+
+
+def test_a_missing_segment_is_told() -> None:
+    folder = SimulatedFolder()
+    ring, _ = open_ring(folder)
+    commit(ring, folder, [b"a" * 400, b"b" * 400, b"c" * 400])
+    del folder.files["ring-000001"]
+    with pytest.raises(CorruptRecordError):
+        open_ring(folder, 2)
+
+
+class RingOnADisk(RuleBasedStateMachine):
+    """Commits, kills, losses of power, refusals and releases in any order, against lists."""
+
+    @initialize(seed=st.integers(0, 2**32))
+    def begin(self, seed: int) -> None:
+        self.rng = random.Random(seed)
+        self.folder = SimulatedFolder()
+        self.ring, _ = open_ring(self.folder)
+        self.kept: list[tuple[int, bytes]] = []  # segment and payload
+        self.released: list[tuple[int, bytes]] = []
+        self.number = 0
+
+    def fresh(self, sizes: list[int]) -> list[bytes]:
+        payloads = []
+        for size in sizes:
+            self.number += 1
+            payloads.append(f"{self.number}:".encode() + b"." * size)
+        return payloads
+
+    def restart(self, power: bool, under_way: list[bytes], after: tuple[bytes, ...] = ()) -> None:
+        """What was kept is there: behind released segments not used again, before a beginning of what was under way
+        and all of what was written after that."""
+        if power:
+            self.folder.lose_power(self.rng)
+        else:
+            self.folder.kill(self.rng)
+        self.ring, records = Ring.open(self.folder, SEGMENT, LIMIT, self.rng.getrandbits(32))
+        self.folder.settle()
+        found = [(record.position.segment, record.payload) for record in records]
+        first = found[0][0] if found else 0
+        old = [item for item in self.released if item[0] >= first] if self.kept or found else []
+        expected = [*old, *self.kept]
+        assert found[: len(expected)] == expected
+        more = [payload for _, payload in found[len(expected) :]]
+        count = len(more) - len(after)
+        assert more == [*under_way[:count], *after]
+        self.kept, self.released = found, []
+
+    @rule(sizes=st.lists(st.integers(0, 700), min_size=1, max_size=5))
+    def append(self, sizes: list[int]) -> None:
+        payloads = self.fresh(sizes)
+        positions = self.ring.commit(payloads)
+        self.folder.settle()
+        self.kept += [(place.segment, payload) for place, payload in zip(positions, payloads, strict=False)]
+
+    @rule(sizes=st.lists(st.integers(0, 700), max_size=5), power=st.booleans())
+    def die(self, sizes: list[int], power: bool) -> None:
+        payloads = self.fresh(sizes)
+        written = self.ring.commit(payloads)
+        self.restart(power, payloads[: len(written)])
+
+    @rule(
+        sizes=st.lists(st.integers(0, 700), min_size=1, max_size=3), power=st.booleans(), heals=st.booleans()
+    )
+    def refuse(self, sizes: list[int], power: bool, heals: bool) -> None:
+        """Within the commit the disk begins to refuse: a part is written and not synced."""
+        payloads = self.fresh(sizes)
+        self.folder.refuse_after = self.rng.randrange(4)
+        try:
+            positions = self.ring.commit(payloads)
+        except DiskFailedError:
+            self.folder.refuse_after = None
+            after: tuple[bytes, ...] = ()
+            if heals:
+                self.ring.heal()
+                after = tuple(self.fresh([5]))
+                assert len(self.ring.commit(after, reclaiming=True)) == 1
+                self.folder.settle()
+            self.restart(power, payloads, after)
+        else:
+            self.folder.refuse_after = None
+            self.folder.settle()
+            self.kept += [
+                (place.segment, payload) for place, payload in zip(positions, payloads, strict=False)
+            ]
+
+    @rule()
+    def release(self) -> None:
+        oldest = self.ring.oldest
+        if oldest is None:
+            return
+        self.ring.release(oldest)
+        self.released += [item for item in self.kept if item[0] == oldest]
+        self.kept = [item for item in self.kept if item[0] != oldest]
+
+    @invariant()
+    def files_are_bounded(self) -> None:
+        if hasattr(self, "ring"):
+            assert self.ring.used_bytes <= LIMIT + 2 * SEGMENT
+
+
+RingOnADisk.TestCase.settings = settings(
+    max_examples=40, stateful_step_count=25, deadline=None, suppress_health_check=list(HealthCheck)
+)
+TestRingOnADisk = RingOnADisk.TestCase
