--- a/emberring/logs.py
+++ b/emberring/logs.py
@@ -7,7 +7,8 @@
 
 import picologging
 
-FORMAT = "%(asctime)s %(levelname)s %(name)s %(message)s"
+# Guard: the library's own form of the time of day prints garbage in this version; seconds of the epoch are right.
+FORMAT = "time=%(created)f level=%(levelname)s part=%(name)s"
 ROOT = "emberring"
 
 
@@ -19,7 +20,7 @@
 def set_up(level: str, node: str) -> None:
     """Send what is of this level or above to standard error, with the node's name in each line."""
     handler = picologging.StreamHandler(sys.stderr)
-    handler.setFormatter(picologging.Formatter(f"{FORMAT} node={node}"))
+    handler.setFormatter(picologging.Formatter(f"{FORMAT} node={node} %(message)s"))
     root = picologging.getLogger()
     root.handlers = [handler]
     root.setLevel(getattr(picologging, level.upper(), picologging.INFO))
