--- /dev/null
+++ b/emberring/lab/lots_bugs.py
@@ -0,0 +1,77 @@
+"""Known mistakes to seed into the simulated stores, so that the checks can be shown to find them."""
+
+from __future__ import annotations
+
+import contextlib
+from collections.abc import Iterator
+from unittest import mock
+
+import attrs
+
+from emberring.lots import adoption, merge, owner, replication
+from emberring.lots.messages import Lease, LeaseAnswer, WriteSlots
+from emberring.lots.owner import ShardOwner
+from emberring.lots.placement import Group, quorum
+from emberring.lots.records import NO_TERM
+from emberring.lots.replica import Action, Replica
+
+
+@attrs.frozen
+class Bugs:
+    """`tokenless`: replicas take writes and touches of any term. `shows_early`: results are shown before they last.
+    `unsynced`: replicas confirm before the disk has. `keeps_identity`: a lost disk's identity lives on.
+    `doubles`: a new owner keeps one item at two positions. `single_quorum`: a change of the group needs the next
+    members alone. `endless_lease`: an owner trusts its lease for ever."""
+
+    tokenless: bool = False
+    shows_early: bool = False
+    unsynced: bool = False
+    keeps_identity: bool = False
+    doubles: bool = False
+    single_quorum: bool = False
+    endless_lease: bool = False
+
+
+class _TokenlessReplica(Replica):
+    """Whoever writes or touches is believed, whatever was promised."""
+
+    def _on_write(self, now_s: float, call: int, message: WriteSlots) -> list[Action]:
+        promised, self.promised = self.promised, NO_TERM
+        actions = super()._on_write(now_s, call, message)
+        self.promised = max(promised, self.promised)
+        return actions
+
+    def touch(self, now_s: float, lease: Lease) -> tuple[LeaseAnswer, list[Action]]:
+        return LeaseAnswer(self.shard, True, lease.term, self.digest), []
+
+
+class _EndlessOwner(ShardOwner):
+    def serving(self, now_s: float) -> bool:
+        return super().serving(now_s) or (self._announced and self.group is not None)
+
+
+def make_replica(bugs: Bugs, shard: int) -> Replica:
+    """A replica, with its mistake if it has one."""
+    return _TokenlessReplica(shard) if bugs.tokenless else Replica(shard)
+
+
+def make_owner(bugs: Bugs, me: str, replica: Replica, seed: int) -> ShardOwner:
+    """An owner, with its mistake if it has one."""
+    return _EndlessOwner(me, replica, seed) if bugs.endless_lease else ShardOwner(me, replica, seed)
+
+
+def _quorum_of_the_next(group: Group, identities: set[str]) -> bool:
+    members = group.joining or group.members
+    return len(identities.intersection(members)) >= quorum(members)
+
+
+@contextlib.contextmanager
+def seeded(bugs: Bugs) -> Iterator[None]:
+    """The mistakes that sit in functions, for as long as this lasts."""
+    with contextlib.ExitStack() as stack:
+        if bugs.doubles:
+            stack.enter_context(mock.patch.object(adoption, "misplaced", return_value=set()))
+        if bugs.single_quorum:
+            for module in (merge, owner, replication):
+                stack.enter_context(mock.patch.object(module, "has_quorum", _quorum_of_the_next))
+        yield
--- /dev/null
+++ b/emberring/lab/lots_client.py
@@ -0,0 +1,123 @@
+"""Simulated clients of lots: they hand in, try again, read on and back, and end some lots early."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any
+
+import orjson
+
+from emberring.errors import NotFoundError
+from emberring.lab.lots_gateway import GatewayMachine
+from emberring.lab.lots_history import History, ItemTruth, LotTruth, Try
+from emberring.lab.lots_store import is_error
+from emberring.lab.lots_world import World
+from emberring.lots.calls import EndLot, LotPage, LotTerms, ReadLot, SubmitLot
+
+HOST = "lots.example"
+MAX_TOKENS = 400
+MAX_ATTEMPTS = 2
+RETENTION_S = 60.0
+TERMS = LotTerms("r-lots", "/batch/", 1, 4000.0, RETENTION_S, MAX_ATTEMPTS, MAX_TOKENS)
+MOST_TRIES = 5
+
+
+class Clients:
+    """All clients. `on_taken` is told of each 202."""
+
+    def __init__(self, world: World, history: History, gateways: list[GatewayMachine]) -> None:
+        self.world = world
+        self.history = history
+        self.gateways = gateways
+        self.on_taken: Callable[[], None] = lambda: None
+        self.on_shown: Callable[[], None] = lambda: None
+        self.ending = False
+
+    def hand_in(self) -> None:
+        """A new lot."""
+        rng = self.world.rng
+        lot_id = f"lot{len(self.history.lots)}"
+        items = {
+            f"{lot_id}-{number}": ItemTruth(rng.randint(5, 15), rng.randint(1, 5), rng.random() < 0.04)
+            for number in range(rng.randint(1, 12))
+        }
+        lot = LotTruth(lot_id, items, self.world.now_s)
+        self.history.sent(self.world.now_s, lot)
+        listed = [
+            {"Id": name, "Path": "/batch/x", "Headers": {}, "Body": "", "Tokens": item.tokens}
+            for name, item in items.items()
+        ]
+        self._try(lot, SubmitLot(HOST, lot_id, TERMS, orjson.dumps({"Requests": listed})))
+
+    def _gateway(self) -> GatewayMachine:
+        running = [gateway for gateway in self.gateways if gateway.running] or self.gateways
+        return self.world.rng.choice(running)
+
+    def _try(self, lot: LotTruth, message: SubmitLot) -> None:
+        gateway = self._gateway()
+        over = [False]
+
+        def done(how: Try) -> None:
+            if over[0]:
+                return
+            over[0] = True
+            self.history.tried(self.world.now_s, lot, how)
+            if how is Try.TAKEN:
+                self.on_taken()
+                self._follow(lot)
+            elif len(lot.tries) < MOST_TRIES and not self.ending:
+                self.world.after(0.1 + self.world.rng.random() * 0.5, self._try, lot, message)
+
+        self.world.after(3.5, done, Try.UNCLEAR)  # the gateway died or froze
+        gateway.when_awake(gateway.life, gateway.submit, message, done)
+
+    def _follow(self, lot: LotTruth) -> None:
+        self.world.after(0.2, self._read_on, lot)
+        if self.world.rng.random() < 0.2:
+            self.world.after(self.world.rng.random() * 2.0, self._end, lot)
+
+    def _read_on(self, lot: LotTruth) -> None:
+        whole = len(lot.shown) == len(lot.items)
+        back = self.world.rng.random() < 0.2
+        start = self.world.rng.randint(0, len(lot.shown)) if back or whole else len(lot.shown)
+        self.read(lot, start, 400)
+        if not self.ending:
+            self.world.after(0.3 + self.world.rng.random() * 0.5, self._read_on, lot)
+
+    def read(self, lot: LotTruth, start: int, wait_ms: int) -> None:
+        """Read a page; what was listed when the question left must be in the answer."""
+        gateway, asked_s = self._gateway(), self.world.now_s
+        known = dict(lot.shown)
+
+        def done(body: Any, doubt: bool) -> None:
+            if isinstance(body, NotFoundError):
+                self.history.not_found(self.world.now_s, lot, asked_s)
+            elif isinstance(body, LotPage) and (start in known or orjson.loads(body.body)["Results"]):
+                self.history.read(self.world.now_s, lot, start, body.body)
+                if len(lot.shown) > len(known):
+                    self.on_shown()
+
+        message = ReadLot(HOST, lot.id, start, wait_ms)
+        limit_s = wait_ms / 1000 + 1.1
+        gateway.when_awake(gateway.life, gateway.ask, message, limit_s, wait_ms / 1000 + 0.8, done)
+
+    def _end(self, lot: LotTruth) -> None:
+        if lot.end_asked_s is None:
+            lot.end_asked_s = self.world.now_s
+        gateway = self._gateway()
+        over = [False]
+
+        def done(body: Any, doubt: bool) -> None:
+            if over[0]:
+                return
+            over[0] = True
+            if isinstance(body, NotFoundError):
+                self.history.not_found(self.world.now_s, lot, self.world.now_s)
+            elif body is not None and not is_error(body):
+                if lot.end_acked_s is None:
+                    lot.end_acked_s = self.world.now_s
+            else:
+                self.world.after(0.3, self._end, lot)
+
+        self.world.after(4.0, done, None, True)
+        gateway.when_awake(gateway.life, gateway.ask, EndLot(HOST, lot.id), 2.8, 0.8, done)
--- /dev/null
+++ b/emberring/lab/lots_simulator.py
@@ -0,0 +1,476 @@
+"""The check of lots: schedules of troubles from a seed, played in a simulated world, what was seen judged.
+
+`check_lots(first_seed, seeds)` plays many; `shorten` makes a failing schedule as short as it gets.
+"""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable, Iterator
+from enum import Enum
+
+import attrs
+
+from emberring.distribution.facts import NodeFact, NodeRole
+from emberring.errors import ConflictError, NotFoundError
+from emberring.lab.lots_bugs import Bugs, seeded
+from emberring.lab.lots_client import HOST, MAX_ATTEMPTS, MAX_TOKENS, RETENTION_S, Clients
+from emberring.lab.lots_gateway import GatewayMachine
+from emberring.lab.lots_history import History
+from emberring.lab.lots_store import SYNC_S, StoreMachine
+from emberring.lab.lots_world import Weather, World
+from emberring.lots.placement import (
+    Placement,
+    PlanMemory,
+    begin_retire,
+    finish_move,
+    plan,
+    retire_state,
+    shard_of,
+)
+
+TROUBLE_S = 14.0
+CALM_S = 9.0
+LAST_READS_S = 2.0
+CATCH_UP_S = 4.9
+PLAN_S = 0.3
+SILENT_S = 0.6  # a store not heard of for so long counts as absent
+MOST_TROUBLES = 7
+MOST_LOTS = 30
+
+
+class Kind(Enum):
+    """What may happen."""
+
+    LOT = "lot"
+    KILL = "kill"
+    POWER = "power"
+    KILL_ALL = "kill_all"
+    POWER_ALL = "power_all"
+    WIPE = "wipe"
+    REPLACE = "replace"
+    POWER_AFTER_ACK = "power_after_ack"
+    POWER_AFTER_READ = "power_after_read"
+    OWNER_POWER_AFTER_READ = "owner_power_after_read"
+    WIPE_AFTER_ACK = "wipe_after_ack"
+    WIPE_ONE_POWER_REST = "wipe_one_power_rest"
+    FREEZE = "freeze"
+    CUT_OFF = "cut_off"
+    CUT_LINK = "cut_link"
+    SLOW_DISK = "slow_disk"
+    REFUSING_DISK = "refusing_disk"
+    WEATHER = "weather"
+    ADD = "add"
+    RETIRE = "retire"
+    TERM = "term"
+    GATEWAY_KILL = "gateway_kill"
+    GATEWAY_FREEZE = "gateway_freeze"
+    GATEWAY_CUT = "gateway_cut"
+
+
+_TROUBLES = tuple(kind for kind in Kind if kind is not Kind.LOT)
+
+
+@attrs.frozen
+class Step:
+    """Something that happens at a time (s); `slot` picks the machine, `lasts_s` is how long it goes on."""
+
+    at_s: float
+    kind: Kind
+    slot: int = 0
+    lasts_s: float = 0.0
+
+    def __str__(self) -> str:
+        return f"{self.at_s:6.3f} s  {self.kind.value:<20} machine {self.slot}  for {self.lasts_s:.3f} s"
+
+
+@attrs.frozen
+class Schedule:
+    """A seed, from which all chance in the world comes, and what happens."""
+
+    seed: int
+    stores: int
+    steps: tuple[Step, ...]
+
+
+@attrs.frozen
+class Verdict:
+    """What was wrong with a schedule (empty: nothing), and how much happened in it."""
+
+    schedule: Schedule
+    mistakes: tuple[str, ...]
+    taken: int = 0
+    listed: int = 0
+    runs: int = 0
+    events: int = 0
+
+
+def make_schedule(seed: int) -> Schedule:
+    """The schedule of a seed."""
+    rng = random.Random(f"lots {seed}")
+    steps = []
+    for _ in range(rng.randint(1, MOST_TROUBLES)):
+        kind = rng.choice(_TROUBLES)
+        steps.append(
+            Step(1.0 + rng.random() * TROUBLE_S, kind, rng.randrange(6), 0.1 + rng.random() ** 2 * 3.5)
+        )
+    for _ in range(rng.randint(4, MOST_LOTS)):
+        steps.append(Step(0.8 + rng.random() * TROUBLE_S, Kind.LOT))
+    return Schedule(seed, rng.choice((3, 3, 4)), tuple(sorted(steps, key=lambda step: step.at_s)))
+
+
+class _Play:
+    """One schedule in one world."""
+
+    def __init__(self, schedule: Schedule, bugs: Bugs) -> None:
+        self.schedule = schedule
+        self.bugs = bugs
+        self.world = World(schedule.seed)
+        self.history = History(MAX_TOKENS, MAX_ATTEMPTS, RETENTION_S)
+        self.shard = shard_of(HOST)
+        self.stores: dict[str, StoreMachine] = {}
+        self.gone: set[str] = set()
+        self.placement: Placement | None = None
+        self.memory = PlanMemory()
+        self.ended = False
+        self.retiring = ""
+        self._heard: dict[str, float] = {}
+        self._trouble_until: dict[str, float] = {}
+        self._after_ack: list[Callable[[], None]] = []
+        self._after_read: list[Callable[[], None]] = []
+        self.world.weather = self._usual_weather()
+        for number in range(schedule.stores):
+            self._add(f"store-{number}").start()
+        self.gateways = [
+            GatewayMachine(self.world, self.history, f"gateway-{number}", self.shard, self.stores)
+            for number in range(2)
+        ]
+        self.clients = Clients(self.world, self.history, self.gateways)
+        self.clients.on_taken = self._taken
+        self.clients.on_shown = self._shown
+
+    def run(self) -> Verdict:
+        """Play it; the verdict."""
+        world = self.world
+        self._control()
+        for step in self.schedule.steps:
+            world.at(step.at_s, self._do, step)
+        world.run(TROUBLE_S + 2.0)
+        self._mend()
+        world.run(world.now_s + CALM_S)
+        self._read_last()
+        self.history.finish(world.now_s)
+        self._check_stores()
+        lots = self.history.lots.values()
+        return Verdict(
+            self.schedule,
+            tuple(self.history.mistakes),
+            sum(1 for lot in lots if lot.taken_s is not None),
+            sum(len(lot.shown) for lot in lots),
+            len(self.history.runs),
+            world.handled,
+        )
+
+    # The control plane, which is taken to work.
+
+    def _control(self) -> None:
+        now_s = self.world.now_s
+        for name, store in self.stores.items():
+            if store.running and now_s >= store.thaw_at_s and name not in self.world.cut:
+                self._heard[name] = now_s
+        live = [
+            NodeFact(name, NodeRole.STORE, name, "", store.identity, leaving=store.leaving)
+            for name, store in self.stores.items()
+            if now_s - self._heard.get(name, -9.0) < SILENT_S and name not in self.gone
+        ]
+        planned = plan(self.placement, live, now_s, 1, self.memory)
+        for group in planned.groups if planned else ():
+            if planned is not None and group.shard != self.shard:  # those hold nothing here
+                planned = finish_move(planned, group.shard, group.epoch)
+        self._adopt(planned)
+        self._remove_emptied()
+        self.world.after(PLAN_S, self._control)
+
+    def _remove_emptied(self) -> None:
+        """A store that is emptied goes at once, its disk with it."""
+        if self.retiring and self.retiring not in self.gone and self._emptied():
+            self.stores[self.retiring].wipe()
+            self.gone.add(self.retiring)
+
+    def _emptied(self) -> bool:
+        try:
+            return retire_state(self.placement, self.retiring) == "completed"
+        except NotFoundError:
+            return False
+
+    def _adopt(self, placement: Placement | None) -> None:
+        if placement is None:
+            return
+        changed = placement != self.placement
+        self.placement = placement
+        for name, store in self.stores.items():
+            if (changed or store.placement != placement) and name not in self.world.cut:
+                self.world.after(self.world.rng.random() * 0.3, self._tell, store, placement)
+
+    def _tell(self, store: StoreMachine, placement: Placement) -> None:
+        if store.name not in self.world.cut and store.running:
+            store.when_awake(store.life, store.learn, placement)
+
+    def _moved(self, name: str, shard: int, epoch: int) -> None:
+        self.world.send(name, "control", self._finish_move, shard, epoch)
+
+    def _finish_move(self, shard: int, epoch: int) -> None:
+        if self.placement is not None:
+            self._adopt(finish_move(self.placement, shard, epoch))
+
+    # The end.
+
+    def _mend(self) -> None:
+        self.ended = True
+        self._after_ack.clear()
+        self._after_read.clear()
+        self.world.weather = Weather()
+        self.world.cut.clear()
+        self.world.cut_links.clear()
+        for store in self._present():
+            store.disk.refusing, store.disk.sync_s = False, SYNC_S
+            store.disk.usual_sync_s = SYNC_S
+            store.thaw_at_s = min(store.thaw_at_s, self.world.now_s)
+            if store.leaving:
+                store.kill()
+            store.start()
+        for gateway in self.gateways:
+            gateway.thaw_at_s = min(gateway.thaw_at_s, self.world.now_s)
+
+    def _read_last(self) -> None:
+        self.clients.ending = True
+        for lot in self.history.lots.values():
+            if lot.taken_s is not None:
+                for position in range(len(lot.shown) + 1):
+                    self.clients.read(lot, position, 0)
+        self.world.run(self.world.now_s + LAST_READS_S)
+
+    def _check_stores(self) -> None:
+        """The group is whole, and all its replicas hold the same."""
+        now_s = self.world.now_s
+        if self.placement is None:
+            self.history.wrong(now_s, "no table")
+            return
+        group = self.placement.groups[self.shard]
+        if group.joining:
+            self.history.wrong(now_s, f"a move has not ended: {group}")
+        digests = {}
+        for store in self._present():
+            if store.identity in group.members:
+                digests[store.identity] = store.replica.digest
+        if set(digests) != set(group.members) or len(set(digests.values())) != 1:
+            self.history.wrong(now_s, f"replicas differ: {digests} of {group.members}")
+        if self.retiring and not self._emptied():
+            self.history.wrong(now_s, f"{self.retiring} is not emptied")
+
+    # Troubles.
+
+    def _add(self, name: str) -> StoreMachine:
+        store = StoreMachine(self.world, self.shard, name, self.bugs)
+        store.machines = self.stores
+        store.on_moved = self._moved
+        self.stores[name] = store
+        return store
+
+    def _present(self) -> list[StoreMachine]:
+        return [store for name, store in self.stores.items() if name not in self.gone]
+
+    def _taken(self) -> None:
+        waiting, self._after_ack = self._after_ack, []
+        for work in waiting:
+            work()
+
+    def _shown(self) -> None:
+        waiting, self._after_read = self._after_read, []
+        for work in waiting:
+            work()
+
+    def _usual_weather(self) -> Weather:
+        """Some worlds have slow links, and some lose calls now and then."""
+        rng = random.Random(f"weather {self.schedule.seed}")
+        return Weather(rng.choice((0.0, 0.0, 0.01, 0.03)), 0.002 * 20 ** rng.random())
+
+    def _owner_loses_power(self, lasts_s: float) -> None:
+        now_s = self.world.now_s
+        for found in self._present():
+            if found.running and found.owner.serving(now_s):
+                self._down(found, found.lose_power, lasts_s)
+
+    def _may_lose(self, store: StoreMachine) -> bool:
+        """Whether the loss of this disk is within what must be borne: all others were well for a while."""
+        now_s = self.world.now_s
+        if self.placement is None or self.ended:
+            return False
+        well = all(
+            other.running and self._trouble_until.get(other.name, 0.0) + CATCH_UP_S <= now_s
+            for other in self._present()
+        )
+        return well and not self.placement.groups[self.shard].joining
+
+    def _trouble(self, store: StoreMachine, lasts_s: float) -> None:
+        until_s = self.world.now_s + lasts_s
+        self._trouble_until[store.name] = max(until_s, self._trouble_until.get(store.name, 0.0))
+
+    def _down(self, store: StoreMachine, how: Callable[[], None], lasts_s: float) -> None:
+        self._trouble(store, lasts_s)
+        how()
+        self.world.after(lasts_s, self._up, store)
+
+    def _up(self, store: StoreMachine) -> None:
+        if store.name not in self.gone:
+            store.start()
+
+    def _do(self, step: Step) -> None:
+        if self.ended:
+            return
+        present = self._present()
+        store = present[step.slot % len(present)]
+        gateway = self.gateways[step.slot % len(self.gateways)]
+        match step.kind:
+            case Kind.LOT:
+                self.clients.hand_in()
+            case Kind.KILL:
+                self._down(store, store.kill, step.lasts_s)
+            case Kind.POWER:
+                self._down(store, store.lose_power, step.lasts_s)
+            case Kind.KILL_ALL:
+                for found in present:
+                    self._down(found, found.kill, step.lasts_s * self.world.rng.random())
+            case Kind.POWER_ALL:
+                for found in present:
+                    self._down(found, found.lose_power, step.lasts_s * self.world.rng.random())
+            case Kind.WIPE:
+                self._wipe(store, step.lasts_s)
+            case Kind.REPLACE:
+                self._replace(store, step.lasts_s)
+            case Kind.POWER_AFTER_ACK:
+                self._after_ack.append(lambda: self._power_all(step.lasts_s))
+            case Kind.POWER_AFTER_READ:
+                self._after_read.append(lambda: self._power_all(step.lasts_s))
+            case Kind.OWNER_POWER_AFTER_READ:
+                self._after_read.append(lambda: self._owner_loses_power(step.lasts_s))
+            case Kind.WIPE_AFTER_ACK:
+                self._after_ack.append(lambda: self._wipe(store, step.lasts_s))
+            case Kind.WIPE_ONE_POWER_REST:
+                self._after_ack.append(lambda: self._wipe_one_power_rest(store, step.lasts_s))
+            case Kind.GATEWAY_KILL:
+                gateway.kill(step.lasts_s)
+            case Kind.GATEWAY_FREEZE:
+                gateway.thaw_at_s = self.world.now_s + step.lasts_s
+            case Kind.GATEWAY_CUT:
+                self.world.cut.add(gateway.name)
+                self.world.after(step.lasts_s, self.world.cut.discard, gateway.name)
+            case _:
+                self._disturb(store, step)
+
+    def _disturb(self, store: StoreMachine, step: Step) -> None:
+        world = self.world
+        self._trouble(store, step.lasts_s)
+        match step.kind:
+            case Kind.FREEZE:
+                store.thaw_at_s = world.now_s + step.lasts_s
+            case Kind.CUT_OFF:
+                world.cut.add(store.name)
+                world.after(step.lasts_s, world.cut.discard, store.name)
+            case Kind.CUT_LINK:
+                others = [found for found in self._present() if found is not store]
+                link = frozenset((store.name, world.rng.choice(others).name))
+                world.cut_links.add(link)
+                world.after(step.lasts_s, world.cut_links.discard, link)
+            case Kind.SLOW_DISK:
+                store.disk.sync_s = step.lasts_s
+                world.after(step.lasts_s, setattr, store.disk, "sync_s", store.disk.usual_sync_s)
+            case Kind.REFUSING_DISK:
+                store.disk.refusing = True
+                world.after(step.lasts_s, setattr, store.disk, "refusing", False)
+            case Kind.WEATHER:
+                for other in self._present():
+                    self._trouble(other, step.lasts_s)
+                world.weather = Weather(0.1, step.lasts_s * 0.2)
+                world.after(step.lasts_s, setattr, world, "weather", self._usual_weather())
+            case Kind.ADD:
+                self._add(f"store-new-{len(self.stores)}").start()
+            case Kind.TERM:
+                store.leaving = True
+                world.after(0.8, self._down, store, store.kill, step.lasts_s)
+            case Kind.RETIRE:
+                self._retire(store)
+
+    def _retire(self, store: StoreMachine) -> None:
+        live = [
+            NodeFact(found.name, NodeRole.STORE, found.name, "", found.identity)
+            for found in self._present()
+            if found.running
+        ]
+        if self.placement is None or self.retiring:
+            return
+        try:
+            self._adopt(begin_retire(self.placement, store.name, live))
+            self.retiring = store.name
+        except (ConflictError, NotFoundError):
+            pass
+
+    def _power_all(self, lasts_s: float) -> None:
+        for found in self._present():
+            self._down(found, found.lose_power, lasts_s * self.world.rng.random())
+
+    def _wipe(self, store: StoreMachine, lasts_s: float) -> None:
+        if store.name not in self.gone and self._may_lose(store):
+            self._down(store, store.wipe, lasts_s)
+
+    def _wipe_one_power_rest(self, store: StoreMachine, lasts_s: float) -> None:
+        if store.name in self.gone or not self._may_lose(store):
+            return
+        for found in self._present():
+            how = found.wipe if found is store else found.lose_power
+            self._down(found, how, lasts_s * self.world.rng.random())
+
+    def _replace(self, store: StoreMachine, lasts_s: float) -> None:
+        """The machine goes for good, its disk with it; an empty one comes at another address."""
+        if store.name == self.retiring or not self._may_lose(store):
+            return
+        self._trouble(store, lasts_s)
+        store.wipe()
+        self.gone.add(store.name)
+        self.world.after(lasts_s, self._add(f"store-new-{len(self.stores)}").start)
+
+
+def play(schedule: Schedule, bugs: Bugs | None = None) -> Verdict:
+    """Play a schedule; the same one always gives the same verdict."""
+    with seeded(bugs or Bugs()):
+        return _Play(schedule, bugs or Bugs()).run()
+
+
+def shorten(verdict: Verdict, bugs: Bugs | None = None) -> Verdict:
+    """The verdict of a schedule that fails with as few of this one's steps as leaving them out one by one gives."""
+    best = verdict
+    shorter = True
+    while shorter:
+        shorter = False
+        for index in range(len(best.schedule.steps) - 1, -1, -1):
+            steps = best.schedule.steps[:index] + best.schedule.steps[index + 1 :]
+            trial = play(attrs.evolve(best.schedule, steps=steps), bugs)
+            if trial.mistakes:
+                best, shorter = trial, True
+    return best
+
+
+def check_lots(first_seed: int, seeds: int, bugs: Bugs | None = None) -> Iterator[Verdict]:
+    """Play the schedules of so many seeds; the verdicts as they come. The caller shortens the failing ones."""
+    for seed in range(first_seed, first_seed + seeds):
+        yield play(make_schedule(seed), bugs)
+
+
+def describe(verdict: Verdict) -> str:
+    """A failing schedule for a person: its seed, its steps, what was wrong."""
+    lines = [
+        f"seed {verdict.schedule.seed}: {verdict.schedule.stores} stores, {len(verdict.schedule.steps)} steps"
+    ]
+    lines += [f"  {step}" for step in verdict.schedule.steps]
+    lines += [f"  wrong: {mistake}" for mistake in verdict.mistakes]
+    return "\n".join(lines)
--- /dev/null
+++ b/tests/emberring/lab/test_tier_lots_simulator.py
@@ -0,0 +1,27 @@
+"""The simulator of lots: ordinary schedules are clean, seeded mistakes are found."""
+
+from __future__ import annotations
+
+import pytest
+
+from emberring.lab.lots_bugs import Bugs
+from emberring.lab.lots_simulator import check_lots, describe, make_schedule, play
+
+
+def test_schedules_are_clean_and_something_happens_in_them() -> None:
+    verdicts = list(check_lots(1000, 12))
+    assert not [describe(verdict) for verdict in verdicts if verdict.mistakes]
+    assert sum(verdict.listed for verdict in verdicts) > 300
+
+
+def test_the_same_seed_gives_the_same_play() -> None:
+    assert play(make_schedule(7)) == play(make_schedule(7))
+
+
+@pytest.mark.parametrize(
+    ("bugs", "first_seed"),
+    [(Bugs(tokenless=True), 0), (Bugs(shows_early=True), 0), (Bugs(unsynced=True), 0)],
+    ids=["tokenless", "shows_early", "unsynced"],
+)
+def test_a_seeded_mistake_is_found(bugs: Bugs, first_seed: int) -> None:
+    assert any(verdict.mistakes for verdict in check_lots(first_seed, 120, bugs))
