--- a/emberring/cli/check_commands.py
+++ b/emberring/cli/check_commands.py
@@ -72,6 +72,16 @@
     _tell(report_store(directory), as_json)
 
 
+@app.command(epilog=EXIT_CODES_TEXT)
+def lots(
+    seeds: SeedsOption = 100, first: FirstOption = 1, show: ShownOption = 3, as_json: JsonOption = False
+) -> None:
+    """Play lots on stores in a simulator with seeded schedules of troubles."""
+    from emberring.lab.lots_simulator import check_lots, describe, shorten
+
+    run_check("lots", check_lots(first, seeds), shorten, describe, show, as_json)
+
+
 def _tell(report: DiskReport, as_json: bool) -> None:
     if as_json:
         print_json(attrs.asdict(report))
--- a/tests/emberring/cli/test_tier_check_disk.py
+++ b/tests/emberring/cli/test_tier_check_disk.py
@@ -232,6 +232,7 @@
     assert found["Shortest"] == ["schedule of 3", "schedule of 5"]
 
 
-def test_the_registers_simulator_plays_from_the_command_line(capsys):
-    assert main(["check", "register", "--seeds", "2", "--first", "7", "--json"]) == 0
+@pytest.mark.parametrize("what", ["register", "lots"])
+def test_a_simulator_plays_from_the_command_line(what, capsys):
+    assert main(["check", what, "--seeds", "2", "--first", "7", "--json"]) == 0
     assert json.loads(capsys.readouterr().out)["Schedules"] == 2
--- a/tests/emberring/cli/test_tier_cli.py
+++ b/tests/emberring/cli/test_tier_cli.py
@@ -52,6 +52,7 @@
         ["check", "settings"],
         ["check", "register"],
         ["check", "store"],
+        ["check", "lots"],
         ["retire"],
         ["status"],
         ["nodes"],
