Admission ranks by the first event's delay: prompts ahead, parts kept, places, silence

The thin pick went by fill alone and sent calls to servers that were reading long prompts. Now the pick goes to the least delay of the first event that this gateway can foresee, homes of large parts held to keep them; a cursor table per service moves by waits over their quiet baseline; failed, silent, cold and unknown servers are paced.

--- /dev/null
+++ b/emberring/admission/pool.py
@@ -0,0 +1,231 @@
+"""The servers of one service with the cursor table over them: the decision for each call."""
+
+from __future__ import annotations
+
+import math
+from random import Random
+
+from emberring.admission import pacing
+from emberring.admission.affinity import by_affinity, home_key
+from emberring.admission.load import LoadMeter
+from emberring.admission.pace import Pace
+from emberring.admission.ranking import cost_ms, expected_wait_ms, tokens_to_read
+from emberring.admission.server import Placed, ServerView
+from emberring.admission.table import CursorTable
+from emberring.admission.types import (
+    AdmissionSettings,
+    Admitted,
+    CallInfo,
+    CallOutcome,
+    Decision,
+    NoServer,
+    Refused,
+)
+from emberring.distribution.facts import ServerState
+
+NEVER_REFUSED = 0.6  # share of the places under which no live call is refused
+MOST_PERIODS = 50  # that are made up for after a silence
+RETRY_LEAST_S, RETRY_MOST_S = 0.1, 1.0
+PAUSE_GAIN = 0.02  # smoothing of the usual pause between events, all servers'
+JITTER = 0.05  # width of the draw that parts equal ranks
+BATCH_AHEAD = 1.5  # of its share of the free places a gateway may fill before it hears from the others
+FAILED = frozenset({CallOutcome.CONNECT_FAILED, CallOutcome.BROKEN, CallOutcome.SILENT})
+
+
+class Pool:
+    """One service's servers as this gateway sees them."""
+
+    def __init__(self, settings: AdmissionSettings, random: Random) -> None:
+        self.servers: dict[str, ServerView] = {}
+        self.gateways = 1
+        self.table = CursorTable()
+        self.meter = LoadMeter()
+        self.pace = Pace(settings.start_prefill_tokens_per_ms, settings.start_hold_s)
+        self.usual_pause_ms = 0.0
+        self._settings = settings
+        self._random = random
+        self._period_end_s = math.inf
+        self._told_own = 0  # this gateway's calls when the others' were last told
+
+    # ------------------------------------------------------------- what is known
+
+    def told(self) -> None:
+        """The servers or the others' calls have just been set."""
+        self._told_own = sum(len(server.calls) for server in self.servers.values())
+
+    def advance(self, now_s: float) -> None:
+        """Close the periods that have passed."""
+        period_s = self._settings.period_s
+        if self._period_end_s == math.inf:
+            self._period_end_s = now_s + period_s
+        for _ in range(MOST_PERIODS):
+            if now_s < self._period_end_s:
+                return
+            load = self.meter.close_period(quiet=self.table.cursor == 0)
+            if load <= 1.0:
+                self.table.move(False)
+            elif self.meter.may_tighten():
+                self.table.move(True)
+            self._period_end_s += period_s
+        self._period_end_s = now_s + period_s
+
+    def _ready(self, excluded: frozenset[str]) -> list[ServerView]:
+        return [
+            server
+            for server in self.servers.values()
+            if server.fact.state is ServerState.READY and not server.gone and server.fact.id not in excluded
+        ]
+
+    # ------------------------------------------------------------- decisions
+
+    def offer(self, now_s: float, call: CallInfo) -> Decision:
+        """Decide at once."""
+        self.advance(now_s)
+        ready = self._ready(call.excluded)
+        if not ready:
+            return NoServer()
+        if not call.admitted and self._turned_away(call):
+            return Refused(self._retry_after_s())
+        sound = [one for one in ready if pacing.sound(now_s, one, self.usual_pause_ms)]
+        share = self._settings.batch_share if call.batch else 1.0 + self._settings.live_queue_share
+        if call.batch:
+            share = self._batch_share()
+        open_ones = [one for one in sound if pacing.room(now_s, one, share, self.gateways) > 0.0]
+        if not open_ones and not call.batch:
+            open_ones = self._last_resort(now_s, ready, sound)
+        if not open_ones:
+            return Refused(self._retry_after_s())
+        return self._place(now_s, call, open_ones)
+
+    def _last_resort(
+        self, now_s: float, ready: list[ServerView], sound: list[ServerView]
+    ) -> list[ServerView]:
+        """Where pacing leaves nothing for a live call although the pool is not full."""
+        if self._fill(ready) >= 1.0 + self._settings.live_queue_share:
+            return []
+        able = sound or ready
+        return [one for one in able if len(one.calls) < one.connections and now_s >= one.full_until_s]
+
+    @staticmethod
+    def _fill(servers: list[ServerView]) -> float:
+        return sum(one.load for one in servers) / sum(one.capacity for one in servers)
+
+    def _turned_away(self, call: CallInfo) -> bool:
+        """The table's word: this gateway's calls in flight against the threshold of the call's row."""
+        servers = self._ready(frozenset())
+        own = sum(len(server.calls) for server in servers)
+        if call.batch:
+            return own >= self._batch_threshold(servers)
+        if self._fill(servers) < NEVER_REFUSED:
+            return False
+        return own >= self._live_threshold(servers, call.priority)
+
+    def _batch_share(self) -> float:
+        return self._settings.batch_share * self.table.batch_share()
+
+    def _batch_threshold(self, servers: list[ServerView]) -> float:
+        """Calls in flight of this gateway up to which items are taken: what it had when the others' were told,
+        and its share of the places that were free then."""
+        places = sum(server.capacity for server in servers) * self._batch_share()
+        told = self._told_own + sum(server.others for server in servers)
+        free = places - told
+        return self._told_own + (free if free <= 0.0 else max(1.0, BATCH_AHEAD * free / self.gateways))
+
+    def _live_threshold(self, servers: list[ServerView], priority: int) -> float:
+        """The same for live calls: all that the others leave, and no less than an even share."""
+        places = sum(server.capacity for server in servers) * (1.0 + self._settings.live_queue_share)
+        others = sum(server.others for server in servers)
+        return max(places / self.gateways, places - others) * self.table.live_share(priority)
+
+    def _retry_after_s(self) -> float:
+        """When the table may be open again: the cursor's way back, and a draw so that callers don't return at once."""
+        wait_s = self._settings.period_s * self.table.cursor
+        return min(RETRY_MOST_S, max(RETRY_LEAST_S, wait_s)) * self._random.uniform(0.75, 1.25)
+
+    def _place(self, now_s: float, call: CallInfo, servers: list[ServerView]) -> Decision:
+        key = home_key(call.parts)
+        homes = by_affinity(key, [one.fact.id for one in servers]) if key is not None else []
+        best: tuple[float, ServerView, float, float] | None = None
+        mean_waiting = self._others_waiting(now_s)
+        for server in servers:
+            to_read = tokens_to_read(call, server, homes, key)
+            ahead = server.waiting_tokens(now_s, self.pace.ms_per_token) + mean_waiting * server.others
+            cost = cost_ms(now_s, server, ahead, to_read, self.pace, self.usual_pause_ms)
+            cost *= 1.0 + JITTER * (self._random.random() - 0.5)
+            if best is None or cost < best[0]:
+                best = cost, server, to_read, ahead
+        assert best is not None
+        _, server, to_read, ahead = best
+        expected_ms = expected_wait_ms(now_s, server, ahead, to_read, self.pace)
+        server.calls[call.id] = Placed(call, server, now_s, to_read, ahead, expected_ms)
+        server.memory.sent(call.parts, server.kv_tokens / self.gateways)
+        return Admitted(server.fact.id)
+
+    def _others_waiting(self, now_s: float) -> float:
+        """Tokens that wait to be read for each call in flight, the others' being taken to be like ours."""
+        calls = sum(len(server.calls) for server in self.servers.values())
+        if not calls:
+            return 0.0
+        mine = sum(server.waiting_tokens(now_s, self.pace.ms_per_token) for server in self.servers.values())
+        return mine / (calls + 1.0)
+
+    def batch_room(self, now_s: float) -> int:
+        """How many more items would be taken now."""
+        self.advance(now_s)
+        servers = self._ready(frozenset())
+        if not servers:
+            return 0
+        own = sum(len(server.calls) for server in servers)
+        share = self._batch_share()
+        room = sum(
+            max(0.0, pacing.room(now_s, one, share, self.gateways))
+            for one in servers
+            if pacing.sound(now_s, one, self.usual_pause_ms)
+        )
+        return max(0, int(min(room, self._batch_threshold(servers) - own) + 0.999))
+
+    # ------------------------------------------------------------- outcomes
+
+    def started(self, now_s: float, placed: Placed) -> None:
+        """The call's bytes have been sent."""
+        placed.sent_s = now_s
+
+    def first_event(self, now_s: float, placed: Placed) -> None:
+        """The first event of an answer."""
+        server = placed.server
+        server.hear(now_s)
+        server.failures = 0
+        sent_s = placed.placed_s if placed.sent_s is None else placed.sent_s
+        wait_ms = (now_s - sent_s) * 1000.0
+        placed.first_s = placed.heard_s = now_s
+        self.pace.first_event(placed.ahead + placed.to_read, wait_ms)
+        server.hear_wait(now_s, (wait_ms + 20.0) / (placed.expected_ms + 20.0))
+        own_ms = placed.to_read * self.pace.ms_per_token
+        self.meter.waited((wait_ms - own_ms) / max(1.0, placed.call.aim_ms))
+
+    def progress(self, now_s: float, placed: Placed) -> None:
+        """A later event."""
+        pause_ms = (now_s - placed.heard_s) * 1000.0
+        placed.heard_s = now_s
+        placed.server.hear(now_s)
+        placed.server.hear_pause(now_s, pause_ms)
+        self.usual_pause_ms += PAUSE_GAIN * (pause_ms - self.usual_pause_ms)
+
+    def finished(self, now_s: float, placed: Placed, outcome: CallOutcome) -> None:
+        """The attempt is over."""
+        server = placed.server
+        server.calls.pop(placed.call.id, None)
+        if outcome in FAILED:
+            pacing.note_failure(now_s, server, outcome, self._random)
+            server.memory.forget()
+        elif outcome is CallOutcome.FULL:
+            pacing.note_full(now_s, server, self._random)
+        elif outcome is CallOutcome.WRONG_SERVER:
+            server.gone = True
+        elif outcome in (CallOutcome.COMPLETED, CallOutcome.FAILED):
+            server.failures = 0
+            server.hear(now_s)
+            if placed.sent_s is not None:
+                self.pace.held(now_s - placed.sent_s)
+        if outcome is not CallOutcome.NOT_SENT:
+            self.meter.ended(full=outcome is CallOutcome.FULL)
--- /dev/null
+++ b/emberring/admission/ranking.py
@@ -0,0 +1,72 @@
+"""The cost of sending a call to a server, in milliseconds of the first event's delay.
+
+It is what the call would wait there (prompts before it, its own prompt as far as the server is held to lack it, a
+place, a server slower than the others) and what it takes from others: reading a shared part anew costs everyone
+there its time, and costs the pool what it could do instead.
+"""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Sequence
+
+from emberring.admission.pace import Pace
+from emberring.admission.server import ServerView
+from emberring.admission.types import CallInfo, PrefixPart
+
+UNTOLD_TOKENS = 200.0  # a prompt whose parts are not told
+HOME_KEPT = 0.5  # the chance that a home keeps a part that this gateway did not send there lately,
+NEXT_KEPT = 0.1  # and that the next home does
+ANEW = 0.6  # what reading anew costs others, as a share of its own time
+CROWD_MS = 0.5  # a call in flight slows the next by about this
+PAUSE_WEIGHT = 0.6  # pauses between events there over the usual ones, that prompts of others explain
+KV_FULL = 0.85  # share of the memory from which a call there may push others out
+KV_MS = 60.0
+
+
+def tokens_to_read(call: CallInfo, server: ServerView, homes: Sequence[str], home_part: str | None) -> float:
+    """Tokens of the prompt that the server is held to lack."""
+    if not call.parts:
+        return float(call.tokens_in or UNTOLD_TOKENS)
+    known = server.memory.known(call.parts)
+    kept = 0.0
+    if homes and server.fact.id in homes[:2]:
+        kept = HOME_KEPT if server.fact.id == homes[0] else NEXT_KEPT
+    return _missing(call.parts, known, kept, home_part)
+
+
+def _missing(parts: Sequence[PrefixPart], known: int, kept: float, home_part: str | None) -> float:
+    missing = 0.0
+    at_home = home_part is not None
+    for part in parts[known:]:
+        missing += part.tokens * (1.0 - kept) if at_home else part.tokens
+        at_home = at_home and part.id != home_part
+    return missing
+
+
+def expected_wait_ms(now_s: float, server: ServerView, ahead: float, to_read: float, pace: Pace) -> float:
+    """The wait for the first event of a call with so many tokens to read, that many being ahead of it."""
+    wait_ms = pace.wait_ms(ahead + to_read)
+    over = server.load + 1.0 - server.capacity
+    if over > 0.0:
+        wait_ms += over * pace.hold_s * 1000.0 / server.capacity
+    return wait_ms
+
+
+def cost_ms(
+    now_s: float, server: ServerView, ahead: float, to_read: float, pace: Pace, usual_pause_ms: float
+) -> float:
+    """What ranks servers; less is better."""
+    wait_ms = expected_wait_ms(now_s, server, ahead, to_read, pace) * server.handicap(now_s)
+    slower_ms = max(0.0, server.pause(now_s) - usual_pause_ms) * PAUSE_WEIGHT
+    return (
+        wait_ms + slower_ms + ANEW * to_read * pace.ms_per_token + CROWD_MS * server.load + _memory_ms(server)
+    )
+
+
+def _memory_ms(server: ServerView) -> float:
+    if server.kv_tokens == math.inf or not server.calls:
+        return 0.0
+    mine = sum(placed.call.tokens_in + placed.call.tokens_out for placed in server.calls.values())
+    share = mine / len(server.calls) * server.load / server.kv_tokens
+    return KV_MS * max(0.0, share - KV_FULL) / (1.0 - KV_FULL)
--- /dev/null
+++ b/emberring/lab/admission_simulator.py
@@ -0,0 +1,486 @@
+"""Trials of admission: engines, several gateways that each see their own calls only, clients and lots.
+
+`run_trial` plays a site for some seconds and returns what was counted. Everything random comes from the seed, and
+the draws of the traffic don't depend on the decisions, so that policies are compared on the same requests.
+Times inside are milliseconds.
+"""
+
+from __future__ import annotations
+
+import heapq
+import itertools
+import math
+from collections.abc import Callable, Sequence
+from random import Random
+
+import attrs
+
+from emberring.admission import Admitted, AttemptBudget, CallInfo, CallOutcome, PrefixPart, Refused
+from emberring.configuration.model import Service
+from emberring.distribution.facts import ServerFact, ServerState
+from emberring.lab.admission_baselines import Policy
+from emberring.lab.admission_site import Burst, Crash, Kind, Site, Sizes
+from emberring.lab.admission_trial import OUT_WEIGHT, Asked, Tally
+from emberring.lab.engine_model import Engine, EngineCall, Part
+
+SERVICE = "llm"
+REPORT_MS = 300.0  # how often a gateway reports its calls in flight and learns the sums
+POLL_MS = 60.0  # how often a gateway asks for items while it has room
+LOST_MS = 4800.0  # a server that is silent so long is taken from the list
+KNOWN_MS = 500.0  # a new server is known to the gateways after so long
+SILENT_MS = 1000.0  # an attempt without a word for so long is given up by the executor
+GIVE_UP_MS = 2000.0  # a client leaves a stream after so long a silence
+AGAIN_MS = 100.0  # an item whose attempt failed is offered again after so long
+MARGIN_MS = 2.0  # for the way between client and gateway
+FINISH_MS = 10_000.0  # what lots get after the traffic has ended
+
+MakePolicy = Callable[["World", int], Policy]
+
+
+@attrs.define(eq=False)
+class Server:
+    """A server's incarnation in a trial."""
+
+    id: str
+    engine: Engine
+    place: int
+    since_ms: float
+    up: bool = True
+    dark: bool = False
+    known: bool = True
+    stepping: bool = False
+    attempts: set[Attempt] = attrs.field(factory=set)
+
+
+@attrs.define(eq=False)
+class Request:
+    """One try of a client, or one item."""
+
+    kind: Kind
+    asked: Asked
+    parts: tuple[Part, ...]
+    tokens_out: int
+    from_ms: float
+    until_ms: float
+    tries_left: int
+    budget: AttemptBudget
+    excluded: frozenset[str] = frozenset()
+    events: int = 0
+    last_ms: float = 0.0
+    late: bool = False
+    over: bool = False
+
+
+@attrs.define(eq=False)
+class Attempt:
+    """A request at a server."""
+
+    id: str
+    request: Request
+    gateway: int
+    server: Server
+    call: EngineCall | None = None
+    over: bool = False
+    heard_ms: float = 0.0
+
+
+class World:
+    """The state of a trial."""
+
+    def __init__(self, site: Site, make: MakePolicy, seed: int) -> None:
+        self.site = site
+        self.now_ms = 0.0
+        self.tally = Tally()
+        self.servers: list[Server] = []
+        self._events: list[tuple[float, int, Callable[[], None]]] = []
+        self._order = itertools.count()
+        self._names = itertools.count()
+        self._items: list[Request] = []
+        self._random = Random(seed + 7)
+        self._reported: dict[int, dict[str, int]] = {}
+        for place in range(site.servers):
+            self._add_server(place)
+        self.policies = [make(self, index) for index in range(len(site.gateway_shares))]
+        for index in range(len(self.policies)):
+            self._tell(index)
+            self.at(REPORT_MS * index / len(self.policies), lambda index=index: self._report(index))  # type: ignore[misc]
+            self.at(POLL_MS * index / len(self.policies), lambda index=index: self._poll(index))  # type: ignore[misc]
+
+    # ------------------------------------------------------------- time
+
+    def at(self, when_ms: float, what: Callable[[], None]) -> None:
+        """Do this at that moment."""
+        heapq.heappush(self._events, (when_ms, next(self._order), what))
+
+    def play(self, until_ms: float) -> None:
+        """Let time pass."""
+        while self._events and self._events[0][0] <= until_ms:
+            self.now_ms, _, what = heapq.heappop(self._events)
+            what()
+        self.now_ms = until_ms
+
+    # ------------------------------------------------------------- servers
+
+    def _add_server(self, place: int) -> None:
+        name = f"i-{place}-{next(self._names):04x}"
+        server = Server(name, Engine(self.site.engine), place, self.now_ms, known=self.now_ms == 0.0)
+        self.servers.append(server)
+        if not server.known:
+            self.at(self.now_ms + KNOWN_MS, lambda: self._make_known(server, True))
+
+    def _make_known(self, server: Server, known: bool) -> None:
+        server.known = known
+        for index in range(len(self.policies)):
+            self._tell(index)
+
+    def crash(self, crash: Crash) -> None:
+        """A server dies now."""
+        for server in self.servers:
+            if server.place == crash.server and server.up:
+                server.up, server.dark = False, crash.dark
+                self._account(server)
+                if not crash.dark:
+                    for attempt in list(server.attempts):
+                        self._later(lambda attempt=attempt: self._end(attempt, CallOutcome.BROKEN))  # type: ignore[misc]
+                self.at(self.now_ms + LOST_MS, lambda server=server: self._make_known(server, False))  # type: ignore[misc]
+        self.at(self.now_ms + crash.for_s * 1000.0, lambda: self._add_server(crash.server))
+
+    def _account(self, server: Server) -> None:
+        accounts, tally = server.engine.accounts, self.tally
+        tally.busy_ms[server.id] = accounts.busy_ms
+        tally.calls[server.id] = accounts.calls
+        tally.up_ms[server.id] = self.now_ms - server.since_ms
+        tally.shared_prefilled += accounts.shared_prefilled
+        tally.prefilled += accounts.prefilled
+        tally.preempted += accounts.preempted
+        tally.full_answers += accounts.full
+
+    def _step(self, server: Server) -> None:
+        if not server.up or server.engine.idle:
+            server.stepping = False
+            return
+        end_ms = server.engine.step(self.now_ms)
+        self.at(end_ms, lambda: self._step(server))
+
+    # ------------------------------------------------------------- what gateways are told
+
+    def _tell(self, index: int) -> None:
+        facts = [
+            ServerFact(server.id, SERVICE, server.id, "a", self.site.engine.capacity, ServerState.READY, 1)
+            for server in self.servers
+            if server.known
+        ]
+        info = Service(
+            SERVICE,
+            max_connections=self.site.max_connections,
+            capacity=self.site.engine.capacity,
+            kv_cache_tokens=self.site.engine.kv_tokens,
+            stride=self.site.engine.stride,
+        )
+        sums: dict[str, int] = {}
+        for report in self._reported.values():
+            for name, calls in report.items():
+                sums[name] = sums.get(name, 0) + calls
+        self.policies[index].set_servers(
+            self.now_ms / 1000.0, facts, {SERVICE: info}, len(self.policies), sums
+        )
+
+    def _report(self, index: int) -> None:
+        """The report that left half a round ago arrives, and the sums of now come back."""
+        report = self.policies[index].in_flight()
+        self.at(self.now_ms + 5.0, lambda: self._take_report(index, report))
+        self.at(self.now_ms + REPORT_MS, lambda: self._report(index))
+
+    def _take_report(self, index: int, report: dict[str, int]) -> None:
+        self._reported[index] = report
+        self._tell(index)
+
+    # ------------------------------------------------------------- requests
+
+    def _later(self, what: Callable[[], None]) -> None:
+        self.at(self.now_ms + self.site.net_ms, what)
+
+    def ask(self, request: Request, gateway: int) -> None:
+        """A client's try comes to a gateway, or an item is taken by one."""
+        self._offer(request, gateway, first=True)
+
+    def _offer(self, request: Request, gateway: int, first: bool) -> None:
+        kind, name = request.kind, f"c{next(self._names)}"
+        call = CallInfo(
+            id=name,
+            service=SERVICE,
+            route=kind.name,
+            priority=kind.priority,
+            batch=kind.items is not None,
+            tokens_in=sum(part.tokens for part in request.parts),
+            tokens_out=request.tokens_out,
+            parts=tuple(PrefixPart(part.id, part.tokens) for part in request.parts),
+            aim_ms=kind.aim_ms,
+            deadline_s=request.until_ms / 1000.0,
+            excluded=request.excluded,
+            admitted=not first,
+        )
+        decision = self.policies[gateway].offer(self.now_ms / 1000.0, call)
+        if isinstance(decision, Admitted):
+            server = next(one for one in self.servers if one.id == decision.server_id)
+            attempt = Attempt(name, request, gateway, server, heard_ms=self.now_ms)
+            self.policies[gateway].started(self.now_ms / 1000.0, name, server.id)
+            server.attempts.add(attempt)
+            self._later(lambda: self._arrive(attempt))
+            return
+        self._not_taken(request, decision.retry_after_s if isinstance(decision, Refused) else 0.2)
+
+    def _not_taken(self, request: Request, retry_after_s: float) -> None:
+        if request.kind.items is not None:
+            self.at(self.now_ms + AGAIN_MS, lambda: self._items.append(request))
+            return
+        request.asked.refusals += 1
+        if self._half_free():
+            self.tally.refusals_with_room += 1
+        self._client_again(request, retry_after_s)
+
+    def _half_free(self) -> bool:
+        engines = [server.engine for server in self.servers if server.up]
+        places = sum(engine.figures.capacity for engine in engines)
+        return sum(engine.active for engine in engines) < places / 2 and not any(
+            engine.queued for engine in engines
+        )
+
+    def _client_again(self, request: Request, wait_s: float) -> None:
+        left_ms = request.until_ms - self.now_ms
+        request.over = True
+        if request.tries_left <= 0 or left_ms <= 0.0 or request.events > 0:
+            return
+        again = attrs.evolve(
+            request,
+            tries_left=request.tries_left - 1,
+            over=False,
+            excluded=frozenset(),
+            budget=AttemptBudget(request.kind.max_attempts, request.kind.resumable),
+        )
+        wait_ms = min(wait_s * 1000.0, left_ms / 3.0) + 2.0 * MARGIN_MS
+        gateway = self._random.randrange(len(self.policies))
+        self.at(self.now_ms + wait_ms, lambda: self.ask(again, gateway))
+
+    def _arrive(self, attempt: Attempt) -> None:
+        server = attempt.server
+        if attempt.over:
+            return
+        if not server.up:
+            if server.dark:
+                self.at(self.now_ms + SILENT_MS, lambda: self._silence(attempt))
+            else:
+                self._later(lambda: self._end(attempt, CallOutcome.CONNECT_FAILED))
+            return
+        request = attempt.request
+        attempt.call = EngineCall(
+            attempt.id,
+            request.parts,
+            request.tokens_out,
+            on_event=lambda when, number: self._event(attempt, when),
+            on_end=lambda when: self._over(attempt, when),
+        )
+        if not server.engine.submit(attempt.call):
+            self._later(lambda: self._end(attempt, CallOutcome.FULL))
+            return
+        if request.kind.items is None:
+            self.at(self.now_ms + GIVE_UP_MS, lambda: self._watch(attempt))
+            self.at(request.until_ms, lambda: self._leave(attempt))
+        if not server.stepping:
+            server.stepping = True
+            self._step(server)
+
+    def _silence(self, attempt: Attempt) -> None:
+        if not attempt.over:
+            self._end(attempt, CallOutcome.SILENT)
+
+    def _watch(self, attempt: Attempt) -> None:
+        """A client leaves a stream that has been silent for too long."""
+        if attempt.over:
+            return
+        silent_ms = self.now_ms - attempt.heard_ms
+        if silent_ms >= GIVE_UP_MS:
+            self._leave(attempt)
+        else:
+            self.at(self.now_ms + max(1.0, GIVE_UP_MS - silent_ms), lambda: self._watch(attempt))
+
+    def _leave(self, attempt: Attempt) -> None:
+        if attempt.over:
+            return
+        if attempt.call is not None:
+            attempt.server.engine.drop(attempt.call)
+        attempt.request.tries_left = 0
+        self._end(attempt, CallOutcome.CANCELLED)
+
+    def _event(self, attempt: Attempt, when_ms: float) -> None:
+        if attempt.server.up:
+            self.at(when_ms + self.site.net_ms, lambda: self._heard(attempt))
+
+    def _heard(self, attempt: Attempt) -> None:
+        if attempt.over:
+            return
+        request, policy = attempt.request, self.policies[attempt.gateway]
+        attempt.heard_ms = self.now_ms
+        request.events += 1
+        if request.events == 1:
+            policy.first_event(self.now_ms / 1000.0, attempt.id)
+            first_ms = self.now_ms + MARGIN_MS - request.asked.asked_ms
+            request.asked.first_ms = first_ms
+            request.late = request.kind.items is None and first_ms > request.kind.aim_ms
+        else:
+            policy.progress(self.now_ms / 1000.0, attempt.id)
+            if self.now_ms - request.last_ms > request.kind.gap_aim_ms and request.kind.items is None:
+                request.late = True
+        request.last_ms = self.now_ms
+
+    def _over(self, attempt: Attempt, when_ms: float) -> None:
+        if when_ms < 0.0:  # larger than the server's memory
+            self._later(lambda: self._end(attempt, CallOutcome.FULL))
+        elif attempt.server.up:
+            self.at(when_ms + self.site.net_ms, lambda: self._end(attempt, CallOutcome.COMPLETED))
+
+    def _end(self, attempt: Attempt, outcome: CallOutcome) -> None:
+        if attempt.over:
+            return
+        attempt.over = True
+        attempt.server.attempts.discard(attempt)
+        request, asked = attempt.request, attempt.request.asked
+        self.policies[attempt.gateway].finished(self.now_ms / 1000.0, attempt.id, outcome)
+        if outcome is CallOutcome.COMPLETED:
+            request.over = asked.served = True
+            due_ms = asked.asked_ms + request.kind.due_s * 1000.0
+            asked.in_time = not request.late if request.kind.items is None else self.now_ms <= due_ms
+            return
+        asked.broken += 1
+        request.budget = request.budget.after(outcome)
+        request.excluded = request.excluded | {attempt.server.id}
+        if request.kind.items is not None:
+            request.excluded = frozenset()
+            self.at(self.now_ms + AGAIN_MS, lambda: self._items.append(request))
+        elif request.budget.allows_another(outcome) and self.now_ms < request.until_ms:
+            self._offer(request, attempt.gateway, first=False)
+        elif request.budget.certainly_not_run or request.kind.resumable:
+            self._client_again(request, 0.1)
+
+    # ------------------------------------------------------------- lots
+
+    def _poll(self, index: int) -> None:
+        self.at(self.now_ms + POLL_MS * self._random.uniform(0.8, 1.2), lambda: self._poll(index))
+        room = min(self.policies[index].batch_room(self.now_ms / 1000.0), len(self._items))
+        if room <= 0:
+            return
+        self._items.sort(key=lambda request: request.until_ms)
+        taken, self._items = self._items[:room], self._items[room:]
+        for request in taken:
+            self.ask(request, index)
+
+    def add_item(self, request: Request) -> None:
+        """An item has been accepted and waits."""
+        self._items.append(request)
+
+    def close(self) -> Tally:
+        """The trial is over."""
+        for server in self.servers:
+            if server.up:
+                self._account(server)
+        return self.tally
+
+
+# ------------------------------------------------------------------- traffic
+
+
+def _draw(random: Random, sizes: Sizes) -> int:
+    mu = math.log(sizes.mean) - sizes.spread**2 / 2.0
+    return max(1, int(min(sizes.most, random.lognormvariate(mu, sizes.spread))))
+
+
+class _Things:
+    """The shared parts of a kind at one level: their lengths, and a draw by their use."""
+
+    def __init__(self, random: Random, name: str, count: int, sizes: Sizes, skew: float) -> None:
+        self._parts = [Part(f"{name}-{at}", _draw(random, sizes), True) for at in range(count)]
+        self._sums = list(itertools.accumulate((at + 1.0) ** -skew for at in range(count)))
+
+    def draw(self, random: Random) -> Part:
+        """One of them."""
+        return random.choices(self._parts, cum_weights=self._sums)[0]
+
+
+class Traffic:
+    """Makes the requests of a kind; independent of what is decided about them."""
+
+    def __init__(self, kind: Kind, site: Site, seed: int) -> None:
+        self._kind, self._site = kind, site
+        self._random = Random(f"{seed} {kind.name}")
+        self._things = [
+            _Things(self._random, f"{kind.name}{level}", shared.things, shared.tokens, shared.skew)
+            for level, shared in enumerate(kind.shared)
+        ]
+        self._names = itertools.count()
+
+    def schedule(self, world: World, until_ms: float, factor: float, bursts: Sequence[Burst]) -> None:
+        """All requests of this kind up to that moment."""
+        now_ms, kind = 0.0, self._kind
+        most = factor * max([1.0, *(burst.factor for burst in bursts)])
+        while True:
+            now_ms += self._random.expovariate(kind.per_s * most / 1000.0)
+            if now_ms >= until_ms:
+                return
+            part = max(
+                [
+                    1.0,
+                    *(
+                        burst.factor
+                        for burst in bursts
+                        if burst.at_s * 1000.0 <= now_ms < (burst.at_s + burst.for_s) * 1000.0
+                    ),
+                ]
+            )
+            if self._random.random() * most >= factor * part:
+                continue
+            if kind.items is None:
+                self._one(world, now_ms)
+            else:
+                for _ in range(_draw(self._random, kind.items)):
+                    self._one(world, now_ms)
+
+    def _one(self, world: World, now_ms: float) -> None:
+        kind = self._kind
+        parts = [things.draw(self._random) for things in self._things]
+        parts.append(
+            Part(f"{kind.name}-own-{next(self._names)}", _draw(self._random, kind.own_tokens), False)
+        )
+        tokens_out = _draw(self._random, kind.pieces) * self._site.engine.stride
+        batch = kind.items is not None
+        size = float(sum(part.tokens for part in parts) + OUT_WEIGHT * tokens_out)
+        asked = Asked(kind.name, batch, size, now_ms, kind.worth, kind.late_worth)
+        world.tally.asked.append(asked)
+        until_ms = now_ms + (kind.due_s * 1000.0 if batch else kind.deadline_ms)
+        budget = AttemptBudget(kind.max_attempts, kind.resumable)
+        request = Request(kind, asked, tuple(parts), tokens_out, now_ms, until_ms, 1, budget)
+        shares = self._site.gateway_shares
+        gateway = self._random.choices(range(len(shares)), weights=shares)[0]
+        if batch:
+            world.at(now_ms, lambda: world.add_item(request))
+        else:
+            world.at(now_ms + MARGIN_MS, lambda: world.ask(request, gateway))
+
+
+def run_trial(
+    site: Site,
+    make: MakePolicy,
+    seed: int,
+    seconds: float = 20.0,
+    factor: float = 1.0,
+    bursts: Sequence[Burst] = (),
+    crashes: Sequence[Crash] = (),
+) -> Tally:
+    """Play a site at `factor` times its traffic; returns what was counted."""
+    world = World(site, make, seed)
+    for kind in site.kinds:
+        mine = [burst for burst in bursts if burst.kind == kind.name]
+        Traffic(kind, site, seed).schedule(world, seconds * 1000.0, factor, mine)
+    for crash in crashes:
+        world.at(crash.at_s * 1000.0, lambda crash=crash: world.crash(crash))  # type: ignore[misc]
+    world.play(seconds * 1000.0 + FINISH_MS)
+    return world.close()
