Stores know how old lots are within a life of the process; late copies bring nothing back

Change: an entry marks each start, copies have a kind of their own, listed lots go 30 s after StatusS; an owner's values and its own replica's are one object in memory; a store that hands over tells its own replica too.

--- a/emberring/lots/book.py
+++ b/emberring/lots/book.py
@@ -30,7 +30,7 @@
 
 LOOK_EVERY_S = 0.5  # between looks at all lots
 FORGET_SLACK_S = 5.0
-KEPT_LISTED_TIMES = 8.0  # a lot that is all listed but not ended is kept for so many times `StatusS`
+LISTED_SLACK_S = 30.0  # a lot that is all listed but not ended is kept for so much longer than `StatusS`
 
 
 class LotBook:
@@ -179,7 +179,7 @@
         if not lot.all_shown:
             self._running.give_up(now_s, lot)
         age_s = now_s - lot.accepted_s
-        kept_s = self._status_s * (1.0 if lot.end_lasts else KEPT_LISTED_TIMES) + FORGET_SLACK_S
+        kept_s = self._status_s + (FORGET_SLACK_S if lot.end_lasts else LISTED_SLACK_S)
         if age_s > kept_s and (lot.end_lasts or lot.all_shown) and not lot.forgetting:
             lot.forgetting = True
             self._shelf.out.append(Forget(lot.key))
--- a/emberring/lots/owner.py
+++ b/emberring/lots/owner.py
@@ -330,6 +330,8 @@
             else:
                 self._replication.failed(now_s, sent.target, sent.ticket)
             return
+        if sent.target == self.me:
+            self._share_values(sent.ticket)
         for key, slot in self._replication.answered(sent.target, sent.ticket):
             self._out.append(Chosen(key, slot))
             if slot == FORGOTTEN:
@@ -337,6 +339,13 @@
         self._flush(now_s)
         self._serve_if_rewritten(now_s)
 
+    def _share_values(self, ticket: int) -> None:
+        """What this store's own replica holds need not stand in memory twice."""
+        for key, slot in self._replication.under_way(self.me, ticket):
+            owned, value = self.records.find(key, slot), self.replica.value(key, slot)
+            if owned is not None and value == owned.value:
+                owned.value = value
+
     def _on_inventory(self, now_s: float, sent: Send, reply: Inventory) -> None:
         if sent.message.term != self.term or self.stage not in (Stage.REWRITING, Stage.SERVING):
             return
@@ -381,8 +390,7 @@
         term = self.term
         self._step_down(now_s)
         for identity in group.everyone:
-            if identity != self.me:
-                self._send(identity, Release(group.shard, identity, term))
+            self._send(identity, Release(group.shard, identity, term))
 
     def _enter(self, now_s: float, stage: Stage) -> None:
         self.stage = stage
--- a/emberring/lots/replica.py
+++ b/emberring/lots/replica.py
@@ -40,7 +40,7 @@
     pack_records,
     unpack_records,
 )
-from emberring.lots.replica_log import Dropped, Emptied, Entry, Promised, Written
+from emberring.lots.replica_log import Copied, Dropped, Emptied, Entry, Promised, Started, Written
 from emberring.transport.messages import Ok
 
 REFUSE_S = (
@@ -125,6 +125,11 @@
         self._waiting: dict[int, _Waiting] = {}
         self._dropping: set[tuple[str, int]] = set()
         self._emptying = False
+        self._erased: dict[
+            tuple[str, int], Term
+        ] = {}  # during a restore: what a late copy must not bring back
+        self._emptied = False
+        self._restored = False
         self._next_token = 1
 
     # What others ask.
@@ -233,6 +238,8 @@
         """All entries of the journal are in: who owned the shard before may hold a lease until then."""
         self._holder = self._lasting_promise.owner
         self._held_until_s = quiet_until_s if self._holder else 0.0
+        self._restored = True
+        self._erased.clear()
 
     def leave(self, now_s: float) -> list[Action]:
         """The shard is kept elsewhere now: forget its records, but not the promise."""
@@ -279,10 +286,12 @@
 
     def apply(self, now_s: float, entry: Entry, segment: int) -> None:
         """Take in an entry that lasts, at run time or at a start. Ages count from `now_s`."""
+        if isinstance(entry, Started):
+            return
         if isinstance(entry, Emptied):
             self.lots.clear()
             self.digest = 0
-            self._emptying = False
+            self._emptying, self._emptied = False, True
             return
         self.promised = max(self.promised, entry.term)
         self._lasting_promise = max(self._lasting_promise, entry.term)
@@ -292,6 +301,17 @@
         elif isinstance(entry, Dropped):
             for record in entry.records:
                 self._erase(entry.term, record)
+        elif isinstance(entry, Copied):
+            for record in entry.records:
+                if self._may_be_copied(entry.term, record):
+                    self._put(now_s, entry.term, record, segment)
+
+    def _may_be_copied(self, term: Term, record: Record) -> bool:
+        """Whether a copy found at a start still counts: what it was copied from stood here and was not erased."""
+        lot = self.lots.get(record.key)
+        if lot is not None and record.slot in lot.slots:
+            return True
+        return not self._emptied and self._erased.get((record.key, record.slot), NO_TERM) < term
 
     def _put(self, now_s: float, term: Term, record: Record, segment: int) -> None:
         accepted_s = now_s - record.age_ms / 1000
@@ -306,10 +326,13 @@
             self.digest ^= slot_digest(record.key, record.slot, held.checksum)
         check = checksum(record.value)
         lot.slots[record.slot] = HeldSlot(term, check, record.value, segment)
+        self._erased.pop((record.key, record.slot), None)
         self.digest ^= slot_digest(record.key, record.slot, check)
 
     def _erase(self, term: Term, record: Record) -> None:
         self._dropping.discard((record.key, record.slot))
+        if not self._restored:
+            self._erased[(record.key, record.slot)] = term
         lot = self.lots.get(record.key)
         held = lot.slots.get(record.slot) if lot else None
         if lot is None or held is None or held.term > term:
@@ -330,12 +353,12 @@
                     record = Record(key, slot, age_ms(now_s, lot.accepted_s), held.value)
                     by_term.setdefault(held.term, []).append(record)
         entries: list[Entry] = [Promised(self.promised)] if self.promised != NO_TERM else []
-        entries += [Written(term, tuple(records)) for term, records in by_term.items()]
+        entries += [Copied(term, tuple(records)) for term, records in by_term.items()]
         return entries
 
     def relocated(self, entry: Entry, segment: int) -> None:
         """An entry of `kept_in` was appended anew, to this segment."""
-        if not isinstance(entry, Written):
+        if not isinstance(entry, Copied):
             return
         for record in entry.records:
             lot = self.lots.get(record.key)
--- a/emberring/lots/replica_log.py
+++ b/emberring/lots/replica_log.py
@@ -11,7 +11,7 @@
 from emberring.lots.records import Record, Term, pack_records, pack_term, unpack_records, unpack_term
 
 _HEAD = struct.Struct("<BBd")  # kind, shard, clock
-_WRITTEN, _PROMISED, _DROPPED, _EMPTIED = 1, 2, 3, 4
+_WRITTEN, _PROMISED, _DROPPED, _EMPTIED, _COPIED, _STARTED = 1, 2, 3, 4, 5, 6
 
 
 @attrs.frozen
@@ -42,7 +42,20 @@
     """The replica holds nothing any more; what it promised stands."""
 
 
-Entry = Written | Promised | Dropped | Emptied
+@attrs.frozen
+class Copied:
+    """Records of an older segment appended anew. They may stand behind an erasure that came after them."""
+
+    term: Term
+    records: tuple[Record, ...]
+
+
+@attrs.frozen
+class Started:
+    """The process started here: the clocks of entries before and after this have nothing to do with each other."""
+
+
+Entry = Written | Promised | Dropped | Emptied | Copied | Started
 
 
 @attrs.frozen
@@ -56,13 +69,12 @@
 
 def encode_entry(shard: int, clock_s: float, entry: Entry) -> bytes:
     """The journal's payload for an entry."""
-    if isinstance(entry, Written):
-        return _head(_WRITTEN, shard, clock_s) + pack_term(entry.term) + pack_records(entry.records)
     if isinstance(entry, Promised):
         return _head(_PROMISED, shard, clock_s) + pack_term(entry.term)
-    if isinstance(entry, Dropped):
-        return _head(_DROPPED, shard, clock_s) + pack_term(entry.term) + pack_records(entry.records)
-    return _head(_EMPTIED, shard, clock_s)
+    if isinstance(entry, Emptied | Started):
+        return _head(_EMPTIED if isinstance(entry, Emptied) else _STARTED, shard, clock_s)
+    kind = _WRITTEN if isinstance(entry, Written) else _DROPPED if isinstance(entry, Dropped) else _COPIED
+    return _head(kind, shard, clock_s) + pack_term(entry.term) + pack_records(entry.records)
 
 
 def _head(kind: int, shard: int, clock_s: float) -> bytes:
@@ -73,8 +85,8 @@
     """The reverse of `encode_entry`; `CorruptRecordError` where the payload is none."""
     try:
         kind, shard, clock_s = _HEAD.unpack_from(payload, 0)
-        if kind == _EMPTIED:
-            return Logged(shard, clock_s, Emptied())
+        if kind in (_EMPTIED, _STARTED):
+            return Logged(shard, clock_s, Emptied() if kind == _EMPTIED else Started())
         term, offset = unpack_term(payload, _HEAD.size)
     except (struct.error, UnicodeDecodeError) as error:
         raise CorruptRecordError(f"entry: {error}") from error
@@ -85,6 +97,8 @@
         return Logged(shard, clock_s, Written(term, records))
     if kind == _DROPPED:
         return Logged(shard, clock_s, Dropped(term, records))
+    if kind == _COPIED:
+        return Logged(shard, clock_s, Copied(term, records))
     raise CorruptRecordError(f"entry of kind {kind}")
 
 
--- a/emberring/lots/replication.py
+++ b/emberring/lots/replication.py
@@ -130,6 +130,11 @@
         lot = self._records.lots[key]
         return Record(key, slot, age_ms(now_s, lot.accepted_s), lot.slots[slot].value)
 
+    def under_way(self, identity: str, ticket: int) -> tuple[Ref, ...]:
+        """What a message that is on its way to a replica holds."""
+        peer = self.peers.get(identity)
+        return peer.in_flight.get(ticket, ()) if peer is not None else ()
+
     def answered(self, identity: str, ticket: int) -> list[Ref]:
         """A replica has carried out a message; what is chosen by that."""
         peer = self.peers.get(identity)
--- a/emberring/store/disk.py
+++ b/emberring/store/disk.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import shutil
 from pathlib import Path
 
@@ -9,17 +10,19 @@
 
 from emberring.errors import CorruptRecordError, DiskFailedError
 from emberring.journal.journal import Journal
+from emberring.journal.layout import Position
 from emberring.journal.layout import Record as JournalRecord
 from emberring.logs import get_logger
 from emberring.lots.placement import SHARDS
 from emberring.lots.replica import REFUSE_S, Replica
-from emberring.lots.replica_log import decode_entry
+from emberring.lots.replica_log import Logged, Started, decode_entry, encode_entry
 from emberring.store.identity import create_identity, read_identity
 
 JOURNAL_FOLDER = "journal"
 SEGMENT_BYTES = 4 * 1024 * 1024
-MOST_BYTES = 96 * 1024 * 1024  # all of it is read at a start, so it must fit into memory
-SHARE_OF_DISK = 0.5
+RECLAIM_ABOVE_BYTES = 96 * 1024 * 1024  # all of it is read at a start, so it must fit into memory
+MOST_BYTES = 192 * 1024 * 1024
+SHARE_OF_DISK = 0.6
 
 logger = get_logger("store")
 
@@ -59,21 +62,45 @@
     folder = directory / JOURNAL_FOLDER
     folder.mkdir(exist_ok=True)
     most = int(min(MOST_BYTES, disk_mb * 1024 * 1024 * SHARE_OF_DISK)) if disk_mb else MOST_BYTES
-    journal, records = Journal.open(folder, SEGMENT_BYTES, most)
+    journal, records = Journal.open(folder, SEGMENT_BYTES, most, min(RECLAIM_ABOVE_BYTES, most // 2))
     return StoreDisk(identity, journal, restore(records, now_s))
 
 
+def begin_life(journal: Journal, now_s: float) -> None:
+    """Mark in the journal that the process starts; called on the event loop before anything else is appended."""
+    journal.append(encode_entry(0, now_s, Started())).add_done_callback(_note_begun)
+
+
+def _note_begun(done: asyncio.Future[Position]) -> None:
+    if not done.cancelled() and done.exception() is not None:
+        logger.warning("event=start_not_marked")
+
+
 def restore(records: list[JournalRecord], now_s: float) -> dict[int, Replica]:
     """The replicas after these entries.
 
-    Guard: a lot is as old as its youngest record says. The steady clock begins anew, at any value, when a machine
-    does, so a difference between its times before and after a start says nothing of a lot's age.
+    Guard: the steady clock begins anew, at any value, when a machine does. What is certain of a lot's age is what
+    its record says and what passed since within lives of the process; never the difference over a start.
     """
     replicas = {shard: Replica(shard) for shard in range(SHARDS)}
-    for record in records:
-        logged = decode_entry(record.payload)
+    entries = [(record.position.segment, decode_entry(record.payload)) for record in records]
+    passed_s = _passed_since([logged for _, logged in entries])
+    for (segment, logged), since_s in zip(entries, passed_s, strict=True):
         if logged.shard in replicas:
-            replicas[logged.shard].apply(now_s, logged.entry, record.position.segment)
+            replicas[logged.shard].apply(now_s - since_s, logged.entry, segment)
     for replica in replicas.values():
         replica.restored(now_s + REFUSE_S)
     return replicas
+
+
+def _passed_since(entries: list[Logged]) -> list[float]:
+    """For each entry, the seconds that passed since it was written, as far as lives of the process tell."""
+    found: list[float] = []
+    passed_s, later_s = 0.0, None
+    for logged in reversed(entries):
+        if later_s is not None:
+            passed_s += max(0.0, later_s - logged.clock_s)
+        later_s = None if isinstance(logged.entry, Started) else logged.clock_s
+        found.append(passed_s)
+    found.reverse()
+    return found
--- a/emberring/store/replicas.py
+++ b/emberring/store/replicas.py
@@ -11,7 +11,7 @@
 from emberring.journal.layout import Position
 from emberring.lots.messages import LeaseAnswer, Touch, TouchReply
 from emberring.lots.replica import Action, Fail, Persist, Replica, ReplicaMessage, Reply
-from emberring.lots.replica_log import Entry, Written, encode_entry, split_by_size
+from emberring.lots.replica_log import Copied, Entry, encode_entry, split_by_size
 
 REWRITE_BYTES = 512 * 1024
 
@@ -116,6 +116,6 @@
 
 
 def _parts(entry: Entry) -> list[Entry]:
-    if not isinstance(entry, Written):
+    if not isinstance(entry, Copied):
         return [entry]
-    return [Written(entry.term, records) for records in split_by_size(entry.records, REWRITE_BYTES)]
+    return [Copied(entry.term, records) for records in split_by_size(entry.records, REWRITE_BYTES)]
--- a/emberring/store/role.py
+++ b/emberring/store/role.py
@@ -23,7 +23,7 @@
 from emberring.lots.messages import AskInventory, Claim, DropSlots, Fetch, Release, Touch, WriteSlots
 from emberring.lots.status import AskStoreStatus
 from emberring.settings import STORE_PORT_OFFSET, Settings
-from emberring.store.disk import open_disk
+from emberring.store.disk import begin_life, open_disk
 from emberring.store.dispatch import Dispatch
 from emberring.store.gateway_calls import GatewayCalls
 from emberring.store.peers import Peers
@@ -75,6 +75,7 @@
         )
         self.follower = learn(self.network, me, settings.internal_seeds())
         self.journal = disk.journal
+        begin_life(disk.journal, loop.time())
         self.host = ReplicaHost(disk.identity, disk.replicas, disk.journal)
         self.peers = Peers(self.network, self.host)
         self.shards = Shards(self.host, self.peers, settings.bounds.status_s, self._tell_moved)
--- a/tests/emberring/store/test_tier_store_disk.py
+++ b/tests/emberring/store/test_tier_store_disk.py
@@ -7,7 +7,7 @@
 from emberring.journal.layout import Position
 from emberring.journal.layout import Record as JournalRecord
 from emberring.lots.records import Record, Term
-from emberring.lots.replica_log import Written, encode_entry
+from emberring.lots.replica_log import Entry, Promised, Started, Written, encode_entry
 from emberring.store.disk import restore
 
 
@@ -17,6 +17,19 @@
     return JournalRecord(Position(0, 0, len(payload)), payload)
 
 
+def logged_record(shard: int, clock_s: float, entry: Entry) -> JournalRecord:
+    payload = encode_entry(shard, clock_s, entry)
+    return JournalRecord(Position(0, 0, len(payload)), payload)
+
+
+def later_record(clock_s: float) -> JournalRecord:
+    return logged_record(3, clock_s, Promised(Term(1, 2, "a")))
+
+
+def started_record(clock_s: float) -> JournalRecord:
+    return logged_record(0, clock_s, Started())
+
+
 @pytest.mark.parametrize(
     ("written_s", "restored_s"),
     [(100.0, 100.5), (100.0, 2.0), (100.0, 2_000_000.0), (-1.8e9, 5.0)],
@@ -27,6 +40,17 @@
     assert replica.lots["lot"].accepted_s == pytest.approx(restored_s - 0.7)
 
 
+def test_within_a_life_of_the_process_time_passes_and_over_a_start_it_does_not() -> None:
+    records = [
+        journal_record(100.0, 0),
+        later_record(103.0),
+        started_record(5_000_000.0),
+        later_record(5_000_002.0),
+    ]
+    replica = restore(records, 50.0)[3]
+    assert replica.lots["lot"].accepted_s == pytest.approx(45.0)
+
+
 def test_the_youngest_record_tells_a_lots_age() -> None:
     replica = restore([journal_record(100.0, 0), journal_record(104.0, 4000)], 50.0)[3]
     assert replica.lots["lot"].accepted_s == pytest.approx(46.0)
