lab admission: the tier's decisions beside plain baselines from the command line

Cause: trials of admission could be run from tests only. Change: emberring lab admission plays a site for each policy on the same requests, as a table or JSON.

--- a/tests/emberring/cli/test_tier_cli.py
+++ b/tests/emberring/cli/test_tier_cli.py
@@ -61,6 +61,8 @@
         ["lots", "shards"],
         ["lots", "list"],
         ["try"],
+        ["lab"],
+        ["lab", "admission"],
         ["gateway"],
         ["control"],
         ["store"],
@@ -277,3 +279,21 @@
     del pages["10.0.0.4:1"]
     assert main(["nodes", *TWO]) == 0
     assert "may be old" in capsys.readouterr().err
+
+
+LAB = ["lab", "admission", "--seconds", "1", "--trials", "1", "--factor", "0.2"]
+
+
+def test_the_lab_plays_each_policy_on_the_same_site(capsys):
+    assert main([*LAB, "--policy", "admission", "--policy", "two-choices", "--json"]) == 0
+    found = json.loads(capsys.readouterr().out)
+    assert list(found) == ["admission", "two-choices"]
+    assert found["admission"][0]["live"] == found["two-choices"][0]["live"] > 0
+    assert main([*LAB, "--policy", "two-choices"]) == 0
+    assert "two-choices" in capsys.readouterr().out
+
+
+@pytest.mark.parametrize("more", [["--site", "nowhere"], ["--policy", "nobody"], ["--seconds", "0"]])
+def test_the_lab_says_what_it_does_not_know(more, capsys):
+    assert main([*LAB, *more]) == 2
+    assert capsys.readouterr().err
