--- /dev/null
+++ b/tests/emberring/lots/test_tier_lots_records.py
@@ -0,0 +1,98 @@
+"""Records, inventories and journal entries survive their binary forms; damaged bytes are named."""
+
+from __future__ import annotations
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from emberring.errors import CorruptRecordError
+from emberring.lots.records import (
+    LotState,
+    Record,
+    SlotState,
+    Term,
+    pack_inventory,
+    pack_records,
+    unpack_inventory,
+    unpack_records,
+)
+from emberring.lots.replica_log import (
+    Copied,
+    Dropped,
+    Emptied,
+    Entry,
+    Logged,
+    Promised,
+    Started,
+    Written,
+    decode_entry,
+    encode_entry,
+    split_by_size,
+)
+
+KEYS = st.text(min_size=0, max_size=30)
+TERMS = st.builds(Term, st.integers(0, 2**40), st.integers(0, 2**40), st.text(max_size=20))
+RECORDS = st.builds(
+    Record, KEYS, st.integers(-3, 2**31 - 1), st.integers(0, 2**32 - 1), st.binary(max_size=200)
+)
+SLOTS = st.builds(SlotState, TERMS, st.integers(0, 2**32 - 1), st.integers(0, 2**32 - 1))
+LOTS = st.builds(
+    LotState, st.integers(0, 2**32 - 1), st.dictionaries(st.integers(-3, 200), SLOTS, max_size=5)
+)
+SOME = st.lists(RECORDS, max_size=5).map(tuple)
+ENTRIES = st.one_of(
+    st.builds(Written, TERMS, SOME),
+    st.builds(Dropped, TERMS, SOME),
+    st.builds(Copied, TERMS, SOME),
+    st.builds(Promised, TERMS),
+    st.just(Emptied()),
+    st.just(Started()),
+)
+
+
+@given(st.lists(RECORDS, max_size=8))
+def test_records(records: list[Record]) -> None:
+    assert unpack_records(pack_records(records)) == records
+
+
+@given(st.dictionaries(KEYS, LOTS, max_size=6))
+def test_inventories(lots: dict[str, LotState]) -> None:
+    assert unpack_inventory(pack_inventory(lots)) == lots
+
+
+@given(st.integers(0, 255), st.floats(-1e12, 1e12), ENTRIES)
+def test_entries(shard: int, clock_s: float, entry: Entry) -> None:
+    assert decode_entry(encode_entry(shard, clock_s, entry)) == Logged(shard, clock_s, entry)
+
+
+@pytest.mark.parametrize("cut", [1, 5, 12, 20])
+def test_damaged_bytes_are_named(cut: int) -> None:
+    record = Record("lots.example/1", 3, 5, b"value")
+    with pytest.raises(CorruptRecordError):
+        unpack_records(pack_records([record])[:-cut])
+    payload = encode_entry(1, 2.0, Written(Term(1, 2, "me"), (record,)))
+    with pytest.raises(CorruptRecordError):
+        decode_entry(payload[:-cut])
+    inventory = pack_inventory({"k": LotState(1, {0: SlotState(Term(1, 1, "a"), 7, 8)})})
+    with pytest.raises(CorruptRecordError):
+        unpack_inventory(inventory[:-1])
+
+
+def test_an_unknown_kind_is_named() -> None:
+    payload = encode_entry(1, 2.0, Promised(Term(1, 2, "me")))
+    with pytest.raises(CorruptRecordError):
+        decode_entry(b"\x63" + payload[1:])
+
+
+def test_records_are_cut_into_runs_of_about_a_size() -> None:
+    records = [Record("k", number, 0, b"x" * 40) for number in range(5)]
+    runs = split_by_size(records, 100)
+    assert [len(run) for run in runs] == [2, 2, 1]
+    assert [record for run in runs for record in run] == records
+    assert split_by_size([], 100) == []
+
+
+def test_the_higher_term_is_of_the_later_epoch_then_the_higher_counter() -> None:
+    terms = [Term(1, 9, "b"), Term(2, 1, "a"), Term(1, 9, "a"), Term(2, 2, "")]
+    assert sorted(terms) == [terms[2], terms[0], terms[1], terms[3]]
--- /dev/null
+++ b/tests/emberring/lots/test_tier_lots_replica.py
@@ -0,0 +1,267 @@
+"""A replica: what it takes, refuses, holds; what a start finds; what a reclaimed segment keeps."""
+
+from __future__ import annotations
+
+import pytest
+
+from emberring.lots.messages import (
+    AskInventory,
+    Claim,
+    ClaimReply,
+    DropSlots,
+    Fetch,
+    Fetched,
+    Inventory,
+    Lease,
+    Release,
+    WriteReply,
+    WriteSlots,
+)
+from emberring.lots.records import (
+    DEFINITION,
+    FORGOTTEN,
+    Record,
+    Term,
+    pack_records,
+    unpack_inventory,
+    unpack_records,
+)
+from emberring.lots.replica import CLAIM_HOLD_S, REFUSE_S, Action, Fail, Persist, Replica, Reply
+from emberring.lots.replica_log import Copied, Dropped, Emptied, Entry, Promised, Written
+from emberring.transport.messages import Ok
+
+OLD, NEW, NEWEST = Term(1, 1, "a"), Term(1, 2, "b"), Term(2, 1, "a")
+
+
+def write(term: Term, *records: Record) -> WriteSlots:
+    return WriteSlots(0, "me", term, pack_records(records))
+
+
+def drop(term: Term, *refs: tuple[str, int]) -> DropSlots:
+    return DropSlots(0, "me", term, pack_records(Record(key, slot, 0, b"") for key, slot in refs))
+
+
+def settle(replica: Replica, actions: list[Action], now_s: float = 0.0, segment: int = 0) -> list[Action]:
+    """Let everything last; the replies."""
+    replies: list[Action] = []
+    for action in actions:
+        if isinstance(action, Persist):
+            replies += replica.persisted(now_s, action.token, segment)
+        else:
+            replies.append(action)
+    return replies
+
+
+def put(replica: Replica, term: Term, key: str, slot: int, value: bytes, segment: int = 0) -> None:
+    settle(replica, replica.handle(0.0, 1, write(term, Record(key, slot, 0, value))), 0.0, segment)
+
+
+def test_a_write_is_confirmed_and_shown_only_once_it_lasts() -> None:
+    replica = Replica(0)
+    (persist,) = replica.handle(0.0, 7, write(OLD, Record("k", 0, 250, b"v")))
+    assert isinstance(persist, Persist)
+    assert replica.value("k", 0) is None
+    assert replica.oldest_wait_s(0.6) == pytest.approx(0.6)
+    assert replica.persisted(1.0, persist.token, 3) == [Reply(7, WriteReply(True, OLD))]
+    assert replica.value("k", 0) == b"v"
+    assert replica.lots["k"].accepted_s == pytest.approx(0.75)
+    assert replica.oldest_wait_s(5.0) == 0.0
+
+
+def test_a_write_that_the_disk_refuses_is_not_shown_and_hides_nothing() -> None:
+    replica = Replica(0)
+    put(replica, OLD, "k", 0, b"before")
+    (persist,) = replica.handle(0.0, 8, write(NEW, Record("k", 0, 0, b"after")))
+    assert isinstance(persist, Persist)
+    assert replica.persist_failed(persist.token) == [Fail(8)]
+    assert replica.value("k", 0) == b"before"
+
+
+def test_lower_terms_are_refused() -> None:
+    replica = Replica(0)
+    put(replica, NEW, "k", 0, b"v")
+    refused = [Reply(1, WriteReply(False, NEW))]
+    assert replica.handle(0.0, 1, write(OLD, Record("k", 1, 0, b"late"))) == refused
+    assert replica.handle(0.0, 1, drop(OLD, ("k", 0))) == refused
+    assert replica.handle(0.0, 1, Claim(0, "me", NEW)) == [Reply(1, ClaimReply(False, NEW))]
+    assert replica.handle(0.0, 1, AskInventory(0, "me", OLD)) == [Reply(1, Inventory(None, NEW))]
+    answer, actions = replica.touch(0.0, Lease(0, OLD))
+    assert not answer.granted
+    assert answer.promised == NEW
+    assert not actions
+
+
+def test_a_promise_holds_from_the_moment_of_the_claim_and_is_told_once_it_lasts() -> None:
+    replica = Replica(0)
+    put(replica, OLD, "k", 0, b"v")
+    (persist,) = replica.handle(5.0, 2, Claim(0, "me", NEW))
+    assert replica.handle(5.0, 1, write(OLD, Record("k", 1, 0, b"late"))) == [
+        Reply(1, WriteReply(False, NEW))
+    ]
+    assert isinstance(persist, Persist)
+    (reply,) = replica.persisted(5.0, persist.token, 0)
+    assert isinstance(reply, Reply)
+    assert reply.body.granted
+    assert unpack_inventory(reply.body.inventory).keys() == {"k"}
+
+
+def test_a_promise_that_was_overtaken_on_its_way_to_the_disk_is_not_granted() -> None:
+    replica = Replica(0)
+    (first,) = replica.handle(0.0, 1, Claim(0, "me", NEW))
+    (second,) = replica.handle(CLAIM_HOLD_S, 2, Claim(0, "me", NEWEST))
+    assert isinstance(first, Persist)
+    assert isinstance(second, Persist)
+    assert replica.persisted(1.0, first.token, 0) == [Reply(1, ClaimReply(False, NEWEST))]
+    (granted,) = replica.persisted(1.0, second.token, 0)
+    assert isinstance(granted, Reply)
+    assert granted.body.granted
+
+
+def claimed(replica: Replica, term: Term, now_s: float) -> ClaimReply:
+    (reply,) = settle(replica, replica.handle(now_s, 1, Claim(0, "me", term)), now_s)
+    assert isinstance(reply, Reply)
+    assert isinstance(reply.body, ClaimReply)
+    return reply.body
+
+
+def test_while_a_lease_may_run_no_other_owner_is_granted_a_claim() -> None:
+    replica = Replica(0)
+    assert claimed(replica, OLD, 0.0).granted
+    answer, _ = replica.touch(1.0, Lease(0, OLD))
+    assert answer.granted
+    held = claimed(replica, NEW, 1.0 + REFUSE_S - 0.01)
+    assert held == ClaimReply(False, OLD, held=True)
+    assert claimed(replica, Term(1, 5, "a"), 1.1).granted  # the same owner, under a higher term
+    assert claimed(replica, Term(1, 6, "b"), 1.0 + REFUSE_S + CLAIM_HOLD_S).granted
+
+
+def test_a_lease_under_a_new_term_counts_once_the_promise_lasts() -> None:
+    replica = Replica(0)
+    answer, actions = replica.touch(0.0, Lease(0, OLD))
+    assert not answer.granted
+    assert answer.promised == OLD
+    settle(replica, actions)
+    assert replica.touch(0.2, Lease(0, OLD))[0].granted
+
+
+def test_a_release_lets_others_claim_at_once() -> None:
+    replica = Replica(0)
+    claimed(replica, OLD, 0.0)
+    replica.touch(0.1, Lease(0, OLD))
+    assert replica.handle(0.2, 1, Release(0, "me", NEWEST)) == [Reply(1, Ok())]
+    assert claimed(replica, NEW, 0.2).held
+    replica.handle(0.2, 1, Release(0, "me", OLD))
+    assert claimed(replica, NEW, 0.2).granted
+
+
+def test_after_a_start_a_lease_granted_before_may_still_run() -> None:
+    replica = Replica(0)
+    replica.apply(0.0, Promised(OLD), 0)
+    replica.restored(10.0 + REFUSE_S)
+    assert claimed(replica, NEW, 10.0).held
+    assert claimed(replica, Term(1, 2, "a"), 10.0).granted  # the owner itself, whose old process is gone
+    fresh = Replica(0)
+    fresh.restored(10.0 + REFUSE_S)
+    assert claimed(fresh, NEW, 10.0).granted
+
+
+def test_erasures_spare_what_the_owner_has_written_since() -> None:
+    replica = Replica(0)
+    put(replica, OLD, "k", 0, b"stale")
+    put(replica, OLD, "k", 1, b"stale")
+    put(replica, NEW, "k", 1, b"good")
+    settle(replica, replica.handle(0.0, 1, drop(NEW, ("k", 0), ("k", 1), ("k", 2))))
+    assert replica.value("k", 0) is None
+    assert replica.value("k", 1) == b"good"
+
+
+def test_a_marked_lot_is_erased_whole_and_the_mark_last() -> None:
+    replica = Replica(0)
+    empty = replica.digest
+    put(replica, OLD, "k", DEFINITION, b"d")
+    put(replica, OLD, "k", FORGOTTEN, b"")
+    settle(replica, replica.handle(0.0, 1, drop(OLD, ("k", DEFINITION))))
+    assert set(replica.lots["k"].slots) == {FORGOTTEN}
+    settle(replica, replica.handle(0.0, 1, drop(OLD, ("k", FORGOTTEN))))
+    assert replica.lots == {}
+    assert replica.digest == empty
+
+
+def test_fetches_and_inventories() -> None:
+    replica = Replica(0)
+    put(replica, OLD, "k", 0, b"zero")
+    put(replica, NEW, "k", 1, b"one")
+    wanted = pack_records([Record("k", 1, 0, b""), Record("k", 5, 0, b""), Record("x", 0, 0, b"")])
+    (reply,) = replica.handle(2.0, 1, Fetch(0, "me", wanted))
+    assert isinstance(reply, Reply)
+    assert isinstance(reply.body, Fetched)
+    assert unpack_records(reply.body.records) == [Record("k", 1, 2000, b"one")]
+    (reply,) = replica.handle(2.0, 1, AskInventory(0, "me", NEW))
+    assert isinstance(reply, Reply)
+    held = unpack_inventory(reply.body.inventory)["k"]
+    assert {slot: state.term for slot, state in held.slots.items()} == {0: OLD, 1: NEW}
+
+
+def test_equal_contents_have_equal_digests_whatever_the_way_there() -> None:
+    one, other = Replica(0), Replica(0)
+    put(one, OLD, "k", 0, b"v")
+    put(one, OLD, "k", 1, b"w")
+    put(other, NEW, "k", 1, b"x")
+    put(other, NEWEST, "k", 1, b"w")
+    assert one.digest != other.digest
+    put(other, NEWEST, "k", 0, b"v")
+    assert one.digest == other.digest
+
+
+def test_a_replica_that_leaves_keeps_its_promise() -> None:
+    replica = Replica(0)
+    put(replica, NEW, "k", 0, b"v")
+    actions = replica.leave(0.0)
+    assert replica.leave(0.0) == []
+    assert [entry for entry in replica.kept_in(0.0, 0) if isinstance(entry, Copied)] == []
+    settle(replica, actions)
+    assert replica.lots == {}
+    assert claimed(replica, OLD, 0.0) == ClaimReply(False, NEW)
+
+
+def restored(*entries: Entry) -> Replica:
+    replica = Replica(0)
+    for number, entry in enumerate(entries):
+        replica.apply(0.0, entry, number)
+    replica.restored(0.0)
+    return replica
+
+
+ZERO = (Record("k", 0, 0, b"v"),)
+
+
+@pytest.mark.parametrize(
+    ("entries", "held"),
+    [
+        ((Written(OLD, ZERO),), True),
+        ((Written(OLD, ZERO), Dropped(NEW, ZERO)), False),
+        ((Written(OLD, ZERO), Dropped(NEW, ZERO), Copied(OLD, ZERO)), False),
+        ((Dropped(NEW, ZERO), Written(NEW, ZERO)), True),
+        ((Dropped(OLD, ZERO), Copied(NEW, ZERO)), True),
+        ((Copied(OLD, ZERO),), True),
+        ((Written(OLD, ZERO), Emptied(), Copied(OLD, ZERO)), False),
+        ((Emptied(), Written(OLD, ZERO), Copied(OLD, ZERO)), True),
+        ((Written(OLD, ZERO), Copied(OLD, ZERO)), True),
+    ],
+)
+def test_what_a_start_finds(entries: tuple[Entry, ...], held: bool) -> None:
+    assert (restored(*entries).value("k", 0) == b"v") is held
+
+
+def test_a_reclaimed_segment_keeps_the_promise_and_live_slots_alone() -> None:
+    replica = Replica(0)
+    put(replica, OLD, "k", 0, b"old", segment=1)
+    put(replica, OLD, "k", 1, b"one", segment=1)
+    put(replica, OLD, "k", 2, b"two", segment=1)
+    put(replica, NEW, "k", 0, b"new", segment=2)
+    replica.handle(0.0, 1, drop(NEW, ("k", 2)))  # under way to the disk
+    kept = replica.kept_in(0.0, 1)
+    assert kept == [Promised(NEW), Copied(OLD, (Record("k", 1, 0, b"one"),))]
+    replica.relocated(kept[1], 5)
+    assert replica.lots["k"].slots[1].segment == 5
+    assert replica.kept_in(0.0, 1) == [Promised(NEW)]
