--- a/emberring/gateway/attempt.py
+++ b/emberring/gateway/attempt.py
@@ -118,7 +118,9 @@
 
     async def _run(self) -> Ended:
         server, call = self._server, self._call
-        taken = await self._means.pool.take(server.id, server.address, sure=not call.may_repeat)
+        taken = await self._means.pool.take(
+            server.id, server.address, call.request.request_id, sure=not call.may_repeat
+        )
         if isinstance(taken, NoConnection):
             unreachable = taken is NoConnection.UNREACHABLE
             return Ended(CallOutcome.CONNECT_FAILED if unreachable else CallOutcome.NOT_SENT)
--- a/emberring/gateway/pool.py
+++ b/emberring/gateway/pool.py
@@ -83,11 +83,14 @@
         server = self._servers.get(server_id)
         return server.size if server else 0
 
-    async def take(self, server_id: str, address: str, sure: bool) -> ServerConnection | NoConnection:
+    async def take(
+        self, server_id: str, address: str, request_id: bytes, sure: bool
+    ) -> ServerConnection | NoConnection:
         """A connection that carries nothing: an idle one that was proven to stand, or a new one; with `sure`, a new
-        one that was not reset as it came up."""
+        one that was not reset as it came up. One on which a request of this id has failed is not taken: a late copy
+        of that answer could not be told from the answer to come."""
         server = self._servers.setdefault(server_id, _Server(address))
-        found = self._take_idle(server)
+        found = self._take_idle(server, request_id)
         if found is not None:
             return found
         if server.size >= max(1, self._share(server_id)) and not self._make_room(server):
@@ -95,10 +98,13 @@
         return await self._open(server, sure)
 
     @staticmethod
-    def _take_idle(server: _Server) -> ServerConnection | None:
+    def _take_idle(server: _Server, request_id: bytes) -> ServerConnection | None:
         now = asyncio.get_running_loop().time()
         while server.idle:
             connection = server.idle.pop()
+            if request_id in connection.failed_ids:
+                connection.retire()
+                continue
             if now - connection.idle_since < _idle_limit(connection) and connection.usable:
                 return connection
             connection.retire()
--- a/emberring/gateway/role.py
+++ b/emberring/gateway/role.py
@@ -65,6 +65,7 @@
         self.probes = ClientPort(ReadinessPages(self._ready, self._figures), ClientLimits)
         self._refresher: asyncio.TimerHandle | None = None
         self._refresh_soon = False
+        self._said_ready = False
 
     async def start(self) -> None:
         """Listen, and begin to learn what is to be known."""
@@ -84,7 +85,11 @@
         return configuration.limits if configuration is not None else ClientLimits()
 
     def _ready(self) -> bool:
-        return self.readiness.ready(self._loop.time())
+        ready = self.readiness.ready(self._loop.time())
+        if ready != self._said_ready:
+            self._said_ready = ready
+            logger.info("event=%s servers=%d", "ready" if ready else "not_ready", len(self.follower.servers))
+        return ready
 
     def _cut_off(self) -> bool:
         return not self.follower.in_contact and self.executor.cut_off(self._loop.time())
--- a/emberring/gateway/upstream.py
+++ b/emberring/gateway/upstream.py
@@ -61,6 +61,7 @@
         self._whole = False
         self.touched = False
         self.keep_alive_s: float | None = None
+        self.failed_ids: set[bytes] = set()  # of requests that were answered with a failure here
 
     def start(self, data: bytes, request_id: bytes, bodiless: bool, exchange: Exchange) -> None:
         """Send a request; `bodiless`: its method is HEAD. Afterwards `touched` tells whether a byte may have left."""
@@ -137,6 +138,8 @@
             return
         if self._skipping:
             return
+        if status >= SUCCESS_BELOW:
+            self.failed_ids.add(self._request_id)
         bodiless = self._bodiless or status in BODILESS_STATUSES
         if not bodiless and head.length is None and not self._is_chunked():
             self._spoilt = True  # only the connection's end would end it, and that could be a break too
--- /dev/null
+++ b/tests/emberring/gateway/test_tier_gateway_fuzz.py
@@ -0,0 +1,209 @@
+"""Servers that misbehave at random, requests of all kinds: no rule of the answers is broken, whatever happens."""
+
+from __future__ import annotations
+
+import asyncio
+from collections import Counter
+
+import attrs
+from gateway_world import (
+    Received,
+    ScriptedServer,
+    Seen,
+    Side,
+    World,
+    chunk,
+    event,
+    head,
+    play,
+    request,
+    stream_head,
+)
+from hypothesis import HealthCheck, given, settings
+from hypothesis import strategies as st
+
+LAST = 4  # events of a whole stream
+PATHS = ("/live/1", "/again/1", "/plain/1", "/once/1")
+MAX_ATTEMPTS = 2
+
+
+@attrs.frozen
+class Deed:
+    """What a server does with a request: `runs` says whether it begins work on it."""
+
+    kind: str
+    at: int = 0  # events before a break
+    copy: bool = False  # another answer of the same request follows later
+
+
+KINDS = (
+    "whole",
+    "cut",
+    "cut_inside",
+    "reset",
+    "reset_after_run",
+    "full",
+    "wrong",
+    "error",
+    "garble",
+    "garble_inside",
+    "unsigned",
+    "bare_503",
+    "close_after",
+    "nothing",
+)
+NOT_RUN = frozenset(("full", "wrong"))
+DEEDS = st.builds(Deed, st.sampled_from(KINDS), st.integers(0, LAST), st.booleans())
+
+
+def stamp(server: str, seen: Seen) -> str:
+    return f"{server}/{seen.headers['request-id']}"
+
+
+class Server:
+    """A server that does the next deed of its list, and keeps book of what it ran."""
+
+    def __init__(self, name: str, deeds: list[Deed], runs: list[tuple[str, str, int]]) -> None:
+        self.name, self.deeds, self.runs = name, deeds, runs
+        self.late: bytes = b""
+
+    async def __call__(self, side: Side, seen: Seen) -> None:
+        deed = self.deeds.pop(0) if self.deeds else Deed("whole")
+        after = int(seen.headers.get("last-event-id", "0"))
+        if deed.kind not in NOT_RUN:
+            self.runs.append((seen.headers["request-id"], self.name, after))
+        late, self.late = self.late, b""
+        if late:
+            await side.write(late)
+        await self._do(deed, side, seen, after)
+        if deed.copy and deed.kind in ("whole", "error"):
+            self.late = await self._whole_bytes(seen, after) if deed.kind == "whole" else self._error(seen)
+
+    def _error(self, seen: Seen) -> bytes:
+        return head(seen, 500, 0, Response_Signature=stamp(self.name, seen))
+
+    async def _whole_bytes(self, seen: Seen, after: int) -> bytes:
+        name = stamp(self.name, seen)
+        if b" /live" not in seen.start and b" /again" not in seen.start:
+            body = b"body of " + seen.headers["request-id"].encode()
+            return head(seen, 200, len(body), Response_Signature=name) + body
+        data = b"".join(chunk(event(number)) for number in range(after + 1, LAST + 1))
+        return stream_head(seen, Response_Signature=name) + data + b"0\r\n\r\n"
+
+    async def _do(self, deed: Deed, side: Side, seen: Seen, after: int) -> None:
+        whole = await self._whole_bytes(seen, after)
+        begun, _, rest = whole.partition(b"\r\n\r\n")
+        part = begun + b"\r\n\r\n" + rest[: len(rest) * deed.at // (LAST + 1)]
+        match deed.kind:
+            case "whole":
+                await side.write(whole)
+            case "close_after":
+                await side.write(whole.replace(b"\r\n", b"\r\nConnection: close\r\n", 1))
+                side.close()
+            case "cut":
+                await side.write(part)
+                side.close()
+            case "cut_inside":
+                await side.write(whole[: len(whole) - 7])
+                side.close()
+            case "reset" | "reset_after_run":
+                side.reset()
+            case "full":
+                await side.write(head(seen, 503, 0, signed=False, Not_Executed="1"))
+            case "wrong":
+                await side.write(head(seen, 421, 0, signed=False, Instance_Id=self.name))
+            case "error":
+                await side.write(self._error(seen))
+            case "garble":
+                await side.write(b"\x16\x03\x01 junk\r\n\r\n")
+                side.close()
+            case "garble_inside":
+                # Junk that fills a stated length can't be told from a body; only chunks show it.
+                await side.write(part + (b"zz\r\njunk" if b"chunked" in begun else b""))
+                side.close()
+            case "unsigned":
+                await side.write(head(seen, 200, 2, signed=False) + b"ok")
+            case "bare_503":
+                await side.write(head(seen, 503, 0, signed=False))
+            case "nothing":
+                side.close()
+
+
+def check(path: str, request_id: str, answer: Received, runs: list[tuple[str, str, int]]) -> None:
+    """The rules of one request's answer."""
+    mine = [run for run in runs if run[0] == request_id]
+    repeatable = path.startswith(("/again", "/plain"))
+    assert len(mine) <= (MAX_ATTEMPTS if repeatable else 1), "TWICE or BUDGET"
+    if answer.status in (408, 421, 429, 503):
+        assert answer.whole
+        assert repeatable or not mine, "REFUSED"
+        assert "response-signature" not in answer.headers
+        return
+    if answer.status == 200:
+        server = answer.headers["response-signature"]
+        assert server == f"{mine[0][1]}/{request_id}" or repeatable, "MIXED"
+        assert server.endswith("/" + request_id), "MIXED"
+        check_body(path, request_id, answer)
+    elif answer.status == 500:
+        assert answer.headers["response-signature"].endswith("/" + request_id)
+    else:
+        assert answer.status == 502
+        assert "response-signature" not in answer.headers
+
+
+def check_body(path: str, request_id: str, answer: Received) -> None:
+    if path.startswith(("/live", "/again")):
+        pieces = answer.body.count(b"\n\n")
+        assert answer.body == b"".join(event(number) for number in range(1, pieces + 1)), "ORDER"
+        assert not answer.whole or pieces == LAST, "ORDER"
+    else:
+        whole = b"body of " + request_id.encode()
+        assert answer.body == whole or (not answer.whole and whole.startswith(answer.body)), "MIXED"
+
+
+@settings(max_examples=120, deadline=None, suppress_health_check=list(HealthCheck))
+@given(
+    st.lists(st.lists(DEEDS, max_size=12), min_size=1, max_size=3),
+    st.lists(st.tuples(st.sampled_from(PATHS), st.integers(0, 1)), min_size=1, max_size=16),
+)
+def test_rules_hold_with_servers_that_misbehave(
+    deeds: list[list[Deed]], asked: list[tuple[str, int]]
+) -> None:
+    async def story(world: World) -> None:
+        runs: list[tuple[str, str, int]] = []
+        for number, todo in enumerate(deeds):
+            name = f"i-{number}"
+            server: ScriptedServer = await world.server(Server(name, list(todo), runs), name=name)
+            assert server.id == name
+        clients = [await world.client(), await world.client()]
+        for number, (path, at) in enumerate(asked):
+            answer = await clients[at].ask(path, request_id=f"r{number}")
+            if not answer.whole:
+                clients[at].close()
+                clients[at] = await world.client()
+            check(path, f"r{number}", answer, runs)
+        assert world.admission.in_flight == 0
+
+    play(story)
+
+
+@settings(max_examples=40, deadline=None, suppress_health_check=list(HealthCheck))
+@given(
+    st.lists(st.lists(DEEDS, max_size=12), min_size=2, max_size=3),
+    st.lists(st.sampled_from(PATHS), max_size=10),
+)
+def test_rules_hold_for_requests_at_the_same_time(deeds: list[list[Deed]], paths: list[str]) -> None:
+    async def story(world: World) -> None:
+        runs: list[tuple[str, str, int]] = []
+        for number, todo in enumerate(deeds):
+            await world.server(Server(f"i-{number}", list(todo), runs), name=f"i-{number}")
+        clients = [await world.client() for _ in paths]
+        for number, (client, path) in enumerate(zip(clients, paths, strict=True)):
+            await client.send(request(path, request_id=f"r{number}"))
+        answers = await asyncio.gather(*[client.receive() for client in clients])
+        for number, (path, answer) in enumerate(zip(paths, answers, strict=True)):
+            check(path, f"r{number}", answer, runs)
+        assert Counter(run[0] for run in runs).keys() <= {f"r{number}" for number in range(len(paths))}
+        assert world.admission.in_flight == 0
+
+    play(story)
--- a/tests/emberring/gateway/test_tier_gateway_items.py
+++ b/tests/emberring/gateway/test_tier_gateway_items.py
@@ -152,6 +152,23 @@
     play(story)
 
 
+def test_a_late_copy_of_a_failure_is_not_taken_for_the_next_run() -> None:
+    async def story(world: World) -> None:
+        async def fail_twice(side: Side, seen: Seen) -> None:
+            await side.answer(seen, 500)
+
+        async def copy_first(side: Side, seen: Seen) -> None:
+            if seen.connection == 1:
+                await side.answer(seen, 500)
+            await side.stream(seen, (1, 2, 3))
+
+        await world.server(fail_twice, copy_first)
+        assert (await world.executor.run_item(item(), lambda events: None)).kind is OutcomeKind.FAILED_500
+        assert (await world.executor.run_item(item(), lambda events: None)).kind is OutcomeKind.COMPLETED
+
+    play(story)
+
+
 def test_a_run_from_the_start_is_not_joined_to_what_is_kept() -> None:
     async def story(world: World) -> None:
         async def from_the_start(side: Side, seen: Seen) -> None:
