Tests of the book of lots and of what a new owner adopts

Change: tables of cases for quota, positions, pages, runs resumed and joined, dead letters, ends, takeovers, forgetting.

--- /dev/null
+++ b/tests/emberring/lots/test_tier_lots_book.py
@@ -0,0 +1,577 @@
+"""The book of a shard's lots: taking, quota, running, listing, ending, forgetting."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import attrs
+import orjson
+import pytest
+
+from emberring.configuration.model import Configuration, Route, RouteType, Share
+from emberring.errors import (
+    BadRequestError,
+    EmberringError,
+    InDoubtError,
+    NotFoundError,
+    NotReadyError,
+    QuotaExceededError,
+)
+from emberring.lots.book import LISTED_SLACK_S, LotBook
+from emberring.lots.calls import (
+    Assignment,
+    EndLot,
+    EventData,
+    FinishRun,
+    ItemBody,
+    LotPage,
+    LotTerms,
+    ReadItem,
+    ReadLot,
+    ReportRuns,
+    RunFinished,
+    RunProgress,
+    SubmitLot,
+)
+from emberring.lots.items import OutcomeKind
+from emberring.lots.owned import OwnedRecords
+from emberring.lots.records import DEFINITION, END, FORGOTTEN
+from emberring.lots.running import ANNOUNCE_S, RETENTION_SLACK_S, RUN_LEASE_S
+from emberring.lots.shelf import Answer, BookAction, Forget, Propose, Refuse
+from emberring.transport.messages import Ok
+
+HOST = "lots.example"
+TERMS = LotTerms("r", "/batch/", 5, 8000.0, 40.0, 2, 100)
+STATUS_S = 120.0
+
+
+def body(items: int, tokens: int = 10, prefix: str = "i", filler: str = "") -> bytes:
+    return orjson.dumps(
+        {
+            "Requests": [
+                {
+                    "Id": f"{prefix}{n}",
+                    "Path": f"/batch/{n}",
+                    "Headers": {"Model": "m"},
+                    "Body": "q80=",
+                    "Tokens": tokens,
+                }
+                for n in range(items)
+            ]
+        }
+    )
+
+
+def events(*texts: str) -> tuple[EventData, ...]:
+    return tuple(EventData(number, text) for number, text in enumerate(texts))
+
+
+@attrs.define
+class Desk:
+    """A book whose proposals last when it is said so."""
+
+    records: OwnedRecords = attrs.field(factory=OwnedRecords)
+    now_s: float = 0.0
+    at_once: bool = True
+    answers: dict[int, Any] = attrs.field(factory=dict)
+    proposed: list[Propose] = attrs.field(factory=list)
+    forgotten: list[str] = attrs.field(factory=list)
+    calls: int = 0
+    book: LotBook = attrs.field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        self.book = LotBook(0, self.records, STATUS_S, 1)
+
+    def act(self, actions: list[BookAction]) -> None:
+        for action in actions:
+            if isinstance(action, Answer):
+                self.answers[action.call] = action.body
+            elif isinstance(action, Refuse):
+                self.answers[action.call] = action.error
+            elif isinstance(action, Forget):
+                self.forgotten.append(action.key)
+            else:
+                self.records.put(action.key, action.slot, action.value, action.accepted_s)
+                self.proposed.append(action)
+                if self.at_once:
+                    self.last()
+
+    def last(self) -> None:
+        """What was proposed lasts."""
+        proposed, self.proposed = self.proposed, []
+        for proposal in proposed:
+            owned = self.records.find(proposal.key, proposal.slot)
+            assert owned is not None
+            self.records.choose(owned)
+            self.act(self.book.chosen(self.now_s, proposal.key, proposal.slot))
+
+    def number(self) -> int:
+        self.calls += 1
+        return self.calls
+
+    def submit(self, lot: str, content: bytes, terms: LotTerms = TERMS) -> Any:
+        call = self.number()
+        self.act(self.book.submit(self.now_s, call, SubmitLot(HOST, lot, terms, content)))
+        return self.answers.get(call)
+
+    def read(self, lot: str, start: int = 0, wait_ms: int = 0) -> Any:
+        call = self.number()
+        self.act(self.book.read(self.now_s, call, ReadLot(HOST, lot, start, wait_ms)))
+        found = self.answers.get(call)
+        return orjson.loads(found.body) if isinstance(found, LotPage) else found
+
+    def end(self, lot: str) -> Any:
+        call = self.number()
+        self.act(self.book.end(call, EndLot(HOST, lot)))
+        return self.answers.get(call)
+
+    def take(self, room: int = 100, gateway: str = "g") -> list[Assignment]:
+        return self.book.take(self.now_s, gateway, room)
+
+    def finish(
+        self,
+        item: Assignment,
+        kind: OutcomeKind = OutcomeKind.COMPLETED,
+        found: tuple[EventData, ...] = (),
+        start: int = 0,
+    ) -> Any:
+        call = self.number()
+        message = FinishRun(
+            "g", 0, item.key, item.index, item.ticket, kind.value, start, start + len(found), found
+        )
+        self.act(self.book.finish(self.now_s, call, message))
+        return self.answers.get(call)
+
+    def report(
+        self, item: Assignment, start: int, found: tuple[EventData, ...], gateway: str = "g"
+    ) -> tuple[bool, int]:
+        run = RunProgress(item.key, item.index, item.ticket, start, found)
+        (answer,) = self.book.report(self.now_s, ReportRuns(gateway, 0, (run,))).runs
+        return answer.go_on, answer.have
+
+    def pass_time(self, seconds: float) -> None:
+        self.now_s += seconds
+        self.act(self.book.tick(self.now_s))
+
+    def takeover(self) -> Desk:
+        """Another owner with what lasts here."""
+        for key, lot in list(self.records.lots.items()):
+            for slot, owned in list(lot.slots.items()):
+                if not owned.chosen:
+                    self.records.erase(key, slot)
+        other = Desk(self.records, self.now_s, calls=1000)
+        other.act(other.book.adopt(self.now_s, self.records.lots))
+        return other
+
+
+def states(page: dict[str, Any]) -> list[tuple[str, str, str]]:
+    return [(result["Id"], result["State"], result["Message"]) for result in page["Results"]]
+
+
+# Taking.
+
+
+def test_a_lot_is_accepted_once_it_lasts_and_only_once() -> None:
+    desk = Desk(at_once=False)
+    assert desk.submit("l", body(2)) is None
+    assert desk.submit("l", body(2)) is None
+    assert isinstance(desk.read("l"), NotReadyError)
+    assert desk.take() == []
+    desk.last()
+    assert desk.answers[1] == desk.answers[2] == Ok()
+    assert desk.submit("l", body(2)) == Ok()
+    assert [item.id for item in desk.take()] == ["i0", "i1"]
+
+
+@pytest.mark.parametrize(
+    "content",
+    [
+        b"{",
+        b"[]",
+        b'{"Requests":[]}',
+        b'{"Requests":[{"Id":"","Path":"/x","Tokens":1}]}',
+        b'{"Requests":[{"Id":"a","Path":"x","Tokens":1}]}',
+        b'{"Requests":[{"Id":"a","Path":"/x","Tokens":-1}]}',
+        b'{"Requests":[{"Id":"a","Path":"/x","Tokens":true}]}',
+        b'{"Requests":[{"Id":"a","Path":"/x","Body":"*"}]}',
+        b'{"Requests":[{"Id":"a","Path":"/x","Headers":{"A":1}}]}',
+        b'{"Requests":[{"Id":"a","Path":"/x"},{"Id":"a","Path":"/y"}]}',
+        body(201),
+    ],
+)
+def test_what_is_no_lot_is_refused_and_leaves_nothing(content: bytes) -> None:
+    desk = Desk()
+    assert isinstance(desk.submit("l", content), BadRequestError)
+    assert desk.records.lots == {}
+
+
+def test_a_lot_that_does_not_fit_leaves_nothing_and_fits_later() -> None:
+    desk = Desk()
+    assert desk.submit("one", body(6)) == Ok()
+    assert isinstance(desk.submit("two", body(5)), QuotaExceededError)
+    assert "lots.example/two" not in desk.records.lots
+    assert isinstance(desk.read("two"), NotFoundError)
+    assert desk.submit("three", body(4)) == Ok()
+    item = desk.take(1)[0]
+    desk.finish(item, found=events("x"))
+    assert desk.submit("two", body(1)) == Ok()
+    assert desk.book.waiting_tokens == {"r": 100}
+
+
+@pytest.mark.parametrize("how", [OutcomeKind.COMPLETED, OutcomeKind.IMPOSSIBLE_422])
+def test_tokens_are_given_back_when_the_word_comes_not_when_it_lasts(how: OutcomeKind) -> None:
+    desk = Desk()
+    desk.submit("one", body(10))
+    item = desk.take(1)[0]
+    desk.at_once = False
+    desk.finish(item, how)
+    assert desk.book.waiting_tokens == {"r": 90}
+
+
+def test_an_end_gives_back_all_that_waits() -> None:
+    desk = Desk()
+    desk.submit("one", body(10))
+    assert desk.end("one") == Ok()
+    assert desk.submit("two", body(10)) == Ok()
+
+
+def test_no_limit_and_a_limit_that_a_newer_configuration_sets() -> None:
+    route = Route("r", HOST, "/batch/", RouteType.BATCH, 4000, (Share("s", 1),), max_queued_tokens=20)
+    desk = Desk()
+    assert desk.submit("free", body(100), attrs.evolve(TERMS, max_queued_tokens=0)) == Ok()
+    desk.book.configure(Configuration(4, (route,), ()))
+    assert isinstance(desk.submit("one", body(1)), QuotaExceededError)  # 1,000 tokens wait, 100 may
+    desk.end("free")
+    assert desk.submit("two", body(5)) == Ok()  # the older configuration's 20 do not count
+    desk.book.configure(Configuration(5, (route,), ()))
+    assert isinstance(desk.submit("three", body(1)), QuotaExceededError)
+
+
+def test_after_a_takeover_all_that_has_no_result_waits() -> None:
+    desk = Desk()
+    desk.submit("one", body(10))
+    for item in desk.take(4):
+        desk.finish(item, found=events("x"))
+    other = desk.takeover()
+    assert other.book.waiting_tokens == {"r": 60}
+    assert isinstance(other.submit("two", body(5)), QuotaExceededError)
+    assert other.submit("three", body(4)) == Ok()
+
+
+# Reading.
+
+
+def test_pages_hold_results_in_their_positions() -> None:
+    desk = Desk()
+    desk.submit("l", body(3))
+    first, second, third = desk.take()
+    desk.finish(second, found=events("b0", "b1"))
+    assert desk.read("l") == {
+        "Total": 3,
+        "NextPageToken": 1,
+        "Results": [{"Id": "i1", "State": "completed", "Message": "b0\nb1"}],
+    }
+    desk.finish(first, OutcomeKind.IMPOSSIBLE_422)
+    assert states(desk.read("l", 1)) == [("i0", "dead_letter", "")]
+    assert desk.read("l", 2) == {"Total": 3, "NextPageToken": 2, "Results": []}
+    desk.finish(third, found=events("c"))
+    assert [entry[0] for entry in states(desk.read("l"))] == ["i1", "i0", "i2"]
+    assert isinstance(desk.read("unknown"), NotFoundError)
+
+
+def test_a_result_is_shown_only_once_it_lasts_and_behind_no_gap() -> None:
+    desk = Desk()
+    desk.submit("l", body(2))
+    first, second = desk.take()
+    desk.at_once = False
+    assert desk.finish(first, found=events("a")) is None
+    assert desk.finish(second, found=events("b")) is None
+    proposals, desk.proposed = desk.proposed, desk.proposed[1:]
+    desk.last()
+    assert desk.read("l")["Results"] == []
+    desk.proposed = proposals[:1]
+    desk.last()
+    assert len(desk.read("l")["Results"]) == 2
+
+
+def test_a_read_waits_for_the_next_result() -> None:
+    desk = Desk()
+    desk.submit("l", body(2))
+    assert desk.read("l", 0, 1000) is None
+    desk.pass_time(0.5)
+    assert 2 not in desk.answers
+    desk.finish(desk.take(1)[0], found=events("a"))
+    assert len(orjson.loads(desk.answers[2].body)["Results"]) == 1
+    assert desk.read("l", 1, 300) is None
+    desk.pass_time(0.31)
+    assert orjson.loads(desk.answers[4].body)["Results"] == []
+
+
+def test_a_page_holds_about_a_megabyte_and_at_least_one_result() -> None:
+    desk = Desk()
+    desk.submit("l", body(3))
+    for item in desk.take():
+        desk.finish(item, found=events("x" * 1_200_000 if item.index == 0 else "y" * 400_000))
+    assert [len(desk.read("l", start)["Results"]) for start in (0, 1, 2)] == [1, 2, 1]
+
+
+def test_bodies_are_given_until_the_lot_is_ended() -> None:
+    desk = Desk()
+    desk.submit("l", body(1))
+    for name, found in (("i0", ItemBody(b"\xab\xcd")), ("other", None)):
+        call = desk.number()
+        desk.act(desk.book.item(call, ReadItem(HOST, "l", name)))
+        if found is None:
+            assert isinstance(desk.answers[call], NotFoundError)
+        else:
+            assert desk.answers[call] == found
+    desk.end("l")
+    call = desk.number()
+    desk.act(desk.book.item(call, ReadItem(HOST, "l", "i0")))
+    assert isinstance(desk.answers[call], NotFoundError)
+
+
+# Running.
+
+
+def test_items_due_first_run_first_and_late_ones_behind_those_in_time() -> None:
+    desk = Desk()
+    terms = attrs.evolve(TERMS, completion_ms=2000.0)
+    desk.submit("slow", body(1, 1, "s"))
+    desk.submit("quick", body(1, 1, "q"), terms)
+    desk.now_s = 0.5
+    desk.submit("late", body(1, 1, "l"), attrs.evolve(TERMS, completion_ms=100.0))
+    assert [item.id for item in desk.take()] == ["q0", "s0", "l0"]
+
+
+def test_a_late_item_about_to_be_given_up_goes_first() -> None:
+    desk = Desk()
+    desk.submit("old", body(1, 1, "o"), attrs.evolve(TERMS, completion_ms=100.0, retention_s=10.0))
+    desk.now_s = 8.0
+    desk.submit("new", body(1, 1, "n"))
+    assert [item.id for item in desk.take()] == ["o0", "n0"]
+
+
+def test_a_run_that_falls_silent_is_given_out_again_with_its_events() -> None:
+    desk = Desk()
+    desk.submit("l", body(1))
+    (item,) = desk.take()
+    assert desk.report(item, 0, events("a", "b")) == (True, 2)
+    assert desk.report(item, 2, (EventData(2, "c"),)) == (True, 3)
+    desk.pass_time(RUN_LEASE_S - 0.1)
+    assert desk.take() == []
+    desk.pass_time(0.2)
+    (again,) = desk.take(gateway="h")
+    assert again.events == events("a", "b", "c")
+    assert desk.report(item, 3, ()) == (False, 0)
+    assert desk.finish(again, found=(EventData(3, "d"),), start=3) == RunFinished(True)
+    assert states(desk.read("l")) == [("i0", "completed", "a\nb\nc\nd")]
+
+
+def test_events_that_the_owner_lacks_are_wanted_again() -> None:
+    desk = Desk()
+    desk.submit("l", body(1))
+    (item,) = desk.take()
+    assert desk.report(item, 2, (EventData(2, "c"),)) == (True, 0)
+    assert desk.finish(item, found=(EventData(2, "c"),), start=2) == RunFinished(False)
+    assert desk.finish(item, found=events("a", "b", "c")) == RunFinished(True)
+    assert states(desk.read("l")) == [("i0", "completed", "a\nb\nc")]
+
+
+def test_events_of_two_runs_are_never_joined() -> None:
+    desk = Desk()
+    desk.submit("l", body(1))
+    (item,) = desk.take()
+    desk.report(item, 0, events("old0", "old1"))
+    desk.finish(item, OutcomeKind.BROKEN, events("old0"))
+    (again,) = desk.take()
+    assert again.events == events("old0", "old1")
+    other = attrs.evolve(item, ticket=item.ticket + 1)  # a run that nobody here knows, from its start
+    assert desk.report(other, 0, events("new0")) == (False, 0)
+    assert desk.finish(other, found=(EventData(1, "new1"),), start=1) == RunFinished(False)
+    assert desk.finish(other, found=events("new0", "new1")) == RunFinished(True)
+    assert states(desk.read("l")) == [("i0", "completed", "new0\nnew1")]
+
+
+def test_two_runs_that_end_at_once_give_one_result() -> None:
+    desk = Desk()
+    desk.submit("l", body(1))
+    (item,) = desk.take()
+    other = attrs.evolve(item, ticket=item.ticket + 1)
+    desk.at_once = False
+    assert desk.finish(item, found=events("a")) is None
+    assert desk.finish(other, found=events("b")) is None
+    assert len(desk.proposed) == 1
+    desk.last()
+    assert desk.answers[2] == desk.answers[3] == RunFinished(True)
+    assert desk.finish(other, found=events("b")) == RunFinished(True)
+    assert states(desk.read("l")) == [("i0", "completed", "a")]
+
+
+def test_answers_of_500_make_a_dead_letter_at_the_last_attempt_and_count_once_each() -> None:
+    desk = Desk()
+    desk.submit("l", body(1))
+    (item,) = desk.take()
+    assert desk.finish(item, OutcomeKind.FAILED_500) == RunFinished(True)
+    assert desk.finish(item, OutcomeKind.FAILED_500) == RunFinished(True)
+    assert desk.read("l")["Results"] == []
+    (again,) = desk.take()
+    desk.finish(again, OutcomeKind.NOT_RUN)
+    (third,) = desk.take()
+    desk.finish(third, OutcomeKind.FAILED_500)
+    assert states(desk.read("l")) == [("i0", "dead_letter", "")]
+    assert desk.take() == []
+
+
+@pytest.mark.parametrize(("age_s", "dead"), [(39.9, False), (40.0 + RETENTION_SLACK_S + 0.6, True)])
+def test_past_the_retention_items_are_dead_letters(age_s: float, dead: bool) -> None:
+    desk = Desk()
+    desk.submit("l", body(2))
+    desk.take(1)
+    desk.pass_time(age_s)
+    assert (len(desk.read("l")["Results"]) == 2) is dead
+
+
+def test_items_of_a_route_that_is_gone_are_dead_letters_but_not_by_an_older_configuration() -> None:
+    desk = Desk()
+    desk.submit("l", body(1))
+    desk.book.configure(Configuration(4, (), ()))
+    desk.pass_time(1.0)
+    assert desk.read("l")["Results"] == []
+    renamed = Route("q", HOST, "/batch/", RouteType.BATCH, 4000, (Share("s", 1),))
+    desk.book.configure(Configuration(6, (renamed,), ()))
+    desk.pass_time(1.0)
+    assert desk.read("l")["Results"] == []
+    desk.book.configure(Configuration(7, (), ()))
+    desk.pass_time(1.0)
+    assert states(desk.read("l")) == [("i0", "dead_letter", "")]
+
+
+# Ends and ownership.
+
+
+def test_an_end_is_answered_once_it_lasts_and_nothing_is_given_out_from_its_asking_on() -> None:
+    desk = Desk()
+    desk.submit("l", body(2))
+    (item,) = desk.take(1)
+    desk.at_once = False
+    assert desk.end("l") is None
+    assert desk.take() == []
+    assert desk.report(item, 0, ()) == (False, 0)
+    desk.last()
+    assert desk.answers[2] == Ok()
+    assert desk.end("l") == Ok()
+    assert isinstance(desk.end("unknown"), NotFoundError)
+    assert desk.finish(item, found=events("x")) == RunFinished(True)
+    assert desk.read("l", 0, 1000)["Results"] == []
+
+
+def test_an_ended_lot_stays_ended_at_another_owner() -> None:
+    desk = Desk()
+    desk.submit("l", body(2))
+    desk.finish(desk.take(1)[0], found=events("x"))
+    desk.end("l")
+    other = desk.takeover()
+    other.pass_time(ANNOUNCE_S + 0.1)
+    assert other.take() == []
+    assert len(other.read("l")["Results"]) == 1
+    assert other.book.waiting_tokens.get("r", 0) == 0
+
+
+def test_a_new_owner_waits_for_word_of_runs_and_lets_them_go_on() -> None:
+    desk = Desk()
+    desk.submit("l", body(2))
+    first, _ = desk.take()
+    desk.report(first, 0, events("a"))
+    other = desk.takeover()
+    assert other.take() == []
+    assert other.report(first, 1, (EventData(1, "b"),)) == (True, 0)
+    assert other.report(first, 0, events("a", "b")) == (True, 2)
+    other.pass_time(ANNOUNCE_S + 0.01)
+    assert [item.index for item in other.take()] == [1]
+    assert other.finish(first, found=(EventData(2, "c"),), start=2) == RunFinished(True)
+    assert states(other.read("l")) == [("i0", "completed", "a\nb\nc")]
+
+
+def test_a_result_handed_to_a_new_owner_is_listed_without_another_run() -> None:
+    desk = Desk()
+    desk.submit("l", body(1))
+    (item,) = desk.take()
+    desk.at_once = False
+    assert desk.finish(item, found=events("a")) is None  # the owner dies before it lasts
+    other = desk.takeover()
+    assert other.finish(item, found=events("a")) == RunFinished(True)
+    other.pass_time(ANNOUNCE_S + 1.0)
+    assert other.take() == []
+    assert states(other.read("l")) == [("i0", "completed", "a")]
+
+
+def test_the_same_owner_under_another_term_goes_on_with_its_runs() -> None:
+    desk = Desk()
+    desk.submit("l", body(2))
+    first, second = desk.take()
+    desk.report(first, 0, events("a"))
+    desk.finish(second, OutcomeKind.FAILED_500)
+    desk.act(desk.book.adopt(desk.now_s, desk.records.lots))
+    assert desk.report(first, 1, (EventData(1, "b"),)) == (True, 2)
+    desk.pass_time(ANNOUNCE_S + 0.01)
+    (again,) = desk.take()
+    desk.finish(again, OutcomeKind.FAILED_500)
+    assert states(desk.read("l")) == [("i1", "dead_letter", "")]
+
+
+def test_whoever_waits_is_told_that_nothing_is_sure_when_the_owner_changes() -> None:
+    desk = Desk(at_once=False)
+    desk.submit("l", body(1))
+    desk.last()
+    (item,) = desk.take()
+    desk.submit("new", body(1))
+    desk.read("l", 0, 1000)
+    desk.finish(item, found=events("x"))
+    desk.end("l")
+    desk.act(desk.book.lose())
+    assert isinstance(desk.answers[2], InDoubtError)
+    assert isinstance(desk.answers[3], NotReadyError)
+    assert desk.answers[4] == RunFinished(False)
+    assert isinstance(desk.answers[5], InDoubtError)
+    assert desk.book.lots == {}
+    assert all(not isinstance(answer, EmberringError) or answer.detail for answer in desk.answers.values())
+
+
+@pytest.mark.parametrize(
+    ("ended", "age_s", "forgotten"),
+    [
+        (True, STATUS_S - 1, False),
+        (True, STATUS_S + 6, True),
+        (False, STATUS_S + 6, False),
+        (False, STATUS_S + LISTED_SLACK_S + 1, True),
+    ],
+)
+def test_lots_are_forgotten_after_their_time(ended: bool, age_s: float, forgotten: bool) -> None:
+    desk = Desk()
+    desk.submit("l", body(1), attrs.evolve(TERMS, retention_s=1000.0))
+    desk.finish(desk.take(1)[0], found=events("x"))
+    if ended:
+        desk.end("l")
+    desk.pass_time(age_s)
+    assert bool(desk.forgotten) is forgotten
+    if forgotten:
+        desk.records.put("lots.example/l", FORGOTTEN, b"", 0.0)
+        desk.act(desk.book.chosen(desk.now_s, "lots.example/l", FORGOTTEN))
+        assert isinstance(desk.read("l"), NotFoundError)
+
+
+def test_a_lot_with_an_open_item_is_not_forgotten() -> None:
+    desk = Desk()
+    desk.submit("l", body(1), attrs.evolve(TERMS, retention_s=100_000.0))
+    desk.pass_time(10 * STATUS_S)
+    assert desk.forgotten == []
+
+
+def test_slots_without_a_definition_are_no_lot() -> None:
+    desk = Desk()
+    desk.records.put("lots.example/l", END, b"", 0.0)
+    desk.records.put("lots.example/m", DEFINITION, b"", 0.0)
+    desk.records.put("lots.example/m", FORGOTTEN, b"", 0.0)
+    desk.act(desk.book.adopt(0.0, desk.records.lots))
+    assert desk.book.lots == {}
--- /dev/null
+++ b/tests/emberring/lots/test_tier_lots_merge.py
@@ -0,0 +1,165 @@
+"""What a new owner adopts: the highest term of each slot, one position for each item."""
+
+from __future__ import annotations
+
+import pytest
+
+from emberring.lots.adoption import Adoption
+from emberring.lots.lease import LEASE_S, OwnerLease, has_quorum
+from emberring.lots.merge import merge, misplaced
+from emberring.lots.placement import Group
+from emberring.lots.records import (
+    DEFINITION,
+    FORGOTTEN,
+    LotState,
+    Record,
+    SlotState,
+    Term,
+    checksum,
+    unpack_records,
+)
+from emberring.lots.replica import Replica
+from emberring.lots.replica_log import Written
+from emberring.lots.results import ResultState, encode_result
+
+GROUP = Group(0, 1, ("a", "b", "c"))
+JOINT = Group(0, 2, ("a", "b", "c"), ("b", "c", "d"))
+ONE, TWO, THREE = Term(1, 1, "a"), Term(1, 2, "b"), Term(1, 3, "c")
+
+
+def state(term: Term, value: bytes = b"v") -> SlotState:
+    return SlotState(term, checksum(value), len(value))
+
+
+def lot(slots: dict[int, SlotState], age_ms: int = 0) -> dict[str, LotState]:
+    return {"k": LotState(age_ms, slots)}
+
+
+@pytest.mark.parametrize(
+    ("group", "who", "enough"),
+    [
+        (GROUP, "ab", True),
+        (GROUP, "a", False),
+        (GROUP, "ad", False),
+        (JOINT, "bc", True),
+        (JOINT, "ab", False),
+        (JOINT, "abd", True),
+        (JOINT, "cd", False),
+        (Group(0, 1, ("a",)), "a", True),
+        (Group(0, 1, ("a", "b")), "a", False),
+    ],
+)
+def test_quorums(group: Group, who: str, enough: bool) -> None:
+    assert has_quorum(group, set(who)) is enough
+
+
+def test_the_highest_term_wins_and_a_quorum_at_one_term_is_chosen() -> None:
+    merged = merge(
+        {
+            "a": lot({0: state(ONE), 1: state(ONE), 2: state(ONE, b"old")}, 500),
+            "b": lot({0: state(ONE), 1: state(TWO), 2: state(THREE, b"new")}, 700),
+        },
+        GROUP,
+    )["k"]
+    assert merged.age_ms == 700
+    assert merged.slots[0].chosen
+    assert (merged.slots[1].state.term, merged.slots[1].holders, merged.slots[1].chosen) == (
+        TWO,
+        ("b",),
+        False,
+    )
+    assert merged.slots[2].state == state(THREE, b"new")
+
+
+def test_while_members_join_both_sets_must_hold_a_chosen_record() -> None:
+    inventories = {"a": lot({0: state(ONE), 1: state(ONE)}), "b": lot({0: state(ONE), 1: state(ONE)})}
+    assert not merge(inventories, JOINT)["k"].slots[0].chosen
+    inventories["c"] = lot({0: state(ONE)})
+    merged = merge(inventories, JOINT)["k"]
+    assert merged.slots[0].chosen
+    assert not merged.slots[1].chosen
+
+
+def test_a_lot_that_is_marked_anywhere_is_forgotten() -> None:
+    merged = merge(
+        {"a": lot({DEFINITION: state(ONE), 0: state(ONE)}), "b": lot({FORGOTTEN: state(TWO, b"")})}, GROUP
+    )
+    assert set(merged["k"].slots) == {FORGOTTEN}
+
+
+@pytest.mark.parametrize(
+    ("results", "out"),
+    [
+        ({}, set()),
+        ({0: (ONE, 5), 1: (ONE, 6)}, set()),
+        ({0: (ONE, 5), 3: (TWO, 5)}, {0}),
+        ({0: (TWO, 5), 3: (ONE, 5)}, {3}),
+        ({0: (ONE, 5), 3: (TWO, 5), 4: (THREE, 5), 5: (ONE, 6)}, {0, 3}),
+    ],
+)
+def test_one_item_has_one_position(results: dict[int, tuple[Term, int]], out: set[int]) -> None:
+    assert misplaced(results) == out
+
+
+def result(index: int) -> bytes:
+    return encode_result(index, f"item-{index}", ResultState.COMPLETED, "text")
+
+
+def holding(*records: tuple[Term, int, bytes]) -> Replica:
+    replica = Replica(0)
+    for term, slot, value in records:
+        replica.apply(0.0, Written(term, (Record("k", slot, 0, value),)), 0)
+    return replica
+
+
+def test_values_come_from_the_own_replica_or_are_fetched_and_others_are_asked_after_a_failure() -> None:
+    mine = holding((ONE, 0, result(0)))
+    inventories = {
+        "a": mine.state(0.0),
+        "b": lot({0: state(ONE, result(0)), 1: state(ONE, result(1))}),
+        "c": lot({1: state(ONE, result(1))}),
+    }
+    adoption = Adoption(0.0, inventories, GROUP, "a", mine)
+    ((asked, packed),) = adoption.wanted()
+    assert asked == "b"
+    assert [record.slot for record in unpack_records(packed)] == [1]
+    assert list(adoption.wanted()) == []
+    adoption.failed("b")
+    ((asked, _),) = adoption.wanted()
+    assert asked == "c"
+    assert not adoption.done
+    adoption.fetched("c", [Record("k", 1, 0, result(1))])
+    assert adoption.done
+    slots = adoption.lots()["k"].slots
+    assert [slots[0].value, slots[1].value] == [result(0), result(1)]
+    assert slots[0].chosen
+    assert slots[1].chosen
+
+
+def test_without_a_source_the_adoption_is_stuck() -> None:
+    mine = holding((ONE, 0, result(0)))
+    adoption = Adoption(0.0, {"a": mine.state(0.0), "b": lot({1: state(ONE, result(1))})}, GROUP, "a", mine)
+    list(adoption.wanted())
+    adoption.fetched("b", [Record("k", 1, 0, b"something else")])
+    assert adoption.stuck
+
+
+def test_the_lower_terms_position_of_an_item_is_left_out() -> None:
+    mine = holding((ONE, 3, result(7)), (TWO, 1, result(7)), (TWO, 0, result(2)))
+    adoption = Adoption(0.0, {"a": mine.state(0.0), "b": {}}, GROUP, "a", mine)
+    assert set(adoption.lots()["k"].slots) == {0, 1}
+
+
+def test_a_lease_counts_from_the_sending_to_a_quorum_of_both_sets() -> None:
+    lease = OwnerLease()
+    assert lease.until_s(GROUP) < 0
+    lease.grant("a", 10.0)
+    lease.grant("b", 11.0)
+    lease.grant("b", 10.5)
+    assert lease.until_s(GROUP) == 10.0 + LEASE_S
+    assert lease.until_s(JOINT) < 0
+    lease.grant("c", 9.0)
+    assert lease.until_s(GROUP) == 10.0 + LEASE_S
+    assert lease.until_s(JOINT) == 9.0 + LEASE_S
+    lease.clear()
+    assert lease.until_s(GROUP) < 0
