--- a/emberring/lots/owner.py
+++ b/emberring/lots/owner.py
@@ -236,7 +236,8 @@
             identity for identity in in_order(self.group.shard, self.group.everyone) if identity not in order
         ]
         before = order[: order.index(self.me)]
-        rank = sum(1 for identity in before if identity in live)
+        # Whoever held the lease last has let it run out or given it up: it is not waited for.
+        rank = sum(1 for identity in before if identity in live and identity != self.replica.owner)
         return max(self._not_before_s, self.replica.held_until_s) + rank * RANK_DELAY_S
 
     def _claim(self, now_s: float) -> None:
