Tests of the lots' client, and of stores that lose disks, stall, leave and are emptied

Cause: what a gateway may promise after failed attempts, and troubles of stores over sockets, were not forced. Change: a table of scripts for the client; seven plays on three or four stores.

--- /dev/null
+++ b/tests/emberring/lots/test_tier_lots_client.py
@@ -0,0 +1,155 @@
+"""The gateway's client of lots: finds the owner, and promises nothing that is not certain."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from typing import Any, ClassVar
+
+import pytest
+
+from emberring.configuration.model import Configuration, Route, RouteType, Share
+from emberring.distribution.facts import NodeFact, NodeRole
+from emberring.errors import (
+    BadRequestError,
+    DiskFailedError,
+    EmberringError,
+    InDoubtError,
+    NotFoundError,
+    NotOwnerError,
+    NotReadyError,
+    PeerTimeoutError,
+    PeerUnavailableError,
+    QuotaExceededError,
+)
+from emberring.lots.calls import LotPage, SubmitLot
+from emberring.lots.client import LotClient
+from emberring.lots.placement import SHARDS, Group, Placement, StoreMember
+from emberring.transport.messages import Ok
+
+HOST = "lots.example"
+ROUTE = Route("r", HOST, "/batch/", RouteType.BATCH, 500.0, (Share("s", 1),), max_queued_tokens=9)
+NAMES = ("a", "b", "c")
+
+
+class Knowledge:
+    """Three stores that hold every shard."""
+
+    configuration: Configuration | None = Configuration(7, (ROUTE,), ())
+    placement: Placement | None = Placement(
+        1,
+        {name: StoreMember(name, name, f"{name}:1") for name in NAMES},
+        tuple(Group(shard, 1, NAMES) for shard in range(SHARDS)),
+    )
+    nodes: ClassVar = {name: NodeFact(name, NodeRole.STORE, f"{name}:1", "", name) for name in NAMES}
+
+    def subscribe(self, callback: Callable[[], None]) -> None:
+        """Nothing changes."""
+
+
+class Wire:
+    """Answers calls by a script: at each call the next entry, the last one again and again."""
+
+    def __init__(self, *script: Any) -> None:
+        self.script = list(script)
+        self.asked: list[tuple[str, Any]] = []
+
+    async def call(self, address: str, body: Any, reply: type[Any], timeout_s: float) -> Any:
+        self.asked.append((address, body))
+        found = self.script.pop(0) if len(self.script) > 1 else self.script[0]
+        if isinstance(found, EmberringError):
+            raise found
+        if found == "owner is c":
+            if address == "c:1":
+                return Ok()
+            raise NotOwnerError("c:1")
+        return found
+
+
+def submit(*script: Any) -> Wire:
+    wire = Wire(*script)
+    client = LotClient(wire, Knowledge())  # type: ignore[arg-type]
+    asyncio.run(client.submit(HOST, ROUTE, "lot", b"{}"))
+    return wire
+
+
+def test_a_submission_carries_what_the_route_says() -> None:
+    wire = submit(Ok())
+    ((_, message),) = wire.asked
+    assert isinstance(message, SubmitLot)
+    assert (message.terms.version, message.terms.max_queued_tokens, message.terms.path) == (7, 9, "/batch/")
+
+
+def test_the_owner_is_found_and_remembered() -> None:
+    wire = Wire("owner is c")
+    client = LotClient(wire, Knowledge())  # type: ignore[arg-type]
+
+    async def play() -> None:
+        await client.submit(HOST, ROUTE, "one", b"{}")
+        before = len(wire.asked)
+        await client.submit(HOST, ROUTE, "two", b"{}")
+        assert [address for address, _ in wire.asked[before:]] == ["c:1"]
+
+    asyncio.run(play())
+
+
+@pytest.mark.parametrize(
+    ("script", "kind"),
+    [
+        ((QuotaExceededError(),), QuotaExceededError),
+        ((PeerUnavailableError(), QuotaExceededError()), QuotaExceededError),
+        ((NotOwnerError(), QuotaExceededError()), QuotaExceededError),
+        ((NotOwnerError(),), NotReadyError),
+        ((PeerUnavailableError(),), NotReadyError),
+        ((PeerTimeoutError(), QuotaExceededError()), InDoubtError),
+        ((InDoubtError(), QuotaExceededError()), InDoubtError),
+        ((DiskFailedError(), NotOwnerError()), InDoubtError),
+        ((PeerTimeoutError(),), InDoubtError),
+        ((PeerTimeoutError(), BadRequestError()), BadRequestError),
+    ],
+)
+def test_refusals_promise_only_what_is_certain(script: tuple[Any, ...], kind: type[EmberringError]) -> None:
+    with pytest.raises(EmberringError) as caught:
+        submit(*script)
+    assert type(caught.value) is kind
+
+
+@pytest.mark.parametrize(
+    "script",
+    [(PeerTimeoutError(), Ok()), (PeerUnavailableError(), Ok()), (NotOwnerError("b:1"), Ok())],
+)
+def test_a_submission_that_is_taken_in_the_end_is_taken(script: tuple[Any, ...]) -> None:
+    assert len(submit(*script).asked) == 2
+
+
+def read(*script: Any) -> bytes:
+    client = LotClient(Wire(*script), Knowledge())  # type: ignore[arg-type]
+    return asyncio.run(client.read(HOST, "lot", 0, 0))
+
+
+def test_reads_ask_on_until_it_is_certain() -> None:
+    page = LotPage(b"{}")
+    assert read(NotReadyError(), PeerTimeoutError(), NotOwnerError("a:1"), page) == b"{}"
+    with pytest.raises(NotFoundError):
+        read(PeerTimeoutError(), NotFoundError())
+    with pytest.raises(NotReadyError):
+        read(NotOwnerError())
+
+
+@pytest.mark.parametrize(
+    ("script", "kind"),
+    [((NotFoundError(),), NotFoundError), ((PeerTimeoutError(), NotOwnerError()), InDoubtError)],
+)
+def test_ends(script: tuple[Any, ...], kind: type[EmberringError]) -> None:
+    client = LotClient(Wire(*script), Knowledge())  # type: ignore[arg-type]
+    with pytest.raises(EmberringError) as caught:
+        asyncio.run(client.end(HOST, "lot"))
+    assert type(caught.value) is kind
+
+
+def test_without_a_known_store_nothing_was_done() -> None:
+    knowledge = Knowledge()
+    knowledge.placement = None
+    client = LotClient(Wire(Ok()), knowledge)  # type: ignore[arg-type]
+    with pytest.raises(NotReadyError):
+        asyncio.run(client.submit(HOST, ROUTE, "lot", b"{}"))
--- /dev/null
+++ b/tests/emberring/store/test_tier_store_troubles.py
@@ -0,0 +1,201 @@
+"""Stores that lose their disks, stall, leave and are emptied, while lots run."""
+
+from __future__ import annotations
+
+import asyncio
+import shutil
+from pathlib import Path
+from typing import Any
+
+import pytest
+from tier_store_cluster import HOST, ROUTE, Cluster, FakeExecutor, lot_body, read_all, text_of
+
+from emberring.errors import InDoubtError, NotReadyError
+from emberring.lots.placement import begin_retire, retire_state, shard_of
+
+SHARD = shard_of(HOST)
+
+
+async def until(condition: Any, limit_s: float = 6.0) -> None:
+    """Wait for something that is to come about."""
+    loop = asyncio.get_running_loop()
+    give_up_s = loop.time() + limit_s
+    while not condition():
+        assert loop.time() < give_up_s, "not in time"
+        await asyncio.sleep(0.02)
+
+
+def holds(cluster: Cluster, name: str, lot: str) -> bool:
+    return f"{HOST}/{lot}" in cluster.stores[name].host.replicas[SHARD].lots
+
+
+def test_a_store_whose_disk_is_lost_gets_everything_again(tmp_path: Path) -> None:
+    async def play() -> None:
+        cluster = await Cluster.begin(tmp_path)
+        gateway = cluster.gateway(FakeExecutor())
+        await gateway.runner.start()
+        for number in range(8):
+            await gateway.client.submit(HOST, ROUTE, f"lot{number}", lot_body(f"lot{number}", 5))
+        results = {f"lot{number}": await read_all(gateway.client, f"lot{number}") for number in range(8)}
+        await cluster.kill("s2")
+        shutil.rmtree(tmp_path / "s2")
+        before = cluster.world.placement
+        await cluster.start_store("s2")
+        cluster.world.replan()
+        assert cluster.world.placement != before
+        await until(lambda: not any(group.joining for group in cluster.world.placement.groups))
+        assert all(holds(cluster, "s2", f"lot{number}") for number in range(8))
+        # Now the newcomer and one other suffice.
+        await cluster.kill("s1")
+        for lot, found in results.items():
+            assert await read_all(gateway.client, lot, 8.0) == found
+        await gateway.end()
+        await cluster.end()
+
+    asyncio.run(play())
+
+
+def test_a_store_is_emptied_and_taken_away(tmp_path: Path) -> None:
+    async def play() -> None:
+        cluster = await Cluster.begin(tmp_path, ("s1", "s2", "s3", "s4"))
+        world = cluster.world
+        gateway = cluster.gateway(FakeExecutor())
+        await gateway.runner.start()
+        await gateway.client.submit(HOST, ROUTE, "lot1", lot_body("lot1", 6))
+        results = await read_all(gateway.client, "lot1")
+        owner = cluster.owner_of(SHARD)
+        assert owner is not None
+        assert world.placement is not None
+        world.placement = begin_retire(world.placement, owner, world.live())
+        world.replan()
+
+        def completed() -> bool:
+            world.replan()
+            return retire_state(world.placement, owner) == "completed"
+
+        await until(completed)
+        await cluster.kill(owner)
+        shutil.rmtree(tmp_path / owner)
+        assert await read_all(gateway.client, "lot1") == results
+        await gateway.end()
+        await cluster.end()
+
+    asyncio.run(play())
+
+
+def test_a_store_that_is_told_to_end_hands_over_first(tmp_path: Path) -> None:
+    async def play() -> None:
+        cluster = await Cluster.begin(tmp_path)
+        gateway = cluster.gateway(FakeExecutor())
+        await gateway.client.submit(HOST, ROUTE, "lot1", lot_body("lot1", 2))
+        owner = cluster.owner_of(SHARD)
+        assert owner is not None
+        store = cluster.stores[owner]
+        leaving = asyncio.get_running_loop().create_task(store.leave())
+        await until(lambda: cluster.owner_of(SHARD) not in (None, owner), 0.7)
+        await leaving
+        del cluster.stores[owner]
+        cluster.world.facts.pop(owner)
+        await gateway.runner.start()
+        assert len(await read_all(gateway.client, "lot1")) == 2
+        await gateway.end()
+        await cluster.end()
+
+    asyncio.run(play())
+
+
+class StalledJournal:
+    """A disk that takes writes and never says that they last."""
+
+    failed = False
+
+    def __init__(self) -> None:
+        self.appended = 0
+
+    def append(self, payload: bytes, reclaiming: bool = False) -> asyncio.Future[Any]:
+        self.appended += 1
+        return asyncio.get_running_loop().create_future()
+
+
+def test_an_owner_whose_disk_stalls_hands_over_and_lots_are_taken_meanwhile(tmp_path: Path) -> None:
+    async def play() -> None:
+        cluster = await Cluster.begin(tmp_path)
+        gateway = cluster.gateway(FakeExecutor())
+        await gateway.client.submit(HOST, ROUTE, "lot1", lot_body("lot1", 2))
+        owner = cluster.owner_of(SHARD)
+        assert owner is not None
+        store = cluster.stores[owner]
+        store.host._journal = StalledJournal()  # type: ignore[assignment]
+        await gateway.client.submit(HOST, ROUTE, "lot2", lot_body("lot2", 2))
+        await until(lambda: cluster.owner_of(SHARD) not in (None, owner))
+        await gateway.client.submit(HOST, ROUTE, "lot3", lot_body("lot3", 2))
+        await gateway.runner.start()
+        for lot in ("lot1", "lot2", "lot3"):
+            assert len(await read_all(gateway.client, lot)) == 2
+        await gateway.end()
+        await cluster.end()
+
+    asyncio.run(play())
+
+
+def test_with_two_stores_gone_nothing_is_said(tmp_path: Path) -> None:
+    async def play() -> None:
+        cluster = await Cluster.begin(tmp_path)
+        gateway = cluster.gateway(FakeExecutor())
+        await gateway.client.submit(HOST, ROUTE, "lot1", lot_body("lot1", 2))
+        owner = cluster.owner_of(SHARD)
+        assert owner is not None
+        for name in [name for name in cluster.stores if name != owner]:
+            await cluster.kill(name)
+        with pytest.raises((InDoubtError, NotReadyError)):
+            await gateway.client.submit(HOST, ROUTE, "lot2", lot_body("lot2", 2))
+        with pytest.raises(NotReadyError):
+            await gateway.client.read(HOST, "lot2", 0, 0)
+        await gateway.end()
+        await cluster.end()
+
+    asyncio.run(play())
+
+
+def test_a_gateway_that_dies_leaves_its_items_to_another_that_goes_on_with_them(tmp_path: Path) -> None:
+    async def play() -> None:
+        cluster = await Cluster.begin(tmp_path)
+        slow = FakeExecutor(events=30, pause_s=0.1)
+        first = cluster.gateway(slow, "g1")
+        await first.runner.start()
+        await first.client.submit(HOST, ROUTE, "lot1", lot_body("lot1", 3))
+        await until(lambda: len(slow.runs) == 3)
+        owner = cluster.owner_of(SHARD)
+        assert owner is not None
+        lot = cluster.stores[owner].shards.books[SHARD].lots[f"{HOST}/lot1"]
+        await until(lambda: all(len(item.events) >= 4 for item in lot.items))
+        await first.end()
+        quick = FakeExecutor(events=30)
+        second = cluster.gateway(quick, "g2")
+        await second.runner.start()
+        results = await read_all(second.client, "lot1", 8.0)
+        assert {result["Message"] for result in results} == {
+            text_of(f"lot1-{number}", 30) for number in range(3)
+        }
+        assert all(resumed is not None and resumed >= 3 for _, resumed in quick.runs)
+        await second.end()
+        await cluster.end()
+
+    asyncio.run(play())
+
+
+def test_an_ended_lot_stops_what_runs(tmp_path: Path) -> None:
+    async def play() -> None:
+        cluster = await Cluster.begin(tmp_path)
+        executor = FakeExecutor(events=200, pause_s=0.1)
+        gateway = cluster.gateway(executor)
+        await gateway.runner.start()
+        await gateway.client.submit(HOST, ROUTE, "lot1", lot_body("lot1", 5))
+        await until(lambda: executor.active == 5)
+        await gateway.client.end(HOST, "lot1")
+        await until(lambda: executor.active == 0, 1.5)
+        assert len(executor.runs) == 5
+        await gateway.end()
+        await cluster.end()
+
+    asyncio.run(play())
