Gateway: admission is told of later events too; the share of connections is the whole of MaxConnections

Cause: admission takes a server that says nothing for suspect, and heard nothing of streams under way. The spare twentieth of the connections made admission and pool disagree on the last ones.

--- a/emberring/gateway/attempt.py
+++ b/emberring/gateway/attempt.py
@@ -170,9 +170,10 @@
         while True:
             over = reply.over
             events = cutter.feed(reply.take())
-            if events and not heard_first:
+            if events:
+                tell = self._means.admission.progress if heard_first else self._means.admission.first_event
+                tell(self._loop.time(), self._call.id)
                 heard_first = True
-                self._means.admission.first_event(self._loop.time(), self._call.id)
             good = self._following(events)
             if good:
                 await self._receiver.events(head, good)
--- a/emberring/gateway/ports.py
+++ b/emberring/gateway/ports.py
@@ -38,6 +38,9 @@
     def first_event(self, now_s: float, call_id: str) -> None:
         """The first event, or the head of an answer that is no stream, has come."""
 
+    def progress(self, now_s: float, call_id: str) -> None:
+        """Later events have come."""
+
     def finished(self, now_s: float, call_id: str, outcome: CallOutcome) -> None:
         """The attempt is over."""
 
--- a/emberring/gateway/servers.py
+++ b/emberring/gateway/servers.py
@@ -6,7 +6,6 @@
 from emberring.gateway.ports import Directory
 
 UNLIMITED = 64  # connections to a server whose service states no limit
-SPARE_SHARE = 0.95  # of `MaxConnections`, so that a gateway that joins finds room
 
 
 class ServerBook:
@@ -51,4 +50,4 @@
         limit = service.max_connections if service and service.max_connections else 0
         if not limit:
             return UNLIMITED
-        return max(1, int(limit * SPARE_SHARE / max(1, self._directory.gateway_count)))
+        return max(1, limit // max(1, self._directory.gateway_count))
--- a/tests/emberring/gateway/gateway_world.py
+++ b/tests/emberring/gateway/gateway_world.py
@@ -60,6 +60,9 @@
     def first_event(self, now_s: float, call_id: str) -> None:
         self.log.append(("first_event", call_id))
 
+    def progress(self, now_s: float, call_id: str) -> None:
+        self.log.append(("progress", call_id))
+
     def finished(self, now_s: float, call_id: str, outcome: CallOutcome) -> None:
         self.in_flight -= 1
         self.log.append(("finished", outcome.value))
--- a/tests/emberring/gateway/test_tier_gateway_forwarding.py
+++ b/tests/emberring/gateway/test_tier_gateway_forwarding.py
@@ -16,6 +16,7 @@
     play,
     request,
     stream_head,
+    until,
 )
 
 
@@ -94,9 +95,13 @@
         await client.send(request())
         raw = await client.reader.readuntil(event(1))
         assert raw.startswith(b"HTTP/1.1 200")
+        assert [kind for kind, _ in world.admission.log] == ["started", "first_event"]
         told.set()
         rest = await client.reader.readuntil(b"0\r\n\r\n")
         assert event(2) in rest
+        await until(lambda: world.admission.in_flight == 0)
+        kinds = [kind for kind, _ in world.admission.log]
+        assert kinds == ["started", "first_event", "progress", "finished"]
 
     play(story)
 
--- a/tests/emberring/gateway/test_tier_gateway_pure.py
+++ b/tests/emberring/gateway/test_tier_gateway_pure.py
@@ -224,7 +224,7 @@
     assert book.has_servers("t")
 
 
-@pytest.mark.parametrize(("gateways", "share"), [(1, 66), (7, 9), (70, 1), (500, 1)])
+@pytest.mark.parametrize(("gateways", "share"), [(1, 70), (7, 10), (40, 1), (500, 1)])
 def test_a_share_of_the_connections(gateways: int, share: int) -> None:
     known = directory()
     known.gateway_count = gateways
