Admission ranks by its own calls; the others' stale counts only pace

All gateways followed the same stale sums to the same server. A stream that has begun owes its next event only where later events are told: else servers with long streams were held to be silent.

--- a/emberring/admission/pool.py
+++ b/emberring/admission/pool.py
@@ -28,7 +28,8 @@
 RETRY_LEAST_S, RETRY_MOST_S = 0.1, 1.0
 PAUSE_GAIN = 0.02  # smoothing of the usual pause between events, all servers'
 JITTER = 0.05  # width of the draw that parts equal ranks
-BATCH_AHEAD = 1.5  # of its share of the free places a gateway may fill before it hears from the others
+AHEAD_TRUSTED = 0.0
+BATCH_AHEAD = 1.0  # of its share of the free places a gateway may fill before it hears from the others
 FAILED = frozenset({CallOutcome.CONNECT_FAILED, CallOutcome.BROKEN, CallOutcome.SILENT})
 
 
@@ -146,17 +147,20 @@
         key = home_key(call.parts)
         homes = by_affinity(key, [one.fact.id for one in servers]) if key is not None else []
         best: tuple[float, ServerView, float, float] | None = None
+        mean_others = sum(one.others for one in servers) / len(servers)
         mean_waiting = self._others_waiting(now_s)
         for server in servers:
             to_read = tokens_to_read(call, server, homes, key)
-            ahead = server.waiting_tokens(now_s, self.pace.ms_per_token) + mean_waiting * server.others
-            cost = cost_ms(now_s, server, ahead, to_read, self.pace, self.usual_pause_ms)
+            ahead = server.waiting_tokens(now_s, self.pace.ms_per_token) + mean_waiting * (
+                AHEAD_TRUSTED * server.others + (1.0 - AHEAD_TRUSTED) * mean_others
+            )
+            cost = cost_ms(now_s, server, ahead, to_read, self.pace, self.usual_pause_ms, mean_others)
             cost *= 1.0 + JITTER * (self._random.random() - 0.5)
             if best is None or cost < best[0]:
                 best = cost, server, to_read, ahead
         assert best is not None
         _, server, to_read, ahead = best
-        expected_ms = expected_wait_ms(now_s, server, ahead, to_read, self.pace)
+        expected_ms = expected_wait_ms(now_s, server, ahead, to_read, self.pace, mean_others)
         server.calls[call.id] = Placed(call, server, now_s, to_read, ahead, expected_ms)
         server.memory.sent(call.parts, server.kv_tokens / self.gateways)
         return Admitted(server.fact.id)
@@ -197,7 +201,7 @@
         server.failures = 0
         sent_s = placed.placed_s if placed.sent_s is None else placed.sent_s
         wait_ms = (now_s - sent_s) * 1000.0
-        placed.first_s = placed.heard_s = now_s
+        placed.first_s = now_s
         self.pace.first_event(placed.ahead + placed.to_read, wait_ms)
         server.hear_wait(now_s, (wait_ms + 20.0) / (placed.expected_ms + 20.0))
         own_ms = placed.to_read * self.pace.ms_per_token
@@ -205,8 +209,9 @@
 
     def progress(self, now_s: float, placed: Placed) -> None:
         """A later event."""
-        pause_ms = (now_s - placed.heard_s) * 1000.0
-        placed.heard_s = now_s
+        last_s = placed.first_s if placed.later_s is None else placed.later_s
+        pause_ms = (now_s - last_s) * 1000.0 if last_s is not None else 0.0
+        placed.later_s = now_s
         placed.server.hear(now_s)
         placed.server.hear_pause(now_s, pause_ms)
         self.usual_pause_ms += PAUSE_GAIN * (pause_ms - self.usual_pause_ms)
--- a/emberring/admission/ranking.py
+++ b/emberring/admission/ranking.py
@@ -18,7 +18,9 @@
 HOME_KEPT = 0.5  # the chance that a home keeps a part that this gateway did not send there lately,
 NEXT_KEPT = 0.1  # and that the next home does
 ANEW = 0.6  # what reading anew costs others, as a share of its own time
-CROWD_MS = 0.5  # a call in flight slows the next by about this
+OTHERS_TRUSTED = 0.1
+OVER_TRUSTED = 0.5
+CROWD_MS = 2.0  # a call in flight slows the next by about this
 PAUSE_WEIGHT = 0.6  # pauses between events there over the usual ones, that prompts of others explain
 KV_FULL = 0.85  # share of the memory from which a call there may push others out
 KV_MS = 60.0
@@ -44,23 +46,41 @@
     return missing
 
 
-def expected_wait_ms(now_s: float, server: ServerView, ahead: float, to_read: float, pace: Pace) -> float:
+def expected_wait_ms(
+    now_s: float, server: ServerView, ahead: float, to_read: float, pace: Pace, mean_others: float
+) -> float:
     """The wait for the first event of a call with so many tokens to read, that many being ahead of it."""
     wait_ms = pace.wait_ms(ahead + to_read)
-    over = server.load + 1.0 - server.capacity
+    over = (
+        len(server.calls)
+        + OVER_TRUSTED * server.others
+        + (1.0 - OVER_TRUSTED) * mean_others
+        + 1.0
+        - server.capacity
+    )
     if over > 0.0:
         wait_ms += over * pace.hold_s * 1000.0 / server.capacity
     return wait_ms
 
 
 def cost_ms(
-    now_s: float, server: ServerView, ahead: float, to_read: float, pace: Pace, usual_pause_ms: float
+    now_s: float,
+    server: ServerView,
+    ahead: float,
+    to_read: float,
+    pace: Pace,
+    usual_pause_ms: float,
+    mean_others: float,
 ) -> float:
     """What ranks servers; less is better."""
-    wait_ms = expected_wait_ms(now_s, server, ahead, to_read, pace) * server.handicap(now_s)
+    wait_ms = expected_wait_ms(now_s, server, ahead, to_read, pace, mean_others) * server.handicap(now_s)
     slower_ms = max(0.0, server.pause(now_s) - usual_pause_ms) * PAUSE_WEIGHT
     return (
-        wait_ms + slower_ms + ANEW * to_read * pace.ms_per_token + CROWD_MS * server.load + _memory_ms(server)
+        wait_ms
+        + slower_ms
+        + ANEW * to_read * pace.ms_per_token
+        + CROWD_MS * (len(server.calls) + OTHERS_TRUSTED * server.others)
+        + _memory_ms(server)
     )
 
 
--- a/emberring/admission/server.py
+++ b/emberring/admission/server.py
@@ -33,7 +33,7 @@
     expected_ms: float
     sent_s: float | None = None
     first_s: float | None = None
-    heard_s: float = -math.inf
+    later_s: float | None = None  # when its latest event after the first came
 
 
 @attrs.define(eq=False)
@@ -117,10 +117,11 @@
         return max(1.0, self.slowness(now_s) / SLOW_CHANCE)
 
     def silent_for(self, now_s: float) -> float:
-        """Seconds since anything was heard while something was owed; 0 if nothing is out."""
+        """Seconds since anything was heard while something was owed; 0 if nothing is out. A stream that has begun
+        owes its next event only where later events are told at all."""
         oldest = math.inf
         for placed in self.calls.values():
-            since = placed.sent_s if placed.heard_s == -math.inf else placed.heard_s
+            since = placed.sent_s if placed.first_s is None else placed.later_s
             if since is not None:
                 oldest = min(oldest, since)
         return max(0.0, now_s - max(oldest, self.heard_s)) if oldest < math.inf else 0.0
