Cancellations are not lost where a wait ends in the same moment

Cause: asyncio.wait_for of Python 3.11 swallows a cancellation that comes as its future is done; a control node's exchange then never ended and the process stood until SIGKILL (seen by a task dump in one of eight stops). Change: asyncio.timeout in its place, everywhere; items given to a gateway as its poll times out are handed over.

--- a/emberring/control/signal.py
+++ b/emberring/control/signal.py
@@ -24,7 +24,9 @@
         future = asyncio.get_running_loop().create_future()
         self._waiting.add(future)
         try:
+            # Guard: `wait_for` of Python 3.11 loses a cancellation that comes as the future is done.
             with contextlib.suppress(TimeoutError):
-                await asyncio.wait_for(future, max(0.0, timeout_s))
+                async with asyncio.timeout(max(0.0, timeout_s)):
+                    await future
         finally:
             self._waiting.discard(future)
--- a/emberring/lots/runner.py
+++ b/emberring/lots/runner.py
@@ -139,7 +139,8 @@
     async def _wait_for_room(self) -> None:
         self._ended.clear()
         with contextlib.suppress(TimeoutError):
-            await asyncio.wait_for(self._ended.wait(), NO_ROOM_S)
+            async with asyncio.timeout(NO_ROOM_S):
+                await self._ended.wait()
 
     # Running.
 
--- a/emberring/register/service.py
+++ b/emberring/register/service.py
@@ -265,7 +265,8 @@
         reply: object | None = None
         with contextlib.suppress(EmberringError, TimeoutError):
             if action.address == self._address:
-                reply = await asyncio.wait_for(self._serve(action.message), action.timeout_s)
+                async with asyncio.timeout(action.timeout_s):
+                    reply = await self._serve(action.message)
             else:
                 reply = await self._network.call(action.address, action.message, object, action.timeout_s)
         self._apply(Replied(action.call, reply))
--- a/emberring/store/dispatch.py
+++ b/emberring/store/dispatch.py
@@ -35,9 +35,12 @@
         self._polls.append(poll)
         self.plan()
         try:
-            return await asyncio.wait_for(poll.future, message.wait_ms / 1000)
+            async with asyncio.timeout(message.wait_ms / 1000):
+                return await poll.future
         except TimeoutError:
-            return LeasedItems()
+            # Guard: items that were given just as the time was over are not lost.
+            given = poll.future.done() and not poll.future.cancelled()
+            return poll.future.result() if given else LeasedItems()
         finally:
             if poll in self._polls:
                 self._polls.remove(poll)
--- a/emberring/store/shards.py
+++ b/emberring/store/shards.py
@@ -105,7 +105,8 @@
         future = self._calls[call] = asyncio.get_running_loop().create_future()
         try:
             self._perform_book(shard, question(book, call))
-            return await asyncio.wait_for(future, CALL_LIMIT_S)
+            async with asyncio.timeout(CALL_LIMIT_S):
+                return await future
         except TimeoutError:
             raise InDoubtError("no quorum of replicas in time") from None
         finally:
--- a/emberring/transport/network.py
+++ b/emberring/transport/network.py
@@ -201,7 +201,9 @@
         connection.waiting[number] = future
         self._write(connection, Envelope(number, body))
         try:
-            answer = await asyncio.wait_for(future, max(0.001, give_up_at - loop.time()))
+            # Guard: `wait_for` of Python 3.11 loses a cancellation that comes as the future is done.
+            async with asyncio.timeout_at(give_up_at):
+                answer = await future
         except TimeoutError:
             connection.timed_out()
             raise PeerTimeoutError(f"no reply from {address} to {type(body).__name__}") from None
@@ -238,7 +240,8 @@
             self._connecting[address] = task
             task.add_done_callback(lambda done: self._connected(address, done))
         try:
-            return await asyncio.wait_for(asyncio.shield(task), min(timeout_s, CONNECT_TIMEOUT_S))
+            async with asyncio.timeout(min(timeout_s, CONNECT_TIMEOUT_S)):
+                return await asyncio.shield(task)
         except TimeoutError:
             raise PeerUnavailableError(f"{address}: no connection in time") from None
         except OSError as error:
@@ -252,8 +255,8 @@
     async def _connect(self, address: str) -> _Outgoing:
         host, _, port = address.rpartition(":")
         loop = asyncio.get_running_loop()
-        opening = loop.create_connection(lambda: _Outgoing(self), host, int(port))
-        _, protocol = await asyncio.wait_for(opening, CONNECT_TIMEOUT_S)
+        async with asyncio.timeout(CONNECT_TIMEOUT_S):
+            _, protocol = await loop.create_connection(lambda: _Outgoing(self), host, int(port))
         return protocol
 
     async def close(self) -> None:
