Lots' bodies, results and events are squeezed on links and disks

Change: a lot's body, results and events are coded by letters (Huffman) from the gateway on, and kept so; pages are put together at the gateway.

--- a/emberring/lab/lots_client.py
+++ b/emberring/lab/lots_client.py
@@ -13,6 +13,8 @@
 from emberring.lab.lots_store import is_error
 from emberring.lab.lots_world import World
 from emberring.lots.calls import EndLot, LotPage, LotTerms, ReadLot, SubmitLot
+from emberring.lots.packing import squeeze
+from emberring.lots.results import page_json
 
 HOST = "lots.example"
 MAX_TOKENS = 400
@@ -47,7 +49,7 @@
             {"Id": name, "Path": "/batch/x", "Headers": {}, "Body": "", "Tokens": item.tokens}
             for name, item in items.items()
         ]
-        self._try(lot, SubmitLot(HOST, lot_id, TERMS, orjson.dumps({"Requests": listed})))
+        self._try(lot, SubmitLot(HOST, lot_id, TERMS, squeeze(orjson.dumps({"Requests": listed}))))
 
     def _gateway(self) -> GatewayMachine:
         running = [gateway for gateway in self.gateways if gateway.running] or self.gateways
@@ -92,8 +94,8 @@
         def done(body: Any, doubt: bool) -> None:
             if isinstance(body, NotFoundError):
                 self.history.not_found(self.world.now_s, lot, asked_s)
-            elif isinstance(body, LotPage) and (start in known or orjson.loads(body.body)["Results"]):
-                self.history.read(self.world.now_s, lot, start, body.body)
+            elif isinstance(body, LotPage) and (start in known or body.results):
+                self.history.read(self.world.now_s, lot, start, page_json(body))
                 if len(lot.shown) > len(known):
                     self.on_shown()
 
--- a/emberring/lab/lots_gateway.py
+++ b/emberring/lab/lots_gateway.py
@@ -28,6 +28,7 @@
     RunProgress,
 )
 from emberring.lots.items import OutcomeKind
+from emberring.lots.packing import pack_events, unpack_events
 
 LEASE_S = 1.5
 FIRST_LEASE_S = 0.8
@@ -177,7 +178,7 @@
             return
         for assignment in body.items:
             now_s = self.world.now_s
-            events = list(assignment.events)
+            events = list(unpack_events(assignment.events))
             self.runs[assignment.ticket] = _Run(assignment, now_s + FIRST_LEASE_S, events, len(events))
             wait_s = self.world.rng.random() ** 3 * 1.2
             self.world.after(wait_s, self.when_awake, self.life, self._begin, assignment.ticket)
@@ -240,7 +241,7 @@
             run.kind.value,
             start,
             len(run.events),
-            tuple(run.events[start:]),
+            pack_events(run.events[start:]),
         )
 
         def done(body: Any) -> None:
@@ -258,7 +259,7 @@
                 run.assignment.index,
                 ticket,
                 run.acked,
-                tuple(run.events[run.acked :]),
+                pack_events(run.events[run.acked :]),
             )
             for ticket, run in self.runs.items()
         )
--- a/emberring/lab/register_simulator.py
+++ b/emberring/lab/register_simulator.py
@@ -11,16 +11,21 @@
 
 import attrs
 
-from emberring.lab.register_world import Bugs, Machine, World
+from emberring.lab.register_world import Bugs, Machine, Weather, World
+from emberring.register.keeper import Patience
 from emberring.register.model import Proposal
 
 FOUNDERS = ("core-a", "core-b", "core-c")
 TROUBLE_S = 5.0  # how long troubles and callers go on
 STORM_S = 0.8
+REPAIR_S = 0.7  # after a lost disk's machine is back, no other is lost for so long
 CALM_S = 5.0  # how long everything is well before the last reads
 LAST_READ_S = 1.0
 MOST_TROUBLES = 8
 MOST_OPERATIONS = 30
+PATIENCE = Patience()
+HASTY = Patience(dead_after_s=0.4, name_silent_s=0.2, rank_delay_s=0.1, joiner_wait_s=0.2)
+HASTIER = Patience(dead_after_s=0.2, name_silent_s=0.1, rank_delay_s=0.0, joiner_wait_s=0.0)
 
 
 class Kind(Enum):
@@ -40,6 +45,7 @@
     WIPE_ONE_POWER_REST = "wipe_one_power_rest"
     FREEZE = "freeze"
     CUT_OFF = "cut_off"
+    CUT_APART = "cut_apart"
     SLOW_DISK = "slow_disk"
     REFUSING_DISK = "refusing_disk"
     WEATHER = "weather"
@@ -47,7 +53,16 @@
 
 
 _TROUBLES = tuple(kind for kind in Kind if kind not in (Kind.CHANGE, Kind.READ))
-_STORM = (*_TROUBLES, Kind.CUT_OFF, Kind.CUT_OFF, Kind.FREEZE, Kind.WIPE, Kind.WIPE, Kind.WIPE_AFTER_ACK)
+_STORM = (
+    *_TROUBLES,
+    Kind.CUT_OFF,
+    Kind.CUT_APART,
+    Kind.CUT_APART,
+    Kind.FREEZE,
+    Kind.WIPE,
+    Kind.WIPE,
+    Kind.WIPE_AFTER_ACK,
+)
 
 
 @attrs.frozen
@@ -64,12 +79,27 @@
         return f"{self.at_s:6.3f} s  {self.kind.value:<20} machine {self.slot}  for {self.lasts_s:.3f} s"
 
 
+@attrs.frozen
+class Climate:
+    """How the world is while there are troubles: the longest delay of a message and the time of a sync (s), the
+    shares of messages lost and doubled, how many control nodes there are beyond the founders, and how patient nodes
+    are with silent replicas. Slow ones let ballots overlap, impatient ones change the replica set again and again."""
+
+    slowest_s: float = 0.003
+    sync_s: float = 0.001
+    lost: float = 0.0
+    doubled: float = 0.0
+    spares: int = 0
+    patience: Patience = PATIENCE
+
+
 @attrs.frozen
 class Schedule:
     """A seed, from which all chance in the world comes, and what happens."""
 
     seed: int
     steps: tuple[Step, ...]
+    climate: Climate = Climate()
 
 
 @attrs.frozen
@@ -97,7 +127,18 @@
         if storm_s is not None and rng.random() < 0.7:
             at_s = storm_s + rng.random() * 2 * STORM_S
         steps.append(Step(at_s, asked, rng.randrange(6)))
-    return Schedule(seed, tuple(sorted(steps, key=lambda step: step.at_s)))
+    return Schedule(seed, tuple(sorted(steps, key=lambda step: step.at_s)), _make_climate(rng))
+
+
+def _make_climate(rng: random.Random) -> Climate:
+    return Climate(
+        slowest_s=rng.choice((0.003, 0.003, 0.03, 0.1, 0.3)),
+        sync_s=rng.choice((0.001, 0.001, 0.02, 0.1)),
+        lost=rng.choice((0.0, 0.0, 0.1, 0.3)),
+        doubled=rng.choice((0.0, 0.1, 0.3)),
+        spares=rng.choice((0, 0, 1, 2)),
+        patience=rng.choice((PATIENCE, PATIENCE, HASTY, HASTIER)),
+    )
 
 
 class _Play:
@@ -105,21 +146,26 @@
 
     def __init__(self, schedule: Schedule, bugs: Bugs) -> None:
         self._schedule = schedule
-        self._world = World(schedule.seed, bugs)
+        self._world = World(schedule.seed, bugs, schedule.climate.patience)
         self._changes = 0
         self._added = 0
         self._ended = False
         self._gone: set[str] = set()
+        self._repaired_at_s = 0.0
         self._after_ack: list[Callable[[str], None]] = []
         self._world.on_acknowledged = self._acknowledged
 
     def run(self) -> Verdict:
         """Play it; the verdict."""
         world = self._world
+        self._fair()
         for name in FOUNDERS:
             machine = Machine(world, name, FOUNDERS, bootstrap=True)
+            machine.sync_s = self._schedule.climate.sync_s
             world.machines[name] = machine
             world.at(world.rng.random() * 0.3, machine.start)
+        for _ in range(self._schedule.climate.spares):
+            self._add().start()
         world.at(0.0, self._note_peers)
         for step in self._schedule.steps:
             world.at(0.3 + step.at_s, self._do, step)
@@ -143,13 +189,15 @@
         world = self._world
         self._ended = True
         self._after_ack.clear()
-        world.weather = type(world.weather)()
+        world.weather, world.patience = Weather(), PATIENCE
         world.join()
         for machine in self._present():
             machine.folder.refusing = False
             machine.sync_s = 0.001
             machine.thaw_at_s = min(machine.thaw_at_s, world.now_s)
             machine.start()
+            if machine.node is not None:
+                machine.node.keeper.patience = PATIENCE
 
     def _read_last(self) -> None:
         """Every node must have the same value now, and every replica of the set must be there."""
@@ -194,12 +242,23 @@
         return max(learned, key=lambda proposal: proposal.ballot, default=None)
 
     def _may_lose(self) -> bool:
-        """Whether the loss of a disk is within what must be borne: no other loss is being repaired."""
+        """Whether the loss of a disk is within what must be borne: no other loss is under repair. It is while a
+        replica is missing in a proposal that somebody holds and that may be chosen, or was back too short a time."""
         newest = self._newest()
         if newest is None or newest.state.replicas.joining:
             return False
+        if self._world.now_s < self._repaired_at_s:
+            return False
         identities = {found.identity for found in self._present() if found.folder.files}
-        return all(member.identity in identities for member in newest.state.replicas.members)
+        held = [found.held for found in self._present() if found.held is not None]
+        named = [proposal for proposal in (newest, *held) if proposal.ballot >= newest.ballot]
+        return all(
+            member.identity in identities for proposal in named for member in proposal.state.replicas.everyone
+        )
+
+    def _lost(self, back_s: float) -> None:
+        """A disk is lost, and the machine back, or another in its place, after so long."""
+        self._repaired_at_s = self._world.now_s + back_s + REPAIR_S
 
     def _do(self, step: Step) -> None:
         if self._ended:
@@ -244,9 +303,14 @@
                 others = {found.name for found in self._present()} - {machine.name}
                 world.cut |= {frozenset((machine.name, other)) for other in others}
                 world.at(end_s, world.join)
+            case Kind.CUT_APART:
+                side = {found.name for found in self._present() if world.rng.random() < 0.5}
+                rest = {found.name for found in self._present()} - side
+                world.cut |= {frozenset((one, other)) for one in side for other in rest}
+                world.at(end_s, world.join)
             case Kind.SLOW_DISK:
                 machine.sync_s = step.lasts_s
-                world.at(end_s, setattr, machine, "sync_s", 0.001)
+                world.at(end_s, self._fair_disk, machine)
             case Kind.REFUSING_DISK:
                 machine.folder.refusing = True
                 world.at(end_s, setattr, machine.folder, "refusing", False)
@@ -258,12 +322,20 @@
                 self._add().start()
 
     def _fair(self) -> None:
-        self._world.weather = type(self._world.weather)()
+        """The climate's weather."""
+        climate = self._schedule.climate
+        if not self._ended:
+            self._world.weather = Weather(climate.lost, climate.doubled, climate.slowest_s)
+
+    def _fair_disk(self, machine: Machine) -> None:
+        if not self._ended:
+            machine.sync_s = self._schedule.climate.sync_s
 
     def _add(self) -> Machine:
         self._added += 1
         name = f"core-new-{self._added}"
         machine = Machine(self._world, name, FOUNDERS, bootstrap=False)
+        machine.sync_s = self._schedule.climate.sync_s
         self._world.machines[name] = machine
         return machine
 
@@ -278,6 +350,7 @@
 
     def _wipe(self, machine: Machine, lasts_s: float) -> None:
         if machine.name not in self._gone and self._may_lose():
+            self._lost(lasts_s)
             self._down(machine, machine.wipe, lasts_s)
 
     def _power_named(self, name: str, lasts_s: float) -> None:
@@ -288,6 +361,7 @@
     def _wipe_one_power_rest(self, machine: Machine, lasts_s: float) -> None:
         if not self._may_lose():
             return
+        self._lost(lasts_s)
         for found in self._present():
             how = found.wipe if found is machine else found.lose_power
             self._down(found, how, lasts_s * self._world.rng.random())
@@ -302,11 +376,13 @@
             self._world.at(self._world.now_s + step.lasts_s, self._remove, machine)
         else:
             self._remove(machine)
+            self._lost(step.lasts_s)
             self._world.at(self._world.now_s + step.lasts_s, self._up, successor)
 
     def _remove(self, machine: Machine) -> None:
         if self._ended or not self._may_lose():
             return
+        self._lost(0.0)
         machine.wipe()
         self._gone.add(machine.name)
 
@@ -329,7 +405,7 @@
         shorter = False
         for index in range(len(best.schedule.steps) - 1, -1, -1):
             steps = best.schedule.steps[:index] + best.schedule.steps[index + 1 :]
-            trial = play(Schedule(best.schedule.seed, steps), bugs)
+            trial = play(attrs.evolve(best.schedule, steps=steps), bugs)
             if trial.mistakes:
                 best, shorter = trial, True
     return best
@@ -344,6 +420,7 @@
 def describe(verdict: Verdict) -> str:
     """A failing schedule for a person: its seed, its steps, what was wrong."""
     lines = [f"seed {verdict.schedule.seed}: {len(verdict.schedule.steps)} steps"]
+    lines.append(f"  {verdict.schedule.climate}")
     lines += [f"  {step}" for step in verdict.schedule.steps]
     lines += [f"  wrong: {mistake}" for mistake in verdict.mistakes]
     return "\n".join(lines)
--- a/emberring/lab/register_world.py
+++ b/emberring/lab/register_world.py
@@ -36,7 +36,8 @@
     Tell,
     Tick,
 )
-from emberring.register.model import Member, founding_identity, founding_proposal
+from emberring.register.keeper import Patience
+from emberring.register.model import Member, Proposal, founding_identity, founding_proposal
 from emberring.register.node import RegisterNode
 
 SEGMENT_BYTES = 4096
@@ -68,7 +69,8 @@
 class World:
     """The clock and the network. `machines` by name; a name is also its address."""
 
-    def __init__(self, seed: int, bugs: Bugs) -> None:
+    def __init__(self, seed: int, bugs: Bugs, patience: Patience) -> None:
+        self.patience = patience
         self.rng = random.Random(seed)
         self.bugs = bugs
         self.now_s = 0.0
@@ -150,6 +152,12 @@
         self._durable: list[tuple[set[int], Reply]] = []
         self._wake_s = float("inf")
         self.identity = ""
+        self._acceptor: Acceptor | None = None
+
+    @property
+    def held(self) -> Proposal | None:
+        """What its replica accepted last, also while it is down."""
+        return None if self._acceptor is None else self._acceptor.accepted
 
     @property
     def running(self) -> bool:
@@ -174,8 +182,16 @@
         self.identity = acceptor.identity
         proposer = f"{acceptor.identity}/{rng.getrandbits(64):x}"
         me = Member(acceptor.identity, self.name)
+        self._acceptor = acceptor
         self.node = RegisterNode(
-            me, acceptor, proposer, self._founders, 3, random.Random(rng.getrandbits(32)), self.world.now_s
+            me,
+            acceptor,
+            proposer,
+            self._founders,
+            len(self._founders),
+            random.Random(rng.getrandbits(32)),
+            self.world.now_s,
+            self.world.patience,
         )
         self._wake_s = self.world.now_s
         self.note_peers()
--- a/emberring/lots/calls.py
+++ b/emberring/lots/calls.py
@@ -23,7 +23,7 @@
 @message("lots.submit")
 @attrs.frozen
 class SubmitLot:
-    """A lot is handed in: `body` as the client sent it."""
+    """A lot is handed in: `body` as the client sent it, squeezed."""
 
     host: str
     lot: str
@@ -45,9 +45,11 @@
 @message("lots.page")
 @attrs.frozen
 class LotPage:
-    """The JSON answer for the client."""
+    """Results from position `start` on, of a lot of `total` items: their values one behind the other."""
 
-    body: bytes
+    total: int
+    start: int
+    results: bytes
 
 
 @message("lots.item")
@@ -97,7 +99,7 @@
 
 @attrs.frozen
 class Assignment:
-    """An item to run under a ticket. `events` are those already held: the run goes on after the last of them."""
+    """An item to run under a ticket. `events` (packed) are those already held: the run goes on after the last."""
 
     shard: int
     key: str
@@ -112,7 +114,7 @@
     body: bytes
     tokens: int
     due_ms: int
-    events: tuple[EventData, ...] = ()
+    events: bytes = b""
 
 
 @message("lots.leased")
@@ -125,13 +127,13 @@
 
 @attrs.frozen
 class RunProgress:
-    """A run that goes on: its events from number `start` (counted from 0) on, as far as the owner lacks them."""
+    """A run that goes on: its events (packed) from number `start` (counted from 0) on, which the owner lacks."""
 
     key: str
     index: int
     ticket: int
     start: int
-    events: tuple[EventData, ...] = ()
+    events: bytes = b""
 
 
 @message("lots.report")
@@ -164,7 +166,8 @@
 @message("lots.finish")
 @attrs.frozen
 class FinishRun:
-    """A run has ended: `kind` is an `OutcomeKind`'s value. `events` from number `start` on, of `total` in all."""
+    """A run has ended: `kind` is an `OutcomeKind`'s value. `events` (packed) from number `start` on, of
+    `total` in all."""
 
     gateway: str
     shard: int
@@ -174,7 +177,7 @@
     kind: str
     start: int
     total: int
-    events: tuple[EventData, ...] = ()
+    events: bytes = b""
 
 
 @message("lots.finished")
--- a/emberring/lots/client.py
+++ b/emberring/lots/client.py
@@ -33,7 +33,9 @@
     SubmitLot,
 )
 from emberring.lots.directory import Knowledge, OwnerDirectory
+from emberring.lots.packing import squeeze
 from emberring.lots.placement import shard_of
+from emberring.lots.results import page_json
 from emberring.transport.messages import Ok
 from emberring.transport.network import Network
 
@@ -93,7 +95,7 @@
         )
         search = self._search(host, min(SUBMIT_LIMIT_S, 0.8 * route.timeout_ms / 1000), ATTEMPT_S)
         try:
-            await self._ask(search, SubmitLot(host, lot, terms, body), Ok)
+            await self._ask(search, SubmitLot(host, lot, terms, squeeze(body)), Ok)
         except (QuotaExceededError, NotReadyError) as error:
             if search.doubt:
                 raise InDoubtError(f"{search.reason}; then {error.detail}") from error
@@ -109,7 +111,7 @@
         def message() -> ReadLot:
             return ReadLot(host, lot, start_after, max(0, int((wait_until_s - loop.time()) * 1000)))
 
-        return (await self._ask(search, message, LotPage)).body
+        return page_json(await self._ask(search, message, LotPage))
 
     async def item(self, host: str, lot: str, item: str) -> bytes:
         """The body of an item. `NotFoundError` where there is certainly no such lot or item."""
--- a/emberring/lots/definition.py
+++ b/emberring/lots/definition.py
@@ -11,6 +11,7 @@
 
 from emberring.errors import BadRequestError, CorruptRecordError
 from emberring.lots.calls import LotTerms
+from emberring.lots.packing import expand
 
 MAX_ITEMS = 200
 _END_OF_TERMS = b"\n"
@@ -31,11 +32,11 @@
         return base64.b64decode(self.body)
 
 
-def parse_items(body: bytes) -> list[ItemSpec]:
+def parse_items(squeezed: bytes) -> list[ItemSpec]:
     """The items of a submitted lot; `BadRequestError` says what is wrong with it."""
     try:
-        document = orjson.loads(body)
-    except orjson.JSONDecodeError as error:
+        document = orjson.loads(expand(squeezed))
+    except (orjson.JSONDecodeError, CorruptRecordError) as error:
         raise BadRequestError(f"not JSON: {error}") from error
     listed = document.get("Requests") if isinstance(document, dict) else None
     if not isinstance(listed, list) or not 0 < len(listed) <= MAX_ITEMS:
@@ -81,9 +82,9 @@
     )
 
 
-def encode_definition(terms: LotTerms, body: bytes) -> bytes:
-    """The value of a lot's definition: its terms on one line, then the body as it came."""
-    return orjson.dumps(attrs.asdict(terms)) + _END_OF_TERMS + body
+def encode_definition(terms: LotTerms, squeezed: bytes) -> bytes:
+    """The value of a lot's definition: its terms on one line, then the body, squeezed."""
+    return orjson.dumps(attrs.asdict(terms)) + _END_OF_TERMS + squeezed
 
 
 def decode_terms(value: bytes) -> LotTerms:
@@ -97,7 +98,7 @@
 def decode_items(value: bytes) -> list[ItemSpec]:
     """The items in a definition's value, which were checked when it was taken."""
     try:
-        document = orjson.loads(memoryview(value)[value.index(_END_OF_TERMS) + 1 :])
+        document = orjson.loads(expand(memoryview(value)[value.index(_END_OF_TERMS) + 1 :]))
         return [_spec(entry) for entry in document["Requests"]]
     except (ValueError, TypeError, KeyError) as error:
         raise CorruptRecordError(f"definition: {error}") from error
--- a/emberring/lots/reading.py
+++ b/emberring/lots/reading.py
@@ -5,7 +5,7 @@
 import attrs
 
 from emberring.errors import NotFoundError, NotReadyError
-from emberring.lots.calls import ItemBody, LotPage, ReadItem, ReadLot
+from emberring.lots.calls import ItemBody, ReadItem, ReadLot
 from emberring.lots.lot import Lot
 from emberring.lots.records import lot_key
 from emberring.lots.results import build_page
@@ -72,7 +72,7 @@
             for position in range(start, lot.shown)
             if (owned := self._shelf.records.find(lot.key, position)) is not None
         )
-        self._shelf.out.append(Answer(call, LotPage(build_page(len(lot.items), start, values))))
+        self._shelf.out.append(Answer(call, build_page(len(lot.items), start, values)))
 
     def more(self, lot: Lot) -> None:
         """More results are shown, or the lot has ended."""
--- a/emberring/lots/results.py
+++ b/emberring/lots/results.py
@@ -1,4 +1,4 @@
-"""Results of items as they are kept and listed."""
+"""Results of items as they are kept, sent and listed."""
 
 from __future__ import annotations
 
@@ -8,7 +8,11 @@
 
 import orjson
 
-_ITEM = struct.Struct("<H")
+from emberring.errors import CorruptRecordError
+from emberring.lots.calls import LotPage
+from emberring.lots.packing import expand, squeeze
+
+_HEAD = struct.Struct("<HII")  # the item's index, bytes of the JSON object, bytes of it squeezed
 MAX_PAGE_BYTES = 1_000_000  # with some room below the 1 MB of the interface
 
 
@@ -20,25 +24,40 @@
 
 
 def encode_result(index: int, item_id: str, state: ResultState, message: str) -> bytes:
-    """The value of a result: the item's index, then the JSON object that is listed."""
-    listed = {"Id": item_id, "State": state.value, "Message": message}
-    return _ITEM.pack(index) + orjson.dumps(listed)
+    """The value of a result: a head, then the JSON object that is listed, squeezed."""
+    listed = orjson.dumps({"Id": item_id, "State": state.value, "Message": message})
+    squeezed = squeeze(listed)
+    return _HEAD.pack(index, len(listed), len(squeezed)) + squeezed
 
 
 def item_index(value: bytes) -> int:
     """The index of the item that a result's value belongs to."""
-    (index,) = _ITEM.unpack_from(value, 0)
-    return int(index)
+    return int(_HEAD.unpack_from(value, 0)[0])
 
 
-def build_page(total: int, start: int, values: Iterable[bytes]) -> bytes:
-    """The JSON answer with these results, at least one if there is one and at most 1 MB of them."""
+def build_page(total: int, start: int, values: Iterable[bytes]) -> LotPage:
+    """A page with these results: at least one if there is one, and at most 1 MB of them."""
     parts: list[bytes] = []
     size = 0
     for value in values:
-        size += len(value)
+        size += int(_HEAD.unpack_from(value, 0)[1])
         if parts and size > MAX_PAGE_BYTES:
             break
-        parts.append(value[_ITEM.size :])
-    head = b'{"Total":%d,"NextPageToken":%d,"Results":[' % (total, start + len(parts))
-    return head + b",".join(parts) + b"]}"
+        parts.append(value)
+    return LotPage(total, start, b"".join(parts))
+
+
+def page_json(page: LotPage) -> bytes:
+    """The JSON answer for the client; `CorruptRecordError` where the page is none."""
+    found: list[bytes] = []
+    offset = 0
+    try:
+        while offset < len(page.results):
+            _, _, length = _HEAD.unpack_from(page.results, offset)
+            offset += _HEAD.size
+            found.append(expand(page.results[offset : offset + length]))
+            offset += length
+    except struct.error as error:
+        raise CorruptRecordError(f"page: {error}") from error
+    head = b'{"Total":%d,"NextPageToken":%d,"Results":[' % (page.total, page.start + len(found))
+    return head + b",".join(found) + b"]}"
--- a/emberring/lots/runner.py
+++ b/emberring/lots/runner.py
@@ -23,6 +23,7 @@
 )
 from emberring.lots.directory import Knowledge, OwnerDirectory
 from emberring.lots.items import ItemCall, ItemEvent, ItemExecutor, OutcomeKind
+from emberring.lots.packing import pack_events, unpack_events
 from emberring.transport.network import Network
 
 LEASE_S = 1.5  # from the sending of a report that the owner granted
@@ -146,7 +147,7 @@
 
     def _begin(self, assignment: Assignment) -> None:
         now_s = _now_s()
-        events = list(assignment.events)
+        events = list(unpack_events(assignment.events))
         run = _Run(assignment, now_s, now_s + FIRST_LEASE_S, events, len(events))
         self._runs[assignment.ticket] = run
         run.task = self._spawn(self._run(run))
@@ -208,7 +209,7 @@
                 kind.value,
                 start,
                 len(run.events),
-                tuple(run.events[start:]),
+                pack_events(run.events[start:]),
             )
             try:
                 if address is not None:
@@ -244,7 +245,7 @@
                 run.assignment.index,
                 run.assignment.ticket,
                 run.acked,
-                tuple(run.events[run.acked :]),
+                pack_events(run.events[run.acked :]),
             )
             for run in runs
         )
--- a/emberring/lots/running.py
+++ b/emberring/lots/running.py
@@ -16,6 +16,7 @@
 )
 from emberring.lots.items import OutcomeKind
 from emberring.lots.lot import Item, ItemStatus, Lot, Run
+from emberring.lots.packing import pack_events, unpack_events
 from emberring.lots.results import ResultState
 from emberring.lots.shelf import Answer, Shelf
 
@@ -85,7 +86,7 @@
             body=spec.decoded_body(),
             tokens=item.tokens,
             due_ms=int((lot.due_s - now_s) * 1000),
-            events=item.events,
+            events=pack_events(item.events),
         )
 
     def _begin(self, now_s: float, lot: Lot, index: int, ticket: int, gateway: str) -> None:
@@ -118,7 +119,7 @@
             return RunAnswer(run.ticket, False, 0)
         item.run.expires_s = now_s + RUN_LEASE_S
         if run.start <= len(item.events):
-            item.events = item.events[: run.start] + run.events
+            item.events = item.events[: run.start] + unpack_events(run.events)
         return RunAnswer(run.ticket, True, len(item.events))
 
     def finish(self, now_s: float, call: int, message: FinishRun) -> None:
@@ -162,9 +163,9 @@
     def _events_of(self, message: FinishRun, item: Item, current: bool) -> tuple[EventData, ...] | None:
         """All events of the run; None where its gateway must tell them again."""
         if message.start == 0:
-            return message.events
+            return unpack_events(message.events)
         if current and message.start <= len(item.events):
-            return item.events[: message.start] + message.events
+            return item.events[: message.start] + unpack_events(message.events)
         return None
 
     def _place(self, lot: Lot, index: int, state: ResultState, text: str) -> None:
--- a/tests/emberring/lots/test_tier_lots_book.py
+++ b/tests/emberring/lots/test_tier_lots_book.py
@@ -35,7 +35,9 @@
 )
 from emberring.lots.items import OutcomeKind
 from emberring.lots.owned import OwnedRecords
+from emberring.lots.packing import pack_events, squeeze, unpack_events
 from emberring.lots.records import DEFINITION, END, FORGOTTEN
+from emberring.lots.results import page_json
 from emberring.lots.running import ANNOUNCE_S, RETENTION_SLACK_S, RUN_LEASE_S
 from emberring.lots.shelf import Answer, BookAction, Forget, Propose, Refuse
 from emberring.transport.messages import Ok
@@ -111,14 +113,14 @@
 
     def submit(self, lot: str, content: bytes, terms: LotTerms = TERMS) -> Any:
         call = self.number()
-        self.act(self.book.submit(self.now_s, call, SubmitLot(HOST, lot, terms, content)))
+        self.act(self.book.submit(self.now_s, call, SubmitLot(HOST, lot, terms, squeeze(content))))
         return self.answers.get(call)
 
     def read(self, lot: str, start: int = 0, wait_ms: int = 0) -> Any:
         call = self.number()
         self.act(self.book.read(self.now_s, call, ReadLot(HOST, lot, start, wait_ms)))
         found = self.answers.get(call)
-        return orjson.loads(found.body) if isinstance(found, LotPage) else found
+        return orjson.loads(page_json(found)) if isinstance(found, LotPage) else found
 
     def end(self, lot: str) -> Any:
         call = self.number()
@@ -137,7 +139,15 @@
     ) -> Any:
         call = self.number()
         message = FinishRun(
-            "g", 0, item.key, item.index, item.ticket, kind.value, start, start + len(found), found
+            "g",
+            0,
+            item.key,
+            item.index,
+            item.ticket,
+            kind.value,
+            start,
+            start + len(found),
+            pack_events(found),
         )
         self.act(self.book.finish(self.now_s, call, message))
         return self.answers.get(call)
@@ -145,7 +155,7 @@
     def report(
         self, item: Assignment, start: int, found: tuple[EventData, ...], gateway: str = "g"
     ) -> tuple[bool, int]:
-        run = RunProgress(item.key, item.index, item.ticket, start, found)
+        run = RunProgress(item.key, item.index, item.ticket, start, pack_events(found))
         (answer,) = self.book.report(self.now_s, ReportRuns(gateway, 0, (run,))).runs
         return answer.go_on, answer.have
 
@@ -301,10 +311,10 @@
     desk.pass_time(0.5)
     assert 2 not in desk.answers
     desk.finish(desk.take(1)[0], found=events("a"))
-    assert len(orjson.loads(desk.answers[2].body)["Results"]) == 1
+    assert len(orjson.loads(page_json(desk.answers[2]))["Results"]) == 1
     assert desk.read("l", 1, 300) is None
     desk.pass_time(0.31)
-    assert orjson.loads(desk.answers[4].body)["Results"] == []
+    assert orjson.loads(page_json(desk.answers[4]))["Results"] == []
 
 
 def test_a_page_holds_about_a_megabyte_and_at_least_one_result() -> None:
@@ -362,7 +372,7 @@
     assert desk.take() == []
     desk.pass_time(0.2)
     (again,) = desk.take(gateway="h")
-    assert again.events == events("a", "b", "c")
+    assert unpack_events(again.events) == events("a", "b", "c")
     assert desk.report(item, 3, ()) == (False, 0)
     assert desk.finish(again, found=(EventData(3, "d"),), start=3) == RunFinished(True)
     assert states(desk.read("l")) == [("i0", "completed", "a\nb\nc\nd")]
@@ -385,7 +395,7 @@
     desk.report(item, 0, events("old0", "old1"))
     desk.finish(item, OutcomeKind.BROKEN, events("old0"))
     (again,) = desk.take()
-    assert again.events == events("old0", "old1")
+    assert unpack_events(again.events) == events("old0", "old1")
     other = attrs.evolve(item, ticket=item.ticket + 1)  # a run that nobody here knows, from its start
     assert desk.report(other, 0, events("new0")) == (False, 0)
     assert desk.finish(other, found=(EventData(1, "new1"),), start=1) == RunFinished(False)
--- a/tests/emberring/lots/test_tier_lots_client.py
+++ b/tests/emberring/lots/test_tier_lots_client.py
@@ -25,10 +25,11 @@
 from emberring.lots.calls import LotPage, SubmitLot
 from emberring.lots.client import LotClient
 from emberring.lots.placement import SHARDS, Group, Placement, StoreMember
+from emberring.lots.results import ResultState, encode_result
 from emberring.transport.messages import Ok
 
 HOST = "lots.example"
-ROUTE = Route("r", HOST, "/batch/", RouteType.BATCH, 500.0, (Share("s", 1),), max_queued_tokens=9)
+ROUTE = Route("r", HOST, "/batch/", RouteType.BATCH, 1000.0, (Share("s", 1),), max_queued_tokens=9)
 NAMES = ("a", "b", "c")
 
 
@@ -128,8 +129,9 @@
 
 
 def test_reads_ask_on_until_it_is_certain() -> None:
-    page = LotPage(b"{}")
-    assert read(NotReadyError(), PeerTimeoutError(), NotOwnerError("a:1"), page) == b"{}"
+    page = LotPage(3, 2, encode_result(0, "i", ResultState.DEAD_LETTER, ""))
+    found = b'{"Total":3,"NextPageToken":3,"Results":[{"Id":"i","State":"dead_letter","Message":""}]}'
+    assert read(NotReadyError(), PeerTimeoutError(), NotOwnerError("a:1"), page) == found
     with pytest.raises(NotFoundError):
         read(PeerTimeoutError(), NotFoundError())
     with pytest.raises(NotReadyError):
--- a/tests/emberring/lots/test_tier_lots_owner.py
+++ b/tests/emberring/lots/test_tier_lots_owner.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-import struct
-
 import pytest
 from hypothesis import settings
 from hypothesis import strategies as st
@@ -15,6 +13,7 @@
 from emberring.lots.placement import Group, in_order
 from emberring.lots.records import DEFINITION, FORGOTTEN
 from emberring.lots.replica import REFUSE_S
+from emberring.lots.results import ResultState, encode_result, item_index
 
 ABC = Group(0, 1, ("a", "b", "c"))
 JOINING = Group(0, 2, ("a", "b", "c"), ("b", "c", "d"))
@@ -22,7 +21,7 @@
 
 
 def value(item: int, text: str = "") -> bytes:
-    return struct.pack("<H", item) + text.encode()
+    return encode_result(item, f"item-{item}", ResultState.COMPLETED, text)
 
 
 def settled(names: str = "abc", group: Group = ABC) -> Trio:
@@ -299,7 +298,7 @@
             key = f"k{self.number % 2}"
             lot = owner.records.lots.get(key)
             values = {found: owned.value for found, owned in lot.slots.items()} if lot else {}
-            if slot not in values and not any(found[:2] == value(item) for found in values.values()):
+            if slot not in values and item not in {item_index(found) for found in values.values()}:
                 self.trio.propose(name, key, slot, value(item, str(self.number)))
 
     @rule(number=st.integers(0, 5))
--- /dev/null
+++ b/tests/emberring/lots/test_tier_lots_packing.py
@@ -0,0 +1,58 @@
+"""Squeezed bytes, events and pages come out as they went in; others are named."""
+
+from __future__ import annotations
+
+import orjson
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from emberring.errors import CorruptRecordError
+from emberring.lots.calls import EventData, LotPage
+from emberring.lots.packing import expand, pack_events, squeeze, unpack_events
+from emberring.lots.results import ResultState, build_page, encode_result, item_index, page_json
+
+TEXT = st.text(st.characters(exclude_categories=("Cs",)), max_size=60)
+EVENTS = st.lists(st.builds(EventData, st.integers(0, 10**9), TEXT), max_size=6).map(tuple)
+
+
+@given(st.binary(max_size=500))
+def test_bytes(data: bytes) -> None:
+    assert expand(squeeze(data)) == data
+
+
+@given(EVENTS)
+def test_events(events: tuple[EventData, ...]) -> None:
+    assert unpack_events(pack_events(events)) == events
+
+
+@given(st.lists(st.tuples(st.integers(0, 199), TEXT, st.sampled_from(ResultState), TEXT), max_size=5))
+def test_pages(results: list[tuple[int, str, ResultState, str]]) -> None:
+    values = [encode_result(*result) for result in results]
+    assert [item_index(value) for value in values] == [result[0] for result in results]
+    page = orjson.loads(page_json(build_page(300, 7, values)))
+    assert page["Total"] == 300
+    assert page["NextPageToken"] == 7 + len(results)
+    assert [(found["Id"], found["State"], found["Message"]) for found in page["Results"]] == [
+        (name, state.value, message) for _, name, state, message in results
+    ]
+
+
+@pytest.mark.parametrize("data", [b"", b"x", squeeze(b"some text")[:-3]])
+def test_other_bytes_are_named(data: bytes) -> None:
+    with pytest.raises(CorruptRecordError):
+        expand(data)
+    with pytest.raises(CorruptRecordError):
+        page_json(LotPage(1, 0, b"\0" * 10 + data))
+    with pytest.raises(CorruptRecordError):
+        unpack_events(data or b"y")
+
+
+def test_events_that_are_none_are_named() -> None:
+    with pytest.raises(CorruptRecordError):
+        unpack_events(squeeze(b"[1]"))
+
+
+def test_text_takes_less_room() -> None:
+    text = orjson.dumps([f"{number * 7919:x}" for number in range(500)])
+    assert len(squeeze(text)) < 0.75 * len(text)
