Pulls cost what is new: statements by number; a living server is stated again where others call it lost

Every change woke all followers and each of them scanned all statements. They are found by number now; gateways' comings are counted and told with other news; changes are told in bundles that grow with the followers; heartbeats heard are told once to each control node, loads with exchanges alone. A control node that had heard most and ended hid from the others that those who live call a server lost; a heartbeat is now compared with what these state.

--- a/emberring/control/board.py
+++ b/emberring/control/board.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import functools
 from collections.abc import Callable, Iterable
 
 from emberring.configuration.state import ControlState
@@ -12,13 +13,13 @@
 from emberring.distribution.messages import Delta, Exchange, Exchanged
 from emberring.distribution.peers import Peer, PeerTable
 from emberring.registry.heartbeats import Heartbeat
-from emberring.registry.merge import level
+from emberring.registry.merge import level, merged
 from emberring.registry.servers import ServerRegistry
 
 LONGEST_GAP_S = 1.0  # between ticks; after a longer one this node was frozen
 GRACE_S = 1.0  # after that, before others' silence counts
 FORGET_ORIGIN_S = 60.0  # statements about nodes by an origin that has ended are dropped after so long
-HEARD_SPAN_S = 1.5  # heartbeats of so long are told in each exchange
+HEARD_SPAN_S = 5.0  # heartbeats of so long ago are told to a control node that could not be told before
 
 
 class Board:
@@ -51,6 +52,11 @@
         """Wait until something changes, or the time is over."""
         await self._news.wait(timeout_s)
 
+    @property
+    def waiters(self) -> int:
+        """How many wait for something new."""
+        return self._news.waiters
+
     def exchanged(self) -> None:
         """An exchange with another control node ended."""
         self._exchanges.give()
@@ -104,8 +110,11 @@
 
     def _state_node(self, now_s: float, fact: NodeFact, present: bool) -> None:
         self.store.state_node(fact, present)
-        self.hurry(now_s)
-        self.changed()
+        if (
+            fact.role is not NodeRole.GATEWAY
+        ):  # those are only counted, and their number is told with other news
+            self.hurry(now_s)
+            self.changed()
 
     def _answer_other_incarnations(self, now_s: float, names: Iterable[str]) -> None:
         """Where another control node has a newer incarnation of a node, this one's contact is with a dead one."""
@@ -128,17 +137,17 @@
 
     def on_heartbeat(self, now_s: float, beat: Heartbeat) -> None:
         """A server's heartbeat came here."""
-        listed = self.listed(now_s, beat.fact.id)
+        listed = self._listed(self.live_origins(now_s), beat.fact.id)
         self.state_servers(now_s, self.registry.on_heartbeat(now_s, beat, self.store.servers(), listed))
 
     def on_goodbye(self, now_s: float, server_id: str) -> None:
         """A server said that it ends."""
         self.state_servers(now_s, self.registry.on_goodbye(server_id, self.store.servers()))
 
-    def listed(self, now_s: float, server_id: str) -> bool:
-        """Whether a control node that lives has a statement about this server."""
-        live = self.live_origins(now_s)
-        return any(origin in live for origin in self.store.server_origins(server_id))
+    def _listed(self, live: set[str], server_id: str) -> ServerFact | None:
+        """What the control nodes that live state about this server together."""
+        facts = [entry.fact for entry in self.store.server_entries(server_id) if entry.origin in live]
+        return functools.reduce(merged, facts) if facts else None
 
     def state_servers(self, now_s: float, facts: list[ServerFact]) -> None:
         """State these facts in this node's own name, and have them told at once."""
@@ -166,7 +175,7 @@
             to=peer.origin,
             delta=self.store.newer_than(peer.vector) if peer.origin else Delta(),
             vector=dict(self.store.vector),
-            heard=self.registry.heard_since(now_s - HEARD_SPAN_S),
+            heard=self.registry.heard_since(max(peer.answered_s, now_s - HEARD_SPAN_S)),
             load=self.contacts.load(now_s),
         )
 
@@ -179,8 +188,6 @@
             me=self.me,
             delta=self.store.newer_than(said.vector),
             vector=dict(self.store.vector),
-            heard=self.registry.heard_since(now_s - HEARD_SPAN_S),
-            load=self.contacts.load(now_s),
         )
 
     def take_exchange(self, now_s: float, said: Exchange | Exchanged) -> None:
@@ -190,7 +197,8 @@
         mine = self.store.entry_of(said.me.name, self.me.incarnation)
         if mine is None or not mine.present or mine.fact != said.me:
             self._state_node(now_s, said.me, present=True)
-        self.registry.note_heard(now_s, said.heard)
+        if isinstance(said, Exchange):
+            self.registry.note_heard(now_s, said.heard)
         learnt = self.store.take(said.delta)
         if learnt:
             self._learnt(now_s, learnt.servers, learnt.nodes)
@@ -223,7 +231,10 @@
         alone = self.peers.others_exist() and not self.peers.live(now_s)
         trusted = not frozen and not alone and self.quorum_age_s() < LONGEST_GAP_S
         known = self.store.servers()
-        silent = self.registry.on_tick(now_s, known, lambda server: self.listed(now_s, server), trusted)
+        live = self.live_origins(now_s)
+        silent = self.registry.on_tick(
+            now_s, known, lambda server: self._listed(live, server) is not None, trusted
+        )
         self.state_servers(now_s, silent)
         for server in self.registry.forgettable(now_s, known):
             self.store.forget_server(server)
--- a/emberring/control/exchanger.py
+++ b/emberring/control/exchanger.py
@@ -44,7 +44,7 @@
             await self._board.wait_hurry(max(0.0, next_tick_s - loop.time()))
 
     def _begin(self, peer: Peer) -> None:
-        self._board.peers.began(peer)
+        self._board.peers.began(asyncio.get_running_loop().time(), peer)
         task = asyncio.get_running_loop().create_task(self._exchange(peer))
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
--- a/emberring/control/feed.py
+++ b/emberring/control/feed.py
@@ -11,7 +11,9 @@
 
 LONGEST_WAIT_S = 2.0
 NEVER_MS = 1e9  # stands for "no majority since the start"
-BUNDLE_S = 0.005  # changes that come together are told together
+BUNDLE_S = 0.004  # changes that come together are told together
+BUNDLE_EACH_S = 0.0005  # with many followers, more of them
+LONGEST_BUNDLE_S = 0.1
 
 
 class Feed:
@@ -26,12 +28,20 @@
         self._board.node_called(loop.time(), pull.me, pull.load)
         give_up_at = loop.time() + min(LONGEST_WAIT_S, pull.wait_ms / 1000)
         while True:
-            update = self._update(loop.time(), pull)
             left_s = give_up_at - loop.time()
-            if left_s <= 0 or _has_news(pull, update):
-                return update
+            if left_s <= 0 or self._has_news(pull):
+                return self._update(loop.time(), pull)
             await self._board.wait(left_s)
-            await asyncio.sleep(BUNDLE_S)
+            await asyncio.sleep(min(LONGEST_BUNDLE_S, BUNDLE_S + BUNDLE_EACH_S * self._board.waiters))
+
+    def _has_news(self, pull: Pull) -> bool:
+        """Whether the asker lacks something that it should have at once."""
+        state = self._board.state
+        return (
+            state.version > pull.configuration_version
+            or (state.placement is not None and state.placement.epoch > pull.placement_epoch)
+            or self._board.store.has_newer_than(pull.vector)
+        )
 
     def _update(self, now_s: float, pull: Pull) -> Update:
         board = self._board
@@ -50,12 +60,3 @@
             server_load=board.load(now_s) if pull.me.role is NodeRole.GATEWAY else {},
             controls=board.peers.addresses(),
         )
-
-
-def _has_news(pull: Pull, update: Update) -> bool:
-    return (
-        not update.delta.empty
-        or update.configuration is not None
-        or update.placement is not None
-        or update.gateways != pull.gateways
-    )
--- a/emberring/control/signal.py
+++ b/emberring/control/signal.py
@@ -12,6 +12,11 @@
     def __init__(self) -> None:
         self._waiting: set[asyncio.Future[None]] = set()
 
+    @property
+    def waiters(self) -> int:
+        """How many tasks wait at the moment."""
+        return len(self._waiting)
+
     def give(self) -> None:
         """Wake all who wait."""
         for future in self._waiting:
--- a/emberring/distribution/facts_store.py
+++ b/emberring/distribution/facts_store.py
@@ -5,6 +5,7 @@
 from collections.abc import Collection, Iterable, Mapping
 
 import attrs
+from sortedcontainers import SortedDict
 
 from emberring.distribution.facts import NodeFact, NodeRole, ServerFact
 from emberring.distribution.messages import Delta, NodeEntry, ServerEntry
@@ -35,6 +36,7 @@
         self._nodes: dict[str, dict[str, NodeEntry]] = {}
         self._arrivals: dict[tuple[str, str], int] = {}
         self._arrived = 0
+        self._numbered: dict[str, SortedDict] = {}  # by origin: the kept statements by their numbers
         self._live_nodes: dict[tuple[frozenset[str], tuple[NodeRole, ...]], dict[str, NodeFact]] = {}
 
     # -- statements of this node
@@ -112,20 +114,42 @@
         """What a node with this vector lacks; without gateways' entries where it does not need them."""
         if all(vector.get(origin, 0) >= number for origin, number in self.vector.items()):
             return Delta(vector=dict(self.vector))
-        servers = [
-            entry
-            for by_origin in self._servers.values()
-            for entry in by_origin.values()
-            if entry.number > vector.get(entry.origin, 0)
-        ]
-        nodes = [
-            entry
-            for entry in self.node_entries()
-            if entry.number > vector.get(entry.origin, 0)
-            and (gateways or entry.fact.role is not NodeRole.GATEWAY)
-        ]
+        servers: list[ServerEntry] = []
+        nodes: list[NodeEntry] = []
+        for origin, numbered in self._numbered.items():
+            for number in numbered.irange(minimum=vector.get(origin, 0) + 1):
+                entry = numbered[number]
+                if isinstance(entry, ServerEntry):
+                    servers.append(entry)
+                elif gateways or entry.fact.role is not NodeRole.GATEWAY:
+                    nodes.append(entry)
         return Delta(dict(self.vector), tuple(servers), tuple(nodes))
 
+    def has_newer_than(self, vector: Mapping[str, int]) -> bool:
+        """Whether there is anything for a node with this vector that does not need gateways' entries."""
+        for origin, numbered in self._numbered.items():
+            known = vector.get(origin, 0)
+            if self.vector.get(origin, 0) <= known:
+                continue
+            for number in numbered.irange(minimum=known + 1):
+                entry = numbered[number]
+                if isinstance(entry, ServerEntry) or entry.fact.role is not NodeRole.GATEWAY:
+                    return True
+        return False
+
+    def _keep(self, entry: ServerEntry | NodeEntry, before: ServerEntry | NodeEntry | None) -> None:
+        numbered = self._numbered.setdefault(entry.origin, SortedDict())
+        if before is not None:
+            numbered.pop(before.number, None)
+        numbered[entry.number] = entry
+
+    def _drop(self, entry: ServerEntry | NodeEntry) -> None:
+        numbered = self._numbered.get(entry.origin)
+        if numbered is not None:
+            numbered.pop(entry.number, None)
+            if not numbered:
+                del self._numbered[entry.origin]
+
     def take(self, delta: Delta) -> Learnt:
         """Take in what another node sent; its vector holds from now on here as well."""
         servers = {
@@ -142,7 +166,9 @@
 
     def _take_server(self, entry: ServerEntry) -> bool:
         """Keep an origin's newest statement; whether what is known of the server changed."""
-        self._servers.setdefault(entry.fact.id, {})[entry.origin] = entry
+        by_origin = self._servers.setdefault(entry.fact.id, {})
+        self._keep(entry, by_origin.get(entry.origin))
+        by_origin[entry.origin] = entry
         before = self._merged.get(entry.fact.id)
         after = merged(before, entry.fact) if before is not None else entry.fact
         self._merged[entry.fact.id] = after
@@ -151,6 +177,7 @@
     def _take_node(self, entry: NodeEntry) -> bool:
         by_origin = self._nodes.setdefault(entry.fact.name, {})
         before = by_origin.get(entry.origin)
+        self._keep(entry, before)
         by_origin[entry.origin] = entry
         self._live_nodes.clear()
         self._arrived += 1
@@ -161,7 +188,8 @@
 
     def forget_server(self, server_id: str) -> None:
         """Drop all that is known of a server."""
-        self._servers.pop(server_id, None)
+        for entry in self._servers.pop(server_id, {}).values():
+            self._drop(entry)
         self._merged.pop(server_id, None)
 
     def forget_origin(self, origin: str) -> None:
@@ -169,7 +197,9 @@
         in the vector too if nothing of it is kept."""
         self._live_nodes.clear()
         for name in list(self._nodes):
-            if self._nodes[name].pop(origin, None) is not None:
+            entry = self._nodes[name].pop(origin, None)
+            if entry is not None:
+                self._drop(entry)
                 self._arrivals.pop((name, origin), None)
             if not self._nodes[name]:
                 del self._nodes[name]
@@ -185,6 +215,7 @@
                 continue
             if any(other is not entry and dominates(other.fact, entry.fact) for other in by_origin.values()):
                 del by_origin[origin]
+                self._drop(entry)
             else:
                 left = True
         return left
--- a/emberring/distribution/follower.py
+++ b/emberring/distribution/follower.py
@@ -43,7 +43,6 @@
         self._network = network
         self._view: FollowerView | None = None
         self._sources = SourceChoice(seeds, random.Random(f"{me.name}/{me.incarnation}"))
-        self._gateways_told: dict[str, int] = {}
         self._callbacks: list[Callable[[], None]] = []
         self._tasks: list[asyncio.Task[None]] = []
 
@@ -128,7 +127,6 @@
             vector=dict(view.store.vector),
             configuration_version=view.configuration_version,
             placement_epoch=view.placement_epoch,
-            gateways=self._gateways_told.get(address, 0),
             wait_ms=int(wait_s * 1000) if self._sources.settled(address) else 0,
             load=report() if report is not None and slot == 0 else {},
         )
@@ -138,7 +136,6 @@
             self._sources.failed(loop.time(), address)
             logger.debug("event=pull_failed address=%s error=%s", address, error.detail)
             return
-        self._gateways_told[address] = update.gateways
         self._sources.answered(loop.time(), address, update.quorum_age_ms / 1000)
         if self._take(loop.time(), view, update):
             self._tell()
--- a/emberring/distribution/messages.py
+++ b/emberring/distribution/messages.py
@@ -56,7 +56,6 @@
     vector: dict[str, int]
     configuration_version: int = 0
     placement_epoch: int = 0
-    gateways: int = 0
     wait_ms: int = 0
     load: dict[str, int] = attrs.field(factory=dict)
 
@@ -98,13 +97,11 @@
 @message("distribution.exchanged")
 @attrs.frozen
 class Exchanged:
-    """The answer to an exchange: the same from the other side. `vector` counts what the exchange brought."""
+    """The answer to an exchange: what the asker lacked. `vector` counts what the exchange brought."""
 
     me: NodeFact
     delta: Delta
     vector: dict[str, int]
-    heard: dict[str, int] = attrs.field(factory=dict)
-    load: dict[str, int] = attrs.field(factory=dict)
 
 
 @message("placement.moved")
--- a/emberring/distribution/peers.py
+++ b/emberring/distribution/peers.py
@@ -26,7 +26,10 @@
     fact: NodeFact | None = None
     vector: dict[str, int] = attrs.field(factory=dict)
     load: dict[str, int] = attrs.field(factory=dict)
+    load_s: float = -1e9
     heard_s: float = -1e9
+    answered_s: float = -1e9
+    began_s: float = -1e9
     next_s: float = 0.0
     busy: bool = False
     again: bool = False
@@ -64,7 +67,8 @@
         if peer.origin != said.me.incarnation:
             peer.vector = {}
         peer.fact, peer.heard_s = said.me, now_s
-        peer.load = said.load
+        if isinstance(said, Exchange):
+            peer.load, peer.load_s = said.load, now_s
         for origin, number in said.vector.items():
             peer.vector[origin] = max(number, peer.vector.get(origin, 0))
         return peer
@@ -91,13 +95,15 @@
             peer.next_s = now_s
             peer.again = peer.busy
 
-    def began(self, peer: Peer) -> None:
+    def began(self, now_s: float, peer: Peer) -> None:
         """An exchange with this one is under way."""
-        peer.busy, peer.again = True, False
+        peer.busy, peer.again, peer.began_s = True, False, now_s
 
     def ended(self, now_s: float, peer: Peer, answered: bool) -> None:
         """The exchange ended."""
         peer.busy = False
+        if answered:
+            peer.answered_s = peer.began_s
         if peer.again and answered:
             peer.next_s = now_s
         else:
@@ -105,7 +111,7 @@
 
     def loads(self, now_s: float) -> Iterable[Mapping[str, int]]:
         """The loads that the live ones told."""
-        return [peer.load for peer in self._peers.values() if now_s - peer.heard_s < LOAD_FRESH_S]
+        return [peer.load for peer in self._peers.values() if now_s - peer.load_s < LOAD_FRESH_S]
 
     def forget(self, now_s: float) -> None:
         """Drop addresses that stayed silent."""
--- a/emberring/registry/servers.py
+++ b/emberring/registry/servers.py
@@ -59,10 +59,10 @@
         return True
 
     def on_heartbeat(
-        self, now_s: float, beat: Heartbeat, known: Mapping[str, ServerFact], listed: bool
+        self, now_s: float, beat: Heartbeat, known: Mapping[str, ServerFact], listed: ServerFact | None
     ) -> list[ServerFact]:
-        """What to state after a heartbeat. `known` is the join of all statements; `listed` whether one about this
-        server is of a control node that lives."""
+        """What to state after a heartbeat. `known` is the join of all statements; `listed` that of the control
+        nodes that live about this server, which is what other nodes go by."""
         fact = beat.fact
         self._note(now_s, fact.id, fact.sequence)
         before = known.get(fact.id)
@@ -71,7 +71,7 @@
         if fact.sequence < before.sequence and not beat.draining:
             return []
         after = merged(before, fact)
-        if before.state is ServerState.GONE or (listed and _alike(before, after)):
+        if before.state is ServerState.GONE or (listed is not None and _alike(listed, after)):
             return []
         return [after]
 
--- a/tests/emberring/control/test_tier_board_simulation.py
+++ b/tests/emberring/control/test_tier_board_simulation.py
@@ -114,7 +114,7 @@
             if not control.answers:
                 continue
             for peer in control.board.peers.due(self.now_s):
-                control.board.peers.began(peer)
+                control.board.peers.began(self.now_s, peer)
                 answered = self._exchange_with(control, peer)
                 control.board.peers.ended(self.now_s, peer, answered)
 
@@ -272,7 +272,7 @@
     return world
 
 
-@pytest.mark.parametrize("seed", range(40))
+@pytest.mark.parametrize("seed", [*range(40), 700])  # 700: the others took a server for lost
 def test_all_agree_with_the_truth_after_any_troubles(seed: int) -> None:
     play(seed, 30.0, 20.0).check_truth()
 
--- a/tests/emberring/distribution/test_tier_facts_store.py
+++ b/tests/emberring/distribution/test_tier_facts_store.py
@@ -100,7 +100,7 @@
     store.state_server(server("i-1", ServerState.DRAINING))
     store.state_node(node("store-1"), present=False)
     update = Update("a", 12.5, store.newer_than({}), ("a",), 3, 7, b"\x00packed\xff", None, {"i-1": 4})
-    pull = Pull(node("edge-1"), {"a": 3}, 7, 1, 3, 500, {"i-1": 4})
+    pull = Pull(node("edge-1"), {"a": 3}, 7, 1, 500, {"i-1": 4})
     for message in (update, pull):
         assert decode(encode(Envelope(5, message))[:-1]).body == message
 
--- a/tests/emberring/distribution/test_tier_peers.py
+++ b/tests/emberring/distribution/test_tier_peers.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from emberring.distribution.facts import NodeFact, NodeRole
-from emberring.distribution.messages import Delta, Exchanged
+from emberring.distribution.messages import Delta, Exchange
 from emberring.distribution.peers import EXCHANGE_EVERY_S, FORGET_S, LIVE_S, RETRY_S, PeerTable
 
 
@@ -11,8 +11,8 @@
     return NodeFact(f"core-{number}", NodeRole.CONTROL, f"c{number}", "zone", "", f"{incarnation}{number}")
 
 
-def said(fact: NodeFact, vector: dict[str, int] | None = None) -> Exchanged:
-    return Exchanged(fact, Delta(), vector or {}, {}, {"i": 2})
+def said(fact: NodeFact, vector: dict[str, int] | None = None) -> Exchange:
+    return Exchange(fact, "x0", Delta(), vector or {}, {}, {"i": 2})
 
 
 def table() -> PeerTable:
@@ -30,7 +30,7 @@
     peers = table()
     first, second = peers.due(0.0)
     for peer in (first, second):
-        peers.began(peer)
+        peers.began(0.0, peer)
     assert peers.due(0.0) == []
     peers.ended(0.0, first, answered=True)
     peers.ended(0.0, second, answered=False)
@@ -46,7 +46,7 @@
     peers.ended(0.0, second, answered=False)
     peers.hurry(0.01)
     assert peers.due(0.01) == [first]
-    peers.began(first)
+    peers.began(0.01, first)
     peers.hurry(0.02)
     assert peers.due(0.02) == []
     peers.ended(0.03, first, answered=True)
--- a/tests/emberring/registry/test_tier_registry.py
+++ b/tests/emberring/registry/test_tier_registry.py
@@ -131,7 +131,8 @@
         return stated
 
     def beat(self, now_s: float, beat: ServerFact, listed: bool = True) -> list[ServerFact]:
-        return self.take(self.registry.on_heartbeat(now_s, Heartbeat(beat), self.known, listed))
+        statement = self.known.get(beat.id) if listed else None
+        return self.take(self.registry.on_heartbeat(now_s, Heartbeat(beat), self.known, statement))
 
     def tick(self, now_s: float, trusted: bool = True) -> list[ServerFact]:
         return self.take(self.registry.on_tick(now_s, self.known, lambda _: self.live, trusted))
@@ -152,6 +153,15 @@
     assert node.beat(2.5, fact(READY, 3, capacity=20), listed=False) == [fact(READY, 3, capacity=20)]
 
 
+def test_what_control_nodes_that_live_state_is_set_right() -> None:
+    """An ended control node heard more than the others, who took the server for lost."""
+    node = ANode()
+    node.take([fact(READY, 13), fact(LOST, 6)])
+    beat = Heartbeat(fact(READY, 41))
+    assert node.registry.on_heartbeat(0.0, beat, node.known, fact(LOST, 6)) == [fact(READY, 41)]
+    assert node.registry.on_heartbeat(0.0, beat, node.known, fact(READY, 6)) == []
+
+
 def test_a_drain_sticks_and_a_late_heartbeat_revives_nothing() -> None:
     node = ANode()
     node.beat(0.0, fact(READY, 5))
