Drains are held in as many zones and regions as may be lost; the end of a cold start is stated

FaultTolerance may name zones or regions instead of machines: an acknowledged drain must outlive them too. A server's cold time was stated once, at its first heartbeat, and followers that came later took it for cold for good.

--- a/emberring/control/board.py
+++ b/emberring/control/board.py
@@ -157,14 +157,15 @@
             self.hurry(now_s)
             self.changed()
 
-    def holders_of_end(self, now_s: float, server_id: str) -> int:
-        """How many other control nodes that live know that this server drains or is gone."""
+    def holders_of_end(self, now_s: float, server_id: str) -> list[NodeFact]:
+        """The other control nodes that live and know that this server drains or is gone."""
         entries = [entry for entry in self.store.server_entries(server_id) if level(entry.fact.state) > 0]
-        return sum(
-            1
+        return [
+            peer.fact
             for peer in self.peers.live(now_s)
-            if any(peer.vector.get(entry.origin, 0) >= entry.number for entry in entries)
-        )
+            if peer.fact is not None
+            and any(peer.vector.get(entry.origin, 0) >= entry.number for entry in entries)
+        ]
 
     # -- other control nodes
 
--- a/emberring/control/heartbeat_desk.py
+++ b/emberring/control/heartbeat_desk.py
@@ -5,6 +5,7 @@
 import asyncio
 
 from emberring.control.board import Board
+from emberring.control.holders import HolderRule
 from emberring.errors import NotReadyError
 from emberring.registry.heartbeats import read_heartbeat
 
@@ -12,11 +13,11 @@
 
 
 class HeartbeatDesk:
-    """Takes heartbeats; `holders` is how many other control nodes must know of a drain, 0 where there are none."""
+    """Takes heartbeats; `rule` says which other control nodes must know of a drain."""
 
-    def __init__(self, board: Board, holders: int) -> None:
+    def __init__(self, board: Board, rule: HolderRule) -> None:
         self._board = board
-        self._holders = holders
+        self._rule = rule
 
     async def heartbeat(self, server_id: str, body: bytes) -> None:
         """A server says how it is; `NotReadyError` where its drain could not be told to others in time."""
@@ -33,9 +34,13 @@
     async def _confirm(self, server_id: str) -> None:
         loop = asyncio.get_running_loop()
         give_up_at = loop.time() + CONFIRM_TIMEOUT_S
-        while self._board.holders_of_end(loop.time(), server_id) < self._holders:
+        while not self._held(loop.time(), server_id):
             left_s = give_up_at - loop.time()
             if left_s <= 0:
                 raise NotReadyError(f"no other control node knows yet that {server_id} ends")
             self._board.hurry(loop.time())
             await self._board.wait_for_exchange(left_s)
+
+    def _held(self, now_s: float, server_id: str) -> bool:
+        holders = self._board.holders_of_end(now_s, server_id)
+        return self._rule.satisfied(self._board.me, holders, self._board.peers.met())
--- /dev/null
+++ b/emberring/control/holders.py
@@ -0,0 +1,47 @@
+"""Where a fact must be kept before it is acknowledged, so that it outlives what may be lost at once."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Mapping
+
+import attrs
+
+from emberring.distribution.facts import NodeFact
+from emberring.settings import FaultTolerance, Settings
+
+
+@attrs.frozen
+class HolderRule:
+    """How many control nodes, in how many zones and regions, must have a fact besides its first. `others` is how
+    many other control nodes there are from the start; `regions` gives the region of a zone."""
+
+    others: int
+    tolerance: FaultTolerance
+    regions: Mapping[str, str]
+
+    def satisfied(self, me: NodeFact, holders: Iterable[NodeFact], met: Iterable[NodeFact]) -> bool:
+        """Whether these others are enough. No more zones are asked for than those of the nodes met so far."""
+        have = [me, *holders]
+        exist = [me, *met]
+        if len(have) - 1 < min(self.others, self._machines()):
+            return False
+        zones = {fact.zone for fact in have}
+        if len(zones) < min(self.tolerance.zones + 1, len({fact.zone for fact in exist})):
+            return False
+        return len(self._regions(have)) >= min(self.tolerance.regions + 1, len(self._regions(exist)))
+
+    def _machines(self) -> int:
+        return max(1, self.tolerance.machines)
+
+    def _regions(self, facts: Iterable[NodeFact]) -> set[str]:
+        return {self.regions.get(fact.zone, fact.zone) for fact in facts}
+
+
+def holder_rule(settings: Settings, others: int) -> HolderRule:
+    """The rule of a deployment with so many other control nodes from the start."""
+    return HolderRule(others, settings.fault_tolerance, settings.zones)
+
+
+def most_lost(tolerance: FaultTolerance) -> int:
+    """How many replicas in different places may be lost at once."""
+    return max(tolerance.machines, tolerance.zones, tolerance.regions)
--- a/emberring/control/node.py
+++ b/emberring/control/node.py
@@ -16,6 +16,7 @@
 from emberring.control.exchanger import Exchanger
 from emberring.control.feed import Feed
 from emberring.control.heartbeat_desk import HeartbeatDesk
+from emberring.control.holders import holder_rule, most_lost
 from emberring.control.operator_orders import OperatorOrders
 from emberring.control.placement_loop import PlacementLoop
 from emberring.control.register_port import Register
@@ -60,7 +61,7 @@
             identity=register.identity,
             incarnation=new_incarnation(),
         )
-        tolerance = settings.fault_tolerance.machines
+        tolerance = most_lost(settings.fault_tolerance)
         known = settings.internal_seeds() if seeds is None else tuple(seeds)
         others = len(set(known) - {me.address})
         self.board = Board(loop.time(), me, known, settings.heartbeat_ms / 1000)
@@ -74,7 +75,7 @@
         self._feed = Feed(self.board)
         self._orders = OperatorOrders(register, self.board, tolerance)
         self._placement = PlacementLoop(register, self.board, tolerance)
-        desk = HeartbeatDesk(self.board, min(others, max(1, tolerance)))
+        desk = HeartbeatDesk(self.board, holder_rule(settings, others))
         self.app = ControlApp(self._orders, desk, StatusPage(self.board))
         self._tasks: list[asyncio.Task[None]] = []
         network.handle(Pull, self._feed.on_pull)
--- a/emberring/distribution/peers.py
+++ b/emberring/distribution/peers.py
@@ -81,6 +81,10 @@
         """All control nodes heard of, this one too."""
         return (self.me.address, *self._peers)
 
+    def met(self) -> list[NodeFact]:
+        """The other control nodes that were heard at any time."""
+        return [peer.fact for peer in self._peers.values() if peer.fact is not None]
+
     def others_exist(self) -> bool:
         """Whether there is any other control node as far as is known."""
         return bool(self._peers)
--- a/emberring/registry/servers.py
+++ b/emberring/registry/servers.py
@@ -146,5 +146,9 @@
 
 
 def _alike(first: ServerFact, second: ServerFact) -> bool:
-    """Whether two facts differ in nothing that other nodes need."""
-    return attrs.evolve(first, sequence=0, cold_ms=0.0) == attrs.evolve(second, sequence=0, cold_ms=0.0)
+    """Whether two facts differ in nothing that other nodes need: of the cold time, whether it is over."""
+    return _told(first) == _told(second)
+
+
+def _told(fact: ServerFact) -> ServerFact:
+    return attrs.evolve(fact, sequence=0, cold_ms=1.0 if fact.cold_ms > 0 else 0.0)
--- a/tests/emberring/control/test_tier_board_simulation.py
+++ b/tests/emberring/control/test_tier_board_simulation.py
@@ -146,7 +146,7 @@
             control.board.on_heartbeat(self.now_s, server.beat())
             if server.state is ServerState.DRAINING and server.drained_s is None:
                 self.exchange()
-                if control.board.holders_of_end(self.now_s, server.name) >= 1 and self._stable():
+                if control.board.holders_of_end(self.now_s, server.name) and self._stable():
                     server.drained_s = self.now_s
                     if not self.is_calm and self.random.random() < 0.3:
                         self.kill(control)
--- /dev/null
+++ b/tests/emberring/control/test_tier_holders.py
@@ -0,0 +1,47 @@
+"""Where a drain must be known before it is acknowledged."""
+
+from __future__ import annotations
+
+import pytest
+
+from emberring.control.holders import HolderRule, most_lost
+from emberring.distribution.facts import NodeFact, NodeRole
+from emberring.settings import FaultTolerance
+
+REGIONS = {"a1": "a", "a2": "a", "b1": "b"}
+
+
+def at(*zones: str) -> list[NodeFact]:
+    return [
+        NodeFact(f"core-{zone}-{number}", NodeRole.CONTROL, "x:1", zone) for number, zone in enumerate(zones)
+    ]
+
+
+ONE, TWO = FaultTolerance(machines=1), FaultTolerance(machines=2)
+ZONE, REGION = FaultTolerance(machines=0, zones=1), FaultTolerance(machines=0, regions=1)
+
+CASES = [
+    (ONE, 2, [], ["a1", "a2"], False),
+    (ONE, 2, ["a1"], ["a1", "a2"], True),
+    (ONE, 0, [], [], True),  # there is no other
+    (TWO, 4, ["a1"], ["a1", "a2", "b1", "b1"], False),
+    (TWO, 4, ["a1", "a2"], ["a1", "a2", "b1", "b1"], True),
+    (TWO, 1, ["a1"], ["a1"], True),  # there are no more
+    (ZONE, 2, ["a1"], ["a1", "a2"], False),  # they would go together
+    (ZONE, 2, ["a2"], ["a1", "a2"], True),
+    (ZONE, 2, ["a1"], ["a1", "a1"], True),  # there is no other zone
+    (REGION, 2, ["a2"], ["a2", "b1"], False),
+    (REGION, 2, ["b1"], ["a2", "b1"], True),
+]
+
+
+@pytest.mark.parametrize(("tolerance", "others", "holders", "met", "enough"), CASES)
+def test_a_fact_outlives_what_may_be_lost_at_once(
+    tolerance: FaultTolerance, others: int, holders: list[str], met: list[str], enough: bool
+) -> None:
+    rule = HolderRule(others, tolerance, REGIONS)
+    assert rule.satisfied(at("a1")[0], at(*holders), at(*met)) is enough
+
+
+def test_the_replicas_that_may_be_lost() -> None:
+    assert [most_lost(tolerance) for tolerance in (ONE, TWO, ZONE, REGION)] == [1, 2, 1, 1]
--- a/tests/emberring/registry/test_tier_registry.py
+++ b/tests/emberring/registry/test_tier_registry.py
@@ -148,11 +148,19 @@
 def test_only_what_is_new_is_stated() -> None:
     node = ANode()
     assert node.beat(0.0, fact(READY, 1)) == [fact(READY, 1)]
-    assert node.beat(1.2, fact(READY, 2, cold_ms=5.0)) == []
+    assert node.beat(1.2, fact(READY, 2)) == []
     assert node.beat(2.4, fact(READY, 3, capacity=20)) == [fact(READY, 3, capacity=20)]
     assert node.beat(2.5, fact(READY, 3, capacity=20), listed=False) == [fact(READY, 3, capacity=20)]
 
 
+def test_the_end_of_a_cold_start_is_stated_once() -> None:
+    node = ANode()
+    assert node.beat(0.0, fact(READY, 1, cold_ms=3000.0)) != []
+    assert node.beat(1.2, fact(READY, 2, cold_ms=1800.0)) == []
+    assert node.beat(2.4, fact(READY, 3, cold_ms=0.0)) != []
+    assert node.beat(3.6, fact(READY, 4, cold_ms=0.0)) == []
+
+
 def test_what_control_nodes_that_live_state_is_set_right() -> None:
     """An ended control node heard more than the others, who took the server for lost."""
     node = ANode()
