--- a/emberring/register/changes.py
+++ b/emberring/register/changes.py
@@ -6,14 +6,12 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 
 import attrs
 
 from emberring.register.model import Member, ReplicaSet
 
-DEAD_AFTER_S = 1.5
-
 
 @attrs.frozen
 class Candidate:
@@ -25,11 +23,13 @@
 
 @attrs.frozen
 class View:
-    """What one node sees. `silent_s`: for how long each replica was not heard (seconds); `displaced`: replicas at
-    whose address another identity answers, with that identity; `leaving`: replicas that are being stopped;
-    `replaced`: silent replicas whose name another identity bears; `zones`: of replicas, where known."""
+    """What one node sees. `silent_s`: for how long each replica was not heard (seconds); `dead`: those silent for too
+    long; `displaced`: replicas at whose address another identity answers, with that identity; `leaving`: replicas
+    that are being stopped; `replaced`: silent replicas whose name another identity bears; `zones`: of replicas,
+    where known."""
 
     silent_s: Mapping[str, float]
+    dead: frozenset[str]
     displaced: Mapping[str, str]
     leaving: frozenset[str]
     replaced: Mapping[str, str]
@@ -61,15 +61,13 @@
 def _victim(current: ReplicaSet, view: View) -> Member | None:
     """The replica to replace: one whose disk is gone before one that is silent before one that is leaving."""
 
-    def silent(member: Member) -> bool:
-        return view.silent_s.get(member.identity, 0.0) > DEAD_AFTER_S
-
-    for test in (
+    tests: tuple[Callable[[Member], bool], ...] = (
         lambda member: member.identity in view.displaced,
         lambda member: member.identity in view.replaced,
-        silent,
+        lambda member: member.identity in view.dead,
         lambda member: member.identity in view.leaving,
-    ):
+    )
+    for test in tests:
         found = [member for member in current.members if test(member)]
         if found:
             return max(found, key=lambda member: view.silent_s.get(member.identity, 0.0))
--- a/emberring/register/keeper.py
+++ b/emberring/register/keeper.py
@@ -9,9 +9,17 @@
 from emberring.register.model import Member, Proposal, ReplicaSet
 
 IN_TOUCH_S = 1.0
-RANK_DELAY_S = 0.5
-JOINER_WAIT_S = 1.0
-NAME_SILENT_S = 0.5
+
+
+@attrs.frozen
+class Patience:
+    """How long (s) a replica may be silent before it counts as dead, and before another node of its name takes its
+    place; how much longer each further replica waits before it acts; how long new ones have to get the value."""
+
+    dead_after_s: float = 1.5
+    name_silent_s: float = 0.5
+    rank_delay_s: float = 0.5
+    joiner_wait_s: float = 1.0
 
 
 @attrs.frozen
@@ -25,7 +33,8 @@
 class SetKeeper:
     """Plans steps from what the contacts show. Replicas further down the set wait longer before they act."""
 
-    def __init__(self, me: Member, wanted: int, contacts: Contacts) -> None:
+    def __init__(self, me: Member, wanted: int, contacts: Contacts, patience: Patience) -> None:
+        self.patience = patience
         self._me = me
         self._wanted = wanted
         self._contacts = contacts
@@ -42,7 +51,7 @@
         if self._wanted_since is None:
             self._wanted_since = now_s
         current = learned.state.replicas
-        if now_s - self._wanted_since < self._rank(now_s, current) * RANK_DELAY_S:
+        if now_s - self._wanted_since < self._rank(now_s, current) * self.patience.rank_delay_s:
             return None
         return SetStep(current, following)
 
@@ -61,7 +70,7 @@
         current = learned.state.replicas
         if self._joint_epoch != current.epoch:
             self._joint_epoch, self._joint_since = current.epoch, now_s
-        if now_s - self._joint_since > JOINER_WAIT_S:
+        if now_s - self._joint_since > self.patience.joiner_wait_s:
             return True
         for member in current.joining:
             if member in current.members or member.identity == self._me.identity:
@@ -98,10 +107,11 @@
                 if contacts.heard_s(now_s, other) < IN_TOUCH_S:
                     candidates.setdefault(other.identity, Candidate(other))
             namesake = contacts.namesake(member)
-            if namesake in candidates and silent[member.identity] > NAME_SILENT_S:
+            if namesake in candidates and silent[member.identity] > self.patience.name_silent_s:
                 replaced[member.identity] = namesake
         return View(
             silent_s=silent,
+            dead=frozenset(name for name, age_s in silent.items() if age_s > self.patience.dead_after_s),
             displaced=displaced,
             leaving=frozenset(peer.member.identity for peer in contacts.peers if peer.leaving),
             replaced=replaced,
--- a/emberring/register/node.py
+++ b/emberring/register/node.py
@@ -28,7 +28,7 @@
     Tell,
 )
 from emberring.register.jobs import Batch, Job, give_up
-from emberring.register.keeper import SetKeeper, SetStep
+from emberring.register.keeper import Patience, SetKeeper, SetStep
 from emberring.register.messages import (
     Accept,
     Chosen,
@@ -54,6 +54,7 @@
 BACKOFF_MOST_S = 0.2
 IDLE_WAKE_S = 0.1
 LOOK_EVERY_S = 0.04  # at the contacts and at the replica set
+PATIENCE = Patience()
 
 
 @attrs.frozen
@@ -93,6 +94,7 @@
         wanted: int,
         rng: random.Random,
         now_s: float,
+        patience: Patience = PATIENCE,
     ) -> None:
         self.me = me
         self.acceptor = acceptor
@@ -120,7 +122,7 @@
         self._told: bytes | None = None
         self._fetching = False
         self._scrub_at: float | None = now_s
-        self._keeper = SetKeeper(me, wanted, self.contacts)
+        self.keeper = SetKeeper(me, wanted, self.contacts, patience)
         self._step: SetStep | None = None
         if acceptor.accepted is not None and acceptor.accepted.ballot.counter == 0:
             self.learned = acceptor.accepted
@@ -186,7 +188,7 @@
             self._look_at = now_s + LOOK_EVERY_S
             self._out += self._disk.probe(now_s)
             self._ping(now_s)
-            self._step = self._keeper.step(now_s, self.learned)
+            self._step = self.keeper.step(now_s, self.learned)
         self._scrub(now_s)
         self._start_query(now_s)
         self._start_round(now_s)
