--- a/emberring/lab/register_simulator.py
+++ b/emberring/lab/register_simulator.py
@@ -12,7 +12,7 @@
 import attrs
 
 from emberring.lab.register_world import Bugs, Machine, Weather, World
-from emberring.register.keeper import Patience
+from emberring.register.keeper import PATIENCE, Patience
 from emberring.register.model import Proposal
 
 FOUNDERS = ("core-a", "core-b", "core-c")
@@ -23,7 +23,6 @@
 LAST_READ_S = 1.0
 MOST_TROUBLES = 8
 MOST_OPERATIONS = 30
-PATIENCE = Patience()
 HASTY = Patience(dead_after_s=0.4, name_silent_s=0.2, rank_delay_s=0.1, joiner_wait_s=0.2)
 HASTIER = Patience(dead_after_s=0.2, name_silent_s=0.1, rank_delay_s=0.0, joiner_wait_s=0.0)
 
--- a/emberring/register/acceptor.py
+++ b/emberring/register/acceptor.py
@@ -140,6 +140,9 @@
 def _decode(record: bytes) -> tuple[_Head, bytes]:
     line, _, payload = record.partition(b"\n")
     try:
-        return converter.structure(orjson.loads(line), _Head), payload
+        fields = orjson.loads(line)
+        if not isinstance(fields, dict):
+            raise TypeError("no object")
+        return converter.structure(fields, _Head), payload
     except Exception as error:
         raise CorruptRecordError(f"{type(error).__name__}: {error}"[:200]) from error
--- a/emberring/register/keeper.py
+++ b/emberring/register/keeper.py
@@ -22,6 +22,9 @@
     joiner_wait_s: float = 1.0
 
 
+PATIENCE = Patience()
+
+
 @attrs.frozen
 class SetStep:
     """A wanted step from one replica set to the next."""
@@ -33,7 +36,7 @@
 class SetKeeper:
     """Plans steps from what the contacts show. Replicas further down the set wait longer before they act."""
 
-    def __init__(self, me: Member, wanted: int, contacts: Contacts, patience: Patience) -> None:
+    def __init__(self, me: Member, wanted: int, contacts: Contacts, patience: Patience = PATIENCE) -> None:
         self.patience = patience
         self._me = me
         self._wanted = wanted
--- a/emberring/register/node.py
+++ b/emberring/register/node.py
@@ -28,7 +28,7 @@
     Tell,
 )
 from emberring.register.jobs import Batch, Job, give_up
-from emberring.register.keeper import Patience, SetKeeper, SetStep
+from emberring.register.keeper import PATIENCE, Patience, SetKeeper, SetStep
 from emberring.register.messages import (
     Accept,
     Chosen,
@@ -54,7 +54,6 @@
 BACKOFF_MOST_S = 0.2
 IDLE_WAKE_S = 0.1
 LOOK_EVERY_S = 0.04  # at the contacts and at the replica set
-PATIENCE = Patience()
 
 
 @attrs.frozen
--- /dev/null
+++ b/tests/emberring/register/test_tier_register_proposer.py
@@ -0,0 +1,240 @@
+"""One ballot and one query: quorums by the set that was found, joint sets, sets that leave only a chosen state."""
+
+from __future__ import annotations
+
+import pytest
+
+from emberring.register.messages import Accept, Accepted, Held, Prepare, Promise, Query, Refuse, Stranger
+from emberring.register.model import GENESIS, Ballot, Member, Proposal, ReplicaSet, State
+from emberring.register.proposer import Phase, QueryRound, Round, Send
+
+A, B, C, D, E = (Member(name, f"{name}:1") for name in "abcde")
+OLD = ReplicaSet(0, (A, B, C))
+JOINT = ReplicaSet(1, (A, B, C), (A, B, D))
+NEW = ReplicaSet(2, (A, B, D))
+FIRST = Proposal(GENESIS, State(OLD))
+MINE = Ballot(5, "me")
+
+
+def proposal(counter: int, replicas: ReplicaSet, payload: bytes | None) -> Proposal:
+    return Proposal(Ballot(counter, "other"), State(replicas, payload))
+
+
+def promise(member: Member, accepted: Proposal | None) -> Promise:
+    if accepted is None:
+        return Promise(member.identity, MINE)
+    return Promise(member.identity, MINE, accepted.ballot, accepted.state)
+
+
+def put(payload: bytes) -> Round:
+    return Round(MINE, FIRST, lambda found, chosen: State(found.state.replicas, payload))
+
+
+def keep() -> Round:
+    return Round(MINE, FIRST, lambda found, chosen: found.state)
+
+
+def to(replicas: ReplicaSet) -> Round:
+    return Round(MINE, FIRST, lambda found, chosen: State(replicas, found.state.payload))
+
+
+def targets(sends: list[Send], kind: type) -> list[str]:
+    return [send.member.identity for send in sends if isinstance(send.message, kind)]
+
+
+def accepted_by(ballot: Round, *members: Member) -> None:
+    for member in members:
+        ballot.on_reply(member, Accepted(member.identity, MINE))
+
+
+def test_two_of_three_promise_then_two_of_three_accept() -> None:
+    ballot = put(b"v")
+    assert targets(ballot.start(OLD.everyone), Prepare) == ["a", "b", "c"]
+    assert ballot.on_reply(A, promise(A, FIRST)) == []
+    sends = ballot.on_reply(C, promise(C, FIRST))
+    assert targets(sends, Accept) == ["a", "b", "c"]
+    accepted_by(ballot, A)
+    assert ballot.phase is Phase.ACCEPTING
+    accepted_by(ballot, A)  # the same one again counts once
+    assert ballot.phase is Phase.ACCEPTING
+    accepted_by(ballot, B)
+    assert ballot.phase is Phase.CHOSEN
+    assert ballot.outcome == Proposal(MINE, State(OLD, b"v"))
+
+
+def test_the_newest_proposal_found_is_the_basis() -> None:
+    older, newer = proposal(2, OLD, b"older"), proposal(3, OLD, b"newer")
+    seen: list[tuple[Proposal, bool]] = []
+    ballot = Round(MINE, FIRST, lambda found, chosen: seen.append((found, chosen)) or State(OLD, b"v"))
+    ballot.start(OLD.everyone)
+    ballot.on_reply(A, promise(A, older))
+    ballot.on_reply(B, promise(B, newer))
+    assert seen == [(newer, False)]
+
+
+def test_a_state_that_a_quorum_holds_is_known_to_be_chosen_and_not_written_again() -> None:
+    held = proposal(3, OLD, b"held")
+    ballot = keep()
+    ballot.start(OLD.everyone)
+    ballot.on_reply(A, promise(A, held))
+    assert ballot.on_reply(B, promise(B, held)) == []
+    assert ballot.phase is Phase.CHOSEN
+    assert ballot.outcome == held
+    assert not ballot.sent_accept
+
+
+def test_a_state_that_may_not_be_chosen_is_written_again_under_the_own_ballot() -> None:
+    ballot = keep()
+    ballot.start(OLD.everyone)
+    ballot.on_reply(A, promise(A, proposal(3, OLD, b"held")))
+    assert targets(ballot.on_reply(B, promise(B, FIRST)), Accept) == ["a", "b", "c"]
+    accepted_by(ballot, A, C)
+    assert ballot.outcome == Proposal(MINE, State(OLD, b"held"))
+
+
+def test_a_state_left_out_is_the_one_known() -> None:
+    known = proposal(3, OLD, b"known")
+    ballot = Round(MINE, known, lambda found, chosen: State(OLD, (found.state.payload or b"") + b"!"))
+    sends = ballot.start(OLD.everyone)
+    assert {send.message.known for send in sends if isinstance(send.message, Prepare)} == {known.ballot}
+    ballot.on_reply(A, Promise("a", MINE, known.ballot))
+    sends = ballot.on_reply(B, Promise("b", MINE, known.ballot))
+    assert {send.message.state.payload for send in sends if isinstance(send.message, Accept)} == {b"known!"}
+
+
+@pytest.mark.parametrize(
+    ("holders", "others", "complete"),
+    [
+        ([A], [B], True),  # majorities of abc and of abd
+        ([A], [C], False),  # no majority of abd
+        ([A], [D], False),  # no majority of abc
+        ([A], [C, D], True),
+        ([D], [C], False),
+        ([D], [C, B], True),
+    ],
+)
+def test_a_joint_set_found_needs_both_majorities(
+    holders: list[Member], others: list[Member], complete: bool
+) -> None:
+    joint = proposal(3, JOINT, b"v")
+    ballot = put(b"w")
+    ballot.start((A, B, C, D))
+    sends: list[Send] = []
+    for member in holders:
+        sends += ballot.on_reply(member, promise(member, joint))
+    for member in others:
+        sends += ballot.on_reply(member, promise(member, None if member == D else FIRST))
+    assert (targets(sends, Accept) != []) is complete
+
+
+def test_replicas_that_are_found_out_are_asked_too() -> None:
+    ballot = put(b"w")
+    ballot.start(OLD.everyone)
+    sends = ballot.on_reply(A, promise(A, proposal(3, JOINT, b"v")))
+    assert targets(sends, Prepare) == ["d"]
+    assert ballot.on_reply(C, promise(C, FIRST)) == []
+    assert targets(ballot.on_reply(D, promise(D, None)), Accept) == ["a", "b", "c", "d"]
+
+
+def test_entering_a_joint_set_needs_both_majorities_to_accept() -> None:
+    ballot = to(JOINT)
+    ballot.start(OLD.everyone)
+    ballot.on_reply(A, promise(A, FIRST))
+    assert targets(ballot.on_reply(C, promise(C, FIRST)), Accept) == ["a", "b", "c", "d"]
+    accepted_by(ballot, A, C)
+    assert ballot.phase is Phase.ACCEPTING
+    accepted_by(ballot, D)
+    assert ballot.phase is Phase.CHOSEN
+
+
+def test_leaving_a_joint_set_needs_it_chosen_and_then_the_new_majority_alone() -> None:
+    joint = proposal(3, JOINT, b"v")
+    ballot = to(NEW)
+    ballot.start(JOINT.everyone)
+    ballot.on_reply(A, promise(A, joint))
+    assert targets(ballot.on_reply(B, promise(B, joint)), Accept) == ["a", "b", "d"]
+    accepted_by(ballot, A, D)
+    assert ballot.outcome == Proposal(MINE, State(NEW, b"v"))
+
+
+def test_a_set_never_leaves_a_state_that_is_not_known_to_be_chosen() -> None:
+    ballot = to(NEW)
+    ballot.start(JOINT.everyone)
+    ballot.on_reply(D, promise(D, proposal(3, JOINT, b"v")))
+    ballot.on_reply(C, promise(C, FIRST))
+    with pytest.raises(AssertionError, match="not known to be chosen"):
+        ballot.on_reply(A, promise(A, FIRST))
+
+
+@pytest.mark.parametrize("reply", [None, Refuse("x", Ballot(9, "q")), Stranger("x"), "nonsense"])
+def test_a_ballot_fails_once_no_quorum_is_left(reply: object) -> None:
+    ballot = put(b"v")
+    ballot.start(OLD.everyone)
+    ballot.on_reply(A, reply)
+    assert ballot.phase is Phase.PREPARING
+    ballot.on_reply(B, reply)
+    assert ballot.phase is Phase.FAILED
+    assert not ballot.sent_accept
+
+
+def test_a_ballot_fails_while_accepting_and_may_have_been_accepted() -> None:
+    ballot = put(b"v")
+    ballot.start(OLD.everyone)
+    ballot.on_reply(A, promise(A, FIRST))
+    ballot.on_reply(B, promise(B, FIRST))
+    accepted_by(ballot, A)
+    ballot.on_reply(B, Refuse("b", Ballot(9, "q")))
+    ballot.on_reply(C, None)
+    assert ballot.phase is Phase.FAILED
+    assert ballot.refused_by == Ballot(9, "q")
+    assert ballot.sent_accept
+
+
+def test_replies_of_other_ballots_and_replicas_count_nothing() -> None:
+    ballot = put(b"v")
+    ballot.start(OLD.everyone)
+    ballot.on_reply(A, Promise("a", Ballot(4, "me"), GENESIS, FIRST.state))
+    ballot.on_reply(B, Promise("c", MINE, GENESIS, FIRST.state))
+    assert ballot.phase is Phase.FAILED
+
+
+def held(member: Member, found: Proposal | None) -> Held:
+    return Held(member.identity) if found is None else Held(member.identity, found.ballot, found.state)
+
+
+V3, V4 = proposal(3, OLD, b"3"), proposal(4, OLD, b"4")
+J4 = proposal(4, JOINT, b"4")
+
+
+@pytest.mark.parametrize(
+    ("answers", "chosen", "finished"),
+    [
+        ([(A, V3), (B, V3)], V3, True),
+        ([(A, V3), (B, V4)], None, False),
+        ([(A, V3), (B, V4), (C, V4)], V4, True),
+        ([(A, V3), (B, V4), (C, V3)], None, True),
+        ([(A, V3), (B, None)], None, False),
+        ([(A, J4), (B, J4)], J4, True),
+        ([(A, J4), (C, J4)], None, False),
+        ([(A, J4), (C, J4), (D, J4)], J4, True),
+        ([(A, J4), (C, J4), (D, None)], None, False),
+    ],
+)
+def test_a_query_shows_what_a_quorum_holds(
+    answers: list[tuple[Member, Proposal | None]], chosen: Proposal | None, finished: bool
+) -> None:
+    query = QueryRound(FIRST)
+    assert targets(query.start(OLD.everyone), Query) == ["a", "b", "c"]
+    for member, found in answers:
+        query.on_reply(member, held(member, found))
+    assert query.chosen == chosen
+    assert query.finished is finished
+
+
+def test_a_query_without_answers_ends_with_nothing() -> None:
+    query = QueryRound(FIRST)
+    query.start(OLD.everyone)
+    for member in (A, B, C):
+        query.on_reply(member, None)
+    assert query.finished
+    assert query.chosen is None
--- /dev/null
+++ b/tests/emberring/register/test_tier_register_simulator.py
@@ -0,0 +1,139 @@
+"""The simulator: nothing wrong in a few hundred schedules, and the mistakes seeded are found."""
+
+from __future__ import annotations
+
+import pytest
+
+from emberring.lab.register_history import History, add_number, parse_value
+from emberring.lab.register_simulator import (
+    Kind,
+    Schedule,
+    Step,
+    check_register,
+    describe,
+    make_schedule,
+    play,
+    shorten,
+)
+from emberring.lab.register_world import Bugs
+
+AMNESIAC_SEED = 113  # the first that shows the replica that votes after losing its disk
+
+
+def test_schedules_leave_nothing_wrong() -> None:
+    verdicts = list(check_register(0, 60))
+    assert [describe(verdict) for verdict in verdicts if verdict.mistakes] == []
+    assert sum(verdict.acknowledged for verdict in verdicts) > 300
+
+
+def test_a_seed_always_gives_the_same_verdict() -> None:
+    assert play(make_schedule(5)) == play(make_schedule(5))
+
+
+def test_a_replica_that_votes_after_losing_its_disk_is_found_and_told_briefly() -> None:
+    bugs = Bugs(amnesiac=True)
+    verdict = play(make_schedule(AMNESIAC_SEED), bugs)
+    assert any("two histories" in mistake for mistake in verdict.mistakes)
+    assert play(make_schedule(AMNESIAC_SEED)).mistakes == ()
+    short = shorten(verdict, bugs)
+    assert short.mistakes
+    assert len(short.schedule.steps) < len(verdict.schedule.steps)
+    assert any(step.kind in (Kind.WIPE, Kind.WIPE_AFTER_ACK) for step in short.schedule.steps)
+    assert "wrong:" in describe(short)
+
+
+def step(at_s: float, kind: Kind, slot: int, lasts_s: float = 0.0) -> Step:
+    return Step(at_s, kind, slot, lasts_s)
+
+
+HAND_MADE = {
+    "nothing": (),
+    "wipe and back": (step(1, Kind.CHANGE, 0), step(1.2, Kind.WIPE, 2, 0.5), step(3, Kind.CHANGE, 2)),
+    "two replacements": (
+        step(1, Kind.CHANGE, 0),
+        step(1.2, Kind.REPLACE, 2, 0.5),
+        step(3.5, Kind.REPLACE_FIRST, 0, 0.5),
+        step(5, Kind.CHANGE, 1),
+    ),
+    "replacement during a cut": (
+        step(1, Kind.CUT_OFF, 0, 2.0),
+        step(1.5, Kind.REPLACE, 2, 0.5),
+        step(2.5, Kind.CHANGE, 1),
+        step(4, Kind.CHANGE, 0),
+    ),
+    "all power lost after an acknowledgement": (
+        step(0.9, Kind.POWER_AFTER_ACK, 0, 0.5),
+        step(1, Kind.CHANGE, 0),
+        step(1.01, Kind.POWER_ALL, 0, 0.8),
+        step(3, Kind.READ, 1),
+    ),
+    "wiped after an acknowledgement while the others lose power": (
+        step(1, Kind.CHANGE, 1),
+        step(1.05, Kind.WIPE_ONE_POWER_REST, 1, 0.8),
+        step(3, Kind.READ, 2),
+    ),
+    "a replica that was cut off and swapped returns": (
+        step(0.5, Kind.ADD, 0),
+        step(1, Kind.CUT_OFF, 2, 3.0),
+        step(3.5, Kind.CHANGE, 0),
+        step(5, Kind.CHANGE, 2),
+    ),
+    "a disk stalls for seconds": (
+        step(1, Kind.SLOW_DISK, 0, 3.0),
+        *(step(1.2 + 0.3 * number, Kind.CHANGE, number) for number in range(6)),
+    ),
+    "a disk refuses": (
+        step(1, Kind.REFUSING_DISK, 1, 2.0),
+        *(step(1.2 + 0.3 * number, Kind.CHANGE, number) for number in range(6)),
+    ),
+}
+
+
+@pytest.mark.parametrize("name", HAND_MADE)
+def test_hand_made_schedules(name: str) -> None:
+    verdict = play(Schedule(1, HAND_MADE[name]))
+    assert verdict.mistakes == ()
+    changes = sum(1 for found in HAND_MADE[name] if found.kind is Kind.CHANGE)
+    assert verdict.acknowledged >= changes - 1
+
+
+def test_values_of_numbers() -> None:
+    assert parse_value(None) == ()
+    assert add_number(None, 4) == b"4"
+    assert add_number(b"4 5", 6) == b"4 5 6"
+    assert add_number(b"4 5 6", 5) is None
+
+
+def ended(
+    history: History, number: int, began_s: float, ended_s: float, payload: bytes | None, error: str = ""
+) -> None:
+    history.end(history.begin(number, "n", began_s), ended_s, payload, error)
+
+
+def test_a_good_history_is_good() -> None:
+    history = History()
+    ended(history, 1, 0.0, 1.0, b"1")
+    ended(history, 2, 0.5, 2.0, b"1 2")
+    ended(history, 0, 0.6, 1.5, b"1")
+    ended(history, 3, 2.5, 3.0, None, "in_doubt")
+    ended(history, 0, 4.0, 5.0, b"1 2 3")
+    assert history.finish() == []
+
+
+@pytest.mark.parametrize(
+    ("operations", "wrong"),
+    [
+        ([(1, 0.0, 1.0, b"1", ""), (2, 0.0, 1.0, b"2", "")], "two histories"),
+        ([(1, 0.0, 1.0, b"1", ""), (0, 2.0, 3.0, None, "")], "had been acknowledged"),
+        ([(1, 0.0, 1.0, b"2", "")], "not in the value"),
+        ([(0, 0.0, 1.0, b"1 2 1", "")], "twice"),
+        ([(1, 0.0, 1.0, None, "no_quorum"), (0, 2.0, 3.0, b"1", "")], "without doubt"),
+    ],
+)
+def test_bad_histories_are_told(
+    operations: list[tuple[int, float, float, bytes | None, str]], wrong: str
+) -> None:
+    history = History()
+    for number, began_s, ended_s, payload, error in operations:
+        ended(history, number, began_s, ended_s, payload, error)
+    assert any(wrong in mistake for mistake in history.finish())
