--- a/tests/emberring/control/tier_control_fixture.py
+++ b/tests/emberring/control/tier_control_fixture.py
@@ -185,9 +185,11 @@
         self.done = True
 
 
-async def http(port: int, method: str, path: str, body: bytes, headers: dict[str, str]) -> Answer:
+async def http(
+    port: int, method: str, path: str, body: bytes, headers: dict[str, str], host: str = "127.0.0.1"
+) -> Answer:
     """One call over a connection of its own."""
-    reader, writer = await asyncio.open_connection("127.0.0.1", port)
+    reader, writer = await asyncio.open_connection(host, port)
     lines = [f"{method} {path} HTTP/1.1", "Host: control", f"Content-Length: {len(body)}"]
     lines += [f"{key.replace('_', '-')}: {value}" for key, value in headers.items()]
     writer.write("\r\n".join(lines).encode() + b"\r\n\r\n" + body)
