--- a/emberring/lots/owner.py
+++ b/emberring/lots/owner.py
@@ -151,7 +151,7 @@
             if self.stage is not Stage.FOLLOWING:
                 self._release(now_s, self.group)
         elif self.stage is Stage.FOLLOWING:
-            if now_s >= self._claim_at_s(now_s, live):
+            if not self.replica.holder(now_s) and now_s >= self._claim_at_s(live):
                 self._claim(now_s)
         elif self.stage is Stage.CLAIMING:
             if now_s - self._stage_since_s > CLAIM_WAIT_S:
@@ -227,7 +227,7 @@
 
     # Taking a term.
 
-    def _claim_at_s(self, now_s: float, live: set[str]) -> float:
+    def _claim_at_s(self, live: set[str]) -> float:
         assert self.group is not None
         staying = self.group.joining or self.group.members
         settled = [identity for identity in self.group.members if identity in staying]
--- a/emberring/lots/placement.py
+++ b/emberring/lots/placement.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import functools
 import hashlib
 from collections.abc import Sequence
 
@@ -95,6 +96,7 @@
     return int.from_bytes(digest, "big") % SHARDS
 
 
+@functools.lru_cache(maxsize=1024)
 def score(shard: int, identity: str) -> int:
     """The rendezvous score of a store for a shard; the highest comes first."""
     digest = hashlib.blake2b(f"{shard}/{identity}".encode(), digest_size=8).digest()
--- a/emberring/lots/records.py
+++ b/emberring/lots/records.py
@@ -26,7 +26,7 @@
 _SLOT = struct.Struct("<iHII")  # slot, index of its term, checksum and length of its value
 
 
-@attrs.frozen(order=True)
+@attrs.frozen
 class Term:
     """The fencing token of a shard's owner: a higher one wins. The epoch is that of the shard's group."""
 
@@ -34,6 +34,20 @@
     counter: int
     owner: str
 
+    # Compared often, so without the detour of generated comparisons.
+
+    def __lt__(self, other: Term) -> bool:
+        return (self.epoch, self.counter, self.owner) < (other.epoch, other.counter, other.owner)
+
+    def __le__(self, other: Term) -> bool:
+        return (self.epoch, self.counter, self.owner) <= (other.epoch, other.counter, other.owner)
+
+    def __gt__(self, other: Term) -> bool:
+        return (self.epoch, self.counter, self.owner) > (other.epoch, other.counter, other.owner)
+
+    def __ge__(self, other: Term) -> bool:
+        return (self.epoch, self.counter, self.owner) >= (other.epoch, other.counter, other.owner)
+
 
 NO_TERM = Term(0, 0, "")
 
