--- a/emberring/lots/book.py
+++ b/emberring/lots/book.py
@@ -62,7 +62,7 @@
 
     def configure(self, configuration: Configuration) -> None:
         """A newer configuration is in force."""
-        self._shelf.configuration = configuration
+        self._shelf.configure(configuration)
 
     # Ownership.
 
--- a/emberring/lots/client.py
+++ b/emberring/lots/client.py
@@ -18,6 +18,7 @@
     NotFoundError,
     NotOwnerError,
     NotReadyError,
+    OverloadedError,
     PeerTimeoutError,
     PeerUnavailableError,
     ProtocolViolationError,
@@ -81,8 +82,8 @@
         self._directory = directory or OwnerDirectory(knowledge)
 
     async def submit(self, host: str, route: Route, lot: str, body: bytes) -> None:
-        """Have a lot taken; returns once it is kept. `QuotaExceededError` and `NotReadyError` only where nothing
-        was written; `InDoubtError` where that is not certain."""
+        """Have a lot taken; returns once it is kept. `QuotaExceededError`, `OverloadedError` and
+        `NotReadyError` only where nothing was written; `InDoubtError` where that is not certain."""
         configuration = self._knowledge.configuration
         terms = LotTerms(
             route=route.name,
@@ -96,7 +97,7 @@
         search = self._search(host, min(SUBMIT_LIMIT_S, 0.8 * route.timeout_ms / 1000), ATTEMPT_S)
         try:
             await self._ask(search, SubmitLot(host, lot, terms, squeeze(body)), Ok)
-        except (QuotaExceededError, NotReadyError) as error:
+        except (QuotaExceededError, OverloadedError, NotReadyError) as error:
             if search.doubt:
                 raise InDoubtError(f"{search.reason}; then {error.detail}") from error
             raise
--- a/emberring/lots/replica.py
+++ b/emberring/lots/replica.py
@@ -119,6 +119,7 @@
         self.promised = NO_TERM
         self.lots: dict[str, HeldLot] = {}
         self.digest = 0
+        self.bytes = 0  # of all values
         self._lasting_promise = NO_TERM
         self._holder = ""
         self._held_until_s = 0.0
@@ -290,7 +291,7 @@
             return
         if isinstance(entry, Emptied):
             self.lots.clear()
-            self.digest = 0
+            self.digest = self.bytes = 0
             self._emptying, self._emptied = False, True
             return
         self.promised = max(self.promised, entry.term)
@@ -324,10 +325,12 @@
             return
         if held is not None:
             self.digest ^= slot_digest(record.key, record.slot, held.checksum)
+            self.bytes -= len(held.value)
         check = checksum(record.value)
         lot.slots[record.slot] = HeldSlot(term, check, record.value, segment)
         self._erased.pop((record.key, record.slot), None)
         self.digest ^= slot_digest(record.key, record.slot, check)
+        self.bytes += len(record.value)
 
     def _erase(self, term: Term, record: Record) -> None:
         self._dropping.discard((record.key, record.slot))
@@ -340,6 +343,7 @@
         if held.term == term and FORGOTTEN not in lot.slots:
             return  # an erasure that came late: the owner has written the slot since
         self.digest ^= slot_digest(record.key, record.slot, held.checksum)
+        self.bytes -= len(held.value)
         del lot.slots[record.slot]
         if not lot.slots:
             del self.lots[record.key]
--- a/emberring/lots/shelf.py
+++ b/emberring/lots/shelf.py
@@ -63,10 +63,16 @@
         self.lots: dict[str, Lot] = {}
         self.schedule = Schedule()
         self.configuration: Configuration | None = None
+        self._route_names: frozenset[str] = frozenset()
         self.waiting_tokens: dict[str, int] = {}
         self.out: list[BookAction] = []
         self._specs: OrderedDict[str, list[ItemSpec]] = OrderedDict()
 
+    def configure(self, configuration: Configuration) -> None:
+        """A newer configuration is in force."""
+        self.configuration = configuration
+        self._route_names = frozenset(route.name for route in configuration.routes)
+
     def clear(self) -> None:
         """Forget everything but the configuration."""
         self.lots.clear()
@@ -85,8 +91,7 @@
         """Whether a configuration not older than the lot's certainly has no such route."""
         if self.configuration is None or self.configuration.version < lot.terms.version:
             return False
-        named = any(route.name == lot.terms.route for route in self.configuration.routes)
-        return not named and self.route_of(lot) is None
+        return lot.terms.route not in self._route_names and self.route_of(lot) is None
 
     def max_attempts(self, lot: Lot) -> int:
         """How many answers of 500 end an item."""
--- a/emberring/store/disk.py
+++ b/emberring/store/disk.py
@@ -23,6 +23,7 @@
 RECLAIM_ABOVE_BYTES = 96 * 1024 * 1024  # all of it is read at a start, so it must fit into memory
 MOST_BYTES = 192 * 1024 * 1024
 SHARE_OF_DISK = 0.6
+ROOM_SHARE = 0.5  # of the journal; the rest is for results of what was taken, and for reclaiming
 
 logger = get_logger("store")
 
@@ -34,6 +35,7 @@
     identity: str
     journal: Journal
     replicas: dict[int, Replica]
+    room_bytes: int  # for values, so that the journal never fills up with what counts
 
 
 def open_disk(directory: Path, disk_mb: float, now_s: float) -> StoreDisk:
@@ -63,7 +65,7 @@
     folder.mkdir(exist_ok=True)
     most = int(min(MOST_BYTES, disk_mb * 1024 * 1024 * SHARE_OF_DISK)) if disk_mb else MOST_BYTES
     journal, records = Journal.open(folder, SEGMENT_BYTES, most, min(RECLAIM_ABOVE_BYTES, most // 2))
-    return StoreDisk(identity, journal, restore(records, now_s))
+    return StoreDisk(identity, journal, restore(records, now_s), int(most * ROOM_SHARE))
 
 
 def begin_life(journal: Journal, now_s: float) -> None:
--- a/emberring/store/gateway_calls.py
+++ b/emberring/store/gateway_calls.py
@@ -5,9 +5,10 @@
 import asyncio
 from typing import Any
 
-from emberring.errors import NotReadyError
+from emberring.errors import NotReadyError, OverloadedError
 from emberring.lots.calls import EndLot, FinishRun, ReadItem, ReadLot, ReportAnswer, ReportRuns, SubmitLot
 from emberring.lots.placement import shard_of
+from emberring.lots.records import lot_key
 from emberring.store.shards import Shards
 
 
@@ -18,8 +19,11 @@
         self._shards = shards
 
     async def submit(self, message: SubmitLot) -> Any:
-        """A lot is handed in."""
+        """A lot is handed in. `OverloadedError` where the disk has no room for more."""
         shard = shard_of(message.host)
+        known = lot_key(message.host, message.lot) in self._shards.serving(shard).lots
+        if not known and self._shards.host.crowded:
+            raise OverloadedError("the store is full")
         return await self._shards.ask(shard, lambda book, call: book.submit(_now_s(), call, message))
 
     async def read(self, message: ReadLot) -> Any:
--- a/emberring/store/replicas.py
+++ b/emberring/store/replicas.py
@@ -21,8 +21,11 @@
 class ReplicaHost:
     """Runs the replicas of all shards. Used from one event loop."""
 
-    def __init__(self, identity: str, replicas: dict[int, Replica], journal: Journal) -> None:
+    def __init__(
+        self, identity: str, replicas: dict[int, Replica], journal: Journal, most_bytes: int
+    ) -> None:
         self.identity = identity
+        self._most_bytes = most_bytes
         self.replicas = replicas
         self._journal = journal
         self._calls: dict[int, Done] = {}
@@ -77,6 +80,11 @@
         now_s = asyncio.get_running_loop().time()
         return max(replica.oldest_wait_s(now_s) for replica in self.replicas.values())
 
+    @property
+    def crowded(self) -> bool:
+        """Whether so much is held that no more lots should be taken."""
+        return sum(replica.bytes for replica in self.replicas.values()) > self._most_bytes
+
     @property
     def failed(self) -> bool:
         """Whether the disk refuses."""
--- a/emberring/store/role.py
+++ b/emberring/store/role.py
@@ -76,7 +76,7 @@
         self.follower = learn(self.network, me, settings.internal_seeds())
         self.journal = disk.journal
         begin_life(disk.journal, loop.time())
-        self.host = ReplicaHost(disk.identity, disk.replicas, disk.journal)
+        self.host = ReplicaHost(disk.identity, disk.replicas, disk.journal, disk.room_bytes)
         self.peers = Peers(self.network, self.host)
         self.shards = Shards(self.host, self.peers, settings.bounds.status_s, self._tell_moved)
         self._placement_epoch = 0
--- a/tests/emberring/lots/test_tier_lots_replica.py
+++ b/tests/emberring/lots/test_tier_lots_replica.py
@@ -182,6 +182,7 @@
     put(replica, OLD, "k", FORGOTTEN, b"")
     settle(replica, replica.handle(0.0, 1, drop(OLD, ("k", DEFINITION))))
     assert set(replica.lots["k"].slots) == {FORGOTTEN}
+    assert replica.bytes == 0
     settle(replica, replica.handle(0.0, 1, drop(OLD, ("k", FORGOTTEN))))
     assert replica.lots == {}
     assert replica.digest == empty
@@ -209,6 +210,7 @@
     put(other, NEW, "k", 1, b"x")
     put(other, NEWEST, "k", 1, b"w")
     assert one.digest != other.digest
+    assert (one.bytes, other.bytes) == (2, 1)
     put(other, NEWEST, "k", 0, b"v")
     assert one.digest == other.digest
 
--- a/tests/emberring/store/test_tier_store_troubles.py
+++ b/tests/emberring/store/test_tier_store_troubles.py
@@ -10,7 +10,7 @@
 import pytest
 from tier_store_cluster import HOST, ROUTE, Cluster, FakeExecutor, lot_body, read_all, text_of
 
-from emberring.errors import InDoubtError, NotReadyError
+from emberring.errors import InDoubtError, NotFoundError, NotReadyError, OverloadedError
 from emberring.lots.placement import begin_retire, retire_state, shard_of
 
 SHARD = shard_of(HOST)
@@ -138,6 +138,25 @@
     asyncio.run(play())
 
 
+def test_a_full_store_takes_no_lot_and_promises_that(tmp_path: Path) -> None:
+    async def play() -> None:
+        cluster = await Cluster.begin(tmp_path)
+        gateway = cluster.gateway(FakeExecutor())
+        await gateway.client.submit(HOST, ROUTE, "lot1", lot_body("lot1", 2))
+        for store in cluster.stores.values():
+            store.host._most_bytes = 10
+        with pytest.raises(OverloadedError):
+            await gateway.client.submit(HOST, ROUTE, "lot2", lot_body("lot2", 2))
+        with pytest.raises(NotFoundError):
+            await gateway.client.read(HOST, "lot2", 0, 0)
+        await gateway.runner.start()
+        assert len(await read_all(gateway.client, "lot1")) == 2
+        await gateway.end()
+        await cluster.end()
+
+    asyncio.run(play())
+
+
 def test_with_two_stores_gone_nothing_is_said(tmp_path: Path) -> None:
     async def play() -> None:
         cluster = await Cluster.begin(tmp_path)
