Admission: dead servers are no places; lots are taken while a third of the places is in use

After a loss of servers these still counted as places until they were taken from the list, so queues at the others grew to twice their bound; and after a jam lots stayed held back for seconds while servers stood idle. Waits count up to three aims, and the pace is learned only from calls that found a place.

--- a/emberring/admission/load.py
+++ b/emberring/admission/load.py
@@ -11,6 +11,7 @@
 from orchidledge.brain import BASE_FALL, BASE_LEAST, BASE_RISE, FULL_TARGET, JAM, QUIET, SLACK_ROOM
 
 OUTCOMES = 10.0  # outcomes that give a period half the say in the smoothed wait
+WORST = 3.0  # a wait counts as no more than this, so that a jam is forgotten once it has passed
 SILENT_LEAVES = 0.97  # of the smoothed wait, by a period without outcomes: load that nobody sees must pass
 
 
@@ -29,7 +30,7 @@
 
     def waited(self, share_of_aim: float) -> None:
         """A first event came after this share of its aim, the prompt's own reading taken off."""
-        self._waits.append(max(0.0, share_of_aim))
+        self._waits.append(min(WORST, max(0.0, share_of_aim)))
         self._heard += 1
 
     def ended(self, full: bool) -> None:
--- a/emberring/admission/pacing.py
+++ b/emberring/admission/pacing.py
@@ -27,7 +27,7 @@
 
 def note_failure(now_s: float, server: ServerView, outcome: CallOutcome, random: Random) -> None:
     """An attempt there failed otherwise than by a whole answer."""
-    server.failures += 1
+    server.failures += 1 if outcome not in CERTAIN else BREAKS_BORNE + 1
     heard = now_s - server.heard_s <= HEARD_RECENTLY_S
     if outcome not in CERTAIN and server.failures <= BREAKS_BORNE and heard:
         return
@@ -35,6 +35,11 @@
     server.avoid_until_s = now_s + min(AVOID_MOST_S, doubled) * random.uniform(0.75, 1.25)
 
 
+def failing(server: ServerView) -> bool:
+    """Whether it failed so that it doesn't count as a place until it has answered again."""
+    return server.failures > BREAKS_BORNE
+
+
 def note_full(now_s: float, server: ServerView, random: Random) -> None:
     """It turned a call away for want of room."""
     server.full_until_s = now_s + FULL_S * random.uniform(0.5, 1.5)
@@ -63,7 +68,7 @@
     if server.fact.cold_ms > 0.0 and now_s - server.since_s < server.fact.cold_ms / 1000.0:
         places *= COLD_SHARE
     left = min(places - server.load, server.connections - len(server.calls))
-    if server.failures > BREAKS_BORNE:  # the way back: one call at a time
+    if failing(server):  # the way back: one call at a time
         return min(left, 1.0 - len(server.calls))
     if server.first_heard_s is None:
         most = max(1.0, FIRST_SHARE * places / gateways)
--- a/emberring/admission/pool.py
+++ b/emberring/admission/pool.py
@@ -23,7 +23,8 @@
 )
 from emberring.distribution.facts import ServerState
 
-NEVER_REFUSED = 0.6  # share of the places under which no live call is refused
+NEVER_HELD = 0.34  # share of the places under which no item is held back
+NEVER_REFUSED = 0.75  # share of the places under which no live call is refused
 MOST_PERIODS = 50  # that are made up for after a silence
 RETRY_LEAST_S, RETRY_MOST_S = 0.1, 1.0
 PAUSE_GAIN = 0.02  # smoothing of the usual pause between events, all servers'
@@ -77,6 +78,11 @@
             if server.fact.state is ServerState.READY and not server.gone and server.fact.id not in excluded
         ]
 
+    def _working(self) -> list[ServerView]:
+        """The ready servers that count as places; where none works, all do."""
+        ready = self._ready(frozenset())
+        return [server for server in ready if not pacing.failing(server)] or ready
+
     # ------------------------------------------------------------- decisions
 
     def offer(self, now_s: float, call: CallInfo) -> Decision:
@@ -102,7 +108,7 @@
         self, now_s: float, ready: list[ServerView], sound: list[ServerView]
     ) -> list[ServerView]:
         """Where pacing leaves nothing for a live call although the pool is not full."""
-        if self._fill(ready) >= 1.0 + self._settings.live_queue_share:
+        if self._fill(self._working()) >= 1.0 + self._settings.live_queue_share:
             return []
         able = sound or ready
         return [one for one in able if len(one.calls) < one.connections and now_s >= one.full_until_s]
@@ -113,7 +119,7 @@
 
     def _turned_away(self, call: CallInfo) -> bool:
         """The table's word: this gateway's calls in flight against the threshold of the call's row."""
-        servers = self._ready(frozenset())
+        servers = self._working()
         own = sum(len(server.calls) for server in servers)
         if call.batch:
             return own >= self._batch_threshold(servers)
@@ -122,7 +128,12 @@
         return own >= self._live_threshold(servers, call.priority)
 
     def _batch_share(self) -> float:
-        return self._settings.batch_share * self.table.batch_share()
+        """The share of the places up to which items are taken: the lower row's at the cursor.
+
+        Guard: after a jam the row stayed at nothing for seconds while servers stood idle; waits of an idle pool have
+        another cause than lots.
+        """
+        return max(NEVER_HELD, self._settings.batch_share * self.table.batch_share())
 
     def _batch_threshold(self, servers: list[ServerView]) -> float:
         """Calls in flight of this gateway up to which items are taken: what it had when the others' were told,
@@ -161,7 +172,9 @@
         assert best is not None
         _, server, to_read, ahead = best
         expected_ms = expected_wait_ms(now_s, server, ahead, to_read, self.pace, mean_others)
-        server.calls[call.id] = Placed(call, server, now_s, to_read, ahead, expected_ms)
+        server.calls[call.id] = Placed(
+            call, server, now_s, to_read, ahead, expected_ms, free=server.load < server.capacity
+        )
         server.memory.sent(call.parts, server.kv_tokens / self.gateways)
         return Admitted(server.fact.id)
 
@@ -176,7 +189,7 @@
     def batch_room(self, now_s: float) -> int:
         """How many more items would be taken now."""
         self.advance(now_s)
-        servers = self._ready(frozenset())
+        servers = self._working()
         if not servers:
             return 0
         own = sum(len(server.calls) for server in servers)
@@ -202,7 +215,8 @@
         sent_s = placed.placed_s if placed.sent_s is None else placed.sent_s
         wait_ms = (now_s - sent_s) * 1000.0
         placed.first_s = now_s
-        self.pace.first_event(placed.ahead + placed.to_read, wait_ms)
+        if placed.free:
+            self.pace.first_event(placed.ahead + placed.to_read, wait_ms)
         server.hear_wait(now_s, (wait_ms + 20.0) / (placed.expected_ms + 20.0))
         own_ms = placed.to_read * self.pace.ms_per_token
         self.meter.waited((wait_ms - own_ms) / max(1.0, placed.call.aim_ms))
--- a/emberring/admission/server.py
+++ b/emberring/admission/server.py
@@ -23,7 +23,8 @@
 @attrs.define(eq=False)
 class Placed:
     """A call of this gateway at a server. `to_read` are the prompt's tokens that the server is held to lack,
-    `ahead` those that were before it when it came, `expected_ms` the wait that was foreseen."""
+    `ahead` those that were before it when it came, `expected_ms` the wait that was foreseen, `free` whether it found
+    a place at once."""
 
     call: CallInfo
     server: ServerView
@@ -31,6 +32,7 @@
     to_read: float
     ahead: float
     expected_ms: float
+    free: bool = True
     sent_s: float | None = None
     first_s: float | None = None
     later_s: float | None = None  # when its latest event after the first came
