One replica's promise no longer ends an owner that a quorum keeps

A store that came into a group, or came back from a cut, claimed before a touch had reached it. Others refused, but its own replica promised the term; the owner saw that promise and stepped down, and the next owner too.

An owner with a valid lease now takes a higher term instead; a newcomer waits until a lease may have run out; a replica refuses others from the first touch on, not from the second.

--- a/emberring/lots/owner.py
+++ b/emberring/lots/owner.py
@@ -29,7 +29,7 @@
 from emberring.lots.owned import OwnedLot, OwnedRecords
 from emberring.lots.placement import Group, in_order
 from emberring.lots.records import FORGOTTEN, NO_TERM, LotState, Term, unpack_inventory, unpack_records
-from emberring.lots.replica import Replica
+from emberring.lots.replica import REFUSE_S, Replica
 from emberring.lots.replication import Replication
 
 RANK_DELAY_S = 0.25  # each store waits so much longer than the one before it in the order
@@ -38,6 +38,7 @@
 FETCH_WAIT_S = 2.5
 MOVED_EVERY_S = 0.5
 SWEEP_EVERY_S = 2.0
+FIRST_EPOCH = 1  # of a group's life, when all its replicas are empty
 
 
 class Stage(Enum):
@@ -134,8 +135,8 @@
         if self.group is not None and group.epoch <= self.group.epoch:
             return []
         before, self.group = self.group, group
-        if before is None:
-            self._not_before_s = now_s
+        if before is None or self.me not in before.everyone:
+            self._not_before_s = now_s + (REFUSE_S if self._is_newcomer(group) else 0.0)
         if self.stage is not Stage.FOLLOWING:
             if self.me in group.everyone:
                 self._claim(now_s)
@@ -143,6 +144,11 @@
                 self._release(now_s, group)
         return self._take()
 
+    def _is_newcomer(self, group: Group) -> bool:
+        """Whether this replica knows of no lease although one may run."""
+        empty = group.epoch > FIRST_EPOCH and not self.replica.owner
+        return empty or self.me not in group.members
+
     def tick(self, now_s: float, fit: bool, live: set[str]) -> list[OwnerAction]:
         """Time goes on. `fit`: this store's disk works and it is not leaving; `live`: identities heard of lately."""
         if self.group is None or self.me not in self.group.everyone:
@@ -373,7 +379,10 @@
 
     def _overruled(self, now_s: float, promised: Term) -> None:
         self._counter = max(self._counter, promised.counter)
-        self._step_down(now_s)
+        if self.serving(now_s):
+            self._claim(now_s)  # a quorum keeps this lease and refuses others: one promise ends nothing
+        else:
+            self._step_down(now_s)
 
     def _step_down(self, now_s: float) -> None:
         self._enter(now_s, Stage.FOLLOWING)
--- a/emberring/lots/replica.py
+++ b/emberring/lots/replica.py
@@ -190,10 +190,10 @@
         if lease.term > self.promised:
             self.promised = lease.term
             actions.append(self._persist(0, Promised(lease.term), now_s))
-        granted = lease.term == self.promised == self._lasting_promise
-        if granted:
+        if lease.term == self.promised:  # others are refused already while the promise is on its way
             self._holder = lease.term.owner
             self._held_until_s = now_s + REFUSE_S
+        granted = lease.term == self.promised == self._lasting_promise
         return LeaseAnswer(self.shard, granted, self.promised, self.digest), actions
 
     def holder(self, now_s: float) -> bool:
--- a/tests/emberring/lots/test_tier_lots_owner.py
+++ b/tests/emberring/lots/test_tier_lots_owner.py
@@ -155,6 +155,44 @@
     assert trio.nodes[trio.the_owner()].truth == trio.chosen
 
 
+def test_a_newcomer_that_nobody_has_reached_yet_claims_nothing_while_a_lease_may_run() -> None:
+    trio = settled()
+    lost = next(name for name in "abc" if name != trio.the_owner())
+    trio.wipe(lost)
+    trio.start("d")
+    trio.place(Group(0, 2, ABC.members, (*(name for name in "abc" if name != lost), "d")))
+    trio.letters.clear()
+    for _ in range(8):
+        trio.now_s += REFUSE_S / 9
+        trio.tick("d")
+    assert trio.letters == []
+    trio.now_s += 1.0
+    trio.tick("d")
+    assert {letter.send.target for letter in trio.letters} == {"a", "b", "c", "d"}
+
+
+def test_a_promise_of_one_replica_alone_ends_no_owner_that_a_quorum_keeps() -> None:
+    trio = settled()
+    owner = trio.the_owner()
+    trio.propose(owner, "k", 0, value(1))
+    trio.deliver_all()
+    other = next(name for name in "abc" if name != owner)
+    trio.wipe(other)
+    trio.start(other)
+    while not trio.letters:
+        trio.now_s += 0.05
+        trio.tick(other)
+    trio.deliver_all()
+    assert trio.nodes[other].replica.promised.owner == other
+    trio.touch(owner)
+    trio.deliver_all()
+    assert trio.the_owner() == owner
+    assert trio.nodes[owner].lost == 0
+    trio.pass_time(2.0)
+    assert trio.the_owner() == owner
+    assert held(trio, other) == trio.chosen
+
+
 def test_a_move_is_not_done_before_the_newcomer_has_all() -> None:
     trio = settled()
     trio.propose(trio.the_owner(), "k", 0, value(1))
--- a/tests/emberring/lots/test_tier_lots_replica.py
+++ b/tests/emberring/lots/test_tier_lots_replica.py
@@ -144,6 +144,17 @@
     assert replica.touch(0.2, Lease(0, OLD))[0].granted
 
 
+def test_others_are_refused_from_the_first_touch_on() -> None:
+    replica = Replica(0)
+    answer, actions = replica.touch(0.0, Lease(0, OLD))
+    assert not answer.granted
+    assert replica.holder(REFUSE_S - 0.01)
+    (refused,) = replica.handle(0.01, 1, Claim(0, "me", NEW))
+    assert refused == Reply(1, ClaimReply(False, OLD, held=True))
+    settle(replica, actions)
+    assert not replica.holder(REFUSE_S + 0.01)
+
+
 def test_a_release_lets_others_claim_at_once() -> None:
     replica = Replica(0)
     claimed(replica, OLD, 0.0)
