--- a/emberring/register/service.py
+++ b/emberring/register/service.py
@@ -78,6 +78,7 @@
         self._settings = settings
         self._network = network
         self._directory = journal_dir
+        self._may_found = settings.bootstrap
         self._address = settings.internal_address(CONTROL_PORT_OFFSET)
         self._node: RegisterNode | None = None
         self._journal: Journal | None = None
@@ -190,29 +191,34 @@
                 return journal, await self._born(journal, records)
             except DiskFailedError as error:
                 logger.warning("event=journal_refused detail=%r", error.detail)
-            except CorruptRecordError as error:
-                logger.error("event=journal_discarded detail=%r", error.detail)
-                await loop.run_in_executor(None, shutil.rmtree, self._directory)
             await asyncio.sleep(OPEN_AGAIN_S)
 
     def _open_journal(self) -> tuple[Journal, list[Record]]:
+        """The journal and its records; one that is damaged is a lost disk, and whoever kept it must not come back."""
+        try:
+            return Journal.open(self._directory, SEGMENT_BYTES, MAX_BYTES, RECLAIM_ABOVE_BYTES)
+        except CorruptRecordError as error:
+            logger.error("event=journal_discarded detail=%r", error.detail)
+            self._may_found = False
+        try:
+            shutil.rmtree(self._directory)
+        except OSError as error:
+            raise DiskFailedError(f"{type(error).__name__}: {error}") from error
         return Journal.open(self._directory, SEGMENT_BYTES, MAX_BYTES, RECLAIM_ABOVE_BYTES)
 
     async def _born(self, journal: Journal, records: list[Record]) -> Acceptor:
-        """The replica that these records are; a new one, kept before it does anything, where there are none."""
+        """The replica that these records are; a new one, kept before it does anything, where they name none."""
         acceptor = Acceptor("")
         for record in records:
             acceptor.restore(record.payload)
-        if records and not acceptor.identity:
-            raise CorruptRecordError("the journal names no identity")
-        if not records:
+        if not acceptor.identity:
             acceptor = self._newborn()
             await journal.append(acceptor.snapshot())
         return acceptor
 
     def _newborn(self) -> Acceptor:
         seeds = self._settings.internal_seeds()
-        if self._settings.bootstrap and self._address in seeds:
+        if self._may_found and self._address in seeds:
             return Acceptor(founding_identity(self._address), founding_proposal(seeds))
         return Acceptor(f"replica:{os.urandom(16).hex()}")
 
--- /dev/null
+++ b/tests/emberring/register/test_tier_register_service.py
@@ -0,0 +1,373 @@
+"""Registers over loopback: founding, races, deaths, lost and replaced machines, lost replies."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+from typing import Any, TypeVar
+
+import pytest
+from register_deployment import Deployment, adding
+
+from emberring.errors import (
+    InDoubtError,
+    NoQuorumError,
+    NotReadyError,
+    PeerTimeoutError,
+    VersionConflictError,
+)
+from emberring.register.messages import Accept, Prepare
+from emberring.transport.network import Network
+
+PATIENCE_S = 5.0
+T = TypeVar("T")
+
+
+def on_deployment(directory: Path, work: Callable[[Deployment], Awaitable[None]], **options: int) -> None:
+    """Run a test on a deployment that ends with it."""
+
+    async def run() -> None:
+        deployment = Deployment(directory, **options)
+        try:
+            await work(deployment)
+        finally:
+            await deployment.stop()
+
+    asyncio.run(run())
+
+
+def test_founders_start_in_any_order(tmp_path: Path) -> None:
+    async def work(deployment: Deployment) -> None:
+        await deployment.start(2)
+        with pytest.raises(NoQuorumError):
+            await deployment[2].change(adding(b"1"), 0.05)
+        await deployment.start(0)
+        assert await deployment[0].read(PATIENCE_S) is None
+        assert await deployment[2].change(adding(b"1"), PATIENCE_S) == b"1"
+        await deployment.start(1)
+        assert await deployment[1].read(PATIENCE_S) == b"1"
+
+    on_deployment(tmp_path, work)
+
+
+def test_a_change_may_leave_the_value_or_refuse(tmp_path: Path) -> None:
+    async def work(deployment: Deployment) -> None:
+        await deployment.start(0, 1, 2)
+        assert await deployment[0].change(lambda value: None, PATIENCE_S) == b""
+        await deployment[0].change(adding(b"1"), PATIENCE_S)
+        assert await deployment[1].change(adding(b"1"), PATIENCE_S) == b"1"
+
+        def refuse(value: bytes | None) -> bytes | None:
+            raise VersionConflictError(f"it is {value!r}")
+
+        with pytest.raises(VersionConflictError, match="b'1'"):
+            await deployment[2].change(refuse, PATIENCE_S)
+
+    on_deployment(tmp_path, work)
+
+
+def test_of_two_changes_on_the_same_value_one_wins(tmp_path: Path) -> None:
+    def swap(expected: bytes | None, value: bytes) -> Callable[[bytes | None], bytes]:
+        def change(found: bytes | None) -> bytes:
+            if found != expected:
+                raise VersionConflictError("another is current")
+            return value
+
+        return change
+
+    async def work(deployment: Deployment) -> None:
+        await deployment.start(0, 1, 2)
+        current: bytes | None = None
+        for turn in range(10):
+            results = await asyncio.gather(
+                *(
+                    deployment[number].change(swap(current, b"%d-%d" % (turn, number)), PATIENCE_S)
+                    for number in range(3)
+                ),
+                return_exceptions=True,
+            )
+            won = [found for found in results if isinstance(found, bytes)]
+            lost = [found for found in results if isinstance(found, VersionConflictError)]
+            assert (len(won), len(lost)) == (1, 2)
+            current = won[0]
+            assert await deployment[turn % 3].read(PATIENCE_S) == current
+
+    on_deployment(tmp_path, work)
+
+
+def test_eight_orders_at_once_are_all_taken_within_a_second(tmp_path: Path) -> None:
+    async def work(deployment: Deployment) -> None:
+        await deployment.start(0, 1, 2)
+        for turn in range(5):
+            names = [b"%d.%d" % (turn, number) for number in range(8)]
+            await asyncio.gather(
+                *(deployment[number % 3].change(adding(name), 1.0) for number, name in enumerate(names))
+            )
+            value = await deployment[turn % 3].read(1.0)
+            assert value is not None
+            assert set(names) <= set(value.split())
+
+    on_deployment(tmp_path, work)
+
+
+def test_every_node_learns_each_value_in_order(tmp_path: Path) -> None:
+    async def work(deployment: Deployment) -> None:
+        await deployment.start(0, 1, 2)
+        for number in range(20):
+            await deployment[number % 3].change(adding(b"%d" % number), PATIENCE_S)
+        last = await deployment[0].read(PATIENCE_S)
+        for node in deployment.nodes.values():
+            await deployment.until(lambda node=node: node.seen[-1:] == [last])
+            assert all(
+                later.startswith(earlier) for earlier, later in zip(node.seen, node.seen[1:], strict=False)
+            )
+        told: list[bytes] = []
+        deployment[1].subscribe(told.append)
+        assert told == [last]
+
+    on_deployment(tmp_path, work)
+
+
+def test_one_of_three_may_be_down_but_not_two(tmp_path: Path) -> None:
+    async def work(deployment: Deployment) -> None:
+        await deployment.start(0, 1, 2)
+        await deployment[0].change(adding(b"1"), PATIENCE_S)
+        await deployment.stop(2)
+        assert await deployment[1].change(adding(b"2"), PATIENCE_S) == b"1 2"
+        await deployment.stop(1)
+        with pytest.raises(NoQuorumError):
+            await deployment[0].read(0.1)
+        with pytest.raises(NoQuorumError):
+            await deployment[0].change(adding(b"3"), 0.1)
+        age_s = deployment[0].majority_age_s()
+        assert age_s > 0.05
+        await deployment.start(1, bootstrap=False)
+        assert await deployment[0].change(adding(b"4"), PATIENCE_S) == b"1 2 4"
+        await deployment.until(lambda: deployment[0].majority_age_s() < 0.3)
+
+    on_deployment(tmp_path, work)
+
+
+def test_all_restarted_have_what_was_acknowledged_and_tell_it_unasked(tmp_path: Path) -> None:
+    async def work(deployment: Deployment) -> None:
+        await deployment.start(0, 1, 2)
+        for turn in range(3):
+            await deployment[turn].change(adding(b"%d" % turn), PATIENCE_S)
+            identities = {node.register.identity for node in deployment.nodes.values()}
+            await deployment.stop()
+            await deployment.start(2, 1, 0, bootstrap=False)
+            assert {node.register.identity for node in deployment.nodes.values()} == identities
+            wanted = b" ".join(b"%d" % number for number in range(turn + 1))
+            for node in deployment.nodes.values():
+                await deployment.until(lambda node=node, wanted=wanted: node.seen == [wanted])
+
+    on_deployment(tmp_path, work)
+
+
+def test_a_lost_disk_comes_back_as_another_replica(tmp_path: Path) -> None:
+    async def work(deployment: Deployment) -> None:
+        await deployment.start(0, 1, 2)
+        await deployment[0].change(adding(b"1"), PATIENCE_S)
+        before = deployment[2].identity
+        await deployment.stop(2)
+        deployment.wipe(2)
+        await deployment.start(2, bootstrap=False)
+        after = deployment[2].identity
+        assert after != before
+        wanted = {deployment[number].identity for number in range(3)}
+        for number in range(3):
+            await deployment.until(lambda number=number: deployment.nodes[number].replicas == wanted)
+        await deployment.stop(0)
+        assert await deployment[2].change(adding(b"2"), PATIENCE_S) == b"1 2"
+
+    on_deployment(tmp_path, work)
+
+
+def test_a_replaced_machine_is_out_for_good(tmp_path: Path) -> None:
+    async def work(deployment: Deployment) -> None:
+        await deployment.start(0, 1, 2)
+        await deployment[0].change(adding(b"1"), PATIENCE_S)
+        await deployment.stop(2)
+        await deployment.start(3, bootstrap=False)
+        deployment.note_peers()
+        wanted = {deployment[number].identity for number in (0, 1, 3)}
+        for number in (0, 1, 3):
+            await deployment.until(lambda number=number: deployment.nodes[number].replicas == wanted)
+        assert await deployment[3].change(adding(b"2"), PATIENCE_S) == b"1 2"
+        await deployment.start(2, bootstrap=False)
+        await deployment.until(lambda: deployment.nodes[2].replicas == wanted, 2)
+        assert await deployment[2].change(adding(b"3"), PATIENCE_S) == b"1 2 3"
+        await deployment.stop(0)
+        assert await deployment[2].change(adding(b"4"), PATIENCE_S) == b"1 2 3 4"
+
+    on_deployment(tmp_path, work, count=4)
+
+
+def test_all_three_seeds_may_be_replaced_one_after_the_other(tmp_path: Path) -> None:
+    async def work(deployment: Deployment) -> None:
+        await deployment.start(0, 1, 2)
+        await deployment[0].change(adding(b"1"), PATIENCE_S)
+        for old, new in ((0, 3), (1, 4), (2, 5)):
+            await deployment.start(new, bootstrap=False)
+            deployment.note_peers()
+            await deployment.until(lambda new=new: deployment[new]._node.learned is not None, new)
+            await deployment.stop(old)
+            deployment.note_peers()
+            wanted = {node.register.identity for node in deployment.nodes.values()}
+            for number in deployment.nodes:
+                await deployment.until(
+                    lambda number=number, wanted=wanted: deployment.nodes[number].replicas == wanted, number
+                )
+        assert await deployment[4].change(adding(b"2"), PATIENCE_S) == b"1 2"
+
+    on_deployment(tmp_path, work, count=6)
+
+
+def test_the_set_grows_with_what_is_to_be_borne(tmp_path: Path) -> None:
+    async def work(deployment: Deployment) -> None:
+        await deployment.start(0, 1, 2, 3, 4)
+        deployment.note_peers()
+        wanted = {node.register.identity for node in deployment.nodes.values()}
+        await deployment.until(lambda: deployment.nodes[0].replicas == wanted)
+        await deployment[0].change(adding(b"1"), PATIENCE_S)
+        await deployment.stop(0, 1)
+        assert await deployment[4].change(adding(b"2"), PATIENCE_S) == b"1 2"
+
+    on_deployment(tmp_path, work, count=5, machines=2)
+
+
+class DeafNetwork(Network):
+    """Calls of the kinds in `lost` are carried out, and their replies are lost; after the first, all replies are."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.lost: tuple[type[Any], ...] = ()
+
+    async def call(self, address: str, body: Any, reply: type[T], timeout_s: float) -> T:
+        if isinstance(body, self.lost):
+            self.lost = (object,)
+        answer = await super().call(address, body, reply, timeout_s)
+        if self.lost == (object,):
+            raise PeerTimeoutError("the reply is lost")
+        return answer
+
+
+def deaf(deployment: Deployment, number: int, *kinds: type[Any]) -> None:
+    network = deployment.nodes[number].network
+    assert isinstance(network, DeafNetwork)
+    network.lost = kinds
+
+
+def test_a_change_whose_acceptances_are_lost_is_in_doubt_and_then_finished(tmp_path: Path) -> None:
+    async def work(deployment: Deployment) -> None:
+        deployment.network_class = DeafNetwork
+        await deployment.start(0, 1, 2)
+        await deployment[0].change(adding(b"1"), PATIENCE_S)
+        deaf(deployment, 0, Accept)
+        with pytest.raises(InDoubtError):
+            await deployment[0].change(adding(b"2"), 0.3)
+        assert await deployment[1].read(PATIENCE_S) == b"1 2"
+        assert await deployment[1].change(adding(b"2"), PATIENCE_S) == b"1 2"
+        deaf(deployment, 0)
+        assert await deployment[0].change(adding(b"2"), PATIENCE_S) == b"1 2"
+
+    on_deployment(tmp_path, work)
+
+
+def test_a_change_whose_promises_are_lost_was_never_proposed(tmp_path: Path) -> None:
+    async def work(deployment: Deployment) -> None:
+        deployment.network_class = DeafNetwork
+        await deployment.start(0, 1, 2)
+        deaf(deployment, 0, Prepare)
+        with pytest.raises(NoQuorumError):
+            await deployment[0].change(adding(b"1"), 0.3)
+        assert await deployment[1].read(PATIENCE_S) is None
+
+    on_deployment(tmp_path, work)
+
+
+def test_others_finish_the_change_of_a_proposer_that_died_unasked(tmp_path: Path) -> None:
+    async def work(deployment: Deployment) -> None:
+        deployment.network_class = DeafNetwork
+        await deployment.start(0, 1, 2)
+        deaf(deployment, 0, Accept)
+        with pytest.raises(InDoubtError):
+            await deployment[0].change(adding(b"1"), 0.3)
+        await deployment.stop(0)
+        for number in (1, 2):
+            await deployment.until(lambda number=number: deployment.nodes[number].seen == [b"1"], number)
+
+    on_deployment(tmp_path, work)
+
+
+def test_large_values(tmp_path: Path) -> None:
+    body = bytes(range(256)) * 16 * 1024  # 4 MB
+
+    async def work(deployment: Deployment) -> None:
+        await deployment.start(0, 1, 2)
+        for number in range(4):
+            wanted = body + b"%d" % number
+            assert (
+                await deployment[number % 3].change(lambda value, wanted=wanted: wanted, PATIENCE_S) == wanted
+            )
+        assert await deployment[2].read(PATIENCE_S) == body + b"3"
+        await deployment.stop()
+        await deployment.start(0, 1, 2, bootstrap=False)
+        assert await deployment[1].read(PATIENCE_S) == body + b"3"
+
+    on_deployment(tmp_path, work)
+
+
+def test_hundreds_of_changes_leave_a_short_journal(tmp_path: Path) -> None:
+    async def work(deployment: Deployment) -> None:
+        await deployment.start(0, 1, 2)
+        for number in range(300):
+            filler = b"%d" % number + b"." * 200_000
+            await deployment[number % 3].change(lambda value, filler=filler: filler, PATIENCE_S)
+        size = sum(path.stat().st_size for path in (tmp_path / deployment.hosts[0]).iterdir())
+        assert size < 30 * 1024 * 1024
+        await deployment.stop()
+        await deployment.start(0, 1, 2, bootstrap=False)
+        value = await deployment[0].read(PATIENCE_S)
+        assert value is not None
+        assert value.startswith(b"299.")
+
+    on_deployment(tmp_path, work)
+
+
+def test_a_damaged_journal_is_a_lost_disk(tmp_path: Path) -> None:
+    async def work(deployment: Deployment) -> None:
+        await deployment.start(0, 1, 2)
+        for number in range(3):
+            await deployment[0].change(
+                lambda value, number=number: b"%d" % number + b"." * 600_000, PATIENCE_S
+            )
+        before = deployment[2].identity
+        await deployment.stop(2)
+        first = min((tmp_path / deployment.hosts[2]).iterdir())
+        data = bytearray(first.read_bytes())
+        data[5000] ^= 1
+        first.write_bytes(data)
+        await deployment.start(2, bootstrap=True)
+        assert deployment[2].identity not in ("", before)
+        value = await deployment[2].read(PATIENCE_S)
+        assert value is not None
+        assert value.startswith(b"2.")
+
+    on_deployment(tmp_path, work)
+
+
+def test_nothing_is_answered_before_the_start_and_after_the_end(tmp_path: Path) -> None:
+    async def work(deployment: Deployment) -> None:
+        await deployment.start(0, 1, 2)
+        register = deployment[0]
+        pending = asyncio.ensure_future(deployment[1].read(PATIENCE_S))
+        await pending
+        await deployment.stop(0)
+        with pytest.raises(NotReadyError):
+            await register.read(1.0)
+        assert register.majority_age_s() == float("inf")
+        assert register.identity == ""
+
+    on_deployment(tmp_path, work)
--- a/tests/emberring/register/test_tier_register_simulator.py
+++ b/tests/emberring/register/test_tier_register_simulator.py
@@ -6,6 +6,7 @@
 
 from emberring.lab.register_history import History, add_number, parse_value
 from emberring.lab.register_simulator import (
+    FOUNDERS,
     Kind,
     Schedule,
     Step,
@@ -15,7 +16,8 @@
     play,
     shorten,
 )
-from emberring.lab.register_world import Bugs
+from emberring.lab.register_world import Bugs, Machine, Weather, World
+from emberring.register.keeper import PATIENCE
 
 AMNESIAC_SEED = 113  # the first that shows the replica that votes after losing its disk
 
@@ -97,6 +99,24 @@
     assert verdict.acknowledged >= changes - 1
 
 
+def test_eight_orders_at_once_are_all_taken_in_a_moment() -> None:
+    world = World(1, Bugs(), PATIENCE)
+    world.weather = Weather(slowest_s=0.0028)
+    for name in FOUNDERS:
+        machine = Machine(world, name, FOUNDERS, bootstrap=True)
+        machine.sync_s = 0.002
+        world.machines[name] = machine
+        machine.start()
+    world.run(1.0)
+    for number in range(80):
+        world.at(1.0 + number // 8, world.machines[FOUNDERS[number % 3]].ask, number + 1)
+    world.run(12.0)
+    assert all(operation.value is not None for operation in world.history.operations)
+    slowest_s = max((found.ended_s or 99.0) - found.began_s for found in world.history.operations)
+    assert slowest_s < 0.15
+    assert world.history.finish() == []
+
+
 def test_values_of_numbers() -> None:
     assert parse_value(None) == ()
     assert add_number(None, 4) == b"4"
