Plays of stores do not count the time in which a busy machine does not let them run

Cause: on a machine with a load of 29 on 10 processors, calls between stores of one process timed out and four tests failed now and then.

--- a/tests/emberring/store/tier_store_cluster.py
+++ b/tests/emberring/store/tier_store_cluster.py
@@ -4,7 +4,8 @@
 
 import asyncio
 import socket
-from collections.abc import Callable, Sequence
+import time
+from collections.abc import Callable, Coroutine, Sequence
 from pathlib import Path
 from typing import Any
 
@@ -41,6 +42,30 @@
 CONFIGURATION = Configuration(3, (ROUTE,), (Service("llm"),))
 
 
+MOST_AT_ONCE_S = 0.06
+
+
+class PatientLoop(asyncio.SelectorEventLoop):
+    """A loop whose clock does not count the time in which a busy machine did not let it run."""
+
+    def __init__(self) -> None:
+        self._patient_s = 0.0
+        self._last_s = time.monotonic()
+        super().__init__()
+
+    def time(self) -> float:
+        now_s = time.monotonic()
+        self._patient_s += min(now_s - self._last_s, MOST_AT_ONCE_S)
+        self._last_s = now_s
+        return self._patient_s
+
+
+def run(play: Coroutine[Any, Any, None]) -> None:
+    """Play it on a patient loop."""
+    with asyncio.Runner(loop_factory=PatientLoop) as runner:
+        runner.run(play)
+
+
 def free_port() -> int:
     with socket.socket() as sock:
         sock.bind(("127.0.0.1", 0))
