An owner that a quorum has just granted its term is not put off by one replica either

With 28 ms between two regions the far store's own promise met each new owner before its lease stood: after a kill of all stores one shard with 29 lots changed owners every second for seven seconds. Within the time for which replicas hold for a granted claim, the owner now claims again.

--- a/emberring/lots/owner.py
+++ b/emberring/lots/owner.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import math
 import random
 from enum import Enum
 from typing import Any
@@ -29,7 +30,7 @@
 from emberring.lots.owned import OwnedLot, OwnedRecords
 from emberring.lots.placement import Group, in_order
 from emberring.lots.records import FORGOTTEN, NO_TERM, LotState, Term, unpack_inventory, unpack_records
-from emberring.lots.replica import REFUSE_S, Replica
+from emberring.lots.replica import CLAIM_HOLD_S, REFUSE_S, Replica
 from emberring.lots.replication import Replication
 
 RANK_DELAY_S = 0.25  # each store waits so much longer than the one before it in the order
@@ -108,6 +109,7 @@
         self._adoption: Adoption | None = None
         self._stage_since_s = 0.0
         self._not_before_s = 0.0
+        self._claimed_s = -math.inf  # when the claim was sent that a quorum has granted
         self._told_moved_s = 0.0
         self._swept_s = 0.0
         self._announced = False  # `BecameOwner` was given, and `LostOwnership` not yet
@@ -280,6 +282,7 @@
         assert self.group is not None
         if not has_quorum(self.group, set(self._inventories)):
             return
+        self._claimed_s = self._stage_since_s
         self._enter(now_s, Stage.FETCHING)
         self._adoption = Adoption(now_s, dict(self._inventories), self.group, self.me, self.replica)
         self._fetch(now_s)
@@ -379,13 +382,14 @@
 
     def _overruled(self, now_s: float, promised: Term) -> None:
         self._counter = max(self._counter, promised.counter)
-        if self.serving(now_s):
-            self._claim(now_s)  # a quorum keeps this lease and refuses others: one promise ends nothing
+        if self.serving(now_s) or now_s < self._claimed_s + CLAIM_HOLD_S:
+            self._claim(now_s)  # a quorum is bound to this store and refuses others: one promise ends nothing
         else:
             self._step_down(now_s)
 
     def _step_down(self, now_s: float) -> None:
         self._enter(now_s, Stage.FOLLOWING)
+        self._claimed_s = -math.inf
         self._adoption = None
         self._inventories.clear()
         self._sent.clear()
--- a/tests/emberring/lots/test_tier_lots_owner.py
+++ b/tests/emberring/lots/test_tier_lots_owner.py
@@ -9,9 +9,10 @@
 from tier_lots_trio import Trio
 
 from emberring.lots.lease import LEASE_S
+from emberring.lots.messages import Claim
 from emberring.lots.owner import Stage
 from emberring.lots.placement import Group, in_order
-from emberring.lots.records import DEFINITION, FORGOTTEN
+from emberring.lots.records import DEFINITION, FORGOTTEN, Term
 from emberring.lots.replica import REFUSE_S
 from emberring.lots.results import ResultState, encode_result, item_index
 
@@ -193,6 +194,19 @@
     assert held(trio, other) == trio.chosen
 
 
+@pytest.mark.parametrize("lone", "abc")
+def test_a_replica_that_has_promised_itself_a_higher_term_does_not_hold_up_the_first_owner(lone: str) -> None:
+    trio = Trio.of("abc", ABC)
+    replica = trio.nodes[lone].replica
+    trio.settle(trio.nodes[lone], replica.handle(0.0, 1, Claim(0, lone, Term(1, 50, lone))))
+    trio.tick(next(name for name in in_order(0, "abc") if name != lone))
+    trio.letters.sort(key=lambda letter: letter.send.target == lone)  # its refusal comes last
+    trio.deliver_all()
+    trio.pass_time(3.0)
+    assert trio.the_owner() != lone
+    assert all(node.lost == 0 for node in trio.nodes.values())
+
+
 def test_a_move_is_not_done_before_the_newcomer_has_all() -> None:
     trio = settled()
     trio.propose(trio.the_owner(), "k", 0, value(1))
