--- a/emberring/admission/pool.py
+++ b/emberring/admission/pool.py
@@ -9,7 +9,7 @@
 from emberring.admission.affinity import by_affinity, home_key
 from emberring.admission.load import LoadMeter
 from emberring.admission.pace import Pace
-from emberring.admission.ranking import cost_ms, expected_wait_ms, tokens_to_read
+from emberring.admission.ranking import cost_ms, expected_wait_ms, own_tokens, tokens_to_read
 from emberring.admission.server import Placed, ServerView
 from emberring.admission.table import CursorTable
 from emberring.admission.types import (
@@ -173,7 +173,14 @@
         _, server, to_read, ahead = best
         expected_ms = expected_wait_ms(now_s, server, ahead, to_read, self.pace, mean_others)
         server.calls[call.id] = Placed(
-            call, server, now_s, to_read, ahead, expected_ms, free=server.load < server.capacity
+            call,
+            server,
+            now_s,
+            to_read,
+            ahead,
+            expected_ms,
+            free=server.load < server.capacity,
+            own_tokens=own_tokens(call),
         )
         server.memory.sent(call.parts, server.kv_tokens / self.gateways)
         return Admitted(server.fact.id)
--- a/emberring/admission/ranking.py
+++ b/emberring/admission/ranking.py
@@ -15,7 +15,7 @@
 from emberring.admission.types import CallInfo, PrefixPart
 
 UNTOLD_TOKENS = 200.0  # a prompt whose parts are not told
-HOME_KEPT = 0.5  # the chance that a home keeps a part that this gateway did not send there lately,
+HOME_KEPT = 0.8  # the chance that a home keeps a part that this gateway did not send there lately,
 NEXT_KEPT = 0.1  # and that the next home does
 ANEW = 0.6  # what reading anew costs others, as a share of its own time
 OTHERS_TRUSTED = 0.1
@@ -37,6 +37,12 @@
     return _missing(call.parts, known, kept, home_part)
 
 
+def own_tokens(call: CallInfo) -> float:
+    """Tokens of memory that a call takes for itself: all that is not a shared part, and what it makes."""
+    own = call.parts[-1].tokens if call.parts else call.tokens_in
+    return float(own + call.tokens_out)
+
+
 def _missing(parts: Sequence[PrefixPart], known: int, kept: float, home_part: str | None) -> float:
     missing = 0.0
     at_home = home_part is not None
@@ -85,8 +91,9 @@
 
 
 def _memory_ms(server: ServerView) -> float:
+    """What a memory that is nearly full costs; shared parts are held once and counted nowhere here."""
     if server.kv_tokens == math.inf or not server.calls:
         return 0.0
-    mine = sum(placed.call.tokens_in + placed.call.tokens_out for placed in server.calls.values())
+    mine = sum(placed.own_tokens for placed in server.calls.values())
     share = mine / len(server.calls) * server.load / server.kv_tokens
     return KV_MS * max(0.0, share - KV_FULL) / (1.0 - KV_FULL)
--- a/emberring/admission/server.py
+++ b/emberring/admission/server.py
@@ -15,9 +15,9 @@
 SLOW_GAIN = 0.15  # smoothing of a server's waits over those expected
 SLOW_FORGET_S = 5.0  # a server that is not heard drifts back to the others at this pace
 SLOW_MOST = 8.0
-SLOW_CHANCE = 2.0  # times the wait expected that chance explains
+SLOW_CHANCE = 3.0  # times the wait expected that chance explains
 GAP_GAIN = 0.4  # smoothing of the pauses between events, which tell of prompts being read
-GAP_FORGET_S = 0.15
+GAP_FORGET_S = 0.3
 
 
 @attrs.define(eq=False)
@@ -35,6 +35,7 @@
     free: bool = True
     sent_s: float | None = None
     first_s: float | None = None
+    own_tokens: float = 0.0  # of the memory that it takes for itself
     later_s: float | None = None  # when its latest event after the first came
 
 
