--- a/emberring/standin/local_tier.py
+++ b/emberring/standin/local_tier.py
@@ -26,6 +26,7 @@
 
 PORTS = range(20_000, 30_000, 16)  # below those that systems give to callers
 LOOK_EVERY_S = 0.1
+MISSES_TO_LEAVE = 2  # looks in a row that find a gateway not ready before it gets no new connections
 PROBE_S = 0.5
 MOST_TRIES = 50
 INTERNAL_OF_ROLE = {"gateway": FIRST_INTERNAL, "control": LAST_INTERNAL, "store": LAST_INTERNAL + 1}
@@ -81,6 +82,7 @@
         seeds = [place.address(CONTROL_PLANE) for place in places if place.role == "control"][:3]
         self.nodes = {place.name: LocalNode(place, seeds, folder, self.size.grace_s) for place in places}
         self._in: set[str] = set()
+        self._misses: dict[str, int] = {}
         self._prober: asyncio.Task[None] | None = None
 
     def of_role(self, role: str) -> list[LocalNode]:
@@ -92,8 +94,9 @@
         return [node.place.address(CONTROL_PLANE) for node in self.of_role("control")]
 
     def frontends(self) -> list[str]:
-        """Addresses of the gateways that are in, as the platform sees it."""
-        return sorted(self._in)
+        """Addresses of the gateways that are in, as the platform sees it; all that run where none is."""
+        running = [node.place.address(FRONTEND) for node in self.of_role("gateway") if node.running]
+        return sorted(self._in) or sorted(running)
 
     def start(self) -> None:
         """Start all nodes for the first time, and ask gateways from then on whether they are ready."""
@@ -105,9 +108,19 @@
         while True:
             gateways = self.of_role("gateway")
             ready = await asyncio.gather(*(self.is_up(node) for node in gateways))
-            self._in = {node.place.address(FRONTEND) for node, up in zip(gateways, ready, strict=True) if up}
+            for node, up in zip(gateways, ready, strict=True):
+                self._note_look(node, up)
             await asyncio.sleep(LOOK_EVERY_S)
 
+    def _note_look(self, node: LocalNode, up: bool) -> None:
+        """As the platform does: one look that found it not ready takes a gateway out as little as a late one."""
+        address = node.place.address(FRONTEND)
+        self._misses[address] = 0 if up else self._misses.get(address, 0) + 1
+        if up:
+            self._in.add(address)
+        elif self._misses[address] >= MISSES_TO_LEAVE:
+            self._in.discard(address)
+
     async def is_up(self, node: LocalNode) -> bool:
         """Whether a node answers for its role."""
         if not node.running:
