--- a/tests/emberring/transport/test_tier_cancellation.py
+++ b/tests/emberring/transport/test_tier_cancellation.py
@@ -36,6 +36,8 @@
     assert len(asyncio.run(_cancelled_as_it_is_given())) <= 1
 
 
-@pytest.mark.parametrize("path", sorted(PACKAGE.rglob("*.py")), ids=lambda path: str(path.relative_to(PACKAGE)))
+@pytest.mark.parametrize(
+    "path", sorted(PACKAGE.rglob("*.py")), ids=lambda path: str(path.relative_to(PACKAGE))
+)
 def test_no_part_uses_the_call_that_loses_cancellations(path: Path) -> None:
     assert not re.search(r"asyncio\.wait_for\(", path.read_text(encoding="utf-8"))
