--- a/tests/emberring/store/tier_store_cluster.py
+++ b/tests/emberring/store/tier_store_cluster.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
+import random
 import socket
 import time
 from collections.abc import Callable, Coroutine, Sequence
@@ -66,10 +68,15 @@
         runner.run(play)
 
 
+PORTS = range(20_000, 32_000)  # below those that the system gives to outgoing connections
+
+
 def free_port() -> int:
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return int(sock.getsockname()[1])
+    while True:
+        port = random.choice(PORTS)
+        with socket.socket() as sock, contextlib.suppress(OSError):
+            sock.bind(("127.0.0.1", port))
+            return port
 
 
 class World:
