--- /dev/null
+++ b/tests/emberring/lab/test_tier_engine_model.py
@@ -0,0 +1,124 @@
+"""The engine model: steps, prompts read in pieces, kept parts, places, preemption."""
+
+from __future__ import annotations
+
+import pytest
+
+from emberring.lab.engine_model import Engine, EngineCall, EngineFigures, Part
+
+FIGURES = EngineFigures(
+    capacity=2,
+    queue=2,
+    kv_tokens=10_000,
+    step_ms=2.0,
+    step_ms_per_request=0.0,
+    context_ms_per_k=0.0,
+    prefill_tokens_per_ms=100.0,
+    pairs_ms_per_m=0.0,
+    stride=10,
+    chunk=1000,
+)
+SHARED = Part("shared", 2000, True)
+
+
+class Played:
+    """Requests at one engine and what came of them."""
+
+    def __init__(self, **figures: int) -> None:
+        self.engine = Engine(EngineFigures(**{**vars_of(FIGURES), **figures}))
+        self.first: dict[str, float] = {}
+        self.ended: dict[str, float] = {}
+        self.events: dict[str, int] = {}
+
+    def ask(self, name: str, *parts: Part, tokens_out: int = 10) -> bool:
+        def on_event(when_ms: float, number: int) -> None:
+            self.first.setdefault(name, when_ms)
+            self.events[name] = number
+
+        def on_end(when_ms: float) -> None:
+            self.ended[name] = when_ms
+
+        return self.engine.submit(EngineCall(name, parts, tokens_out, on_event, on_end))
+
+    def play(self, now_ms: float = 0.0) -> float:
+        while not self.engine.idle:
+            now_ms = self.engine.step(now_ms)
+        return now_ms
+
+
+def vars_of(figures: EngineFigures) -> dict[str, float]:
+    return {name: getattr(figures, name) for name in EngineFigures.__slots__ if not name.startswith("__")}
+
+
+def own(name: str, tokens: int) -> Part:
+    return Part(name, tokens, False)
+
+
+def test_a_prompt_is_read_in_pieces_and_a_step_gives_a_token() -> None:
+    played = Played()
+    played.ask("a", own("a", 1500))
+    end_ms = played.play()
+    # two steps with pieces of 1000 and 500 tokens, the second giving the first token, then nine more tokens
+    assert end_ms == pytest.approx(2 + 10 + 2 + 5 + 9 * 2)
+    assert played.ended == {"a": end_ms}
+    assert played.events == {"a": 1}
+
+
+def test_a_kept_part_is_not_read_again_but_only_after_those_before_it() -> None:
+    played = Played()
+    played.ask("a", SHARED, own("a", 10))
+    played.play()
+    assert played.engine.missing((SHARED, own("b", 10))) == 10
+    assert played.engine.missing((own("b", 10), SHARED)) == 2010
+    before = played.engine.accounts.prefilled
+    played.ask("b", SHARED, own("b", 10))
+    played.play()
+    assert played.engine.accounts.prefilled - before == 10
+    assert played.engine.accounts.shared_prefilled == 2000
+
+
+def test_the_longest_unused_part_gives_way() -> None:
+    played = Played(kv_tokens=5000)
+    for name in ("x", "y", "z"):
+        played.ask(name, Part(name, 1900, True), own(f"own-{name}", 10))
+        played.play()
+    kept = [played.engine.missing((Part(name, 1900, True),)) == 0 for name in ("x", "y", "z")]
+    assert kept == [False, True, True]
+
+
+def test_places_then_queue_then_full() -> None:
+    played = Played()
+    taken = [played.ask(name, own(name, 10), tokens_out=1000) for name in "ab"]
+    played.engine.step(0.0)
+    taken += [played.ask(name, own(name, 10)) for name in "cde"]
+    assert taken == [True, True, True, True, False]
+    assert (played.engine.active, played.engine.queued) == (2, 2)
+    assert played.engine.accounts.full == 1
+
+
+def test_without_memory_the_newest_is_preempted_and_still_ends_once() -> None:
+    played = Played(kv_tokens=300)
+    played.ask("old", own("old", 50), tokens_out=150)
+    played.ask("new", own("new", 50), tokens_out=150)
+    played.play()
+    assert played.engine.accounts.preempted > 0
+    assert set(played.ended) == {"old", "new"}
+    assert played.ended["old"] < played.ended["new"]
+    assert played.events == {"old": 15, "new": 15}
+
+
+def test_a_request_larger_than_the_memory_is_rejected() -> None:
+    played = Played(kv_tokens=1000)
+    played.ask("a", own("a", 2000))
+    played.engine.step(0.0)
+    assert played.ended == {"a": -1.0}
+    assert played.engine.idle
+
+
+def test_a_dropped_request_frees_its_place() -> None:
+    played = Played()
+    call = EngineCall("a", (own("a", 10),), 1000, lambda when, number: None, lambda when: None)
+    played.engine.submit(call)
+    played.engine.step(0.0)
+    played.engine.drop(call)
+    assert played.engine.idle
