--- a/emberring/journal/ring.py
+++ b/emberring/journal/ring.py
@@ -244,7 +244,8 @@
         if not self._free:
             self._free.append(self._create(size))
         slot = self._free[0]
-        if slot.size != size:
+        # Guard: never cut shorter. Until the new header lasts, a start reads the file as it was.
+        if slot.size < size:
             slot.file.resize(size)
             slot.size = size
         number, previous_end = (0, 0) if self._tail is None else (self._tail.number + 1, self._tail.end)
--- a/tests/emberring/journal/test_tier_journal_ring.py
+++ b/tests/emberring/journal/test_tier_journal_ring.py
@@ -77,6 +77,35 @@
     assert open_ring(folder, 2)[1] == [b"b" * 400, b"c" * 400, b"d" * 400]
 
 
+@pytest.mark.parametrize("seed", range(30))
+def test_death_while_a_longer_file_is_used_again_damages_nothing(seed: int) -> None:
+    folder = SimulatedFolder()
+    ring, _ = open_ring(folder)
+    commit(ring, folder, [b"x" * 3000])
+    commit(ring, folder, [b"b" * 400])
+    ring.release(0)
+    ring.commit([b"c" * 400])
+    rng = random.Random(seed)
+    if seed % 2:
+        folder.lose_power(rng)
+    else:
+        folder.kill(rng)
+    found = open_ring(folder, 2)[1]
+    assert b"b" * 400 in found
+
+
+def test_a_full_ring_whose_disk_refused_once_heals() -> None:
+    folder = SimulatedFolder()
+    ring, _ = open_ring(folder)
+    while ring.commit([b"x" * 100], reclaiming=True):
+        folder.settle()
+    folder.refuse_after = 0
+    with pytest.raises(DiskFailedError):
+        ring.commit([b""], reclaiming=True)
+    folder.refuse_after = None
+    ring.heal()
+
+
 def test_only_the_oldest_may_be_released() -> None:
     folder = SimulatedFolder()
     ring, _ = open_ring(folder)
