A full ring whose disk refused once heals: a segment in reserve, then erasing in place

Cause: after a refusal the ring left the newest segment and began another one, for which a full ring has no room, so the store stayed without a disk for good. Change: healing may use one segment beyond the rest; where that is taken too, what lies behind the last good record is erased and synced.

--- a/emberring/journal/ring.py
+++ b/emberring/journal/ring.py
@@ -30,6 +30,8 @@
 
 NAME_PREFIX = "ring-"
 RESERVED_SEGMENTS = 2  # kept for what a reclaim writes anew
+HEALING_SEGMENTS = 1  # beyond the most that is used otherwise, to leave a segment that the disk refused
+ERASE_BYTES = 1024 * 1024  # written at once
 
 
 @attrs.define(eq=False)
@@ -169,13 +171,20 @@
         return positions
 
     def heal(self) -> None:
-        """After a failure: leave the newest segment at its last good record and begin another one."""
+        """After a failure: leave the newest segment at its last good record and begin another one.
+
+        Where the ring is too full for another one, what lies behind the last good record is erased instead.
+        `DiskFailedError` where the disk still refuses.
+        """
         if not self._broken:
             return
-        if not self._has_room(self._segment_bytes, True):
-            raise DiskFailedError("the ring is full")
         try:
-            self._roll(self._segment_bytes)
+            # Guard: a new segment wherever there is room. If a header that failed to sync lasts all the same, it says
+            # where the newest segment ends, which must not grow on; and for that header there was room.
+            if self._has_room_to_heal:
+                self._roll(self._segment_bytes)
+            else:
+                self._erase_rest()
         except OSError as error:
             raise DiskFailedError(f"{type(error).__name__}: {error}") from error
         self._broken = False
@@ -220,6 +229,19 @@
         room = self._max_bytes if reclaiming else self._max_bytes - self._segment_bytes
         return not self._used or self.used_bytes + size <= room
 
+    @property
+    def _has_room_to_heal(self) -> bool:
+        room = self._max_bytes + HEALING_SEGMENTS * self._segment_bytes
+        return not self._used or self.used_bytes + self._segment_bytes <= room
+
+    def _erase_rest(self) -> None:
+        """Zeros from the end of the newest segment's last good record on, so that nothing behind it comes back."""
+        assert self._tail is not None
+        slot = self._tail.slot
+        for offset in range(self._tail.end, slot.size, ERASE_BYTES):
+            slot.file.write(offset, bytes(min(ERASE_BYTES, slot.size - offset)))
+        slot.file.sync()
+
     def _write_run(self, left: deque[bytes]) -> list[Position]:
         """Write as many records as fit into the newest segment, at once, and sync them."""
         assert self._tail is not None
--- a/tests/emberring/journal/test_tier_journal_ring.py
+++ b/tests/emberring/journal/test_tier_journal_ring.py
@@ -106,6 +106,92 @@
     ring.heal()
 
 
+def refuse_once(ring: Ring, folder: SimulatedFolder, after_steps: int, payloads: list[bytes]) -> None:
+    folder.refuse_after = after_steps
+    with pytest.raises(DiskFailedError):
+        ring.commit(payloads, reclaiming=True)
+    folder.refuse_after = None
+    ring.heal()
+
+
+def fill(ring: Ring, folder: SimulatedFolder, payload: bytes) -> list[bytes]:
+    """Commit this payload until the ring takes no more."""
+    kept: list[bytes] = []
+    while ring.commit([payload], reclaiming=True):
+        folder.settle()
+        kept.append(payload)
+    return kept
+
+
+@pytest.mark.parametrize("power", [False, True], ids=["killed", "power lost"])
+@pytest.mark.parametrize("seed", range(10))
+@pytest.mark.parametrize("after_steps", [0, 1], ids=["written", "written, not synced"])
+def test_a_full_ring_heals_again_and_again_and_keeps_what_it_had(
+    after_steps: int, seed: int, power: bool
+) -> None:
+    folder = SimulatedFolder()
+    ring, _ = open_ring(folder)
+    kept = fill(ring, folder, b"x" * 100)
+    for number in range(5):  # the reserve for healing is used up by the first; the others erase
+        refuse_once(ring, folder, after_steps, [b"never", b"never either"])
+        folder.settle()
+        kept += [f"after {number}".encode()]
+        assert len(ring.commit(kept[-1:], reclaiming=True)) == 1
+        folder.settle()
+        assert ring.used_bytes <= LIMIT + SEGMENT
+    rng = random.Random(seed)
+    if power:
+        folder.lose_power(rng)
+    else:
+        folder.kill(rng)
+    assert open_ring(folder, 2)[1] == kept
+
+
+@pytest.mark.parametrize("seed", range(30))
+def test_death_while_the_rest_of_a_segment_is_erased_brings_back_a_beginning_or_nothing(seed: int) -> None:
+    folder = SimulatedFolder()
+    ring, _ = open_ring(folder)
+    kept = fill(ring, folder, b"x" * 100)
+    refuse_once(ring, folder, 0, [b""])  # uses up the reserve
+    folder.settle()
+    under_way = [b"first", b"second", b"third"]
+    refuse_once(ring, folder, 1, under_way)
+    folder.lose_power(random.Random(seed))
+    found = open_ring(folder, 2)[1]
+    assert found[: len(kept)] == kept
+    assert found[len(kept) :] in [under_way[:count] for count in range(4)]
+
+
+@pytest.mark.parametrize("again", [[], [b"first"]], ids=["nothing after", "the first one again"])
+def test_what_the_disk_refused_is_gone_once_a_full_ring_has_healed(again: list[bytes]) -> None:
+    folder = SimulatedFolder()
+    ring, _ = open_ring(folder)
+    kept = fill(ring, folder, b"x" * 100)
+    refuse_once(ring, folder, 0, [b""])  # uses up the reserve
+    folder.settle()
+    refuse_once(ring, folder, 1, [b"first", b"second"])
+    folder.settle()
+    assert len(ring.commit(again, reclaiming=True)) == len(again)
+    folder.settle()
+    folder.lose_power(random.Random(1))
+    assert open_ring(folder, 2)[1] == [*kept, *again]
+
+
+def test_a_segment_whose_successor_was_begun_in_vain_does_not_grow_on() -> None:
+    folder = SimulatedFolder()
+    ring, _ = open_ring(folder)
+    kept = [b"x" * 400] * (LIMIT // SEGMENT - 1)
+    commit(ring, folder, kept)
+    folder.refuse_after = 5  # the sixth step, which syncs the header of the last segment that there is room for
+    with pytest.raises(DiskFailedError):
+        ring.commit([b"y" * 400], reclaiming=True)
+    folder.refuse_after = None
+    ring.heal()
+    assert len(ring.commit([b"z" * 30], reclaiming=True)) == 1
+    folder.settle()
+    assert open_ring(folder, 2)[1] == [*kept, b"z" * 30]
+
+
 def test_only_the_oldest_may_be_released() -> None:
     folder = SimulatedFolder()
     ring, _ = open_ring(folder)
