--- a/tests/emberring/journal/test_tier_journal_ring.py
+++ b/tests/emberring/journal/test_tier_journal_ring.py
@@ -182,7 +182,9 @@
     ring, _ = open_ring(folder)
     kept = [b"x" * 400] * (LIMIT // SEGMENT - 1)
     commit(ring, folder, kept)
-    folder.refuse_after = 5  # the sixth step, which syncs the header of the last segment that there is room for
+    folder.refuse_after = (
+        5  # the sixth step, which syncs the header of the last segment that there is room for
+    )
     with pytest.raises(DiskFailedError):
         ring.commit([b"y" * 400], reclaiming=True)
     folder.refuse_after = None
