Admission prices a server's share of failed calls

Cause: a 500 counted as a healthy end and one break between good answers as none, so a server that failed 40% of its calls kept its whole share. Change: each end moves a smoothed share of failures, which time forgets; what is above chance costs in the ranking, so such a server gets little and still shows when it is well. The new tests fail without the pool's part.

--- a/emberring/admission/pool.py
+++ b/emberring/admission/pool.py
@@ -33,6 +33,7 @@
 BATCH_PROMPTS = 3.0  # items a server, all gateways' together, whose prompts may wait there to be read
 BATCH_AHEAD = 1.0  # of its share of the free places a gateway may fill before it hears from the others
 FAILED = frozenset({CallOutcome.CONNECT_FAILED, CallOutcome.BROKEN, CallOutcome.SILENT})
+BAD_ENDS = FAILED | {CallOutcome.FAILED}
 
 
 class Pool:
@@ -257,6 +258,8 @@
         """The attempt is over."""
         server = placed.server
         server.calls.pop(placed.call.id, None)
+        if outcome in BAD_ENDS or outcome is CallOutcome.COMPLETED:
+            server.failed.end(now_s, outcome in BAD_ENDS)
         if outcome in FAILED:
             pacing.note_failure(now_s, server, outcome, self._random)
             server.memory.forget()
--- a/emberring/admission/ranking.py
+++ b/emberring/admission/ranking.py
@@ -1,7 +1,7 @@
 """The cost of sending a call to a server, in milliseconds of the first event's delay.
 
 It is what the call would wait there (prompts before it, its own prompt as far as the server is held to lack it, a
-place, a server slower than the others) and what it takes from others: reading a shared part anew costs everyone
+place, a server slower than the others, failures there) and what it takes from others: reading a shared part anew costs everyone
 there its time, and costs the pool what it could do instead.
 """
 
@@ -87,6 +87,7 @@
         + ANEW * to_read * pace.ms_per_token
         + CROWD_MS * (len(server.calls) + OTHERS_TRUSTED * server.others)
         + _memory_ms(server)
+        + server.failed.cost_ms(now_s)
     )
 
 
--- a/emberring/admission/server.py
+++ b/emberring/admission/server.py
@@ -7,6 +7,7 @@
 
 import attrs
 
+from emberring.admission.failures import FailureShare
 from emberring.admission.prefixes import PrefixMemory
 from emberring.admission.types import CallInfo
 from emberring.distribution.facts import ServerFact
@@ -57,7 +58,8 @@
     slow_s: float = -math.inf
     pause_ms: float = 0.0
     pause_s: float = -math.inf
-    failures: int = 0
+    failures: int = 0  # in a row
+    failed: FailureShare = attrs.field(factory=FailureShare)
     avoid_until_s: float = -math.inf
     full_until_s: float = -math.inf
     gone: bool = False  # another server answers at its address
--- /dev/null
+++ b/tests/emberring/admission/test_tier_failures.py
@@ -0,0 +1,71 @@
+"""Servers that fail a part of what they take."""
+
+from __future__ import annotations
+
+import pytest
+
+from emberring.admission import Admission, AdmissionSettings, Admitted, CallInfo, CallOutcome
+from emberring.admission.failures import CHANCE, FailureShare
+from emberring.distribution.facts import ServerFact, ServerState
+
+GREY = "grey"
+BAD = (CallOutcome.FAILED, CallOutcome.BROKEN)
+
+
+def share_after(ends: list[bool], seconds: float = 0.0) -> FailureShare:
+    found = FailureShare()
+    for failed in ends:
+        found.end(0.0, failed)
+    return found
+
+
+@pytest.mark.parametrize(
+    ("ends", "seconds", "priced"),
+    [
+        ([], 0.0, False),
+        ([True], 0.0, False),  # one failure is chance
+        ([True] + [False] * 9 + [True], 0.0, False),
+        ([True, True], 0.0, True),
+        ([False, True] * 10, 0.0, True),
+        ([False, True] * 10, 30.0, False),  # forgotten
+        ([True] * 20 + [False] * 40, 0.0, False),  # answered again
+    ],
+)
+def test_what_is_priced(ends: list[bool], seconds: float, priced: bool) -> None:
+    found = share_after(ends)
+    assert (found.cost_ms(seconds) > 0.0) is priced
+    assert (found.share(seconds) > CHANCE) is priced
+    assert 0.0 <= found.share(seconds) <= 1.0
+
+
+def play(admission: Admission, start: int, calls: int, bad: CallOutcome | None) -> list[str]:
+    """Calls one after another, each answered after 20 ms; every second one on the grey server ends badly. Returns the
+    servers that got them."""
+    used: list[str] = []
+    for number in range(start, start + calls):
+        now_s = number * 0.02
+        call = CallInfo(id=f"c{number}", service="llm", route="r", tokens_in=500, tokens_out=200)
+        decision = admission.offer(now_s, call)
+        assert isinstance(decision, Admitted)
+        used.append(decision.server_id)
+        admission.started(now_s, call.id, decision.server_id)
+        fails = bad is not None and decision.server_id == GREY and used.count(GREY) % 2 == 0
+        if not fails:
+            admission.first_event(now_s + 0.01, call.id)
+        admission.finished(now_s + 0.02, call.id, bad if fails and bad else CallOutcome.COMPLETED)
+    return used
+
+
+@pytest.mark.parametrize("bad", BAD)
+def test_a_server_that_fails_half_gets_little_and_all_again_once_it_is_well(bad: CallOutcome) -> None:
+    facts = [
+        ServerFact(name, "llm", f"10.0.0.1:{port}", "a", 8, ServerState.READY, 1)
+        for port, name in enumerate((GREY, "good-1", "good-2"), start=1)
+    ]
+    admission = Admission(AdmissionSettings(), seed=3)
+    admission.set_servers(0.0, facts, {}, 1, {})
+    troubled = play(admission, 0, 900, bad)
+    assert 0 < troubled.count(GREY) < 900 / 3 / 4
+    play(admission, 900, 600, None)
+    healthy = play(admission, 1500, 900, None)
+    assert healthy.count(GREY) > 900 / 3 / 2
