--- a/emberring/admission/ranking.py
+++ b/emberring/admission/ranking.py
@@ -1,8 +1,8 @@
 """The cost of sending a call to a server, in milliseconds of the first event's delay.
 
 It is what the call would wait there (prompts before it, its own prompt as far as the server is held to lack it, a
-place, a server slower than the others, failures there) and what it takes from others: reading a shared part anew costs everyone
-there its time, and costs the pool what it could do instead.
+place, a server slower than the others, failures there) and what it takes from others: reading a shared part anew costs
+everyone there its time, and costs the pool what it could do instead.
 """
 
 from __future__ import annotations
