Items that can't be done in time any more wait for those that can

Cause: an item counted as late only 0.3 s before it was due, while a run takes a second or more. Where more lots came than could be done, all were begun just before they were due, and all were late. Change: the owner learns what a run takes and sorts by it.

--- a/emberring/lots/lot.py
+++ b/emberring/lots/lot.py
@@ -20,11 +20,13 @@
 
 @attrs.define(eq=False)
 class Run:
-    """An item's run at a gateway: its ticket, and until when the gateway holds it without a further word."""
+    """An item's run at a gateway: its ticket, until when the gateway holds it without a further word, and when it
+    began here."""
 
     ticket: int
     gateway: str
     expires_s: float
+    began_s: float
 
 
 @attrs.define(eq=False)
--- a/emberring/lots/running.py
+++ b/emberring/lots/running.py
@@ -91,7 +91,7 @@
 
     def _begin(self, now_s: float, lot: Lot, index: int, ticket: int, gateway: str) -> None:
         item = lot.items[index]
-        item.status, item.run = ItemStatus.RUNNING, Run(ticket, gateway, now_s + RUN_LEASE_S)
+        item.status, item.run = ItemStatus.RUNNING, Run(ticket, gateway, now_s + RUN_LEASE_S, now_s)
         self._running[(lot.key, index)] = None
 
     def _requeue(self, lot: Lot, index: int) -> None:
@@ -142,6 +142,8 @@
                 self._shelf.out.append(Answer(call, RunFinished(False)))
                 return
             self._finishers.setdefault((lot.key, message.index), []).append(call)
+            if item.run is not None and current:
+                self._shelf.schedule.note_run(now_s - item.run.began_s)
             self._place(lot, message.index, ResultState.COMPLETED, "\n".join(event.data for event in events))
             return
         if kind is OutcomeKind.IMPOSSIBLE_422:
