Many gateways before many small servers: draws, resting connections, late word followed less

Cause: with 50 gateways and servers of 12 places, all gateways followed the same word of each other's calls, up to a second old, so all sent to the servers that had looked idle, by turns; each gateway's few calls went to all servers, so nearly each needed a new connection; items were run by the gateways of one zone at its servers, beyond their places. Change: of more than eight servers a draw is ranked; a connection that has to be made costs; word of one server counts the less the more gateways there are, and what is usual there for the rest; calls near the places cost the wait for one. The figures page no longer changes what admission takes for told.

--- a/emberring/admission/admission.py
+++ b/emberring/admission/admission.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 from random import Random
 
 from emberring.admission.pool import Pool
@@ -12,12 +12,24 @@
 from emberring.distribution.facts import ServerFact
 
 
+def always_connected(server_id: str) -> bool:
+    """Where nothing is known of connections, none has to be made."""
+    return True
+
+
 class Admission:
-    """One gateway's decisions over all services. `finished` must be told once for every `Admitted`."""
+    """One gateway's decisions over all services. `finished` must be told once for every `Admitted`. `connected` tells
+    whether a connection to a server rests here that the next call may use."""
 
-    def __init__(self, settings: AdmissionSettings, seed: int) -> None:
+    def __init__(
+        self,
+        settings: AdmissionSettings,
+        seed: int,
+        connected: Callable[[str], bool] = always_connected,
+    ) -> None:
         self._settings = settings
         self._random = Random(seed)
+        self._connected = connected
         self._pools: dict[str, Pool] = {}
         self._placed: dict[str, tuple[Pool, Placed]] = {}
 
@@ -37,13 +49,13 @@
             known = pool.servers.get(fact.id) if pool else None
             view = known or ServerView(fact, now_s)
             view.fact = fact
-            view.others = max(0.0, load.get(fact.id, 0) - view.reported)
+            view.hear_others(now_s, max(0.0, load.get(fact.id, 0) - view.reported))
             by_service.setdefault(fact.service, {})[fact.id] = view
         for name in self._pools.keys() - by_service.keys():
             self._pools[name].servers = {}
         for name, views in by_service.items():
             if name not in self._pools:
-                self._pools[name] = Pool(self._settings, self._random)
+                self._pools[name] = Pool(self._settings, self._random, self._connected)
             pool = self._pools[name]
             pool.servers = views
             pool.gateways = max(1, gateways)
@@ -94,8 +106,14 @@
         """How many more items of lots would be taken now, over all services."""
         return sum(pool.batch_room(now_s) for pool in self._pools.values())
 
+    @property
+    def calls_now(self) -> int:
+        """This gateway's calls in flight."""
+        return len(self._placed)
+
     def in_flight(self) -> dict[str, int]:
-        """This gateway's calls in flight per server id, for `Follower.report`."""
+        """This gateway's calls in flight per server id, for `Follower.report` alone: what control tells later is
+        taken to hold these."""
         report = {}
         for pool in self._pools.values():
             for server_id, server in pool.servers.items():
--- a/emberring/admission/affinity.py
+++ b/emberring/admission/affinity.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import heapq
 import zlib
 from collections.abc import Iterable, Sequence
 
@@ -23,9 +24,9 @@
     return None if best is None else best.id
 
 
-def by_affinity(key: str, server_ids: Iterable[str]) -> list[str]:
-    """The servers in the order in which they are home to this key; the same at every gateway."""
-    return sorted(server_ids, key=lambda server_id: (_score(key, server_id), server_id), reverse=True)
+def first_homes(key: str, server_ids: Iterable[str], count: int) -> list[str]:
+    """So many servers, in the order in which they are home to this key; the same at every gateway."""
+    return heapq.nlargest(count, server_ids, key=lambda server_id: (_score(key, server_id), server_id))
 
 
 def _score(key: str, server_id: str) -> int:
--- a/emberring/admission/pacing.py
+++ b/emberring/admission/pacing.py
@@ -67,7 +67,7 @@
     places = server.capacity * share
     if server.fact.cold_ms > 0.0 and now_s - server.since_s < server.fact.cold_ms / 1000.0:
         places *= COLD_SHARE
-    left = min(places - server.load, server.connections - len(server.calls))
+    left = min(places - server.likely_load(gateways), server.connections - len(server.calls))
     if failing(server):  # the way back: one call at a time
         return min(left, 1.0 - len(server.calls))
     if server.first_heard_s is None:
--- a/emberring/admission/pool.py
+++ b/emberring/admission/pool.py
@@ -3,13 +3,15 @@
 from __future__ import annotations
 
 import math
+from collections.abc import Callable
 from random import Random
 
 from emberring.admission import pacing
-from emberring.admission.affinity import by_affinity, home_key
+from emberring.admission.affinity import first_homes, home_key
+from emberring.admission.candidates import candidates
 from emberring.admission.load import LoadMeter
 from emberring.admission.pace import Pace
-from emberring.admission.ranking import cost_ms, expected_wait_ms, own_tokens, tokens_to_read
+from emberring.admission.ranking import CONNECT_MS, cost_ms, expected_wait_ms, own_tokens, tokens_to_read
 from emberring.admission.server import Placed, ServerView
 from emberring.admission.table import CursorTable
 from emberring.admission.types import (
@@ -30,6 +32,7 @@
 PAUSE_GAIN = 0.02  # smoothing of the usual pause between events, all servers'
 JITTER = 0.05  # width of the draw that parts equal ranks
 AHEAD_TRUSTED = 0.0
+HOMES = 2  # servers that a large shared part belongs to, by turns
 BATCH_PROMPTS = 3.0  # items a server, all gateways' together, whose prompts may wait there to be read
 BATCH_AHEAD = 1.0  # of its share of the free places a gateway may fill before it hears from the others
 FAILED = frozenset({CallOutcome.CONNECT_FAILED, CallOutcome.BROKEN, CallOutcome.SILENT})
@@ -39,7 +42,7 @@
 class Pool:
     """One service's servers as this gateway sees them."""
 
-    def __init__(self, settings: AdmissionSettings, random: Random) -> None:
+    def __init__(self, settings: AdmissionSettings, random: Random, connected: Callable[[str], bool]) -> None:
         self.servers: dict[str, ServerView] = {}
         self.gateways = 1
         self.table = CursorTable()
@@ -48,6 +51,7 @@
         self.usual_pause_ms = 0.0
         self._settings = settings
         self._random = random
+        self._connected = connected
         self._period_end_s = math.inf
         self._told_own = 0  # this gateway's calls when the others' were last told
 
@@ -157,7 +161,7 @@
         Guard: items come in lots; taken all at once, their prompts stood before those of live calls.
         """
         unheard = sum(1 for one in servers for placed in one.unheard() if placed.call.batch)
-        return math.ceil(BATCH_PROMPTS * len(servers) / self.gateways) - unheard
+        return max(1, math.floor(BATCH_PROMPTS * len(servers) / self.gateways + 0.5)) - unheard
 
     def _live_threshold(self, servers: list[ServerView], priority: int) -> float:
         """The same for live calls: all that the others leave, and no less than an even share."""
@@ -172,11 +176,11 @@
 
     def _place(self, now_s: float, call: CallInfo, servers: list[ServerView]) -> Decision:
         key = home_key(call.parts)
-        homes = by_affinity(key, [one.fact.id for one in servers]) if key is not None else []
+        homes = first_homes(key, [one.fact.id for one in servers], HOMES) if key is not None else []
         best: tuple[float, ServerView, float, float] | None = None
         mean_others = sum(one.others for one in servers) / len(servers)
         mean_waiting = self._others_waiting(now_s)
-        for server in servers:
+        for server in candidates(servers, homes, self._connected, self._random):
             to_read = tokens_to_read(call, server, homes, key)
             ahead = server.waiting_tokens(now_s, self.pace.ms_per_token) + mean_waiting * (
                 AHEAD_TRUSTED * server.others + (1.0 - AHEAD_TRUSTED) * mean_others
@@ -189,14 +193,16 @@
                 self.pace,
                 self.usual_pause_ms,
                 mean_others,
+                self.gateways,
                 self._settings.zone,
             )
+            cost += 0.0 if self._connected(server.fact.id) else CONNECT_MS
             cost *= 1.0 + JITTER * (self._random.random() - 0.5)
             if best is None or cost < best[0]:
                 best = cost, server, to_read, ahead
         assert best is not None
         _, server, to_read, ahead = best
-        expected_ms = expected_wait_ms(now_s, server, ahead, to_read, self.pace, mean_others)
+        expected_ms = expected_wait_ms(server, ahead, to_read, self.pace, mean_others, self.gateways)
         server.calls[call.id] = Placed(
             call,
             server,
--- a/emberring/admission/ranking.py
+++ b/emberring/admission/ranking.py
@@ -11,7 +11,7 @@
 from collections.abc import Sequence
 
 from emberring.admission.pace import Pace
-from emberring.admission.server import ServerView
+from emberring.admission.server import ServerView, trust_in_word
 from emberring.admission.types import CallInfo, PrefixPart
 
 UNTOLD_TOKENS = 200.0  # a prompt whose parts are not told
@@ -20,10 +20,12 @@
 ANEW = 0.6  # what reading anew costs others, as a share of its own time
 OTHERS_TRUSTED = 0.1
 OVER_TRUSTED = 0.5
+OTHERS_SPREAD = 1.0  # the others' calls may be more than was told: so many times the root of their number
 CROWD_MS = 2.0  # a call in flight slows the next by about this
 PAUSE_WEIGHT = 0.6  # pauses between events there over the usual ones, that prompts of others explain
 KV_FULL = 0.85  # share of the memory from which a call there may push others out
 KV_MS = 60.0
+CONNECT_MS = 8.0  # a connection that has to be made first: its time, and what it costs the server
 FAR_MS = 3.0  # another zone: the way there and back, and bytes that are paid for
 
 
@@ -54,17 +56,13 @@
 
 
 def expected_wait_ms(
-    now_s: float, server: ServerView, ahead: float, to_read: float, pace: Pace, mean_others: float
+    server: ServerView, ahead: float, to_read: float, pace: Pace, mean_others: float, gateways: int
 ) -> float:
     """The wait for the first event of a call with so many tokens to read, that many being ahead of it."""
     wait_ms = pace.wait_ms(ahead + to_read)
-    over = (
-        len(server.calls)
-        + OVER_TRUSTED * server.others
-        + (1.0 - OVER_TRUSTED) * mean_others
-        + 1.0
-        - server.capacity
-    )
+    likely = server.likely_load(gateways) - len(server.calls)
+    others = OVER_TRUSTED * likely + (1.0 - OVER_TRUSTED) * mean_others
+    over = len(server.calls) + others + OTHERS_SPREAD * math.sqrt(others) + 1.0 - server.capacity
     if over > 0.0:
         wait_ms += over * pace.hold_s * 1000.0 / server.capacity
     return wait_ms
@@ -78,16 +76,18 @@
     pace: Pace,
     usual_pause_ms: float,
     mean_others: float,
+    gateways: int,
     zone: str = "",
 ) -> float:
     """What ranks servers; less is better. `zone` is the caller's, if it has one."""
-    wait_ms = expected_wait_ms(now_s, server, ahead, to_read, pace, mean_others) * server.handicap(now_s)
+    wait_ms = expected_wait_ms(server, ahead, to_read, pace, mean_others, gateways)
+    wait_ms *= server.handicap(now_s)
     slower_ms = max(0.0, server.pause(now_s) - usual_pause_ms) * PAUSE_WEIGHT
     return (
         wait_ms
         + slower_ms
         + ANEW * to_read * pace.ms_per_token
-        + CROWD_MS * (len(server.calls) + OTHERS_TRUSTED * server.others)
+        + CROWD_MS * (len(server.calls) + OTHERS_TRUSTED * trust_in_word(gateways) * server.others)
         + _memory_ms(server)
         + server.failed.cost_ms(now_s)
         + (FAR_MS if zone and server.fact.zone != zone else 0.0)
--- a/emberring/admission/server.py
+++ b/emberring/admission/server.py
@@ -17,10 +17,21 @@
 SLOW_FORGET_S = 5.0  # a server that is not heard drifts back to the others at this pace
 SLOW_MOST = 8.0
 SLOW_CHANCE = 3.0  # times the wait expected that chance explains
+USUAL_S = 3.0  # over which the others' calls are smoothed: much longer than word of them takes
+FEW_GATEWAYS = 8  # so many may go by what was just told of a server without choosing the same one
 GAP_GAIN = 0.4  # smoothing of the pauses between events, which tell of prompts being read
 GAP_FORGET_S = 0.3
 
 
+def trust_in_word(gateways: int) -> float:
+    """How far a gateway may go by what was just told of the others' calls at one server, from 0 to 1.
+
+    Guard: word of them is up to a second old. Where many gateways went by it, all of them sent to the servers that
+    had looked idle, by turns.
+    """
+    return min(1.0, FEW_GATEWAYS / gateways)
+
+
 @attrs.define(eq=False)
 class Placed:
     """A call of this gateway at a server. `to_read` are the prompt's tokens that the server is held to lack,
@@ -50,6 +61,8 @@
     kv_tokens: float = math.inf
     calls: dict[str, Placed] = attrs.field(factory=dict)
     others: float = 0.0
+    others_usual: float = 0.0  # the same, smoothed
+    others_s: float = -math.inf  # when it was last told
     reported: int = 0
     memory: PrefixMemory = attrs.field(factory=PrefixMemory)
     heard_s: float = -math.inf
@@ -69,6 +82,22 @@
         """Requests that it works on at once."""
         return self.fact.capacity or DEFAULT_CAPACITY
 
+    def hear_others(self, now_s: float, calls: float) -> None:
+        """The others' calls there, as control told them."""
+        if self.others_s == -math.inf:
+            self.others_usual = calls
+        else:
+            kept = math.exp((self.others_s - now_s) / USUAL_S)
+            self.others_usual = kept * self.others_usual + (1.0 - kept) * calls
+        self.others = calls
+        self.others_s = now_s
+
+    def likely_load(self, gateways: int) -> float:
+        """Calls in flight there, all gateways' together, to go by for a single server: what is usual there changes
+        slowly enough to be followed by many."""
+        trust = trust_in_word(gateways)
+        return len(self.calls) + trust * self.others + (1.0 - trust) * self.others_usual
+
     @property
     def load(self) -> float:
         """Calls in flight there, all gateways' together."""
--- a/emberring/gateway/pool.py
+++ b/emberring/gateway/pool.py
@@ -78,6 +78,11 @@
         if not server.size:
             del self._servers[server_id]
 
+    def has_idle(self, server_id: str) -> bool:
+        """Whether a connection to this server rests here."""
+        server = self._servers.get(server_id)
+        return server is not None and bool(server.idle)
+
     def size(self, server_id: str) -> int:
         """Connections to this server, those being opened among them."""
         server = self._servers.get(server_id)
--- a/emberring/gateway/role.py
+++ b/emberring/gateway/role.py
@@ -52,8 +52,10 @@
             incarnation=secrets.token_hex(8),
         )
         self.follower = Follower(self.network, me, settings.internal_seeds())
-        self.admission = Admission(AdmissionSettings(zone=settings.zone), secrets.randbits(SEED_BITS))
         self.pool = ServerPool()
+        self.admission = Admission(
+            AdmissionSettings(zone=settings.zone), secrets.randbits(SEED_BITS), self.pool.has_idle
+        )
         self.book = ServerBook(self.follower)
         self.executor = Executor(self.admission, self.pool, self.book)
         self.readiness = Readiness(self.follower, self._cut_off)
@@ -132,7 +134,7 @@
             "client_connections": float(len(self.clients.connections)),
             "client_connections_total": float(self.clients.accepted),
             "requests_in_progress": float(self.clients.busy),
-            "calls_in_flight": float(sum(self.admission.in_flight().values())),
+            "calls_in_flight": float(self.admission.calls_now),
             "items_running": float(self.runner.running),
             "server_connections_total": float(self.pool.opened),
         }
--- a/tests/emberring/admission/test_tier_admission.py
+++ b/tests/emberring/admission/test_tier_admission.py
@@ -140,6 +140,7 @@
     admission = admission_of(fact("s1"))
     admission.offer(0.0, call("c1"))
     assert admission.in_flight() == {"s1": 1}
+    assert admission.calls_now == 1
     admission.finished(1.0, "c1", CallOutcome.COMPLETED)
     admission.finished(1.0, "c1", CallOutcome.COMPLETED)
     assert admission.in_flight() == {"s1": 0}
@@ -162,3 +163,12 @@
     decisions = [admission.offer(0.0, call(f"c{number}")) for number in range(4)]
     assert decisions[0] == Admitted("near")
     assert Admitted("far") in decisions
+
+
+def test_a_server_with_a_resting_connection_comes_first_until_it_is_busier() -> None:
+    facts = [fact(f"s{number}") for number in range(6)]
+    admission = Admission(AdmissionSettings(), seed=1, connected=lambda server_id: server_id == "s4")
+    admission.set_servers(0.0, facts, SERVICES, 1, {})
+    decisions = [admission.offer(0.0, call(f"c{number}")) for number in range(6)]
+    assert decisions[0] == Admitted("s4")
+    assert any(decision != Admitted("s4") for decision in decisions)
--- a/tests/emberring/admission/test_tier_affinity.py
+++ b/tests/emberring/admission/test_tier_affinity.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from emberring.admission.affinity import LARGE_TOKENS, by_affinity, home_key
+from emberring.admission.affinity import LARGE_TOKENS, first_homes, home_key
 from emberring.admission.types import PrefixPart
 
 SERVERS = [f"i-{at:04x}" for at in range(6)]
@@ -27,17 +27,17 @@
 
 
 def test_the_order_does_not_depend_on_the_order_of_the_servers() -> None:
-    assert by_affinity("p", SERVERS) == by_affinity("p", list(reversed(SERVERS)))
+    assert first_homes("p", SERVERS, len(SERVERS)) == first_homes("p", list(reversed(SERVERS)), len(SERVERS))
 
 
 def test_a_server_that_leaves_moves_only_its_own_prefixes() -> None:
     keys = [f"part-{at}" for at in range(500)]
-    before = {key: by_affinity(key, SERVERS)[0] for key in keys}
-    after = {key: by_affinity(key, SERVERS[1:])[0] for key in keys}
+    before = {key: first_homes(key, SERVERS, 1)[0] for key in keys}
+    after = {key: first_homes(key, SERVERS[1:], 1)[0] for key in keys}
     assert all(after[key] == before[key] for key in keys if before[key] != SERVERS[0])
 
 
 def test_homes_are_spread() -> None:
-    counts = Counter(by_affinity(f"part-{at}", SERVERS)[0] for at in range(3000))
+    counts = Counter(first_homes(f"part-{at}", SERVERS, 1)[0] for at in range(3000))
     assert min(counts.values()) > 0.8 * 500
     assert max(counts.values()) < 1.2 * 500
--- /dev/null
+++ b/tests/emberring/admission/test_tier_many_gateways.py
@@ -0,0 +1,97 @@
+"""Many gateways before many servers, each hearing late what the others have in flight."""
+
+from __future__ import annotations
+
+from collections import Counter, deque
+from random import Random
+
+import pytest
+
+from emberring.admission import Admission, AdmissionSettings, Admitted, CallInfo, CallOutcome
+from emberring.admission.server import FEW_GATEWAYS, USUAL_S, ServerView
+from emberring.distribution.facts import ServerFact, ServerState
+
+GATEWAYS, SERVERS, PLACES = 50, 36, 12
+STEP_S = 0.01
+CALLS_A_STEP = 4
+HOLD_S = 0.5
+TELL_EVERY_S, TOLD_AFTER_S = 0.3, 0.7
+
+
+def fact(number: int) -> ServerFact:
+    return ServerFact(f"s{number}", "llm", f"10.0.0.1:{number}", "a", PLACES, ServerState.READY, 1)
+
+
+def test_few_gateways_go_by_what_was_just_told() -> None:
+    view = ServerView(fact(1), 0.0)
+    view.hear_others(0.0, 2.0)
+    view.hear_others(0.1, 9.0)
+    assert view.likely_load(FEW_GATEWAYS) == pytest.approx(9.0)
+
+
+def test_many_gateways_go_by_what_is_usual_and_follow_it() -> None:
+    view = ServerView(fact(1), 0.0)
+    view.hear_others(0.0, 2.0)
+    view.hear_others(0.3, 9.0)
+    assert view.likely_load(50) < 4.0  # 2 usual, 9 just told
+    for number in range(1, 50):
+        view.hear_others(0.3 + number * 0.3, 9.0)
+    assert view.likely_load(50) == pytest.approx(9.0, abs=0.2)
+    assert view.others_s > 2 * USUAL_S
+
+
+class Play:
+    """Calls come at random gateways and hold their place for a while."""
+
+    def __init__(self, seed: int) -> None:
+        self.random = Random(seed)
+        self.gateways = [Admission(AdmissionSettings(), seed=seed * 100 + n) for n in range(GATEWAYS)]
+        self.facts = [fact(number) for number in range(SERVERS)]
+        self.loads: Counter[str] = Counter()
+        self.ends: deque[tuple[float, Admission, str, str]] = deque()
+        self.told: deque[tuple[float, dict[str, int]]] = deque()
+        self.numbers = 0
+
+    def step(self, now_s: float) -> None:
+        while self.ends and self.ends[0][0] <= now_s:
+            _, gateway, name, server = self.ends.popleft()
+            gateway.finished(now_s, name, CallOutcome.COMPLETED)
+            self.loads[server] -= 1
+        for _ in range(CALLS_A_STEP):
+            self.numbers += 1
+            name = f"c{self.numbers}"
+            gateway = self.random.choice(self.gateways)
+            decision = gateway.offer(now_s, CallInfo(name, "llm", "r", tokens_in=500, tokens_out=100))
+            assert isinstance(decision, Admitted)
+            gateway.started(now_s, name, decision.server_id)
+            gateway.first_event(now_s + 0.005, name)
+            self.loads[decision.server_id] += 1
+            self.ends.append((now_s + HOLD_S, gateway, name, decision.server_id))
+
+    def tell(self, now_s: float) -> None:
+        for gateway in self.gateways:
+            gateway.in_flight()
+        self.told.append((now_s, {**{one.id: 0 for one in self.facts}, **self.loads}))
+        while len(self.told) > 1 and self.told[1][0] <= now_s - TOLD_AFTER_S:
+            self.told.popleft()
+        for gateway in self.gateways:
+            gateway.set_servers(now_s, self.facts, {}, GATEWAYS, self.told[0][1])
+
+
+@pytest.mark.parametrize("seed", [1, 2])
+def test_late_word_of_the_others_makes_no_waves(seed: int) -> None:
+    play = Play(seed)
+    crowded = steps = 0
+    next_tell_s = 0.0
+    for number in range(800):
+        now_s = number * STEP_S
+        if now_s >= next_tell_s:
+            play.tell(now_s)
+            next_tell_s += TELL_EVERY_S
+        play.step(now_s)
+        if now_s > 2.0:
+            steps += SERVERS
+            crowded += sum(load > PLACES for load in play.loads.values())
+    mean = CALLS_A_STEP / STEP_S * HOLD_S / SERVERS
+    assert 5.0 < mean < 6.0  # half of the places
+    assert crowded / steps < 0.08  # 0.15 where the word is followed in full
--- a/tests/emberring/gateway/test_tier_gateway_failures.py
+++ b/tests/emberring/gateway/test_tier_gateway_failures.py
@@ -413,6 +413,26 @@
     play(story)
 
 
+def test_a_resting_connection_is_known_until_it_is_in_use() -> None:
+    async def story(world: World) -> None:
+        resting: list[bool] = []
+
+        async def look_and_answer(side: Side, seen: Seen) -> None:
+            resting.append(world.pool.has_idle(server.id))
+            await side.answer(seen, 200, b"done")
+
+        server = await world.server(look_and_answer)
+        client = await world.client()
+        assert not world.pool.has_idle(server.id)
+        for number in range(2):
+            assert (await client.ask("/once/1", request_id=f"r{number}")).status == 200
+            assert world.pool.has_idle(server.id)
+        assert resting == [False, False]
+        assert server.connections == 1
+
+    play(story)
+
+
 def test_keep_alive_bounds_the_rest_of_a_connection() -> None:
     async def story(world: World) -> None:
         async def short(side: Side, seen: Seen) -> None:
