lab scale: hollow control planes of hundreds of nodes in one process, with slopes

Change: a network within one process that meters bytes and processor time for each node, the real control code on it over a clock that jumps, a command that prints what each role uses at several sizes and the powers. The clock of the tests moves to the lab. The lab may import the programs now; none of them imports it.

--- a/emberring/cli/lab_commands.py
+++ b/emberring/cli/lab_commands.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import statistics
+from collections.abc import Callable
 from typing import Annotated, Any
 
 import attrs
@@ -22,6 +23,7 @@
 from emberring.lab.admission_simulator import MakePolicy, World, run_trial
 from emberring.lab.admission_site import SITES
 from emberring.lab.admission_trial import Figures, figures_of
+from emberring.lab.control_scale import RoleFigures, ScaleFigures, Size, measure, power
 
 app = typer.Typer(no_args_is_help=True, epilog=EXIT_CODES_TEXT)
 
@@ -90,3 +92,66 @@
     half = (max(values) - min(values)) / 2
     digits = 0 if max(values) > 10 else 3
     return f"{statistics.fmean(values):.{digits}f} ±{half:.{digits}f}"
+
+
+MOST_GATEWAYS = 1000
+MOST_SERVERS = 20_000
+
+
+@app.command(epilog=EXIT_CODES_TEXT)
+def scale(
+    gateways: Annotated[
+        list[int] | None,
+        typer.Option(help="How many gateways; give it several times for a slope. 10, 30 and 100 by default."),
+    ] = None,
+    servers_each: Annotated[
+        float, typer.Option(min=0.1, max=100, help="Model servers for each gateway.")
+    ] = 1.0,
+    controls: Annotated[int, typer.Option(min=2, max=27, help="Control nodes.")] = 3,
+    seconds: Annotated[float, typer.Option(min=1, max=60, help="Calm seconds that are measured.")] = 3.0,
+    as_json: JsonOption = False,
+) -> None:
+    """Play the control plane at several sizes with hollow nodes in this process; what each role uses, how it grows."""
+    counts = gateways or [10, 30, 100]
+    sizes = [Size(count, max(1, round(count * servers_each)), controls) for count in counts]
+    if any(not 1 <= size.gateways <= MOST_GATEWAYS or size.servers > MOST_SERVERS for size in sizes):
+        raise BadRequestError(f"1 to {MOST_GATEWAYS} gateways and at most {MOST_SERVERS} servers are played")
+    found = [measure(size, seconds) for size in sizes]
+    if as_json:
+        print_json([attrs.asdict(one) for one in found])
+        return
+    header = ("", *(f"{size.gateways} + {size.servers}" for size in sizes), "power")
+    print_table(header, [_scale_row(name, found, read) for name, read in SCALE_ROWS])
+    print_line("gateways + servers; per node and second, middle (busiest) of a role; powers are in gateways")
+
+
+def _cpu(figures: RoleFigures) -> tuple[float, float]:
+    return figures.cpu * 100.0, figures.cpu_most * 100.0
+
+
+def _bytes(figures: RoleFigures) -> tuple[float, float]:
+    return figures.bytes / 1000.0, figures.bytes_most / 1000.0
+
+
+SCALE_ROWS: tuple[tuple[str, Callable[[ScaleFigures], tuple[float, ...]]], ...] = (
+    ("control: processor, %", lambda one: _cpu(one.control)),
+    ("control: kB", lambda one: _bytes(one.control)),
+    ("gateway: processor, %", lambda one: _cpu(one.gateway)),
+    ("gateway: kB", lambda one: _bytes(one.gateway)),
+    ("gateway: calls", lambda one: (one.gateway.calls,)),
+    ("drain acknowledged, ms", lambda one: (one.drain_acknowledged_s * 1000.0,)),
+    ("drain known to all, ms", lambda one: (one.drain_known_s * 1000.0,)),
+    ("configuration known to all, ms", lambda one: (one.configuration_known_s * 1000.0,)),
+)
+
+
+def _scale_row(
+    name: str, found: list[ScaleFigures], read: Callable[[ScaleFigures], tuple[float, ...]]
+) -> tuple[str, ...]:
+    values = [read(one) for one in found]
+    slope = power([one.size.gateways for one in found], [value[0] for value in values])
+    return (name, *(_middle_and_most(value) for value in values), "" if slope != slope else f"{slope:.2f}")
+
+
+def _middle_and_most(value: tuple[float, ...]) -> str:
+    return f"{value[0]:.3g}" + (f" ({value[1]:.3g})" if len(value) > 1 else "")
--- /dev/null
+++ b/emberring/lab/hollow_network.py
@@ -0,0 +1,134 @@
+"""A network within one process for hollow nodes: real messages and codec, no sockets; bytes and processor time metered.
+
+A hollow node is the real code of a node's control part without what it serves. Each has a meter. Tasks that are started
+in a node's context, and those that they start, count their processor time on its meter.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextvars
+import time
+import types
+from collections.abc import Awaitable, Coroutine, Generator
+from typing import Any, TypeVar
+
+import attrs
+
+from emberring.errors import PeerTimeoutError, PeerUnavailableError, ProtocolViolationError, error_from_wire
+from emberring.transport.messages import Envelope, Failure, decode, encode
+from emberring.transport.network import Caller, Network
+
+DELAY_S = 0.0005  # one way
+
+Reply = TypeVar("Reply")
+Result = TypeVar("Result")
+
+
+@attrs.define(eq=False)
+class Meter:
+    """What a node has used so far."""
+
+    cpu_s: float = 0.0
+    sent_bytes: int = 0
+    received_bytes: int = 0
+    calls: int = 0  # that it sent
+
+    def clear(self) -> None:
+        """Begin anew."""
+        self.cpu_s = 0.0
+        self.sent_bytes = self.received_bytes = self.calls = 0
+
+
+_CURRENT: contextvars.ContextVar[Meter | None] = contextvars.ContextVar("meter", default=None)
+
+
+@types.coroutine
+def _stepped(coroutine: Coroutine[Any, Any, Result], meter: Meter) -> Generator[Any, Any, Result]:
+    """Run a coroutine; the time between its waits counts on the meter."""
+    value: Any = None
+    raised: BaseException | None = None
+    while True:
+        began_s = time.thread_time()
+        try:
+            wanted = coroutine.send(value) if raised is None else coroutine.throw(raised)
+        except StopIteration as done:
+            result: Result = done.value
+            return result
+        finally:
+            meter.cpu_s += time.thread_time() - began_s
+        value, raised = None, None
+        try:
+            value = yield wanted
+        except BaseException as error:
+            raised = error
+
+
+async def _metered(coroutine: Coroutine[Any, Any, Result], meter: Meter) -> Result:
+    return await _stepped(coroutine, meter)
+
+
+def meter_tasks(loop: asyncio.AbstractEventLoop) -> None:
+    """Have the loop's tasks count on the meter of the context in which they are started."""
+
+    def make(
+        _: asyncio.AbstractEventLoop, coroutine: Any, context: contextvars.Context | None = None
+    ) -> asyncio.Task[Any]:
+        meter = context.get(_CURRENT) if context is not None else _CURRENT.get()
+        if meter is not None:
+            coroutine = _metered(coroutine, meter)
+        return asyncio.Task(coroutine, loop=loop, context=context)
+
+    loop.set_task_factory(make)
+
+
+class HollowNetwork(Network):
+    """The network of one hollow node. `hub` has all of them by address."""
+
+    def __init__(self, hub: dict[str, HollowNetwork], address: str) -> None:
+        super().__init__()
+        self.meter = Meter()
+        self.context = contextvars.copy_context()
+        self.context.run(_CURRENT.set, self.meter)
+        self._hub = hub
+        self._address = address
+        hub[address] = self
+
+    def start(self, coroutine: Coroutine[Any, Any, Result]) -> asyncio.Task[Result]:
+        """Start a task of this node."""
+        return asyncio.get_running_loop().create_task(coroutine, context=self.context)
+
+    async def listen(self, address: str) -> None:
+        """Nothing to do: the hub knows the address."""
+
+    async def call(self, address: str, body: Any, reply: type[Reply], timeout_s: float) -> Reply:
+        """Send a call and wait for its reply, at most `timeout_s` in all."""
+        peer = self._hub.get(address)
+        if peer is None:
+            raise PeerUnavailableError(f"nobody at {address}")
+        line = encode(Envelope(1, body))
+        self.meter.calls += 1
+        self.meter.sent_bytes += len(line)
+        try:
+            async with asyncio.timeout(timeout_s):
+                await asyncio.sleep(DELAY_S)
+                answer_line = await peer.start(peer.answer_line(line, self._address))
+                await asyncio.sleep(DELAY_S)
+        except TimeoutError:
+            raise PeerTimeoutError(f"no reply from {address}") from None
+        self.meter.received_bytes += len(answer_line)
+        answer = decode(answer_line).body
+        if isinstance(answer, Failure):
+            raise error_from_wire(answer.kind, answer.detail)
+        if not isinstance(answer, reply):
+            raise ProtocolViolationError(f"{address} replied with {type(answer).__name__}")
+        return answer
+
+    async def answer_line(self, line: bytes, caller: str) -> bytes:
+        """The reply to a line that has come."""
+        self.meter.received_bytes += len(line)
+        envelope = decode(line)
+        answer: Awaitable[Any] = self.dispatch(envelope.body, Caller(caller))
+        reply = encode(Envelope(-envelope.id, await answer))
+        self.meter.sent_bytes += len(reply)
+        return reply
--- a/tests/virtual_loop.py
+++ b/emberring/lab/virtual_time.py
@@ -32,6 +32,6 @@
 
 
 def run_virtually(play: Coroutine[Any, Any, None]) -> None:
-    """Play it without waiting; nothing but timers may be waited for."""
+    """Play it without waiting; nothing but timers may be waited for. Tasks that are left are cancelled."""
     with asyncio.Runner(loop_factory=VirtualLoop) as runner:
         runner.run(play)
--- a/tests/emberring/store/test_tier_store_dispatch.py
+++ b/tests/emberring/store/test_tier_store_dispatch.py
@@ -8,8 +8,8 @@
 
 import attrs
 import pytest
-from virtual_loop import run_virtually
 
+from emberring.lab.virtual_time import run_virtually
 from emberring.lots.calls import LeasedItems, LeaseItems
 from emberring.store.dispatch import FAR_AFTER_S, Dispatch
 
--- a/tests/emberring/test_tier_structure.py
+++ b/tests/emberring/test_tier_structure.py
@@ -17,8 +17,9 @@
 LAYERS: tuple[frozenset[str], ...] = (
     frozenset({"__main__"}),
     frozenset({"cli"}),
+    frozenset({"lab"}),
     frozenset({"gateway", "control", "store"}),
-    frozenset({"lab", "standin"}),
+    frozenset({"standin"}),
     frozenset({"lots"}),
     frozenset({"admission", "distribution"}),
     frozenset({"registry", "configuration"}),
