--- a/tests/emberring/lab/test_tier_control_scale.py
+++ b/tests/emberring/lab/test_tier_control_scale.py
@@ -15,7 +15,6 @@
 from emberring.lab.virtual_time import run_virtually
 from emberring.transport.messages import Ok
 
-
 VIRTUAL_S = 60.0  # of a clock that jumps
 
 
