Lab: both simulators shorten failing schedules with one search

Cause: the same loop stood in the simulators of lots and of the register. Change: one function, used by both; behaviour is the same.

--- a/emberring/lab/lots_simulator.py
+++ b/emberring/lab/lots_simulator.py
@@ -19,6 +19,7 @@
 from emberring.lab.lots_schedule import TROUBLE_S, Kind, Schedule, Step, Verdict, make_schedule
 from emberring.lab.lots_store import SYNC_S, StoreMachine
 from emberring.lab.lots_world import Weather, World
+from emberring.lab.shortening import fewest_steps
 from emberring.lots.placement import (
     Placement,
     PlanMemory,
@@ -365,16 +366,11 @@
 
 def shorten(verdict: Verdict, bugs: Bugs | None = None) -> Verdict:
     """The verdict of a schedule that fails with as few of this one's steps as leaving them out one by one gives."""
-    best = verdict
-    shorter = True
-    while shorter:
-        shorter = False
-        for index in range(len(best.schedule.steps) - 1, -1, -1):
-            steps = best.schedule.steps[:index] + best.schedule.steps[index + 1 :]
-            trial = play(attrs.evolve(best.schedule, steps=steps), bugs)
-            if trial.mistakes:
-                best, shorter = trial, True
-    return best
+    return fewest_steps(
+        verdict,
+        verdict.schedule.steps,
+        lambda steps: play(attrs.evolve(verdict.schedule, steps=steps), bugs),
+    )
 
 
 def check_lots(first_seed: int, seeds: int, bugs: Bugs | None = None) -> Iterator[Verdict]:
--- a/emberring/lab/register_simulator.py
+++ b/emberring/lab/register_simulator.py
@@ -12,6 +12,7 @@
 import attrs
 
 from emberring.lab.register_world import Bugs, Machine, Weather, World
+from emberring.lab.shortening import fewest_steps
 from emberring.register.keeper import PATIENCE, Patience
 from emberring.register.model import Proposal
 
@@ -398,16 +399,11 @@
 
 def shorten(verdict: Verdict, bugs: Bugs | None = None) -> Verdict:
     """The verdict of a schedule that fails with as few of this one's steps as leaving them out one by one gives."""
-    best = verdict
-    shorter = True
-    while shorter:
-        shorter = False
-        for index in range(len(best.schedule.steps) - 1, -1, -1):
-            steps = best.schedule.steps[:index] + best.schedule.steps[index + 1 :]
-            trial = play(attrs.evolve(best.schedule, steps=steps), bugs)
-            if trial.mistakes:
-                best, shorter = trial, True
-    return best
+    return fewest_steps(
+        verdict,
+        verdict.schedule.steps,
+        lambda steps: play(attrs.evolve(verdict.schedule, steps=steps), bugs),
+    )
 
 
 def check_register(first_seed: int, seeds: int, bugs: Bugs | None = None) -> Iterator[Verdict]:
