Register: a change that may have been taken never ends as refused

The change of the test raised on any value but the expected one, its own among them. The register's two users do not raise: they leave the value and judge the one that was chosen. Change: the contract of a change says that it may find its own effect; a refusal by a change that is in doubt ends as InDoubtError instead of as a certain refusal.

--- a/emberring/register/events.py
+++ b/emberring/register/events.py
@@ -11,7 +11,10 @@
 from emberring.register.model import Member
 
 Change = Callable[[bytes | None], bytes | None]
-"""From the present value to the next; None leaves it; an `EmberringError` refuses. May be called several times."""
+"""From the present value to the next; None leaves it; an `EmberringError` refuses.
+
+May be called several times, and may then find its own effect, which another node finished: it should know it and
+leave it (None). A refusal after an attempt that may have been taken reaches the caller as `InDoubtError`."""
 
 
 @attrs.frozen
--- a/emberring/register/jobs.py
+++ b/emberring/register/jobs.py
@@ -7,6 +7,8 @@
 from emberring.errors import EmberringError, InDoubtError, InternalError, NoQuorumError
 from emberring.register.events import Change, Resolve
 
+IN_DOUBT = "the change may or may not have been taken"
+
 
 @attrs.define(eq=False)
 class Job:
@@ -39,7 +41,7 @@
         try:
             changed = None if job.change is None else job.change(self.payload)
         except EmberringError as error:
-            return _Judgement(job, error=error)
+            return _Judgement(job, error=_certain(job, error))
         except Exception as error:  # a fault in the caller's function must not stop the register
             return _Judgement(job, error=InternalError(f"{type(error).__name__}: {error}"))
         if changed is not None:
@@ -67,8 +69,14 @@
         return [Resolve(found.job.number, found.payload, found.error) for found in self._judgements]
 
 
+def _certain(job: Job, refusal: EmberringError) -> EmberringError:
+    """A refusal says that nothing was changed. A job in doubt may have refused its own effect, which another
+    proposer finished."""
+    return InDoubtError(f"{IN_DOUBT}; now: {refusal.detail}") if job.in_doubt else refusal
+
+
 def give_up(job: Job) -> Resolve:
     """Its time has run out."""
     if job.in_doubt:
-        return Resolve(job.number, error=InDoubtError("the change may or may not have been taken"))
+        return Resolve(job.number, error=InDoubtError(IN_DOUBT))
     return Resolve(job.number, error=NoQuorumError("too few replicas answered in time"))
