Distribution: each server's calls are told seldom to many gateways, totals with each answer

More than eight gateways go by what is usual at a server, smoothed over 3 s, so they paid for word that they did not follow. Change: sums are made once for all who ask within 20 ms (more with thousands of servers) and smoothed at the control node; calls of none are left out; more than eight gateways ask for each server's calls once in 0.3 s for each eight of them, at most 3 s, and get them smoothed; the sum of a service comes with every answer, and the pool's thresholds go by it. Word of each server counts against the report that it holds. lab scale's gateways report 40 calls drawn over the servers in place of one at each server.

--- a/emberring/admission/admission.py
+++ b/emberring/admission/admission.py
@@ -10,6 +10,7 @@
 from emberring.admission.types import AdmissionSettings, CallInfo, CallOutcome, Decision, NoServer
 from emberring.configuration.model import Service
 from emberring.distribution.facts import ServerFact
+from emberring.distribution.load import KnownLoad
 
 
 def always_connected(server_id: str) -> bool:
@@ -39,17 +40,20 @@
         servers: Iterable[ServerFact],
         service_info: Mapping[str, Service],
         gateways: int,
-        load: Mapping[str, int],
+        load: KnownLoad,
     ) -> None:
         """The servers now known (draining ones may be among them; they get nothing new), the live gateways, and
-        the calls in flight per server over all gateways as control last told."""
+        the calls in flight over all gateways as control last told."""
+        gateways = max(1, gateways)
         by_service: dict[str, dict[str, ServerView]] = {}
         for fact in servers:
             pool = self._pools.get(fact.service)
             known = pool.servers.get(fact.id) if pool else None
             view = known or ServerView(fact, now_s)
             view.fact = fact
-            view.hear_others(now_s, max(0.0, load.get(fact.id, 0) - view.reported))
+            others = max(0.0, load.calls.get(fact.id, 0) - view.reported)
+            usual = load.usual.get(fact.id, 0.0) * (1.0 - 1.0 / gateways) if load.usual else None
+            view.hear_others(now_s, others, usual)
             by_service.setdefault(fact.service, {})[fact.id] = view
         for name in self._pools.keys() - by_service.keys():
             self._pools[name].servers = {}
@@ -58,14 +62,14 @@
                 self._pools[name] = Pool(self._settings, self._random, self._connected)
             pool = self._pools[name]
             pool.servers = views
-            pool.gateways = max(1, gateways)
+            pool.gateways = gateways
             service = service_info.get(name)
             for view in views.values():
                 if service is not None and service.max_connections > 0:
                     view.connections = max(1.0, service.max_connections / pool.gateways)
                 if service is not None and service.kv_cache_tokens > 0:
                     view.kv_tokens = float(service.kv_cache_tokens)
-            pool.told()
+            pool.told(load.totals.get(name))
 
     def offer(self, now_s: float, call: CallInfo) -> Decision:
         """Decide at once; an admitted call counts against its server from now on."""
@@ -111,12 +115,10 @@
         """This gateway's calls in flight."""
         return len(self._placed)
 
-    def in_flight(self) -> dict[str, int]:
-        """This gateway's calls in flight per server id, for `Follower.report` alone: what control tells later is
-        taken to hold these."""
+    def in_flight(self, word_follows: bool = True) -> dict[str, int]:
+        """This gateway's calls in flight per server id, for `Follower.report` alone. What control tells later is
+        taken to hold these: by service always, and by server if its word of each server follows."""
         report = {}
         for pool in self._pools.values():
-            for server_id, server in pool.servers.items():
-                server.reported = len(server.calls)
-                report[server_id] = server.reported
+            report.update(pool.report(word_follows))
         return report
--- a/emberring/admission/pool.py
+++ b/emberring/admission/pool.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from random import Random
 
 from emberring.admission import pacing
@@ -54,12 +54,34 @@
         self._connected = connected
         self._period_end_s = math.inf
         self._told_own = 0  # this gateway's calls when the others' were last told
+        self._reported = 0  # this gateway's calls when they were last reported
+        self._others: float | None = None  # all others' calls, where that is told
 
     # ------------------------------------------------------------- what is known
 
-    def told(self) -> None:
-        """The servers or the others' calls have just been set."""
+    def told(self, total: int | None = None) -> None:
+        """The servers or the others' calls have just been set; `total` is all gateways' calls, where it is told."""
         self._told_own = sum(len(server.calls) for server in self.servers.values())
+        self._others = None if total is None else max(0.0, total - self._reported)
+
+    def report(self, word_follows: bool) -> dict[str, int]:
+        """This gateway's calls by server id; the next word of each server's calls may hold them."""
+        calls = {server_id: len(server.calls) for server_id, server in self.servers.items()}
+        self._reported = sum(calls.values())
+        if word_follows:
+            for server_id, server in self.servers.items():
+                server.reported = calls[server_id]
+        return calls
+
+    def _others_at(self, servers: Sequence[ServerView]) -> float:
+        """The others' calls at these servers: their part by word of each, which may be seconds old, of all that
+        newer word of all servers together says."""
+        here = sum(server.others for server in servers)
+        if self._others is None:
+            return here
+        everywhere = sum(server.others for server in self.servers.values())
+        part = here / everywhere if everywhere > 0.0 else len(servers) / len(self.servers)
+        return self._others * part
 
     def advance(self, now_s: float) -> None:
         """Close the periods that have passed."""
@@ -119,9 +141,9 @@
         able = sound or ready
         return [one for one in able if len(one.calls) < one.connections and now_s >= one.full_until_s]
 
-    @staticmethod
-    def _fill(servers: list[ServerView]) -> float:
-        return sum(one.load for one in servers) / sum(one.capacity for one in servers)
+    def _fill(self, servers: list[ServerView]) -> float:
+        calls = sum(len(one.calls) for one in servers) + self._others_at(servers)
+        return calls / sum(one.capacity for one in servers)
 
     def _turned_away(self, call: CallInfo) -> bool:
         """The table's word: this gateway's calls in flight against the threshold of the call's row."""
@@ -150,7 +172,7 @@
         seconds. Even shares add up to the places whatever is known.
         """
         places = sum(server.capacity for server in servers) * self._batch_share()
-        told = self._told_own + sum(server.others for server in servers)
+        told = self._told_own + self._others_at(servers)
         free = places - told
         ahead = free if free <= 0.0 else max(1.0, BATCH_AHEAD * free / self.gateways)
         return min(self._told_own + ahead, max(1.0, places / self.gateways))
@@ -166,7 +188,7 @@
     def _live_threshold(self, servers: list[ServerView], priority: int) -> float:
         """The same for live calls: all that the others leave, and no less than an even share."""
         places = sum(server.capacity for server in servers) * (1.0 + self._settings.live_queue_share)
-        others = sum(server.others for server in servers)
+        others = self._others_at(servers)
         return max(places / self.gateways, places - others) * self.table.live_share(priority)
 
     def _retry_after_s(self) -> float:
@@ -178,7 +200,7 @@
         key = home_key(call.parts)
         homes = first_homes(key, [one.fact.id for one in servers], HOMES) if key is not None else []
         best: tuple[float, ServerView, float, float] | None = None
-        mean_others = sum(one.others for one in servers) / len(servers)
+        mean_others = self._others_at(servers) / len(servers)
         mean_waiting = self._others_waiting(now_s)
         for server in candidates(servers, homes, self._connected, self._random):
             to_read = tokens_to_read(call, server, homes, key)
--- a/emberring/admission/server.py
+++ b/emberring/admission/server.py
@@ -11,14 +11,13 @@
 from emberring.admission.prefixes import PrefixMemory
 from emberring.admission.types import CallInfo
 from emberring.distribution.facts import ServerFact
+from emberring.distribution.load import GATEWAYS_BY_WORD, USUAL_S
 
 DEFAULT_CAPACITY = 16
 SLOW_GAIN = 0.15  # smoothing of a server's waits over those expected
 SLOW_FORGET_S = 5.0  # a server that is not heard drifts back to the others at this pace
 SLOW_MOST = 8.0
 SLOW_CHANCE = 3.0  # times the wait expected that chance explains
-USUAL_S = 3.0  # over which the others' calls are smoothed: much longer than word of them takes
-FEW_GATEWAYS = 8  # so many may go by what was just told of a server without choosing the same one
 GAP_GAIN = 0.4  # smoothing of the pauses between events, which tell of prompts being read
 GAP_FORGET_S = 0.3
 
@@ -29,7 +28,7 @@
     Guard: word of them is up to a second old. Where many gateways went by it, all of them sent to the servers that
     had looked idle, by turns.
     """
-    return min(1.0, FEW_GATEWAYS / gateways)
+    return min(1.0, GATEWAYS_BY_WORD / gateways)
 
 
 @attrs.define(eq=False)
@@ -82,9 +81,11 @@
         """Requests that it works on at once."""
         return self.fact.capacity or DEFAULT_CAPACITY
 
-    def hear_others(self, now_s: float, calls: float) -> None:
-        """The others' calls there, as control told them."""
-        if self.others_s == -math.inf:
+    def hear_others(self, now_s: float, calls: float, usual: float | None = None) -> None:
+        """The others' calls there, as control told them; they are smoothed here unless what is usual was told."""
+        if usual is not None:
+            self.others_usual = usual
+        elif self.others_s == -math.inf:
             self.others_usual = calls
         else:
             kept = math.exp((self.others_s - now_s) / USUAL_S)
--- a/emberring/control/board.py
+++ b/emberring/control/board.py
@@ -3,11 +3,12 @@
 from __future__ import annotations
 
 import functools
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Mapping
 
 from emberring.configuration.state import ControlState
+from emberring.control.load_ledger import LoadLedger
 from emberring.control.signal import Signal
-from emberring.distribution.contacts import Contacts, summed
+from emberring.distribution.contacts import Contacts
 from emberring.distribution.facts import NodeFact, NodeRole, ServerFact
 from emberring.distribution.facts_store import FactStore
 from emberring.distribution.messages import Delta, Exchange, Exchanged
@@ -33,6 +34,7 @@
         self.peers = PeerTable(me, seeds)
         self.contacts = Contacts()
         self.registry = ServerRegistry(now_s, heartbeat_s)
+        self.load = LoadLedger(self._told_loads, self.store.servers)
         self.quorum_age_s: Callable[[], float] = lambda: 0.0
         self._news = Signal()
         self._exchanges = Signal()
@@ -97,15 +99,17 @@
         live = self.store.live_nodes(self.live_origins(now_s), (NodeRole.GATEWAY,))
         return max(1, sum(1 for fact in live.values() if not fact.leaving))
 
-    def load(self, now_s: float) -> dict[str, int]:
-        """Calls in flight by server id, over all gateways."""
-        return summed([self.contacts.load(now_s), *self.peers.loads(now_s)])
+    def _told_loads(self, now_s: float) -> list[Mapping[str, int]]:
+        """Calls in flight by server id, as this node and the other control nodes were told."""
+        return [self.contacts.load(now_s), *self.peers.loads(now_s)]
 
     # -- nodes
 
-    def node_called(self, now_s: float, fact: NodeFact, load: dict[str, int]) -> None:
+    def node_called(
+        self, now_s: float, fact: NodeFact, load: dict[str, int], tells_load: bool = False
+    ) -> None:
         """A gateway or store pulled."""
-        if self.contacts.note(now_s, fact, load):
+        if self.contacts.note(now_s, fact, load, tells_load):
             self._state_node(now_s, fact, present=True)
 
     def _state_node(self, now_s: float, fact: NodeFact, present: bool) -> None:
--- a/emberring/control/feed.py
+++ b/emberring/control/feed.py
@@ -25,7 +25,7 @@
     async def on_pull(self, pull: Pull, caller: Caller) -> Update:
         """The answer to a pull."""
         loop = asyncio.get_running_loop()
-        self._board.node_called(loop.time(), pull.me, pull.load)
+        self._board.node_called(loop.time(), pull.me, pull.load, pull.tells_load)
         give_up_at = loop.time() + min(LONGEST_WAIT_S, pull.wait_ms / 1000)
         while True:
             left_s = give_up_at - loop.time()
@@ -48,6 +48,7 @@
         state = board.state
         placement = state.placement
         newer_placement = placement is not None and placement.epoch > pull.placement_epoch
+        routing = pull.me.role is NodeRole.GATEWAY
         return Update(
             origin=board.me.incarnation,
             quorum_age_ms=min(NEVER_MS, board.quorum_age_s() * 1000),
@@ -57,6 +58,8 @@
             configuration_version=state.version,
             configuration=state.packed if state.version > pull.configuration_version else None,
             placement=placement if newer_placement else None,
-            server_load=board.load(now_s) if pull.me.role is NodeRole.GATEWAY else {},
+            server_load=board.load.calls(now_s) if routing and pull.load_wanted else {},
             controls=board.peers.addresses(),
+            usual_load=board.load.usual(now_s) if routing and pull.usual_wanted else {},
+            service_load=board.load.totals(now_s) if routing else {},
         )
--- /dev/null
+++ b/emberring/control/load_ledger.py
@@ -0,0 +1,75 @@
+"""The sums of calls in flight that a control node tells: by server, smoothed, and by service. No sockets.
+
+Every gateway asks some times a second, and each sum is over all servers: they are made once for all who ask within a
+short time, which grows with the number of servers.
+"""
+
+from __future__ import annotations
+
+import math
+from collections import Counter
+from collections.abc import Callable, Iterable, Mapping
+
+from emberring.distribution.contacts import summed
+from emberring.distribution.facts import ServerFact
+from emberring.distribution.load import USUAL_S
+
+KEPT_S = 0.02  # the least time for which sums hold,
+KEPT_EACH_S = 25e-6  # and more for each server with calls, so that summing takes a few hundredths of a core
+NEGLIGIBLE = 0.05  # smoothed calls that are as good as none
+
+Loads = Callable[[float], Iterable[Mapping[str, int]]]
+"""At a time, what the sources have told: calls in flight by server id."""
+
+
+class LoadLedger:
+    """Sums over what `loads` gives; `servers` are the known servers by id."""
+
+    def __init__(self, loads: Loads, servers: Callable[[], Mapping[str, ServerFact]]) -> None:
+        self._loads = loads
+        self._servers = servers
+        self._at_s = -math.inf
+        self._calls: dict[str, int] = {}
+        self._usual: dict[str, float] = {}
+        self._totals: dict[str, int] = {}
+
+    def calls(self, now_s: float) -> dict[str, int]:
+        """Calls in flight by server id; servers without any are left out."""
+        self._refresh(now_s)
+        return self._calls
+
+    def usual(self, now_s: float) -> dict[str, float]:
+        """The same, smoothed, to tenths."""
+        self._refresh(now_s)
+        return {server_id: round(calls, 1) for server_id, calls in self._usual.items()}
+
+    def totals(self, now_s: float) -> dict[str, int]:
+        """Calls in flight by service."""
+        self._refresh(now_s)
+        return self._totals
+
+    def _refresh(self, now_s: float) -> None:
+        age_s = now_s - self._at_s
+        if age_s < max(KEPT_S, KEPT_EACH_S * len(self._calls)):
+            return
+        self._at_s = now_s
+        calls = summed(self._loads(now_s))
+        self._calls = {server_id: count for server_id, count in calls.items() if count}
+        self._smooth(age_s)
+        self._totals = self._by_service()
+
+    def _smooth(self, age_s: float) -> None:
+        kept = math.exp(-age_s / USUAL_S)
+        smoothed = {server_id: kept * usual for server_id, usual in self._usual.items()}
+        for server_id, count in self._calls.items():
+            smoothed[server_id] = smoothed.get(server_id, 0.0) + (1.0 - kept) * count
+        self._usual = {server_id: usual for server_id, usual in smoothed.items() if usual >= NEGLIGIBLE}
+
+    def _by_service(self) -> dict[str, int]:
+        servers = self._servers()
+        totals: Counter[str] = Counter()
+        for server_id, count in self._calls.items():
+            fact = servers.get(server_id)
+            if fact is not None:
+                totals[fact.service] += count
+        return dict(totals)
--- a/emberring/control/status_page.py
+++ b/emberring/control/status_page.py
@@ -22,7 +22,7 @@
         where it never was."""
         board = self._board
         age_s = board.quorum_age_s()
-        load = board.load(now_s)
+        load = board.load.calls(now_s)
         shown = {
             "Node": board.me.name,
             "MajorityAgeS": round(age_s, 3) if age_s < float("inf") else None,
--- a/emberring/distribution/contacts.py
+++ b/emberring/distribution/contacts.py
@@ -32,9 +32,9 @@
         self._contacts: dict[str, _Contact] = {}
         self._loads: dict[str, _Load] = {}
 
-    def note(self, now_s: float, fact: NodeFact, load: Mapping[str, int]) -> bool:
-        """A node called; whether this says anything new about it."""
-        if load:
+    def note(self, now_s: float, fact: NodeFact, load: Mapping[str, int], tells_load: bool = False) -> bool:
+        """A node called; whether this says anything new about it. An empty load counts if it `tells_load`."""
+        if load or tells_load:
             self._loads[fact.name] = _Load(load, now_s)
         contact = self._contacts.get(fact.name)
         if contact is None:
--- a/emberring/distribution/follower.py
+++ b/emberring/distribution/follower.py
@@ -11,6 +11,7 @@
 
 from emberring.configuration.model import Configuration
 from emberring.distribution.facts import NodeFact, ServerFact
+from emberring.distribution.load import NO_LOAD, KnownLoad, WordSchedule
 from emberring.distribution.messages import Pull, Update
 from emberring.distribution.sources import SourceChoice
 from emberring.distribution.view import FollowerView
@@ -33,18 +34,20 @@
 
     `configuration` never goes back to an older version and is None until one chosen by a quorum is known;
     `servers` has those that serve or drain, `nodes` the live stores and control nodes by name. All of it stays as
-    it is while no control node answers. `report` may return the calls in flight by server id; `server_load` is
-    their sum over all gateways. `me` may be replaced at any time, e.g. to say that this node is leaving.
+    it is while no control node answers. `report` may return the calls in flight by server id, and is told whether
+    the next word of each server's calls will hold them; `load` is their sum over all gateways. `me` may be replaced
+    at any time, e.g. to say that this node is leaving.
     """
 
     def __init__(self, network: Network, me: NodeFact, seeds: Sequence[str]) -> None:
         self.me = me
-        self.report: Callable[[], dict[str, int]] | None = None
+        self.report: Callable[[bool], dict[str, int]] | None = None
         self._network = network
         self._view: FollowerView | None = None
         self._sources = SourceChoice(seeds, random.Random(f"{me.name}/{me.incarnation}"))
         self._callbacks: list[Callable[[], None]] = []
         self._tasks: list[asyncio.Task[None]] = []
+        self._word = WordSchedule()
 
     async def start(self) -> None:
         """Begin to pull; returns at once."""
@@ -87,9 +90,9 @@
         return self._view.placement if self._view is not None else None
 
     @property
-    def server_load(self) -> dict[str, int]:
-        """Calls in flight by server id, summed over all gateways as last told."""
-        return self._view.server_load if self._view is not None else {}
+    def load(self) -> KnownLoad:
+        """Calls in flight over all gateways, as last told."""
+        return self._view.load if self._view is not None else NO_LOAD
 
     @property
     def in_contact(self) -> bool:
@@ -118,18 +121,11 @@
 
     async def _pull_once(self, slot: int, address: str) -> None:
         loop = asyncio.get_running_loop()
-        report = self.report
-        wait_s = WAIT_S if report is None else REPORT_WAIT_S
         view = self._view
         assert view is not None
-        pull = Pull(
-            me=self.me,
-            vector=dict(view.store.vector),
-            configuration_version=view.configuration_version,
-            placement_epoch=view.placement_epoch,
-            wait_ms=int(wait_s * 1000) if self._sources.settled(address) else 0,
-            load=report() if report is not None and slot == 0 else {},
-        )
+        asked_s = loop.time()
+        wait_s = WAIT_S if self.report is None else REPORT_WAIT_S
+        pull = self._question(asked_s, view, slot, wait_s if self._sources.settled(address) else 0.0)
         try:
             update = await self._network.call(address, pull, Update, wait_s + REPLY_SLACK_S)
         except EmberringError as error:
@@ -137,12 +133,31 @@
             logger.debug("event=pull_failed address=%s error=%s", address, error.detail)
             return
         self._sources.answered(loop.time(), address, update.quorum_age_ms / 1000)
-        if self._take(loop.time(), view, update):
+        self._sources.note(update.controls)
+        if pull.load_wanted:
+            self._word.answered(asked_s)
+        if view.take(loop.time(), update, pull.load_wanted):
             self._tell()
 
-    def _take(self, now_s: float, view: FollowerView, update: Update) -> bool:
-        self._sources.note(update.controls)
-        return view.take(now_s, update)
+    def _question(self, now_s: float, view: FollowerView, slot: int, wait_s: float) -> Pull:
+        """What to ask a control node. The first of the two is told this node's calls, and asked for all others'
+        where these are asked for seldom; an answer of the other would be counted against another report."""
+        report = self.report
+        by_usual = self._word.by_usual(view.gateways)
+        asking = report is not None and (slot == 0 or not by_usual)
+        wanted = asking and self._word.due(now_s, view.gateways)
+        told = report(wanted) if report is not None and slot == 0 else None
+        return Pull(
+            me=self.me,
+            vector=dict(view.store.vector),
+            configuration_version=view.configuration_version,
+            placement_epoch=view.placement_epoch,
+            wait_ms=int(wait_s * 1000),
+            load={server_id: calls for server_id, calls in told.items() if calls} if told else {},
+            tells_load=told is not None,
+            load_wanted=wanted,
+            usual_wanted=wanted and by_usual,
+        )
 
     def _tell(self) -> None:
         for callback in self._callbacks:
--- a/emberring/distribution/messages.py
+++ b/emberring/distribution/messages.py
@@ -50,7 +50,9 @@
 @attrs.frozen
 class Pull:
     """A gateway or store asks a control node for what it lacks. The answer is held back up to `wait_ms` until
-    there is something. `load` is the asker's calls in flight by server id; only one control node is told."""
+    there is something. `load` is the asker's calls in flight by server id, those with none left out; only one
+    control node is told (`tells_load`). `load_wanted` asks for the calls of all gateways at each server, and
+    `usual_wanted` for the same smoothed."""
 
     me: NodeFact
     vector: dict[str, int]
@@ -58,6 +60,9 @@
     placement_epoch: int = 0
     wait_ms: int = 0
     load: dict[str, int] = attrs.field(factory=dict)
+    tells_load: bool = False
+    load_wanted: bool = True
+    usual_wanted: bool = False
 
 
 @message("distribution.update")
@@ -65,7 +70,9 @@
 class Update:
     """The answer to a pull. `quorum_age_ms` is how long ago this control node was in contact with a majority;
     `configuration` is the compressed document of `configuration_version` if that is newer than the asker's.
-    `controls` are the addresses of all control nodes that this one has heard of, also of those it can't reach."""
+    `controls` are the addresses of all control nodes that this one has heard of, also of those it can't reach.
+    Calls in flight over all gateways: `service_load` by service, and as far as they were asked for by server
+    `server_load` and, smoothed, `usual_load`; what has none is left out."""
 
     origin: str
     quorum_age_ms: float
@@ -77,6 +84,8 @@
     placement: Placement | None = None
     server_load: dict[str, int] = attrs.field(factory=dict)
     controls: tuple[str, ...] = ()
+    usual_load: dict[str, float] = attrs.field(factory=dict)
+    service_load: dict[str, int] = attrs.field(factory=dict)
 
 
 @message("distribution.exchange")
--- a/emberring/gateway/role.py
+++ b/emberring/gateway/role.py
@@ -117,7 +117,7 @@
             self.book.usable(),
             services,
             follower.gateway_count,
-            follower.server_load,
+            follower.load,
         )
         self.book.forget_absent()
         self.executor.forget_absent(set(follower.servers))
--- a/emberring/lab/admission_baselines.py
+++ b/emberring/lab/admission_baselines.py
@@ -12,6 +12,7 @@
 from emberring.admission import Admitted, CallInfo, CallOutcome, Decision, NoServer, Refused
 from emberring.configuration.model import Service
 from emberring.distribution.facts import ServerFact, ServerState
+from emberring.distribution.load import KnownLoad
 
 
 class Policy(Protocol):
@@ -23,7 +24,7 @@
         servers: Iterable[ServerFact],
         service_info: Mapping[str, Service],
         gateways: int,
-        load: Mapping[str, int],
+        load: KnownLoad,
     ) -> None:
         """The servers that are known now."""
 
@@ -71,7 +72,7 @@
         servers: Iterable[ServerFact],
         service_info: Mapping[str, Service],
         gateways: int,
-        load: Mapping[str, int],
+        load: KnownLoad,
     ) -> None:
         """The servers that are known now."""
         ready = [fact for fact in servers if fact.state is ServerState.READY]
--- a/emberring/lab/admission_simulator.py
+++ b/emberring/lab/admission_simulator.py
@@ -17,6 +17,7 @@
 from emberring.admission import Admitted, AttemptBudget, CallInfo, CallOutcome, PrefixPart, Refused
 from emberring.configuration.model import Service
 from emberring.distribution.facts import ServerFact, ServerState
+from emberring.distribution.load import KnownLoad
 from emberring.lab.admission_baselines import Policy
 from emberring.lab.admission_parts import Attempt, Request, Server
 from emberring.lab.admission_site import Burst, Crash, Site
@@ -135,7 +136,7 @@
             for name, calls in report.items():
                 sums[name] = sums.get(name, 0) + calls
         self.policies[index].set_servers(
-            self.now_ms / 1000.0, facts, {SERVICE: info}, len(self.policies), sums
+            self.now_ms / 1000.0, facts, {SERVICE: info}, len(self.policies), KnownLoad(sums)
         )
 
     def _report(self, index: int) -> None:
--- a/emberring/lab/control_scale.py
+++ b/emberring/lab/control_scale.py
@@ -9,7 +9,9 @@
 
 import asyncio
 import math
+import random
 import statistics
+from collections import Counter
 from collections.abc import Callable, Sequence
 
 import attrs
@@ -44,6 +46,7 @@
     servers: int
     controls: int = 3
     routes: int = 20
+    calls: int = 40  # in flight at each gateway
 
 
 @attrs.frozen
@@ -90,15 +93,18 @@
 class _Gateway:
     """The part of a gateway that follows the control nodes."""
 
-    def __init__(self, hub: dict[str, HollowNetwork], number: int, seeds: Sequence[str]) -> None:
+    def __init__(self, hub: dict[str, HollowNetwork], number: int, seeds: Sequence[str], calls: int) -> None:
         me = NodeFact(f"edge-{number}", NodeRole.GATEWAY, f"edge-{number}:1", "zone-0", "", f"{number}.1")
         self.network = HollowNetwork(hub, me.address)
         self.follower = Follower(self.network, me, seeds)
-        self.follower.report = self._calls
+        self.follower.report = self._report
+        self._calls = calls
+        self._random = random.Random(number)
 
-    def _calls(self) -> dict[str, int]:
-        """As a gateway's admission tells it: every server that it knows."""
-        return dict.fromkeys(self.follower.servers, 1)
+    def _report(self, word_follows: bool) -> dict[str, int]:
+        """As a gateway's admission tells it: its calls, each at a server drawn from those it knows."""
+        servers = list(self.follower.servers)
+        return dict(Counter(self._random.choices(servers, k=self._calls))) if servers else {}
 
     def start(self) -> None:
         self.network.start(self.follower.start())
@@ -110,7 +116,7 @@
         hub: dict[str, HollowNetwork] = {}
         seeds = [f"core-{number}:1" for number in range(size.controls)]
         self.controls = [_Control(hub, number, seeds) for number in range(size.controls)]
-        self.gateways = [_Gateway(hub, number, seeds) for number in range(size.gateways)]
+        self.gateways = [_Gateway(hub, number, seeds, size.calls) for number in range(size.gateways)]
         self.draining = False  # whether the first server is about to end
         self._sequence = 0
 
--- a/tests/emberring/admission/test_tier_admission.py
+++ b/tests/emberring/admission/test_tier_admission.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import attrs
 import pytest
 
 from emberring.admission import (
@@ -15,6 +16,7 @@
 )
 from emberring.configuration.model import Service
 from emberring.distribution.facts import ServerFact, ServerState
+from emberring.distribution.load import NO_LOAD, KnownLoad
 
 SERVICES = {"llm": Service("llm", max_connections=200, capacity=8, kv_cache_tokens=100_000, stride=20)}
 
@@ -25,7 +27,7 @@
 
 def admission_of(*facts: ServerFact) -> Admission:
     admission = Admission(AdmissionSettings(), seed=1)
-    admission.set_servers(0.0, facts, SERVICES, 1, {})
+    admission.set_servers(0.0, facts, SERVICES, 1, NO_LOAD)
     return admission
 
 
@@ -76,7 +78,7 @@
     facts = [fact(f"s{number}") for number in range(servers)]
     gateways = [Admission(AdmissionSettings(), seed=number) for number in range(GATEWAYS)]
     for one in gateways:
-        one.set_servers(0.0, facts, SERVICES, GATEWAYS, {})
+        one.set_servers(0.0, facts, SERVICES, GATEWAYS, NO_LOAD)
     return gateways, facts
 
 
@@ -95,7 +97,7 @@
     taken = 0
     for round_number in range(10):  # each round tells the gateways anew, and each time of no one else's calls
         for number, gateway in enumerate(gateways):
-            gateway.set_servers(0.0, facts, SERVICES, GATEWAYS, {})
+            gateway.set_servers(0.0, facts, SERVICES, GATEWAYS, NO_LOAD)
             taken += take_items(gateway, f"{number}/{round_number}", 0.0)
     places = 12 * 8
     assert 0.7 * places <= taken <= places
@@ -123,6 +125,42 @@
     assert gateway.batch_room(0.02) == 1
 
 
+def test_word_of_each_server_counts_against_the_report_that_it_holds() -> None:
+    admission = admission_of(fact("s1"), fact("s2"))
+    for number in range(4):
+        assert isinstance(admission.offer(0.0, call(f"c{number}")), Admitted)
+    admission.in_flight(word_follows=True)
+    word = KnownLoad({"s1": 4, "s2": 4}, {}, {"llm": 8})
+    admission.set_servers(0.1, [fact("s1"), fact("s2")], SERVICES, 2, word)
+    others = [view.others for view in admission._pools["llm"].servers.values()]
+    assert sum(others) == 4
+    for number in range(4):
+        admission.finished(0.2, f"c{number}", CallOutcome.COMPLETED)
+    admission.in_flight(word_follows=False)  # the same word stands beside a newer report
+    admission.set_servers(0.3, [fact("s1"), fact("s2")], SERVICES, 2, attrs.evolve(word, totals={"llm": 4}))
+    assert [view.others for view in admission._pools["llm"].servers.values()] == others
+
+
+@pytest.mark.parametrize(("total", "most"), [(0, 24), (12, 12), (24, 2), (40, 2)])
+def test_items_go_by_the_newest_total_where_word_of_each_server_is_old(total: int, most: int) -> None:
+    facts = [fact("s1"), fact("s2"), fact("s3")]
+    admission = Admission(AdmissionSettings(), seed=1)
+    admission.in_flight()
+    word = KnownLoad({"s1": 0, "s2": 0, "s3": 0}, {}, {"llm": total})
+    admission.set_servers(0.0, facts, SERVICES, 1, word)
+    taken = take_items(admission, "b", 0.0)
+    assert most - 6 <= taken <= most
+
+
+def test_what_is_usual_is_taken_as_told() -> None:
+    admission = Admission(AdmissionSettings(), seed=1)
+    word = KnownLoad({"s1": 0}, {"s1": 6.0}, {})
+    admission.set_servers(0.0, [fact("s1")], SERVICES, 60, word)
+    view = admission._pools["llm"].servers["s1"]
+    assert view.others_usual == pytest.approx(6.0 * 59 / 60)  # without this gateway's part
+    assert view.likely_load(60) > 5.0
+
+
 def test_a_gateway_alone_uses_the_places_of_lots() -> None:
     admission = admission_of(fact("s1"), fact("s2"))
     assert take_items(admission, "b", 0.0) >= 0.8 * 16
@@ -159,7 +197,7 @@
     near = ServerFact("near", "llm", "10.0.0.1:1", "here", 8, ServerState.READY, 1)
     far = ServerFact("far", "llm", "10.0.0.1:2", "there", 8, ServerState.READY, 1)
     admission = Admission(AdmissionSettings(zone="here"), seed=1)
-    admission.set_servers(0.0, (far, near), SERVICES, 1, {})
+    admission.set_servers(0.0, (far, near), SERVICES, 1, NO_LOAD)
     decisions = [admission.offer(0.0, call(f"c{number}")) for number in range(4)]
     assert decisions[0] == Admitted("near")
     assert Admitted("far") in decisions
@@ -168,7 +206,7 @@
 def test_a_server_with_a_resting_connection_comes_first_until_it_is_busier() -> None:
     facts = [fact(f"s{number}") for number in range(6)]
     admission = Admission(AdmissionSettings(), seed=1, connected=lambda server_id: server_id == "s4")
-    admission.set_servers(0.0, facts, SERVICES, 1, {})
+    admission.set_servers(0.0, facts, SERVICES, 1, NO_LOAD)
     decisions = [admission.offer(0.0, call(f"c{number}")) for number in range(6)]
     assert decisions[0] == Admitted("s4")
     assert any(decision != Admitted("s4") for decision in decisions)
--- a/tests/emberring/admission/test_tier_admission_machine.py
+++ b/tests/emberring/admission/test_tier_admission_machine.py
@@ -18,6 +18,7 @@
 )
 from emberring.configuration.model import Service
 from emberring.distribution.facts import ServerFact, ServerState
+from emberring.distribution.load import NO_LOAD
 
 CAPACITY, CONNECTIONS = 4, 40
 NAMES = ("s1", "s2", "s3", "s4")
@@ -56,7 +57,7 @@
         facts = [
             ServerFact(name, "llm", name, "z", CAPACITY, state, 1) for name, state in self.states.items()
         ]
-        self.admission.set_servers(self.now_s, facts, SERVICES, 1, {})
+        self.admission.set_servers(self.now_s, facts, SERVICES, 1, NO_LOAD)
 
     @rule(seconds=st.sampled_from((0.0, 0.001, 0.02, 0.3, 5.0)))
     def wait(self, seconds: float) -> None:
--- a/tests/emberring/admission/test_tier_candidates.py
+++ b/tests/emberring/admission/test_tier_candidates.py
@@ -11,6 +11,7 @@
 from emberring.admission.candidates import ALL_RANKED, DRAWN_ANY, DRAWN_CONNECTED, candidates
 from emberring.admission.server import ServerView
 from emberring.distribution.facts import ServerFact, ServerState
+from emberring.distribution.load import KnownLoad
 
 
 def fact(number: int) -> ServerFact:
@@ -60,7 +61,7 @@
     chosen: Counter[str] = Counter()
     for seed in range(200):
         admission = Admission(AdmissionSettings(), seed=seed, connected=never)
-        admission.set_servers(0.0, facts, {}, 200, told)
+        admission.set_servers(0.0, facts, {}, 200, KnownLoad(told))
         decision = admission.offer(0.0, CallInfo("c", "llm", "r", tokens_in=500, tokens_out=100))
         assert isinstance(decision, Admitted)
         chosen[decision.server_id] += 1
@@ -70,7 +71,7 @@
 def test_a_server_full_of_the_others_calls_is_left_alone() -> None:
     facts = [fact(number) for number in range(6)]
     admission = Admission(AdmissionSettings(), seed=1)
-    admission.set_servers(0.0, facts, {}, 75, {one.id: 4 for one in facts} | {"s0": 14})
+    admission.set_servers(0.0, facts, {}, 75, KnownLoad({one.id: 4 for one in facts} | {"s0": 14}))
     for number in range(12):
         decision = admission.offer(0.0, CallInfo(f"c{number}", "llm", "r", tokens_in=500, tokens_out=100))
         assert isinstance(decision, Admitted)
--- a/tests/emberring/admission/test_tier_failures.py
+++ b/tests/emberring/admission/test_tier_failures.py
@@ -7,6 +7,7 @@
 from emberring.admission import Admission, AdmissionSettings, Admitted, CallInfo, CallOutcome
 from emberring.admission.failures import CHANCE, FailureShare
 from emberring.distribution.facts import ServerFact, ServerState
+from emberring.distribution.load import NO_LOAD
 
 GREY = "grey"
 BAD = (CallOutcome.FAILED, CallOutcome.BROKEN)
@@ -63,7 +64,7 @@
         for port, name in enumerate((GREY, "good-1", "good-2"), start=1)
     ]
     admission = Admission(AdmissionSettings(), seed=3)
-    admission.set_servers(0.0, facts, {}, 1, {})
+    admission.set_servers(0.0, facts, {}, 1, NO_LOAD)
     troubled = play(admission, 0, 900, bad)
     assert 0 < troubled.count(GREY) < 900 / 3 / 4
     play(admission, 900, 600, None)
--- a/tests/emberring/admission/test_tier_many_gateways.py
+++ b/tests/emberring/admission/test_tier_many_gateways.py
@@ -8,8 +8,9 @@
 import pytest
 
 from emberring.admission import Admission, AdmissionSettings, Admitted, CallInfo, CallOutcome
-from emberring.admission.server import FEW_GATEWAYS, USUAL_S, ServerView
+from emberring.admission.server import ServerView
 from emberring.distribution.facts import ServerFact, ServerState
+from emberring.distribution.load import GATEWAYS_BY_WORD, USUAL_S, KnownLoad
 
 GATEWAYS, SERVERS, PLACES = 50, 36, 12
 STEP_S = 0.01
@@ -26,7 +27,7 @@
     view = ServerView(fact(1), 0.0)
     view.hear_others(0.0, 2.0)
     view.hear_others(0.1, 9.0)
-    assert view.likely_load(FEW_GATEWAYS) == pytest.approx(9.0)
+    assert view.likely_load(GATEWAYS_BY_WORD) == pytest.approx(9.0)
 
 
 def test_many_gateways_go_by_what_is_usual_and_follow_it() -> None:
@@ -75,7 +76,7 @@
         while len(self.told) > 1 and self.told[1][0] <= now_s - TOLD_AFTER_S:
             self.told.popleft()
         for gateway in self.gateways:
-            gateway.set_servers(now_s, self.facts, {}, GATEWAYS, self.told[0][1])
+            gateway.set_servers(now_s, self.facts, {}, GATEWAYS, KnownLoad(self.told[0][1]))
 
 
 @pytest.mark.parametrize("seed", [1, 2])
--- a/tests/emberring/control/test_tier_control_node.py
+++ b/tests/emberring/control/test_tier_control_node.py
@@ -62,11 +62,11 @@
             AFollower(cluster.seeds, "edge-2") as second,
             AFollower(cluster.seeds, "store-1", NodeRole.STORE) as store,
         ):
-            first.report = lambda: {"i-1": 2}
-            second.report = lambda: {"i-1": 3, "i-2": 1}
+            first.report = lambda word_follows: {"i-1": 2}
+            second.report = lambda word_follows: {"i-1": 3, "i-2": 1}
             wanted = {"core-0", "core-1", "core-2", "store-1"}
             await eventually(lambda: set(first.nodes) == wanted and set(store.nodes) == wanted)
             await eventually(lambda: first.gateway_count == 2 and second.gateway_count == 2)
-            await eventually(lambda: first.server_load == {"i-1": 5, "i-2": 1})
+            await eventually(lambda: first.load.calls == {"i-1": 5, "i-2": 1})
 
     on_cluster(scenario)
--- a/tests/emberring/distribution/test_tier_follower_view.py
+++ b/tests/emberring/distribution/test_tier_follower_view.py
@@ -193,7 +193,7 @@
 def test_loads_are_taken_without_waking_anybody() -> None:
     view, control = FollowerView(0.0), AControl()
     assert not control.tell(view, 0.1, server_load={"i": 3})
-    assert view.server_load == {"i": 3}
+    assert view.load.calls == {"i": 3}
 
 
 # -- contacts
--- /dev/null
+++ b/tests/emberring/distribution/test_tier_load.py
@@ -0,0 +1,185 @@
+"""Calls in flight: the sums control tells, how often each server's are asked for, what a follower keeps."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Mapping
+
+import pytest
+
+from emberring.control.load_ledger import NEGLIGIBLE, LoadLedger
+from emberring.distribution.contacts import Contacts
+from emberring.distribution.facts import NodeFact, NodeRole, ServerFact, ServerState
+from emberring.distribution.follower import Follower
+from emberring.distribution.load import (
+    GATEWAYS_BY_WORD,
+    USUAL_S,
+    WORD_EVERY_MOST_S,
+    WORD_EVERY_S,
+    KnownLoad,
+    WordSchedule,
+)
+from emberring.distribution.messages import Delta, Pull, Update
+from emberring.distribution.view import FollowerView
+from emberring.lab.hollow_network import HollowNetwork
+from emberring.lab.virtual_time import run_virtually
+from emberring.transport.network import Caller
+
+
+def server(name: str, service: str) -> ServerFact:
+    return ServerFact(name, service, f"{name}:1", "z", 12, ServerState.READY, 1)
+
+
+class Sources:
+    """What two sources told, which a test may change."""
+
+    def __init__(self, *loads: Mapping[str, int]) -> None:
+        self.loads = list(loads)
+        self.asked = 0
+        servers = {name: server(name, service) for name, service in (("a", "x"), ("b", "x"), ("c", "y"))}
+        self.ledger = LoadLedger(self._told, lambda: servers)
+
+    def _told(self, now_s: float) -> list[Mapping[str, int]]:
+        self.asked += 1
+        return self.loads
+
+
+def test_sums_by_server_and_service_leave_out_what_has_none() -> None:
+    sources = Sources({"a": 2, "b": 0}, {"a": 1, "c": 4, "unknown": 7})
+    assert sources.ledger.calls(1.0) == {"a": 3, "c": 4, "unknown": 7}
+    assert sources.ledger.totals(1.0) == {"x": 3, "y": 4}
+
+
+def test_all_who_ask_within_a_short_time_get_the_same_sums() -> None:
+    sources = Sources({"a": 2})
+    for _ in range(5):
+        sources.ledger.calls(1.0)
+        sources.ledger.totals(1.01)
+        sources.ledger.usual(1.01)
+    assert sources.asked == 1
+    sources.loads = [{"a": 5}]
+    assert sources.ledger.calls(1.03) == {"a": 5}
+
+
+def test_sums_over_many_servers_are_made_less_often() -> None:
+    sources = Sources({f"s{number}": 1 for number in range(12_000)})
+    sources.ledger.calls(1.0)
+    sources.ledger.calls(1.25)
+    assert sources.asked == 1
+    sources.ledger.calls(1.35)
+    assert sources.asked == 2
+
+
+def test_usual_calls_follow_over_seconds_and_end() -> None:
+    sources = Sources({"a": 8})
+    for step in range(200):
+        sources.ledger.usual(step * 0.1)
+    assert sources.ledger.usual(20.0) == {"a": pytest.approx(8.0, abs=0.1)}
+    sources.loads = [{}]
+    assert sources.ledger.usual(20.0 + USUAL_S)["a"] == pytest.approx(8.0 / 2.718, abs=0.1)
+    assert sources.ledger.usual(21.0 + 8 * USUAL_S) == {}
+    assert NEGLIGIBLE < 0.1
+
+
+def test_an_empty_load_counts_only_from_who_tells_loads() -> None:
+    contacts = Contacts()
+    fact = NodeFact("edge-1", NodeRole.GATEWAY, "10.0.0.2:70", "zone")
+    contacts.note(0.0, fact, {"i": 1}, True)
+    contacts.note(0.1, fact, {}, False)
+    assert contacts.load(0.2) == {"i": 1}
+    contacts.note(0.3, fact, {}, True)
+    assert contacts.load(0.4) == {}
+
+
+@pytest.mark.parametrize(
+    ("gateways", "every_s"),
+    [(1, 0.0), (GATEWAYS_BY_WORD, 0.0), (16, 2 * WORD_EVERY_S), (75, 75 / 8 * WORD_EVERY_S), (410, 3.0)],
+)
+def test_each_servers_calls_are_asked_for_less_often_by_many(gateways: int, every_s: float) -> None:
+    schedule = WordSchedule()
+    assert schedule.due(10.0, gateways)
+    schedule.answered(10.0)
+    assert every_s <= WORD_EVERY_MOST_S
+    assert schedule.due(10.0 + every_s + 0.001, gateways)
+    assert schedule.due(10.0 + every_s - 0.01, gateways) == (every_s == 0.0)
+    assert WordSchedule.by_usual(gateways) == (gateways > GATEWAYS_BY_WORD)
+
+
+def update(calls: dict[str, int], totals: dict[str, int], quorum_age_ms: float = 10.0) -> Update:
+    return Update("a", quorum_age_ms, Delta(), ("a",), server_load=calls, service_load=totals)
+
+
+def test_word_of_each_server_stays_where_only_the_totals_were_asked_for() -> None:
+    view = FollowerView(0.0)
+    view.take(0.1, update({"i": 3}, {"x": 3}), load_wanted=True)
+    view.take(0.2, update({}, {"x": 5}), load_wanted=False)
+    assert view.load == KnownLoad({"i": 3}, {}, {"x": 5})
+    view.take(0.3, update({}, {}), load_wanted=True)
+    assert view.load == KnownLoad()
+
+
+def test_a_control_node_that_is_cut_off_knows_no_load_and_is_not_taken_for_none() -> None:
+    view = FollowerView(0.0)
+    view.take(0.1, update({"i": 3}, {"x": 3}))
+    for wanted in (True, False):
+        view.take(0.2, update({}, {}, quorum_age_ms=5000.0), wanted)
+        assert view.load == KnownLoad({"i": 3}, {}, {"x": 3})
+
+
+class OneControl:
+    """Answers every pull after a while with so many gateways."""
+
+    def __init__(self, hub: dict[str, HollowNetwork], address: str, gateways: int) -> None:
+        self.network = HollowNetwork(hub, address)
+        self.network.handle(Pull, self._on_pull)
+        self.gateways = gateways
+        self.pulls: list[Pull] = []
+
+    async def _on_pull(self, pull: Pull, caller: Caller) -> Update:
+        self.pulls.append(pull)
+        await asyncio.sleep(0.3)
+        return Update(
+            "c", 0.0, Delta(), ("c",), self.gateways, server_load={"i": 1} if pull.load_wanted else {}
+        )
+
+
+def asked_for(gateways: int, seconds: float) -> tuple[OneControl, list[bool]]:
+    """The pulls of a gateway among so many, and what its report was told."""
+    reports: list[bool] = []
+    hub: dict[str, HollowNetwork] = {}
+    controls = [OneControl(hub, f"core-{number}:1", gateways) for number in range(2)]
+
+    def report(word_follows: bool) -> dict[str, int]:
+        reports.append(word_follows)
+        return {"i": 1, "idle": 0}
+
+    async def play() -> None:
+        me = NodeFact("edge-1", NodeRole.GATEWAY, "edge-1:1", "z", "", "1")
+        network = HollowNetwork(hub, me.address)
+        follower = Follower(network, me, ["core-0:1", "core-1:1"])
+        follower.report = report
+        await follower.start()
+        await asyncio.sleep(seconds)
+        assert follower.load.calls == {"i": 1}
+        await follower.stop()
+
+    run_virtually(play())
+    telling = max(controls, key=lambda control: sum(pull.tells_load for pull in control.pulls))
+    return telling, reports
+
+
+def test_few_gateways_get_word_with_every_answer() -> None:
+    telling, reports = asked_for(3, 6.0)
+    assert all(pull.load_wanted and not pull.usual_wanted for pull in telling.pulls)
+    assert all(pull.load == {"i": 1} for pull in telling.pulls if pull.tells_load)
+    assert all(reports)
+
+
+def test_many_gateways_get_word_of_each_server_seldom_and_of_what_is_usual() -> None:
+    telling, reports = asked_for(400, 30.0)
+    later = telling.pulls[5:]
+    wanted = [pull for pull in later if pull.load_wanted]
+    assert 7 <= len(wanted) <= 11  # one in 3 s
+    assert all(pull.usual_wanted and pull.tells_load for pull in wanted)
+    assert sum(pull.tells_load for pull in later) > 80  # this node's calls are told as often as ever
+    assert sum(reports) < 15
