Admission: prompts at a server that has gone dark hold up no other items

Cause: items before a server's first word are counted against the gateway's share, also those at a server that has said nothing for longer than what is out there explains: they held up all its other items until they were given up (2.5 s). Change: only prompts at servers that nothing speaks against count. Measured: the test forces it (a whole room of items at servers that say nothing): no item before, some after 0.9 s.

--- a/emberring/admission/pool.py
+++ b/emberring/admission/pool.py
@@ -119,7 +119,7 @@
         ready = self._ready(call.excluded)
         if not ready:
             return NoServer()
-        if not call.admitted and self._turned_away(call):
+        if not call.admitted and self._turned_away(now_s, call):
             return Refused(self._retry_after_s())
         sound = [one for one in ready if pacing.sound(now_s, one, self.usual_pause_ms)]
         share = self._settings.batch_share if call.batch else 1.0 + self._settings.live_queue_share
@@ -145,12 +145,12 @@
         calls = sum(len(one.calls) for one in servers) + self._others_at(servers)
         return calls / sum(one.capacity for one in servers)
 
-    def _turned_away(self, call: CallInfo) -> bool:
+    def _turned_away(self, now_s: float, call: CallInfo) -> bool:
         """The table's word: this gateway's calls in flight against the threshold of the call's row."""
         servers = self._working()
         own = sum(len(server.calls) for server in servers)
         if call.batch:
-            return own >= self._batch_threshold(servers) or self._prompts_room(servers) <= 0
+            return own >= self._batch_threshold(servers) or self._prompts_room(now_s, servers) <= 0
         if self._fill(servers) < NEVER_REFUSED:
             return False
         return own >= self._live_threshold(servers, call.priority)
@@ -177,12 +177,14 @@
         ahead = free if free <= 0.0 else max(1.0, BATCH_AHEAD * free / self.gateways)
         return min(self._told_own + ahead, max(1.0, places / self.gateways))
 
-    def _prompts_room(self, servers: list[ServerView]) -> int:
+    def _prompts_room(self, now_s: float, servers: list[ServerView]) -> int:
         """How many more items may have their prompts before a server's first word, by this gateway's even share.
 
-        Guard: items come in lots; taken all at once, their prompts stood before those of live calls.
+        Guard: items come in lots; taken all at once, their prompts stood before those of live calls. Those at a
+        server that has gone dark wait for nothing, and held up all others until they were given up.
         """
-        unheard = sum(1 for one in servers for placed in one.unheard() if placed.call.batch)
+        sound = [one for one in servers if pacing.sound(now_s, one, self.usual_pause_ms)]
+        unheard = sum(1 for one in sound for placed in one.unheard() if placed.call.batch)
         return max(1, math.floor(BATCH_PROMPTS * len(servers) / self.gateways + 0.5)) - unheard
 
     def _live_threshold(self, servers: list[ServerView], priority: int) -> float:
@@ -259,7 +261,7 @@
             for one in servers
             if pacing.sound(now_s, one, self.usual_pause_ms)
         )
-        most = min(room, self._batch_threshold(servers) - own, self._prompts_room(servers))
+        most = min(room, self._batch_threshold(servers) - own, self._prompts_room(now_s, servers))
         return max(0, math.ceil(most))
 
     # ------------------------------------------------------------- outcomes
--- a/tests/emberring/admission/test_tier_admission.py
+++ b/tests/emberring/admission/test_tier_admission.py
@@ -14,6 +14,7 @@
     NoServer,
     Refused,
 )
+from emberring.admission.pacing import SILENCE_MS_MOST
 from emberring.configuration.model import Service
 from emberring.distribution.facts import ServerFact, ServerState
 from emberring.distribution.load import NO_LOAD, KnownLoad
@@ -125,6 +126,21 @@
     assert gateway.batch_room(0.02) == 1
 
 
+def test_prompts_at_a_server_that_has_gone_dark_hold_up_no_other_items() -> None:
+    gateways, _ = gateways_that_hear_late(12)
+    gateway = gateways[0]
+    room = gateway.batch_room(0.0)
+    placed: dict[str, str] = {}
+    for number in range(room):
+        decision = gateway.offer(0.0, call(f"b{number}", batch=True))
+        assert isinstance(decision, Admitted)
+        placed[f"b{number}"] = decision.server_id
+        gateway.started(0.0, f"b{number}", decision.server_id)
+    assert gateway.batch_room(0.1) == 0
+    assert gateway.batch_room(SILENCE_MS_MOST / 1000.0 + 0.01) > 0  # all of them are silent by now
+    assert isinstance(gateway.offer(SILENCE_MS_MOST / 1000.0 + 0.01, call("next", batch=True)), Admitted)
+
+
 def test_word_of_each_server_counts_against_the_report_that_it_holds() -> None:
     admission = admission_of(fact("s1"), fact("s2"))
     for number in range(4):
