Servers in trouble are named by gateways, counted over the tier, shown to operators

Cause: servers fail a part of their calls, fall silent or turn slow while their health check is good. Gateways price that in their picks, but no log line, figure or command said which server, or since when. Change: gateways make lasting states of each server's figures, log their beginning and end, count them and tell control with the report of calls; control nodes add them up, and warn where two gateways agree; emberring servers shows trouble, witnesses and time. Control nodes log nodes that come and go. No decision goes by it.

--- a/emberring/admission/admission.py
+++ b/emberring/admission/admission.py
@@ -7,6 +7,7 @@
 
 from emberring.admission.pool import Pool
 from emberring.admission.server import Placed, ServerView
+from emberring.admission.suspicion import SuspicionChange, Trouble
 from emberring.admission.types import AdmissionSettings, CallInfo, CallOutcome, Decision, NoServer
 from emberring.configuration.model import Service
 from emberring.distribution.facts import ServerFact
@@ -110,6 +111,17 @@
         """How many more items of lots would be taken now, over all services."""
         return sum(pool.batch_room(now_s) for pool in self._pools.values())
 
+    def look_at_servers(self, now_s: float) -> list[SuspicionChange]:
+        """Which servers came into trouble, or are well again, since the last look."""
+        return [change for pool in self._pools.values() for change in pool.look_at_servers(now_s)]
+
+    def suspects(self) -> dict[str, Trouble]:
+        """The servers held to be in trouble at the last look, by id."""
+        found: dict[str, Trouble] = {}
+        for pool in self._pools.values():
+            found.update(pool.suspicions.troubles)
+        return found
+
     @property
     def calls_now(self) -> int:
         """This gateway's calls in flight."""
--- a/emberring/admission/pacing.py
+++ b/emberring/admission/pacing.py
@@ -27,6 +27,7 @@
 
 def note_failure(now_s: float, server: ServerView, outcome: CallOutcome, random: Random) -> None:
     """An attempt there failed otherwise than by a whole answer."""
+    server.failed_by = outcome
     server.failures += 1 if outcome not in CERTAIN else BREAKS_BORNE + 1
     heard = now_s - server.heard_s <= HEARD_RECENTLY_S
     if outcome not in CERTAIN and server.failures <= BREAKS_BORNE and heard:
--- a/emberring/admission/pool.py
+++ b/emberring/admission/pool.py
@@ -13,6 +13,7 @@
 from emberring.admission.pace import Pace
 from emberring.admission.ranking import CONNECT_MS, cost_ms, expected_wait_ms, own_tokens, tokens_to_read
 from emberring.admission.server import Placed, ServerView
+from emberring.admission.suspicion import SuspicionBook, SuspicionChange
 from emberring.admission.table import CursorTable
 from emberring.admission.types import (
     AdmissionSettings,
@@ -49,6 +50,7 @@
         self.meter = LoadMeter()
         self.pace = Pace(settings.start_prefill_tokens_per_ms, settings.start_hold_s)
         self.usual_pause_ms = 0.0
+        self.suspicions = SuspicionBook()
         self._settings = settings
         self._random = random
         self._connected = connected
@@ -73,6 +75,10 @@
                 server.reported = calls[server_id]
         return calls
 
+    def look_at_servers(self, now_s: float) -> list[SuspicionChange]:
+        """Which servers came into trouble, or are well again, since the last look."""
+        return self.suspicions.look(now_s, self.servers.values(), self.usual_pause_ms)
+
     def _others_at(self, servers: Sequence[ServerView]) -> float:
         """The others' calls at these servers: their part by word of each, which may be seconds old, of all that
         newer word of all servers together says."""
--- a/emberring/admission/server.py
+++ b/emberring/admission/server.py
@@ -9,7 +9,7 @@
 
 from emberring.admission.failures import FailureShare
 from emberring.admission.prefixes import PrefixMemory
-from emberring.admission.types import CallInfo
+from emberring.admission.types import CallInfo, CallOutcome
 from emberring.distribution.facts import ServerFact
 from emberring.distribution.load import GATEWAYS_BY_WORD, USUAL_S
 
@@ -70,7 +70,8 @@
     slow_s: float = -math.inf
     pause_ms: float = 0.0
     pause_s: float = -math.inf
-    failures: int = 0  # in a row
+    failures: int = 0  # in a row,
+    failed_by: CallOutcome | None = None  # and how the last of them
     failed: FailureShare = attrs.field(factory=FailureShare)
     avoid_until_s: float = -math.inf
     full_until_s: float = -math.inf
--- a/emberring/cli/status_commands.py
+++ b/emberring/cli/status_commands.py
@@ -135,12 +135,24 @@
     timeout: TimeoutOption = DEFAULT_TIMEOUT_S,
     as_json: JsonOption = False,
 ) -> None:
-    """List the model servers known, with the calls that gateways have in flight there."""
+    """List the model servers known, with the calls that gateways have in flight there and what speaks against them:
+    how many gateways find which trouble, and for how long already."""
     found = first_status(control_addresses(control), timeout)["Servers"]
     found = [server for server in found if service is None or server["Service"] == service]
     if as_json:
         print_json(found)
         return
     keys = ("Id", "Service", "Zone", "Address", "State", "InFlight", "Capacity", "Version")
-    rows = [tuple(server[key] for key in keys) for server in found]
-    print_table(("id", "service", "zone", "address", "state", "in flight", "capacity", "version"), rows)
+    rows = [(*(server[key] for key in keys), _troubles(server)) for server in found]
+    print_table(
+        ("id", "service", "zone", "address", "state", "in flight", "capacity", "version", "troubles"), rows
+    )
+
+
+def _troubles(server: dict[str, Any]) -> str:
+    """What gateways hold the server to suffer from, how many of them, and for how long already."""
+    troubles = server.get("Troubles") or {}
+    if not troubles:
+        return ""
+    named = ", ".join(f"{name} ({count})" for name, count in sorted(troubles.items()))
+    return f"{named} for {server['FailingForS']:.0f} s"
--- a/emberring/control/board.py
+++ b/emberring/control/board.py
@@ -5,18 +5,24 @@
 import functools
 from collections.abc import Callable, Iterable, Mapping
 
+import attrs
+
 from emberring.configuration.state import ControlState
 from emberring.control.load_ledger import LoadLedger
 from emberring.control.signal import Signal
-from emberring.distribution.contacts import Contacts
+from emberring.control.suspicion_ledger import SuspicionLedger, summed_suspects
+from emberring.distribution.contacts import NOBODY, Contacts
 from emberring.distribution.facts import NodeFact, NodeRole, ServerFact
 from emberring.distribution.facts_store import FactStore
 from emberring.distribution.messages import Delta, Exchange, Exchanged
 from emberring.distribution.peers import Peer, PeerTable
+from emberring.logs import get_logger
 from emberring.registry.heartbeats import Heartbeat
 from emberring.registry.merge import level, merged
 from emberring.registry.servers import ServerRegistry
 
+logger = get_logger("control")
+
 LONGEST_GAP_S = 1.0  # between ticks; after a longer one this node was frozen
 GRACE_S = 1.0  # after that, before others' silence counts
 FORGET_ORIGIN_S = 60.0  # statements about nodes by an origin that has ended are dropped after so long
@@ -35,6 +41,7 @@
         self.contacts = Contacts()
         self.registry = ServerRegistry(now_s, heartbeat_s)
         self.load = LoadLedger(self._told_loads, self.store.servers)
+        self.suspicions = SuspicionLedger(self.store.servers)
         self.quorum_age_s: Callable[[], float] = lambda: 0.0
         self._news = Signal()
         self._exchanges = Signal()
@@ -106,13 +113,20 @@
     # -- nodes
 
     def node_called(
-        self, now_s: float, fact: NodeFact, load: dict[str, int], tells_load: bool = False
+        self,
+        now_s: float,
+        fact: NodeFact,
+        load: dict[str, int],
+        tells_load: bool = False,
+        suspects: Mapping[str, str] = NOBODY,
     ) -> None:
         """A gateway or store pulled."""
-        if self.contacts.note(now_s, fact, load, tells_load):
+        if self.contacts.note(now_s, fact, load, tells_load, suspects):
             self._state_node(now_s, fact, present=True)
 
     def _state_node(self, now_s: float, fact: NodeFact, present: bool) -> None:
+        word = "present" if present else "absent"
+        logger.info("event=node_%s name=%s role=%s zone=%s", word, fact.name, fact.role.value, fact.zone)
         self.store.state_node(fact, present)
         if (
             fact.role is not NodeRole.GATEWAY
@@ -182,12 +196,13 @@
             vector=dict(self.store.vector),
             heard=self.registry.heard_since(max(peer.answered_s, now_s - HEARD_SPAN_S)),
             load=self.contacts.load(now_s),
+            suspects=self.contacts.suspects(now_s),
         )
 
     def on_exchange(self, now_s: float, said: Exchange) -> Exchanged:
         """Another control node told this; the answer has what it lacks."""
         if said.to != self.me.incarnation:
-            said = Exchange(said.me, "", Delta(), said.vector, said.heard, said.load)
+            said = attrs.evolve(said, to="", delta=Delta())
         self.take_exchange(now_s, said)
         return Exchanged(
             me=self.me,
@@ -243,8 +258,13 @@
         self.state_servers(now_s, silent)
         for server in self.registry.forgettable(now_s, known):
             self.store.forget_server(server)
+        self._look_at_suspects(now_s)
         self._forget(now_s)
 
+    def _look_at_suspects(self, now_s: float) -> None:
+        told = summed_suspects([self.contacts.suspects(now_s), *self.peers.suspects(now_s)])
+        self.suspicions.look(now_s, told, self.gateways(now_s))
+
     def _expire_peers(self, now_s: float) -> None:
         live = {peer.origin for peer in self.peers.live(now_s)}
         for entry in list(self.store.node_entries()):
--- a/emberring/control/feed.py
+++ b/emberring/control/feed.py
@@ -25,7 +25,7 @@
     async def on_pull(self, pull: Pull, caller: Caller) -> Update:
         """The answer to a pull."""
         loop = asyncio.get_running_loop()
-        self._board.node_called(loop.time(), pull.me, pull.load, pull.tells_load)
+        self._board.node_called(loop.time(), pull.me, pull.load, pull.tells_load, pull.suspects)
         give_up_at = loop.time() + min(LONGEST_WAIT_S, pull.wait_ms / 1000)
         while True:
             left_s = give_up_at - loop.time()
--- a/emberring/control/status_page.py
+++ b/emberring/control/status_page.py
@@ -7,6 +7,7 @@
 import orjson
 
 from emberring.control.board import Board
+from emberring.control.suspicion_ledger import Failing
 from emberring.distribution.facts import NodeFact, ServerFact
 from emberring.lots.placement import Placement
 
@@ -30,7 +31,7 @@
             "Gateways": board.gateways(now_s),
             "Nodes": [_node(fact) for fact in sorted(board.live_nodes(now_s), key=lambda fact: fact.name)],
             "Servers": [
-                _server(fact, load.get(fact.id, 0))
+                _server(now_s, fact, load.get(fact.id, 0), board.suspicions.failing.get(fact.id))
                 for fact in sorted(board.store.servers().values(), key=lambda fact: (fact.service, fact.id))
             ],
             "Placement": _placement(board.state.placement),
@@ -49,7 +50,7 @@
     }
 
 
-def _server(fact: ServerFact, load: int) -> dict[str, Any]:
+def _server(now_s: float, fact: ServerFact, load: int, failing: Failing | None) -> dict[str, Any]:
     return {
         "Id": fact.id,
         "Service": fact.service,
@@ -59,6 +60,8 @@
         "Capacity": fact.capacity,
         "InFlight": load,
         "Version": fact.version,
+        "Troubles": dict(failing.troubles) if failing is not None else {},
+        "FailingForS": round(now_s - failing.since_s, 1) if failing is not None else None,
     }
 
 
--- a/emberring/distribution/contacts.py
+++ b/emberring/distribution/contacts.py
@@ -11,6 +11,7 @@
 
 ABSENT_S = 1.4  # a node that did not pull for so long is no longer in contact
 LOAD_FRESH_S = 1.2
+NOBODY: Mapping[str, str] = {}
 
 
 @attrs.define
@@ -23,6 +24,7 @@
 class _Load:
     calls: Mapping[str, int]
     at_s: float
+    suspects: Mapping[str, str]
 
 
 class Contacts:
@@ -32,10 +34,17 @@
         self._contacts: dict[str, _Contact] = {}
         self._loads: dict[str, _Load] = {}
 
-    def note(self, now_s: float, fact: NodeFact, load: Mapping[str, int], tells_load: bool = False) -> bool:
+    def note(
+        self,
+        now_s: float,
+        fact: NodeFact,
+        load: Mapping[str, int],
+        tells_load: bool = False,
+        suspects: Mapping[str, str] = NOBODY,
+    ) -> bool:
         """A node called; whether this says anything new about it. An empty load counts if it `tells_load`."""
         if load or tells_load:
-            self._loads[fact.name] = _Load(load, now_s)
+            self._loads[fact.name] = _Load(load, now_s, suspects)
         contact = self._contacts.get(fact.name)
         if contact is None:
             self._contacts[fact.name] = _Contact(fact, now_s)
@@ -75,6 +84,15 @@
         """Calls in flight by server id, over the nodes that told this control node."""
         return summed(entry.calls for entry in self._loads.values() if now_s - entry.at_s < LOAD_FRESH_S)
 
+    def suspects(self, now_s: float) -> dict[str, dict[str, int]]:
+        """By server id: how many nodes that told this control node hold it to have which trouble."""
+        found: dict[str, Counter[str]] = {}
+        for entry in self._loads.values():
+            if now_s - entry.at_s < LOAD_FRESH_S:
+                for server_id, trouble in entry.suspects.items():
+                    found.setdefault(server_id, Counter())[trouble] += 1
+        return {server_id: dict(troubles) for server_id, troubles in found.items()}
+
 
 def summed(loads: Iterable[Mapping[str, int]]) -> dict[str, int]:
     """The sum by server id."""
--- a/emberring/distribution/follower.py
+++ b/emberring/distribution/follower.py
@@ -35,13 +35,15 @@
     `configuration` never goes back to an older version and is None until one chosen by a quorum is known;
     `servers` has those that serve or drain, `nodes` the live stores and control nodes by name. All of it stays as
     it is while no control node answers. `report` may return the calls in flight by server id, and is told whether
-    the next word of each server's calls will hold them; `load` is their sum over all gateways. `me` may be replaced
-    at any time, e.g. to say that this node is leaving.
+    the next word of each server's calls will hold them; `load` is their sum over all gateways. `suspects` may
+    return the servers that this node holds to be in trouble. `me` may be replaced at any time, e.g. to say that this
+    node is leaving.
     """
 
     def __init__(self, network: Network, me: NodeFact, seeds: Sequence[str]) -> None:
         self.me = me
         self.report: Callable[[bool], dict[str, int]] | None = None
+        self.suspects: Callable[[], dict[str, str]] | None = None
         self._network = network
         self._view: FollowerView | None = None
         self._sources = SourceChoice(seeds, random.Random(f"{me.name}/{me.incarnation}"))
@@ -157,6 +159,7 @@
             tells_load=told is not None,
             load_wanted=wanted,
             usual_wanted=wanted and by_usual,
+            suspects=self.suspects() if self.suspects is not None and told is not None else {},
         )
 
     def _tell(self) -> None:
--- a/emberring/distribution/messages.py
+++ b/emberring/distribution/messages.py
@@ -51,7 +51,8 @@
 class Pull:
     """A gateway or store asks a control node for what it lacks. The answer is held back up to `wait_ms` until
     there is something. `load` is the asker's calls in flight by server id, those with none left out; only one
-    control node is told (`tells_load`). `load_wanted` asks for the calls of all gateways at each server, and
+    control node is told (`tells_load`), and told with it which servers the asker holds to be in trouble
+    (`suspects`, by server id). `load_wanted` asks for the calls of all gateways at each server, and
     `usual_wanted` for the same smoothed."""
 
     me: NodeFact
@@ -63,6 +64,7 @@
     tells_load: bool = False
     load_wanted: bool = True
     usual_wanted: bool = False
+    suspects: dict[str, str] = attrs.field(factory=dict)
 
 
 @message("distribution.update")
@@ -92,7 +94,8 @@
 @attrs.frozen
 class Exchange:
     """A control node tells another what that one lacks, and says what it has itself. `heard` has the newest
-    sequence by server id of heartbeats taken here lately, `load` the calls in flight that nodes told this one.
+    sequence by server id of heartbeats taken here lately, `load` the calls in flight that nodes told this one,
+    `suspects` how many of them hold a server to have which trouble.
     `to` is the origin for which `delta` was made; any other takes nothing from it."""
 
     me: NodeFact
@@ -101,6 +104,7 @@
     vector: dict[str, int]
     heard: dict[str, int] = attrs.field(factory=dict)
     load: dict[str, int] = attrs.field(factory=dict)
+    suspects: dict[str, dict[str, int]] = attrs.field(factory=dict)
 
 
 @message("distribution.exchanged")
--- a/emberring/distribution/peers.py
+++ b/emberring/distribution/peers.py
@@ -27,6 +27,7 @@
     vector: dict[str, int] = attrs.field(factory=dict)
     load: dict[str, int] = attrs.field(factory=dict)
     load_s: float = -1e9
+    suspects: dict[str, dict[str, int]] = attrs.field(factory=dict)
     heard_s: float = -1e9
     answered_s: float = -1e9
     began_s: float = -1e9
@@ -68,7 +69,7 @@
             peer.vector = {}
         peer.fact, peer.heard_s = said.me, now_s
         if isinstance(said, Exchange):
-            peer.load, peer.load_s = said.load, now_s
+            peer.load, peer.suspects, peer.load_s = said.load, said.suspects, now_s
         for origin, number in said.vector.items():
             peer.vector[origin] = max(number, peer.vector.get(origin, 0))
         return peer
@@ -117,6 +118,10 @@
         """The loads that the live ones told."""
         return [peer.load for peer in self._peers.values() if now_s - peer.load_s < LOAD_FRESH_S]
 
+    def suspects(self, now_s: float) -> Iterable[Mapping[str, Mapping[str, int]]]:
+        """Which servers the live ones were told to be in trouble."""
+        return [peer.suspects for peer in self._peers.values() if now_s - peer.load_s < LOAD_FRESH_S]
+
     def forget(self, now_s: float) -> None:
         """Drop addresses that stayed silent."""
         for address, peer in list(self._peers.items()):
--- a/emberring/gateway/role.py
+++ b/emberring/gateway/role.py
@@ -22,6 +22,7 @@
 from emberring.gateway.pool import ServerPool
 from emberring.gateway.readiness import Readiness, ReadinessPages
 from emberring.gateway.servers import ServerBook
+from emberring.gateway.suspicions import SuspicionReport
 from emberring.logs import get_logger
 from emberring.lots.client import LotClient
 from emberring.lots.directory import OwnerDirectory
@@ -65,6 +66,7 @@
         self.runner = UnitRunner(self.network, self.follower, self.executor, name, owners, me.zone)
         self.clients = ClientPort(Application(self.follower, self.executor, lots), self._limits)
         self.probes = ClientPort(ReadinessPages(self._ready, self._figures), ClientLimits)
+        self._suspicions = SuspicionReport(self.admission)
         self._refresher: asyncio.TimerHandle | None = None
         self._refresh_soon = False
         self._said_ready = False
@@ -72,6 +74,7 @@
     async def start(self) -> None:
         """Listen, and begin to learn what is to be known."""
         self.follower.report = self.admission.in_flight
+        self.follower.suspects = self._suspicions.told
         self.follower.subscribe(self._on_change)
         self.executor.on_misdirected = self._refresh
         await self.network.listen(self._settings.internal_address(GATEWAY_PORT_OFFSET))
@@ -104,6 +107,7 @@
     def _tick(self) -> None:
         self._refresher = self._loop.call_later(REFRESH_S, self._tick)
         self._refresh()
+        self._suspicions.look(self._loop.time())
 
     def _refresh(self) -> None:
         """Tell admission and the pool what is known now."""
@@ -138,6 +142,7 @@
             "items_running": float(self.runner.running),
             "server_connections_total": float(self.pool.opened),
         }
+        figures.update(self._suspicions.figures())
         for status, count in sorted(self.clients.answers.items()):
             figures[f'answers_total{{status="{status}"}}'] = float(count)
         return figures
--- /dev/null
+++ b/tests/emberring/admission/test_tier_suspicion.py
@@ -0,0 +1,106 @@
+"""Which servers a gateway holds to be in trouble: what counts, when it ends, what is told of it."""
+
+from __future__ import annotations
+
+from random import Random
+
+import pytest
+
+from emberring.admission import Admission, AdmissionSettings, Admitted, CallInfo, CallOutcome, pacing
+from emberring.admission.server import ServerView
+from emberring.admission.suspicion import WELL_AFTER_S, SuspicionBook, Trouble, trouble_of
+from emberring.distribution.facts import ServerFact, ServerState
+from emberring.distribution.load import NO_LOAD
+from emberring.gateway.suspicions import SuspicionReport
+
+PAUSE_MS = 5.0
+
+
+def view(name: str = "s") -> ServerView:
+    return ServerView(ServerFact(name, "llm", f"{name}:1", "z", 12, ServerState.READY, 1), 0.0)
+
+
+def failed(outcome: CallOutcome, times: int) -> ServerView:
+    server = view()
+    for _ in range(times):
+        pacing.note_failure(0.0, server, outcome, Random(1))
+    return server
+
+
+def failing_some(bad: int, good: int) -> ServerView:
+    server = view()
+    for number in range(bad + good):
+        server.failed.end(0.0, number >= good)
+    return server
+
+
+def late(ratio: float) -> ServerView:
+    server = view()
+    for _ in range(30):
+        server.hear_wait(0.0, ratio)
+    return server
+
+
+@pytest.mark.parametrize(
+    ("server", "trouble"),
+    [
+        (view(), None),
+        (failed(CallOutcome.CONNECT_FAILED, 1), Trouble.UNREACHABLE),
+        (failed(CallOutcome.SILENT, 1), Trouble.SILENT),
+        (failed(CallOutcome.BROKEN, 1), None),  # one answer broken off may be an accident
+        (failed(CallOutcome.BROKEN, 2), Trouble.BREAKING_OFF),
+        (failing_some(1, 9), None),
+        (failing_some(3, 9), Trouble.FAILING),
+        (late(2.0), None),
+        (late(6.0), Trouble.SLOW),
+    ],
+)
+def test_what_speaks_against_a_server(server: ServerView, trouble: Trouble | None) -> None:
+    assert trouble_of(0.0, server, PAUSE_MS) is trouble
+
+
+def test_a_change_of_state_is_told_once_and_its_end_after_a_while_without_a_sign() -> None:
+    book, server = SuspicionBook(), failed(CallOutcome.SILENT, 2)
+    begun = book.look(1.0, [server], PAUSE_MS)
+    assert [(change.server, change.trouble) for change in begun] == [(server, Trouble.SILENT)]
+    assert book.look(2.0, [server], PAUSE_MS) == []
+    assert book.troubles == {"s": Trouble.SILENT}
+    server.failures = 0  # it has answered
+    assert book.look(2.1, [server], PAUSE_MS) == []
+    server.failures, server.failed_by = 5, CallOutcome.CONNECT_FAILED  # it flaps: still the same trouble
+    assert book.look(3.0, [server], PAUSE_MS) == []
+    assert book.troubles == {"s": Trouble.UNREACHABLE}
+    server.failures = 0
+    assert book.look(3.0 + WELL_AFTER_S - 0.1, [server], PAUSE_MS) == []
+    ended = book.look(3.0 + WELL_AFTER_S, [server], PAUSE_MS)
+    assert [(change.trouble, change.lasted_s) for change in ended] == [(None, 2.0)]
+    assert book.troubles == {}
+
+
+def test_a_server_that_is_gone_is_dropped_without_a_word() -> None:
+    book, server = SuspicionBook(), failed(CallOutcome.SILENT, 2)
+    book.look(1.0, [server, view("other")], PAUSE_MS)
+    assert book.look(9.0, [view("other")], PAUSE_MS) == []
+    assert book.troubles == {}
+
+
+def test_a_gateway_tells_control_and_its_figures() -> None:
+    admission = Admission(AdmissionSettings(), seed=1)
+    facts = [view("s1").fact, view("s2").fact]
+    admission.set_servers(0.0, facts, {}, 1, NO_LOAD)
+    report = SuspicionReport(admission)
+    report.look(0.0)
+    assert report.told() == {}
+    assert report.figures()["servers_suspected"] == 0.0
+    decision = admission.offer(0.0, CallInfo("c", "llm", "r", tokens_in=500, tokens_out=100))
+    assert isinstance(decision, Admitted)
+    admission.finished(0.1, "c", CallOutcome.CONNECT_FAILED)
+    report.look(0.1)
+    assert report.told() == {decision.server_id: "unreachable"}
+    figures = report.figures()
+    assert figures["servers_suspected"] == 1.0
+    assert figures['server_suspicions_total{trouble="unreachable"}'] == 1.0
+    admission.set_servers(0.2, [fact for fact in facts if fact.id != decision.server_id], {}, 1, NO_LOAD)
+    report.look(0.2)
+    assert report.told() == {}
+    assert report.figures()['server_suspicions_total{trouble="unreachable"}'] == 1.0
--- a/tests/emberring/cli/test_tier_cli.py
+++ b/tests/emberring/cli/test_tier_cli.py
@@ -217,6 +217,8 @@
             "Capacity": 4,
             "InFlight": 2,
             "Version": "v1",
+            "Troubles": {"silent": 3, "failing": 1},
+            "FailingForS": 12.4,
         }
     ],
     "Placement": None,
@@ -275,7 +277,9 @@
     assert main(["servers", *TWO, "--service", "other", "--json"]) == 0
     assert json.loads(capsys.readouterr().out) == []
     assert main(["servers", *TWO]) == 0
-    assert "i-1" in capsys.readouterr().out
+    shown = capsys.readouterr().out
+    assert "i-1" in shown
+    assert "failing (1), silent (3) for 12 s" in shown
     del pages["10.0.0.4:1"]
     assert main(["nodes", *TWO]) == 0
     assert "may be old" in capsys.readouterr().err
--- /dev/null
+++ b/tests/emberring/control/test_tier_suspicion_ledger.py
@@ -0,0 +1,86 @@
+"""Servers that gateways hold to be in trouble, over the whole tier."""
+
+from __future__ import annotations
+
+import orjson
+import pytest
+
+from emberring.control.board import Board
+from emberring.control.status_page import StatusPage
+from emberring.control.suspicion_ledger import WELL_AFTER_S, SuspicionLedger, summed_suspects
+from emberring.distribution.contacts import LOAD_FRESH_S, Contacts
+from emberring.distribution.facts import NodeFact, NodeRole, ServerFact, ServerState
+
+SERVER = ServerFact("i-1", "llm", "10.0.0.9:80", "z", 12, ServerState.READY, 1)
+
+
+def gateway(number: int) -> NodeFact:
+    return NodeFact(f"edge-{number}", NodeRole.GATEWAY, f"10.0.1.{number}:70", "z", "", f"e{number}")
+
+
+def board(number: int) -> Board:
+    seeds = [f"10.0.0.{other}:70" for other in range(2)]
+    me = NodeFact(f"core-{number}", NodeRole.CONTROL, seeds[number], "z", f"d{number}", f"c{number}")
+    return Board(0.0, me, seeds, 1.2)
+
+
+@pytest.mark.parametrize(
+    ("troubles", "gateways", "failing"),
+    [
+        ({}, 5, False),
+        ({"silent": 1}, 5, False),  # one gateway may be mistaken
+        ({"silent": 2}, 5, True),
+        ({"silent": 1, "slow": 1}, 5, True),
+        ({"silent": 1}, 1, True),  # there is no other
+    ],
+)
+def test_who_must_agree(troubles: dict[str, int], gateways: int, failing: bool) -> None:
+    ledger = SuspicionLedger(lambda: {SERVER.id: SERVER})
+    ledger.look(1.0, {SERVER.id: troubles} if troubles else {}, gateways)
+    assert (SERVER.id in ledger.failing) is failing
+
+
+def test_it_lasts_until_nobody_has_said_so_for_a_while() -> None:
+    ledger = SuspicionLedger(dict)
+    ledger.look(1.0, {"i-1": {"silent": 2}}, 5)
+    ledger.look(3.0, {"i-1": {"failing": 3}}, 5)
+    ledger.look(3.0 + WELL_AFTER_S - 0.1, {}, 5)
+    held = ledger.failing["i-1"]
+    assert (held.since_s, held.troubles) == (1.0, {"failing": 3})
+    ledger.look(3.0 + WELL_AFTER_S, {}, 5)
+    assert ledger.failing == {}
+
+
+def test_gateways_word_is_counted_by_trouble_and_grows_old() -> None:
+    contacts = Contacts()
+    contacts.note(0.0, gateway(1), {}, True, {"i-1": "silent"})
+    contacts.note(0.0, gateway(2), {}, True, {"i-1": "silent", "i-2": "slow"})
+    contacts.note(0.1, gateway(2), {}, False)  # a pull that tells nothing takes nothing back
+    assert contacts.suspects(0.2) == {"i-1": {"silent": 2}, "i-2": {"slow": 1}}
+    contacts.note(0.3, gateway(2), {}, True)
+    assert contacts.suspects(0.4) == {"i-1": {"silent": 1}}
+    assert contacts.suspects(LOAD_FRESH_S + 0.1) == {}
+
+
+def test_sums_over_control_nodes() -> None:
+    parts = [{"a": {"silent": 1}}, {"a": {"silent": 2, "slow": 1}, "b": {"slow": 1}}]
+    assert summed_suspects(parts) == {"a": {"silent": 3, "slow": 1}, "b": {"slow": 1}}
+
+
+def test_control_nodes_add_up_what_their_gateways_say_and_show_it() -> None:
+    first, second = board(0), board(1)
+    first.state_servers(0.0, [SERVER])
+    first.node_called(0.1, gateway(1), {}, True, {SERVER.id: "silent"})
+    second.node_called(0.1, gateway(2), {}, True, {SERVER.id: "failing"})
+    for one in (first, second):
+        one.tick(0.2)
+        assert one.suspicions.failing[SERVER.id].troubles.keys() < {"silent", "failing"}  # the one it heard
+    for asker, asked in ((first, second), (second, first), (first, second)):
+        peer = next(iter(asker.peers.due(1.0)))
+        asker.take_exchange(0.3, asked.on_exchange(0.3, asker.exchange_for(0.3, peer)))
+    for one in (first, second):
+        one.tick(0.4)
+        assert one.suspicions.failing[SERVER.id].troubles == {"silent": 1, "failing": 1}
+    shown = orjson.loads(StatusPage(first).render(1.4))["Servers"][0]
+    assert shown["Troubles"] == {"silent": 1, "failing": 1}
+    assert shown["FailingForS"] >= 1.0
