Admission: known calls and the choice of a server in modules of their own

Change: KnownCalls has the sums, placement.py chooses and counts, Surroundings carries what a decision goes by; the constant that was zero is gone. No decision differs.

--- a/emberring/admission/admission.py
+++ b/emberring/admission/admission.py
@@ -57,20 +57,18 @@
             view.hear_others(now_s, others, usual)
             by_service.setdefault(fact.service, {})[fact.id] = view
         for name in self._pools.keys() - by_service.keys():
-            self._pools[name].servers = {}
+            self._pools[name].set_servers({}, gateways, None)
         for name, views in by_service.items():
             if name not in self._pools:
                 self._pools[name] = Pool(self._settings, self._random, self._connected)
             pool = self._pools[name]
-            pool.servers = views
-            pool.gateways = gateways
             service = service_info.get(name)
             for view in views.values():
                 if service is not None and service.max_connections > 0:
-                    view.connections = max(1.0, service.max_connections / pool.gateways)
+                    view.connections = max(1.0, service.max_connections / gateways)
                 if service is not None and service.kv_cache_tokens > 0:
                     view.kv_tokens = float(service.kv_cache_tokens)
-            pool.told(load.totals.get(name))
+            pool.set_servers(views, gateways, load.totals.get(name))
 
     def offer(self, now_s: float, call: CallInfo) -> Decision:
         """Decide at once; an admitted call counts against its server from now on."""
@@ -132,5 +130,5 @@
         taken to hold these: by service always, and by server if its word of each server follows."""
         report = {}
         for pool in self._pools.values():
-            report.update(pool.report(word_follows))
+            report.update(pool.calls.report(word_follows))
         return report
--- a/emberring/admission/pool.py
+++ b/emberring/admission/pool.py
@@ -3,15 +3,15 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Callable, Sequence
+from collections.abc import Callable
 from random import Random
 
 from emberring.admission import pacing
-from emberring.admission.affinity import first_homes, home_key
-from emberring.admission.candidates import candidates
+from emberring.admission.known_calls import KnownCalls, own_calls, places
 from emberring.admission.load import LoadMeter
 from emberring.admission.pace import Pace
-from emberring.admission.ranking import CONNECT_MS, cost_ms, expected_wait_ms, own_tokens, tokens_to_read
+from emberring.admission.placement import choose, place
+from emberring.admission.ranking import Surroundings
 from emberring.admission.server import Placed, ServerView
 from emberring.admission.suspicion import SuspicionBook, SuspicionChange
 from emberring.admission.table import CursorTable
@@ -31,9 +31,6 @@
 MOST_PERIODS = 50  # that are made up for after a silence
 RETRY_LEAST_S, RETRY_MOST_S = 0.1, 1.0
 PAUSE_GAIN = 0.02  # smoothing of the usual pause between events, all servers'
-JITTER = 0.05  # width of the draw that parts equal ranks
-AHEAD_TRUSTED = 0.0
-HOMES = 2  # servers that a large shared part belongs to, by turns
 BATCH_PROMPTS = 3.0  # items a server, all gateways' together, whose prompts may wait there to be read
 BATCH_AHEAD = 1.0  # of its share of the free places a gateway may fill before it hears from the others
 FAILED = frozenset({CallOutcome.CONNECT_FAILED, CallOutcome.BROKEN, CallOutcome.SILENT})
@@ -55,40 +52,21 @@
         self._random = random
         self._connected = connected
         self._period_end_s = math.inf
-        self._told_own = 0  # this gateway's calls when the others' were last told
-        self._reported = 0  # this gateway's calls when they were last reported
-        self._others: float | None = None  # all others' calls, where that is told
+        self.calls = KnownCalls()
 
     # ------------------------------------------------------------- what is known
 
-    def told(self, total: int | None = None) -> None:
-        """The servers or the others' calls have just been set; `total` is all gateways' calls, where it is told."""
-        self._told_own = sum(len(server.calls) for server in self.servers.values())
-        self._others = None if total is None else max(0.0, total - self._reported)
-
-    def report(self, word_follows: bool) -> dict[str, int]:
-        """This gateway's calls by server id; the next word of each server's calls may hold them."""
-        calls = {server_id: len(server.calls) for server_id, server in self.servers.items()}
-        self._reported = sum(calls.values())
-        if word_follows:
-            for server_id, server in self.servers.items():
-                server.reported = calls[server_id]
-        return calls
+    def set_servers(self, servers: dict[str, ServerView], gateways: int, total: int | None) -> None:
+        """The servers now known and the live gateways; `total` is all gateways' calls, where it is told."""
+        self.servers = servers
+        self.gateways = gateways
+        self.calls.servers = servers
+        self.calls.told(total)
 
     def look_at_servers(self, now_s: float) -> list[SuspicionChange]:
         """Which servers came into trouble, or are well again, since the last look."""
         return self.suspicions.look(now_s, self.servers.values(), self.usual_pause_ms)
 
-    def _others_at(self, servers: Sequence[ServerView]) -> float:
-        """The others' calls at these servers: their part by word of each, which may be seconds old, of all that
-        newer word of all servers together says."""
-        here = sum(server.others for server in servers)
-        if self._others is None:
-            return here
-        everywhere = sum(server.others for server in self.servers.values())
-        part = here / everywhere if everywhere > 0.0 else len(servers) / len(self.servers)
-        return self._others * part
-
     def advance(self, now_s: float) -> None:
         """Close the periods that have passed."""
         period_s = self._settings.period_s
@@ -128,9 +106,7 @@
         if not call.admitted and self._turned_away(now_s, call):
             return Refused(self._retry_after_s())
         sound = [one for one in ready if pacing.sound(now_s, one, self.usual_pause_ms)]
-        share = self._settings.batch_share if call.batch else 1.0 + self._settings.live_queue_share
-        if call.batch:
-            share = self._batch_share()
+        share = self._batch_share() if call.batch else 1.0 + self._settings.live_queue_share
         open_ones = [one for one in sound if pacing.room(now_s, one, share, self.gateways) > 0.0]
         if not open_ones and not call.batch:
             open_ones = self._last_resort(now_s, ready, sound)
@@ -142,22 +118,18 @@
         self, now_s: float, ready: list[ServerView], sound: list[ServerView]
     ) -> list[ServerView]:
         """Where pacing leaves nothing for a live call although the pool is not full."""
-        if self._fill(self._working()) >= 1.0 + self._settings.live_queue_share:
+        if self.calls.fill(self._working()) >= 1.0 + self._settings.live_queue_share:
             return []
         able = sound or ready
         return [one for one in able if len(one.calls) < one.connections and now_s >= one.full_until_s]
 
-    def _fill(self, servers: list[ServerView]) -> float:
-        calls = sum(len(one.calls) for one in servers) + self._others_at(servers)
-        return calls / sum(one.capacity for one in servers)
-
     def _turned_away(self, now_s: float, call: CallInfo) -> bool:
         """The table's word: this gateway's calls in flight against the threshold of the call's row."""
         servers = self._working()
-        own = sum(len(server.calls) for server in servers)
+        own = own_calls(servers)
         if call.batch:
             return own >= self._batch_threshold(servers) or self._prompts_room(now_s, servers) <= 0
-        if self._fill(servers) < NEVER_REFUSED:
+        if self.calls.fill(servers) < NEVER_REFUSED:
             return False
         return own >= self._live_threshold(servers, call.priority)
 
@@ -177,11 +149,11 @@
         them alone took items for the same free places again and again, 330 for 163 places, and then none for
         seconds. Even shares add up to the places whatever is known.
         """
-        places = sum(server.capacity for server in servers) * self._batch_share()
-        told = self._told_own + self._others_at(servers)
-        free = places - told
+        most = places(servers) * self._batch_share()
+        told = self.calls.own_when_told + self.calls.others_at(servers)
+        free = most - told
         ahead = free if free <= 0.0 else max(1.0, BATCH_AHEAD * free / self.gateways)
-        return min(self._told_own + ahead, max(1.0, places / self.gateways))
+        return min(self.calls.own_when_told + ahead, max(1.0, most / self.gateways))
 
     def _prompts_room(self, now_s: float, servers: list[ServerView]) -> int:
         """How many more items may have their prompts before a server's first word, by this gateway's even share.
@@ -195,9 +167,9 @@
 
     def _live_threshold(self, servers: list[ServerView], priority: int) -> float:
         """The same for live calls: all that the others leave, and no less than an even share."""
-        places = sum(server.capacity for server in servers) * (1.0 + self._settings.live_queue_share)
-        others = self._others_at(servers)
-        return max(places / self.gateways, places - others) * self.table.live_share(priority)
+        most = places(servers) * (1.0 + self._settings.live_queue_share)
+        others = self.calls.others_at(servers)
+        return max(most / self.gateways, most - others) * self.table.live_share(priority)
 
     def _retry_after_s(self) -> float:
         """When the table may be open again: the cursor's way back, and a draw so that callers don't return at once."""
@@ -205,50 +177,22 @@
         return min(RETRY_MOST_S, max(RETRY_LEAST_S, wait_s)) * self._random.uniform(0.75, 1.25)
 
     def _place(self, now_s: float, call: CallInfo, servers: list[ServerView]) -> Decision:
-        key = home_key(call.parts)
-        homes = first_homes(key, [one.fact.id for one in servers], HOMES) if key is not None else []
-        best: tuple[float, ServerView, float, float] | None = None
-        mean_others = self._others_at(servers) / len(servers)
-        mean_waiting = self._others_waiting(now_s)
-        for server in candidates(servers, homes, self._connected, self._random):
-            to_read = tokens_to_read(call, server, homes, key)
-            ahead = server.waiting_tokens(now_s, self.pace.ms_per_token) + mean_waiting * (
-                AHEAD_TRUSTED * server.others + (1.0 - AHEAD_TRUSTED) * mean_others
-            )
-            cost = cost_ms(
-                now_s,
-                server,
-                ahead,
-                to_read,
-                self.pace,
-                self.usual_pause_ms,
-                mean_others,
-                self.gateways,
-                self._settings.zone,
-            )
-            cost += 0.0 if self._connected(server.fact.id) else CONNECT_MS
-            cost *= 1.0 + JITTER * (self._random.random() - 0.5)
-            if best is None or cost < best[0]:
-                best = cost, server, to_read, ahead
-        assert best is not None
-        _, server, to_read, ahead = best
-        expected_ms = expected_wait_ms(server, ahead, to_read, self.pace, mean_others, self.gateways)
-        server.calls[call.id] = Placed(
-            call,
-            server,
+        around = Surroundings(
             now_s,
-            to_read,
-            ahead,
-            expected_ms,
-            free=server.load < server.capacity,
-            own_tokens=own_tokens(call),
+            self.pace,
+            self.usual_pause_ms,
+            self.calls.others_at(servers) / len(servers),
+            self._others_waiting(now_s),
+            self.gateways,
+            self._settings.zone,
         )
-        server.memory.sent(call.parts, server.kv_tokens / self.gateways)
-        return Admitted(server.fact.id)
+        choice = choose(around, call, servers, self._connected, self._random)
+        place(around, call, choice)
+        return Admitted(choice.server.fact.id)
 
     def _others_waiting(self, now_s: float) -> float:
         """Tokens that wait to be read for each call in flight, the others' being taken to be like ours."""
-        calls = sum(len(server.calls) for server in self.servers.values())
+        calls = own_calls(self.servers.values())
         if not calls:
             return 0.0
         mine = sum(server.waiting_tokens(now_s, self.pace.ms_per_token) for server in self.servers.values())
@@ -260,7 +204,7 @@
         servers = self._working()
         if not servers:
             return 0
-        own = sum(len(server.calls) for server in servers)
+        own = own_calls(servers)
         share = self._batch_share()
         room = sum(
             max(0.0, pacing.room(now_s, one, share, self.gateways))
--- a/emberring/admission/ranking.py
+++ b/emberring/admission/ranking.py
@@ -10,6 +10,8 @@
 import math
 from collections.abc import Sequence
 
+import attrs
+
 from emberring.admission.pace import Pace
 from emberring.admission.server import ServerView, trust_in_word
 from emberring.admission.types import CallInfo, PrefixPart
@@ -55,42 +57,44 @@
     return missing
 
 
-def expected_wait_ms(
-    server: ServerView, ahead: float, to_read: float, pace: Pace, mean_others: float, gateways: int
-) -> float:
+@attrs.frozen
+class Surroundings:
+    """What a decision goes by besides the call and the server. `mean_others` are the others' calls at a server,
+    `mean_waiting` the tokens that wait to be read for each call in flight; `zone` is the caller's, if it has one."""
+
+    now_s: float
+    pace: Pace
+    usual_pause_ms: float
+    mean_others: float
+    mean_waiting: float
+    gateways: int
+    zone: str = ""
+
+
+def expected_wait_ms(around: Surroundings, server: ServerView, ahead: float, to_read: float) -> float:
     """The wait for the first event of a call with so many tokens to read, that many being ahead of it."""
-    wait_ms = pace.wait_ms(ahead + to_read)
-    likely = server.likely_load(gateways) - len(server.calls)
-    others = OVER_TRUSTED * likely + (1.0 - OVER_TRUSTED) * mean_others
+    wait_ms = around.pace.wait_ms(ahead + to_read)
+    likely = server.likely_load(around.gateways) - len(server.calls)
+    others = OVER_TRUSTED * likely + (1.0 - OVER_TRUSTED) * around.mean_others
     over = len(server.calls) + others + OTHERS_SPREAD * math.sqrt(others) + 1.0 - server.capacity
     if over > 0.0:
-        wait_ms += over * pace.hold_s * 1000.0 / server.capacity
+        wait_ms += over * around.pace.hold_s * 1000.0 / server.capacity
     return wait_ms
 
 
-def cost_ms(
-    now_s: float,
-    server: ServerView,
-    ahead: float,
-    to_read: float,
-    pace: Pace,
-    usual_pause_ms: float,
-    mean_others: float,
-    gateways: int,
-    zone: str = "",
-) -> float:
-    """What ranks servers; less is better. `zone` is the caller's, if it has one."""
-    wait_ms = expected_wait_ms(server, ahead, to_read, pace, mean_others, gateways)
-    wait_ms *= server.handicap(now_s)
-    slower_ms = max(0.0, server.pause(now_s) - usual_pause_ms) * PAUSE_WEIGHT
+def cost_ms(around: Surroundings, server: ServerView, ahead: float, to_read: float) -> float:
+    """What ranks servers; less is better."""
+    wait_ms = expected_wait_ms(around, server, ahead, to_read) * server.handicap(around.now_s)
+    slower_ms = max(0.0, server.pause(around.now_s) - around.usual_pause_ms) * PAUSE_WEIGHT
+    told = OTHERS_TRUSTED * trust_in_word(around.gateways) * server.others
     return (
         wait_ms
         + slower_ms
-        + ANEW * to_read * pace.ms_per_token
-        + CROWD_MS * (len(server.calls) + OTHERS_TRUSTED * trust_in_word(gateways) * server.others)
+        + ANEW * to_read * around.pace.ms_per_token
+        + CROWD_MS * (len(server.calls) + told)
         + _memory_ms(server)
-        + server.failed.cost_ms(now_s)
-        + (FAR_MS if zone and server.fact.zone != zone else 0.0)
+        + server.failed.cost_ms(around.now_s)
+        + (FAR_MS if around.zone and server.fact.zone != around.zone else 0.0)
     )
 
 
