Distribution: many gateways are told of the calls at the servers they use

Change: what an answer tells of calls is a closed list (totals, every server, servers in use). More than eight gateways name the servers where they have calls or a resting connection, and are told of those; a server they did not ask about counts as one like the others, by the total.

--- a/emberring/admission/admission.py
+++ b/emberring/admission/admission.py
@@ -52,9 +52,6 @@
             known = pool.servers.get(fact.id) if pool else None
             view = known or ServerView(fact, now_s)
             view.fact = fact
-            others = max(0.0, load.calls.get(fact.id, 0) - view.reported)
-            usual = load.usual.get(fact.id, 0.0) * (1.0 - 1.0 / gateways) if load.usual else None
-            view.hear_others(now_s, others, usual)
             by_service.setdefault(fact.service, {})[fact.id] = view
         for name in self._pools.keys() - by_service.keys():
             self._pools[name].set_servers({}, gateways, None)
@@ -68,6 +65,7 @@
                     view.connections = max(1.0, service.max_connections / gateways)
                 if service is not None and service.kv_cache_tokens > 0:
                     view.kv_tokens = float(service.kv_cache_tokens)
+            _hear_load(now_s, views, load, gateways, load.totals.get(name))
             pool.set_servers(views, gateways, load.totals.get(name))
 
     def offer(self, now_s: float, call: CallInfo) -> Decision:
@@ -132,3 +130,20 @@
         for pool in self._pools.values():
             report.update(pool.calls.report(word_follows))
         return report
+
+
+def _hear_load(
+    now_s: float, views: Mapping[str, ServerView], load: KnownLoad, gateways: int, total: int | None
+) -> None:
+    """Tell each server of a service of the others' calls there. Where control was asked after some servers alone,
+    the others are taken to have as many calls as a server has in the mean."""
+    part = 1.0 - 1.0 / gateways
+    mean = part * total / len(views) if total is not None else 0.0
+    for server_id, view in views.items():
+        others = max(0.0, load.calls.get(server_id, 0) - view.reported)
+        if load.usual is None:
+            view.hear_others(now_s, others)
+        elif server_id in load.usual:
+            view.hear_others(now_s, others, part * load.usual[server_id])
+        else:
+            view.hear_others(now_s, mean, mean)
--- a/emberring/control/feed.py
+++ b/emberring/control/feed.py
@@ -6,6 +6,7 @@
 
 from emberring.control.board import Board
 from emberring.distribution.facts import NodeRole
+from emberring.distribution.load import Word
 from emberring.distribution.messages import Pull, Update
 from emberring.transport.network import Caller
 
@@ -58,8 +59,17 @@
             configuration_version=state.version,
             configuration=state.packed if state.version > pull.configuration_version else None,
             placement=placement if newer_placement else None,
-            server_load=board.load.calls(now_s) if routing and pull.load_wanted else {},
+            server_load=self._server_load(now_s, pull),
             controls=board.peers.addresses(),
-            usual_load=board.load.usual(now_s) if routing and pull.usual_wanted else {},
+            usual_load=board.load.usual(now_s, pull.load) if pull.word is Word.SERVERS_IN_USE else {},
             service_load=board.load.totals(now_s) if routing else {},
         )
+
+    def _server_load(self, now_s: float, pull: Pull) -> dict[str, int]:
+        """The calls in flight at each server, as far as they are asked for."""
+        if pull.me.role is not NodeRole.GATEWAY or pull.word is Word.TOTALS:
+            return {}
+        calls = self._board.load.calls(now_s)
+        if pull.word is Word.SERVERS_IN_USE:
+            return {server_id: calls.get(server_id, 0) for server_id in pull.load}
+        return calls
--- a/emberring/control/load_ledger.py
+++ b/emberring/control/load_ledger.py
@@ -38,10 +38,10 @@
         self._refresh(now_s)
         return self._calls
 
-    def usual(self, now_s: float) -> dict[str, float]:
-        """The same, smoothed, to tenths."""
+    def usual(self, now_s: float, wanted: Iterable[str]) -> dict[str, float]:
+        """The same, smoothed, to tenths, for these servers."""
         self._refresh(now_s)
-        return {server_id: round(calls, 1) for server_id, calls in self._usual.items()}
+        return {server_id: round(self._usual.get(server_id, 0.0), 1) for server_id in wanted}
 
     def totals(self, now_s: float) -> dict[str, int]:
         """Calls in flight by service."""
--- a/emberring/distribution/follower.py
+++ b/emberring/distribution/follower.py
@@ -11,7 +11,7 @@
 
 from emberring.configuration.model import Configuration
 from emberring.distribution.facts import NodeFact, ServerFact
-from emberring.distribution.load import NO_LOAD, KnownLoad, WordSchedule
+from emberring.distribution.load import NO_LOAD, KnownLoad, Word, WordSchedule
 from emberring.distribution.messages import Pull, Update
 from emberring.distribution.sources import SourceChoice
 from emberring.distribution.view import FollowerView
@@ -136,29 +136,27 @@
             return
         self._sources.answered(loop.time(), address, update.quorum_age_ms / 1000)
         self._sources.note(update.controls)
-        if pull.load_wanted:
-            self._word.answered(asked_s)
-        if view.take(loop.time(), update, pull.load_wanted):
+        self._word.answered(asked_s, pull.word)
+        if view.take(loop.time(), update, pull.word):
             self._tell()
 
     def _question(self, now_s: float, view: FollowerView, slot: int, wait_s: float) -> Pull:
         """What to ask a control node. The first of the two is told this node's calls, and asked for all others'
         where these are asked for seldom; an answer of the other would be counted against another report."""
         report = self.report
-        by_usual = self._word.by_usual(view.gateways)
-        asking = report is not None and (slot == 0 or not by_usual)
-        wanted = asking and self._word.due(now_s, view.gateways)
-        told = report(wanted) if report is not None and slot == 0 else None
+        word = Word.TOTALS
+        if report is not None:
+            word = self._word.next(now_s, view.gateways, reporting=slot == 0)
+        told = report(word is not Word.TOTALS) if report is not None and slot == 0 else None
         return Pull(
             me=self.me,
             vector=dict(view.store.vector),
             configuration_version=view.configuration_version,
             placement_epoch=view.placement_epoch,
             wait_ms=int(wait_s * 1000),
-            load={server_id: calls for server_id, calls in told.items() if calls} if told else {},
+            load=told or {},
             tells_load=told is not None,
-            load_wanted=wanted,
-            usual_wanted=wanted and by_usual,
+            word=word,
             suspects=self.suspects() if self.suspects is not None and told is not None else {},
         )
 
--- a/emberring/distribution/load.py
+++ b/emberring/distribution/load.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Mapping
+from enum import Enum
 
 import attrs
 
@@ -12,13 +13,23 @@
 GATEWAYS_BY_WORD = 8  # so many gateways can go by the newest word without all choosing the same server
 
 
+class Word(Enum):
+    """What an answer is to tell of calls in flight besides the totals: nothing, those at every server, or those at
+    the servers that the asker uses, smoothed as well."""
+
+    TOTALS = "totals"
+    EVERY_SERVER = "every_server"
+    SERVERS_IN_USE = "servers_in_use"
+
+
 @attrs.frozen
 class KnownLoad:
-    """Calls in flight by server id (`calls`), the same smoothed over some seconds (`usual`; empty where it was not
-    asked for) and by service (`totals`). The calls of the gateway that is told are among them."""
+    """Calls in flight by server id (`calls`) and by service (`totals`); the calls of the gateway that is told are
+    among them. `usual` is None where every server was told of, otherwise it has the servers that were asked for, their
+    calls smoothed over some seconds."""
 
     calls: Mapping[str, int] = attrs.field(factory=dict)
-    usual: Mapping[str, float] = attrs.field(factory=dict)
+    usual: Mapping[str, float] | None = None
     totals: Mapping[str, int] = attrs.field(factory=dict)
 
 
@@ -29,24 +40,22 @@
     """When a gateway asks for each server's calls; the totals come with every answer.
 
     With few gateways every answer brings them. With many, a gateway goes by what is usual at a server, which changes
-    slowly, and asks so much less often that all gateways together ask no more for each further one.
+    slowly, asks so much less often that all gateways together ask no more for each further one, and asks after the
+    servers in use alone: there it is told as much whatever the number of servers.
     """
 
     def __init__(self) -> None:
         self._asked_s = -WORD_EVERY_MOST_S
 
-    @staticmethod
-    def by_usual(gateways: int) -> bool:
-        """Whether the usual calls are asked for as well."""
-        return gateways > GATEWAYS_BY_WORD
-
-    def due(self, now_s: float, gateways: int) -> bool:
-        """Whether to ask now."""
-        if not self.by_usual(gateways):
-            return True
+    def next(self, now_s: float, gateways: int, reporting: bool) -> Word:
+        """What to ask for now. What is told of the servers in use holds this node's calls as they were `reporting`."""
+        if gateways <= GATEWAYS_BY_WORD:
+            return Word.EVERY_SERVER
         every_s = min(WORD_EVERY_MOST_S, WORD_EVERY_S * gateways / GATEWAYS_BY_WORD)
-        return now_s - self._asked_s >= every_s
+        due = now_s - self._asked_s >= every_s
+        return Word.SERVERS_IN_USE if due and reporting else Word.TOTALS
 
-    def answered(self, asked_s: float) -> None:
-        """Word came that was asked for then."""
-        self._asked_s = asked_s
+    def answered(self, asked_s: float, word: Word) -> None:
+        """This came that was asked for then."""
+        if word is not Word.TOTALS:
+            self._asked_s = asked_s
--- a/emberring/distribution/messages.py
+++ b/emberring/distribution/messages.py
@@ -9,6 +9,7 @@
 import attrs
 
 from emberring.distribution.facts import NodeFact, ServerFact
+from emberring.distribution.load import Word
 from emberring.lots.placement import Placement
 from emberring.transport.messages import message
 
@@ -50,10 +51,10 @@
 @attrs.frozen
 class Pull:
     """A gateway or store asks a control node for what it lacks. The answer is held back up to `wait_ms` until
-    there is something. `load` is the asker's calls in flight by server id, those with none left out; only one
-    control node is told (`tells_load`), and told with it which servers the asker holds to be in trouble
-    (`suspects`, by server id). `load_wanted` asks for the calls of all gateways at each server, and
-    `usual_wanted` for the same smoothed."""
+    there is something. `load` is the asker's calls in flight by server id; only one control node is told
+    (`tells_load`), and told with it which servers the asker holds to be in trouble (`suspects`, by server id).
+    `word` says what to tell of all gateways' calls; the servers in use are those in `load`, with none of the asker's
+    calls maybe."""
 
     me: NodeFact
     vector: dict[str, int]
@@ -62,8 +63,7 @@
     wait_ms: int = 0
     load: dict[str, int] = attrs.field(factory=dict)
     tells_load: bool = False
-    load_wanted: bool = True
-    usual_wanted: bool = False
+    word: Word = Word.EVERY_SERVER
     suspects: dict[str, str] = attrs.field(factory=dict)
 
 
@@ -74,7 +74,7 @@
     `configuration` is the compressed document of `configuration_version` if that is newer than the asker's.
     `controls` are the addresses of all control nodes that this one has heard of, also of those it can't reach.
     Calls in flight over all gateways: `service_load` by service, and as far as they were asked for by server
-    `server_load` and, smoothed, `usual_load`; what has none is left out."""
+    `server_load` and, smoothed, `usual_load`. What has none is left out, unless it was asked for by name."""
 
     origin: str
     quorum_age_ms: float
--- a/emberring/distribution/view.py
+++ b/emberring/distribution/view.py
@@ -10,7 +10,7 @@
 from emberring.configuration.reading import unpack_configuration
 from emberring.distribution.facts import NodeFact, NodeRole, ServerFact, ServerState
 from emberring.distribution.facts_store import FactStore
-from emberring.distribution.load import NO_LOAD, KnownLoad
+from emberring.distribution.load import NO_LOAD, KnownLoad, Word
 from emberring.distribution.messages import Update
 from emberring.lots.placement import Placement
 from emberring.registry.merge import merged
@@ -52,14 +52,14 @@
         """The epoch of the placement known; 0 without one."""
         return self.placement.epoch if self.placement is not None else 0
 
-    def take(self, now_s: float, update: Update, load_wanted: bool = True) -> bool:
-        """Take in an answer; whether anything but the load changed. `load_wanted` as the pull said."""
+    def take(self, now_s: float, update: Update, word: Word = Word.EVERY_SERVER) -> bool:
+        """Take in an answer; whether anything but the load changed. `word` as the pull said."""
         self._pass_time(now_s)
         self._answers[update.origin] = (self._alive_s, update.live_origins)
         for origin in (update.origin, *update.live_origins):
             self._origins_seen[origin] = self._alive_s
         self.store.take(update.delta)
-        self._take_load(update, load_wanted)
+        self._take_load(update, word)
         changed = self._take_configuration(now_s, update)
         changed |= self._take_placement(update)
         changed |= self._take_gateways(update)
@@ -67,14 +67,15 @@
         changed |= self._show_servers()
         return self._show_nodes() or changed
 
-    def _take_load(self, update: Update, load_wanted: bool) -> None:
+    def _take_load(self, update: Update, word: Word) -> None:
         """A control node that has just started, or is cut off, knows no load; that is not taken for none."""
         if not (update.server_load or update.service_load) and update.quorum_age_ms >= QUORUM_FRESH_S * 1000:
             return
-        if load_wanted:
-            self.load = KnownLoad(update.server_load, update.usual_load, update.service_load)
-        else:
+        if word is Word.TOTALS:
             self.load = attrs.evolve(self.load, totals=update.service_load)
+        else:
+            usual = update.usual_load if word is Word.SERVERS_IN_USE else None
+            self.load = KnownLoad(update.server_load, usual, update.service_load)
 
     def _pass_time(self, now_s: float) -> None:
         self._alive_s += min(MAX_STEP_S, max(0.0, now_s - self._last_answer_s))
--- a/emberring/gateway/role.py
+++ b/emberring/gateway/role.py
@@ -73,7 +73,7 @@
 
     async def start(self) -> None:
         """Listen, and begin to learn what is to be known."""
-        self.follower.report = self.admission.in_flight
+        self.follower.report = self._report
         self.follower.suspects = self._suspicions.told
         self.follower.subscribe(self._on_change)
         self.executor.on_misdirected = self._refresh
@@ -85,6 +85,15 @@
         self._tick()
         await self.runner.start()
 
+    def _report(self, word_follows: bool) -> dict[str, int]:
+        """Calls in flight by server; with those servers to which connections rest where word of them follows."""
+        calls = self.admission.in_flight(word_follows)
+        return {
+            server_id: count
+            for server_id, count in calls.items()
+            if count or (word_follows and self.pool.has_idle(server_id))
+        }
+
     def _limits(self) -> ClientLimits:
         configuration = self.follower.configuration
         return configuration.limits if configuration is not None else ClientLimits()
--- a/tests/emberring/admission/test_tier_admission.py
+++ b/tests/emberring/admission/test_tier_admission.py
@@ -146,7 +146,7 @@
     for number in range(4):
         assert isinstance(admission.offer(0.0, call(f"c{number}")), Admitted)
     admission.in_flight(word_follows=True)
-    word = KnownLoad({"s1": 4, "s2": 4}, {}, {"llm": 8})
+    word = KnownLoad({"s1": 4, "s2": 4}, None, {"llm": 8})
     admission.set_servers(0.1, [fact("s1"), fact("s2")], SERVICES, 2, word)
     others = [view.others for view in admission._pools["llm"].servers.values()]
     assert sum(others) == 4
@@ -162,7 +162,7 @@
     facts = [fact("s1"), fact("s2"), fact("s3")]
     admission = Admission(AdmissionSettings(), seed=1)
     admission.in_flight()
-    word = KnownLoad({"s1": 0, "s2": 0, "s3": 0}, {}, {"llm": total})
+    word = KnownLoad({"s1": 0, "s2": 0, "s3": 0}, None, {"llm": total})
     admission.set_servers(0.0, facts, SERVICES, 1, word)
     taken = take_items(admission, "b", 0.0)
     assert most - 6 <= taken <= most
@@ -177,6 +177,17 @@
     assert view.likely_load(60) > 5.0
 
 
+def test_a_server_of_which_nothing_was_asked_is_taken_for_one_like_the_others() -> None:
+    facts = [fact("s1"), fact("s2"), fact("s3")]
+    admission = Admission(AdmissionSettings(), seed=1)
+    word = KnownLoad({"s1": 2}, {"s1": 2.0}, {"llm": 12})  # s1 alone was in use
+    admission.set_servers(0.0, facts, SERVICES, 60, word)
+    views = admission._pools["llm"].servers
+    assert views["s1"].others == 2
+    assert views["s2"].others == pytest.approx(12 / 3 * 59 / 60)
+    assert views["s2"].others == views["s2"].others_usual
+
+
 def test_a_gateway_alone_uses_the_places_of_lots() -> None:
     admission = admission_of(fact("s1"), fact("s2"))
     assert take_items(admission, "b", 0.0) >= 0.8 * 16
--- /dev/null
+++ b/tests/emberring/control/test_tier_feed.py
@@ -0,0 +1,66 @@
+"""What a control node tells of calls in flight, by what the asker wants."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from emberring.control.board import Board
+from emberring.control.feed import Feed
+from emberring.distribution.facts import NodeFact, NodeRole, ServerFact, ServerState
+from emberring.distribution.load import Word
+from emberring.distribution.messages import Pull, Update
+from emberring.lab.virtual_time import run_virtually
+from emberring.transport.network import Caller
+
+CALLER = Caller("10.0.1.1:5")
+
+
+def gateway(number: int, role: NodeRole = NodeRole.GATEWAY) -> NodeFact:
+    return NodeFact(f"node-{number}", role, f"10.0.1.{number}:70", "z", "", f"n{number}")
+
+
+def answer_to(pull: Pull) -> Update:
+    """The answer of a control node that another gateway told of 3 calls at one server and 2 at another."""
+    found: list[Update] = []
+
+    async def play() -> None:
+        me = NodeFact("core-0", NodeRole.CONTROL, "10.0.0.1:70", "z", "d0", "c0")
+        board = Board(0.0, me, [me.address], 1.2)
+        servers = [ServerFact(name, "llm", f"{name}:1", "z", 12, ServerState.READY, 1) for name in ("a", "b")]
+        board.state_servers(0.0, servers)
+        feed = Feed(board)
+        for _ in range(100):  # as long as it takes until that is usual
+            await feed.on_pull(Pull(gateway(1), {}, load={"a": 3, "b": 2}, tells_load=True), CALLER)
+            board.load.calls(asyncio.get_running_loop().time())
+            await asyncio.sleep(0.2)
+        found.append(await feed.on_pull(pull, CALLER))
+
+    run_virtually(play())
+    return found[0]
+
+
+@pytest.mark.parametrize(
+    ("word", "load", "calls", "usual"),
+    [
+        (Word.TOTALS, {"a": 1}, {}, {}),
+        (Word.EVERY_SERVER, {"a": 1}, {"a": 4, "b": 2}, {}),
+        (Word.SERVERS_IN_USE, {"a": 1}, {"a": 4}, {"a": 3.0}),
+        (Word.SERVERS_IN_USE, {"a": 1, "b": 0, "idle": 0}, {"a": 4, "b": 2, "idle": 0}, {"b": 2.0}),
+        (Word.SERVERS_IN_USE, {}, {}, {}),
+    ],
+)
+def test_what_is_told(
+    word: Word, load: dict[str, int], calls: dict[str, int], usual: dict[str, float]
+) -> None:
+    update = answer_to(Pull(gateway(2), {}, load=load, tells_load=True, word=word))
+    assert update.server_load == calls
+    assert {name: update.usual_load[name] for name in usual} == pytest.approx(usual, abs=0.2)
+    assert set(update.usual_load) == (set(load) if word is Word.SERVERS_IN_USE else set())
+    assert update.service_load == {"llm": 5 + load.get("a", 0)}
+
+
+def test_stores_are_told_none() -> None:
+    update = answer_to(Pull(gateway(2, NodeRole.STORE), {}))
+    assert (update.server_load, update.usual_load, update.service_load) == ({}, {}, {})
--- a/tests/emberring/distribution/test_tier_calls_in_flight.py
+++ b/tests/emberring/distribution/test_tier_calls_in_flight.py
@@ -17,6 +17,7 @@
     WORD_EVERY_MOST_S,
     WORD_EVERY_S,
     KnownLoad,
+    Word,
     WordSchedule,
 )
 from emberring.distribution.messages import Delta, Pull, Update
@@ -55,7 +56,7 @@
     for _ in range(5):
         sources.ledger.calls(1.0)
         sources.ledger.totals(1.01)
-        sources.ledger.usual(1.01)
+        sources.ledger.usual(1.01, ["a"])
     assert sources.asked == 1
     sources.loads = [{"a": 5}]
     assert sources.ledger.calls(1.03) == {"a": 5}
@@ -73,11 +74,12 @@
 def test_usual_calls_follow_over_seconds_and_end() -> None:
     sources = Sources({"a": 8})
     for step in range(200):
-        sources.ledger.usual(step * 0.1)
-    assert sources.ledger.usual(20.0) == {"a": pytest.approx(8.0, abs=0.1)}
+        sources.ledger.usual(step * 0.1, ())
+    assert sources.ledger.usual(20.0, ["a", "b"]) == {"a": pytest.approx(8.0, abs=0.1), "b": 0.0}
     sources.loads = [{}]
-    assert sources.ledger.usual(20.0 + USUAL_S)["a"] == pytest.approx(8.0 / 2.718, abs=0.1)
-    assert sources.ledger.usual(21.0 + 8 * USUAL_S) == {}
+    assert sources.ledger.usual(20.0 + USUAL_S, ["a"])["a"] == pytest.approx(8.0 / 2.718, abs=0.1)
+    assert sources.ledger.usual(21.0 + 8 * USUAL_S, ["a"]) == {"a": 0.0}
+    assert sources.ledger.usual(21.0 + 8 * USUAL_S, ()) == {}
     assert NEGLIGIBLE < 0.1
 
 
@@ -97,12 +99,16 @@
 )
 def test_each_servers_calls_are_asked_for_less_often_by_many(gateways: int, every_s: float) -> None:
     schedule = WordSchedule()
-    assert schedule.due(10.0, gateways)
-    schedule.answered(10.0)
+    asked = Word.EVERY_SERVER if every_s == 0.0 else Word.SERVERS_IN_USE
+    assert schedule.next(10.0, gateways, reporting=True) is asked
+    schedule.answered(10.0, asked)
+    schedule.answered(10.1, Word.TOTALS)  # which is no word of a server
     assert every_s <= WORD_EVERY_MOST_S
-    assert schedule.due(10.0 + every_s + 0.001, gateways)
-    assert schedule.due(10.0 + every_s - 0.01, gateways) == (every_s == 0.0)
-    assert WordSchedule.by_usual(gateways) == (gateways > GATEWAYS_BY_WORD)
+    assert schedule.next(10.0 + every_s + 0.001, gateways, reporting=True) is asked
+    early = schedule.next(10.0 + every_s - 0.01, gateways, reporting=True)
+    assert early is (Word.EVERY_SERVER if every_s == 0.0 else Word.TOTALS)
+    other = schedule.next(20.0, gateways, reporting=False)
+    assert other is (Word.EVERY_SERVER if every_s == 0.0 else Word.TOTALS)
 
 
 def update(calls: dict[str, int], totals: dict[str, int], quorum_age_ms: float = 10.0) -> Update:
@@ -111,19 +117,19 @@
 
 def test_word_of_each_server_stays_where_only_the_totals_were_asked_for() -> None:
     view = FollowerView(0.0)
-    view.take(0.1, update({"i": 3}, {"x": 3}), load_wanted=True)
-    view.take(0.2, update({}, {"x": 5}), load_wanted=False)
-    assert view.load == KnownLoad({"i": 3}, {}, {"x": 5})
-    view.take(0.3, update({}, {}), load_wanted=True)
+    view.take(0.1, update({"i": 3}, {"x": 3}), word=Word.EVERY_SERVER)
+    view.take(0.2, update({}, {"x": 5}), word=Word.TOTALS)
+    assert view.load == KnownLoad({"i": 3}, None, {"x": 5})
+    view.take(0.3, update({}, {}), word=Word.EVERY_SERVER)
     assert view.load == KnownLoad()
 
 
 def test_a_control_node_that_is_cut_off_knows_no_load_and_is_not_taken_for_none() -> None:
     view = FollowerView(0.0)
     view.take(0.1, update({"i": 3}, {"x": 3}))
-    for wanted in (True, False):
-        view.take(0.2, update({}, {}, quorum_age_ms=5000.0), wanted)
-        assert view.load == KnownLoad({"i": 3}, {}, {"x": 3})
+    for word in Word:
+        view.take(0.2, update({}, {}, quorum_age_ms=5000.0), word)
+        assert view.load == KnownLoad({"i": 3}, None, {"x": 3})
 
 
 class OneControl:
@@ -138,9 +144,8 @@
     async def _on_pull(self, pull: Pull, caller: Caller) -> Update:
         self.pulls.append(pull)
         await asyncio.sleep(0.3)
-        return Update(
-            "c", 0.0, Delta(), ("c",), self.gateways, server_load={"i": 1} if pull.load_wanted else {}
-        )
+        calls = {} if pull.word is Word.TOTALS else {"i": 1}
+        return Update("c", 0.0, Delta(), ("c",), self.gateways, server_load=calls)
 
 
 def asked_for(gateways: int, seconds: float) -> tuple[OneControl, list[bool]]:
@@ -151,7 +156,7 @@
 
     def report(word_follows: bool) -> dict[str, int]:
         reports.append(word_follows)
-        return {"i": 1, "idle": 0}
+        return {"i": 1}
 
     async def play() -> None:
         me = NodeFact("edge-1", NodeRole.GATEWAY, "edge-1:1", "z", "", "1")
@@ -170,7 +175,7 @@
 
 def test_few_gateways_get_word_with_every_answer() -> None:
     telling, reports = asked_for(3, 6.0)
-    assert all(pull.load_wanted and not pull.usual_wanted for pull in telling.pulls)
+    assert all(pull.word is Word.EVERY_SERVER for pull in telling.pulls)
     assert all(pull.load == {"i": 1} for pull in telling.pulls if pull.tells_load)
     assert all(reports)
 
@@ -178,8 +183,8 @@
 def test_many_gateways_get_word_of_each_server_seldom_and_of_what_is_usual() -> None:
     telling, reports = asked_for(400, 30.0)
     later = telling.pulls[5:]
-    wanted = [pull for pull in later if pull.load_wanted]
+    wanted = [pull for pull in later if pull.word is not Word.TOTALS]
     assert 7 <= len(wanted) <= 11  # one in 3 s
-    assert all(pull.usual_wanted and pull.tells_load for pull in wanted)
+    assert all(pull.word is Word.SERVERS_IN_USE and pull.tells_load for pull in wanted)
     assert sum(pull.tells_load for pull in later) > 80  # this node's calls are told as often as ever
     assert sum(reports) < 15
