Tests: ports of their own, below those that the system gives to outgoing connections

Cause: test_stores_are_placed_moved_and_emptied failed once with 'address already in use': four fixtures asked the system for a port, closed it and listened there a moment later; another socket of the test run had it by then.

--- a/tests/emberring/control/test_tier_control_register.py
+++ b/tests/emberring/control/test_tier_control_register.py
@@ -5,10 +5,10 @@
 import asyncio
 import json
 import shutil
-import socket
 from collections.abc import Awaitable, Callable
 from pathlib import Path
 
+from free_ports import free_ports
 from tier_control_fixture import AFollower, Answer, a_document, a_heartbeat, eventually, http, now
 
 from emberring.control.http_server import HttpServer
@@ -43,9 +43,7 @@
     def __init__(self, directory: Path) -> None:
         self.directory = directory
         self.running: dict[int, Running] = {}
-        with socket.socket() as sock:
-            sock.bind(("127.0.0.1", 0))
-            self.port = max(1024, sock.getsockname()[1] - 20)
+        self.port = free_ports(20)[0]
 
     def settings(self, number: int, bootstrap: bool, seeds: tuple[int, ...]) -> Settings:
         return Settings(
--- a/tests/emberring/control/tier_control_fixture.py
+++ b/tests/emberring/control/tier_control_fixture.py
@@ -4,11 +4,11 @@
 
 import asyncio
 import json
-import socket
 from collections.abc import Awaitable, Callable, Sequence
 from typing import Any
 
 import httptools
+from free_ports import free_ports
 
 from emberring.control.http_server import HttpServer
 from emberring.control.node import ControlNode
@@ -19,17 +19,6 @@
 from emberring.transport.network import Network
 
 
-def free_ports(count: int) -> list[int]:
-    """Ports of loopback that nothing listens on."""
-    sockets = [socket.socket() for _ in range(count)]
-    for sock in sockets:
-        sock.bind(("127.0.0.1", 0))
-    ports = [sock.getsockname()[1] for sock in sockets]
-    for sock in sockets:
-        sock.close()
-    return ports
-
-
 class SharedValue:
     """The value that all replicas of a fake register agree on."""
 
--- a/tests/emberring/gateway/test_tier_gateway_role.py
+++ b/tests/emberring/gateway/test_tier_gateway_role.py
@@ -5,13 +5,13 @@
 import asyncio
 import os
 import signal
-import socket
 import sys
 from pathlib import Path
 from typing import Any
 
 import orjson
 import pytest
+from free_ports import free_ports
 from gateway_world import HOST, Client, ScriptedServer, Seen, Side, events, request, until
 
 from emberring.configuration.reading import pack
@@ -27,23 +27,6 @@
 ROOT = Path(__file__).parent.parent.parent.parent
 
 
-def free_ports() -> tuple[int, int, int]:
-    """For clients, for probes, and the first of two in a row for nodes; all free at once."""
-    while True:
-        sockets = [socket.socket() for _ in range(4)]
-        try:
-            for sock in sockets[:3]:
-                sock.bind(("127.0.0.1", 0))
-            ports = [sock.getsockname()[1] for sock in sockets[:3]]
-            sockets[3].bind(("127.0.0.1", ports[2] + 1))
-            return ports[0], ports[1], ports[2]
-        except (OSError, OverflowError):
-            continue
-        finally:
-            for sock in sockets:
-                sock.close()
-
-
 def document(version: int) -> bytes:
     route = {
         "Name": "r",
@@ -87,7 +70,7 @@
 
 
 def settings_for(grace_s: float) -> Settings:
-    frontend, readiness, internal = free_ports()
+    frontend, readiness, internal, _ = free_ports(4)
     return Settings(
         node_name="g1",
         ip="127.0.0.1",
--- a/tests/emberring/store/tier_store_cluster.py
+++ b/tests/emberring/store/tier_store_cluster.py
@@ -3,9 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
-import random
-import socket
 import time
 from collections.abc import Callable, Coroutine, Sequence
 from pathlib import Path
@@ -13,6 +10,7 @@
 
 import attrs
 import orjson
+from free_ports import free_port
 
 from emberring.configuration.model import Configuration, Route, RouteType, Service, Share
 from emberring.distribution.facts import NodeFact, NodeRole
@@ -68,17 +66,6 @@
         runner.run(play)
 
 
-PORTS = range(20_000, 32_000)  # below those that the system gives to outgoing connections
-
-
-def free_port() -> int:
-    while True:
-        port = random.choice(PORTS)
-        with socket.socket() as sock, contextlib.suppress(OSError):
-            sock.bind(("127.0.0.1", port))
-            return port
-
-
 class World:
     """What control nodes would tell; `plan` is run on demand."""
 
