Distribution: a follower looks again at the servers that it was told of alone

Change: only servers named by the answer are looked at again; all of them where other control nodes live than before. A control node counts the gateways once for each change of the nodes. A random test compares what is shown with a look at all servers after every answer.

--- a/emberring/control/board.py
+++ b/emberring/control/board.py
@@ -49,6 +49,8 @@
         self._last_tick_s = now_s
         self._grace_until_s = now_s
         self._seen_origins: dict[str, float] = {}
+        self._counted: Mapping[str, NodeFact] = {}
+        self._gateways = 1
         self.store.state_node(me, present=True)
 
     # -- waking
@@ -104,7 +106,10 @@
     def gateways(self, now_s: float) -> int:
         """How many gateways live; at least 1."""
         live = self.store.live_nodes(self.live_origins(now_s), (NodeRole.GATEWAY,))
-        return max(1, sum(1 for fact in live.values() if not fact.leaving))
+        if live is not self._counted:
+            self._counted = live
+            self._gateways = max(1, sum(1 for fact in live.values() if not fact.leaving))
+        return self._gateways
 
     def _told_loads(self, now_s: float) -> list[Mapping[str, int]]:
         """Calls in flight by server id, as this node and the other control nodes were told."""
--- a/emberring/distribution/view.py
+++ b/emberring/distribution/view.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import functools
+from collections.abc import Iterable
 
 import attrs
 
@@ -46,6 +47,7 @@
         self._alive_s = 0.0
         self._origins_seen: dict[str, float] = {}
         self._answers: dict[str, tuple[float, tuple[str, ...]]] = {}
+        self._listing: frozenset[str] = frozenset()  # the control nodes whose word for a server's life counts
 
     @property
     def placement_epoch(self) -> int:
@@ -64,7 +66,7 @@
         changed |= self._take_placement(update)
         changed |= self._take_gateways(update)
         self._forget()
-        changed |= self._show_servers()
+        changed |= self._show_servers(entry.fact.id for entry in update.delta.servers)
         return self._show_nodes() or changed
 
     def _take_load(self, update: Update, word: Word) -> None:
@@ -116,15 +118,28 @@
                 self._gateways_told.pop(origin, None)
                 self.store.forget_origin(origin)
 
-    def _show_servers(self) -> bool:
-        shown = {}
-        for server_id, known in self.store.servers().items():
-            fact = self._listed(server_id)
-            if fact is not None and fact.state in _SHOWN and known.state in _SHOWN:
-                shown[server_id] = attrs.evolve(fact, state=known.state)
-        changed = shown != self.servers
-        self.servers = shown
-        return changed
+    def _show_servers(self, told: Iterable[str]) -> bool:
+        """Look again at the servers that were told of; at all where other control nodes live than before."""
+        listing = frozenset(origin for origin in self._origins_seen if self._live(origin, ORPHAN_S))
+        if listing != self._listing:
+            self._listing, told = listing, list(self.store.servers())
+        changed: dict[str, ServerFact | None] = {}
+        for server_id in told:
+            shown = self._shown(server_id)
+            if shown != self.servers.get(server_id):
+                changed[server_id] = shown
+        if changed:
+            merged_view: dict[str, ServerFact | None] = {**self.servers, **changed}
+            self.servers = {name: fact for name, fact in merged_view.items() if fact is not None}
+        return bool(changed)
+
+    def _shown(self, server_id: str) -> ServerFact | None:
+        """The server as it may be used; None where it may not."""
+        known = self.store.servers().get(server_id)
+        fact = self._listed(server_id)
+        if known is None or fact is None or fact.state not in _SHOWN or known.state not in _SHOWN:
+            return None
+        return attrs.evolve(fact, state=known.state)
 
     def _listed(self, server_id: str) -> ServerFact | None:
         """What origins that live, or did a short while ago, say of a server together. An ended origin's word for
--- a/tests/emberring/distribution/test_tier_follower_view.py
+++ b/tests/emberring/distribution/test_tier_follower_view.py
@@ -299,3 +299,27 @@
 def test_delta_of_another_origin_needs_no_order() -> None:
     view = FollowerView(0.0)
     assert view.take(0.1, Update("a", 1.0, Delta(), ("a",))) is False
+
+
+@pytest.mark.parametrize("seed", range(20))
+def test_what_is_shown_is_always_what_a_look_at_all_servers_would_show(seed: int) -> None:
+    """Only servers that were told of are looked at again; origins die, come back and contradict one another."""
+    rng = random.Random(seed)
+    view, controls, now_s = FollowerView(0.0), [AControl(name) for name in "abc"], 0.0
+    numbers = [0] * 5
+    for _ in range(120):
+        now_s += rng.choice((0.1, 0.5, 3.0, 12.0))
+        control = rng.choice(controls)
+        for _ in range(rng.randrange(3)):
+            number = rng.randrange(5)
+            numbers[number] += rng.random() < 0.7
+            state = rng.choice(list(ServerState))
+            control.store.state_server(
+                ServerFact(f"i-{number}", "llm", f"h{number}:1", "z", 8, state, numbers[number])
+            )
+        live = tuple(one.store.origin for one in controls if rng.random() < 0.7)
+        before = dict(view.servers)
+        changed = control.tell(view, now_s, live_origins=(control.store.origin, *live))
+        whole = {name: fact for name in view.store.servers() if (fact := view._shown(name)) is not None}
+        assert view.servers == whole
+        assert changed or view.servers == before
