Lab: a cut between two sides of a hollow control plane

Change: networks have a side, calls between two are lost on either way; lab cut parts one control node with its gateways and servers, and tells what is known when, during the cut and after it, and its cost.

--- a/emberring/cli/lab_commands.py
+++ b/emberring/cli/lab_commands.py
@@ -23,6 +23,7 @@
 from emberring.lab.admission_simulator import MakePolicy, World, run_trial
 from emberring.lab.admission_site import SITES
 from emberring.lab.admission_trial import Figures, figures_of
+from emberring.lab.control_cut import CutFigures, measure_cut
 from emberring.lab.control_scale import RoleFigures, ScaleFigures, Size, measure, power
 
 app = typer.Typer(no_args_is_help=True, epilog=EXIT_CODES_TEXT)
@@ -125,6 +126,49 @@
     print_line("gateways + servers; per node and second, middle (busiest) of a role; powers are in gateways")
 
 
+@app.command(epilog=EXIT_CODES_TEXT)
+def cut(
+    gateways: Annotated[int, typer.Option(min=3, max=MOST_GATEWAYS, help="Gateways.")] = 30,
+    servers_each: Annotated[
+        float, typer.Option(min=0.1, max=100, help="Model servers for each gateway.")
+    ] = 1.0,
+    controls: Annotated[int, typer.Option(min=3, max=27, help="Control nodes; one is parted.")] = 3,
+    seconds: Annotated[float, typer.Option(min=4, max=600, help="How long the cut lasts.")] = 15.0,
+    as_json: JsonOption = False,
+) -> None:
+    """Part one control node with its gateways and servers from the rest; what each side knows when, and the cost."""
+    size = Size(gateways, max(1, round(gateways * servers_each)), controls)
+    if size.servers > MOST_SERVERS:
+        raise BadRequestError(f"at most {MOST_SERVERS} servers are played")
+    found = measure_cut(size, seconds)
+    if as_json:
+        print_json(attrs.asdict(found))
+        return
+    print_table(("", "figure"), [(name, read(found)) for name, read in CUT_ROWS])
+    print_line(
+        f"{found.parted} of {gateways} gateways parted for {seconds:g} s; a control node's middle (busiest)"
+    )
+
+
+def _control_row(figures: RoleFigures) -> str:
+    cpu, size = _middle_and_most(_cpu(figures)), _middle_and_most(_bytes(figures))
+    return f"{cpu} % of a core, {size} kB/s"
+
+
+CUT_ROWS: tuple[tuple[str, Callable[[CutFigures], str]], ...] = (
+    ("larger side counts its own gateways alone, s", lambda one: f"{one.absent_s:.2f}"),
+    ("drain known on the larger side, s", lambda one: f"{one.drain_s:.2f}"),
+    ("configuration known on the larger side, s", lambda one: f"{one.configuration_s:.2f}"),
+    ("servers that a parted gateway kept", lambda one: f"{one.kept} of {one.size.servers}"),
+    ("after the cut: drain known to all, s", lambda one: f"{one.drain_after_s:.2f}"),
+    ("after the cut: configuration known to all, s", lambda one: f"{one.configuration_after_s:.2f}"),
+    ("after the cut: all know all servers, s", lambda one: f"{one.servers_after_s:.2f}"),
+    ("after the cut: control counts all gateways, s", lambda one: f"{one.counted_after_s:.2f}"),
+    ("control during the cut", lambda one: _control_row(one.control_during)),
+    ("control in the 5 s after it", lambda one: _control_row(one.control_after)),
+)
+
+
 def _cpu(figures: RoleFigures) -> tuple[float, float]:
     return figures.cpu * 100.0, figures.cpu_most * 100.0
 
--- a/emberring/lab/control_scale.py
+++ b/emberring/lab/control_scale.py
@@ -74,7 +74,7 @@
     configuration_known_s: float
 
 
-class _Control:
+class HollowControl:
     """A control node without register and HTTP."""
 
     def __init__(self, hub: dict[str, HollowNetwork], number: int, seeds: Sequence[str]) -> None:
@@ -87,10 +87,11 @@
         self.network.handle(Pull, Feed(self.board).on_pull)
 
     def start(self) -> None:
+        """Begin to exchange."""
         self.network.start(self._exchanger.run())
 
 
-class _Gateway:
+class HollowGateway:
     """The part of a gateway that follows the control nodes."""
 
     def __init__(self, hub: dict[str, HollowNetwork], number: int, seeds: Sequence[str], calls: int) -> None:
@@ -107,20 +108,24 @@
         return dict(Counter(self._random.choices(servers, k=self._calls))) if servers else {}
 
     def start(self) -> None:
+        """Begin to pull."""
         self.network.start(self.follower.start())
 
 
-class _World:
+class World:
+    """Control nodes, gateways and servers of a size, started together."""
+
     def __init__(self, size: Size) -> None:
         self.size = size
         hub: dict[str, HollowNetwork] = {}
         seeds = [f"core-{number}:1" for number in range(size.controls)]
-        self.controls = [_Control(hub, number, seeds) for number in range(size.controls)]
-        self.gateways = [_Gateway(hub, number, seeds, size.calls) for number in range(size.gateways)]
+        self.controls = [HollowControl(hub, number, seeds) for number in range(size.controls)]
+        self.gateways = [HollowGateway(hub, number, seeds, size.calls) for number in range(size.gateways)]
         self.draining = False  # whether the first server is about to end
         self._sequence = 0
 
     def start(self) -> None:
+        """Start all of them."""
         for control in self.controls:
             control.start()
         for gateway in self.gateways:
@@ -129,14 +134,14 @@
             control = self.controls[number % self.size.controls]
             control.network.start(self._beat_on(control, number))
 
-    async def _beat_on(self, control: _Control, number: int) -> None:
+    async def _beat_on(self, control: HollowControl, number: int) -> None:
         await asyncio.sleep(HEARTBEAT_S * number / self.size.servers)
         while True:
             if number or not self.draining:
                 await self.beat(control, number, "ready")
             await asyncio.sleep(HEARTBEAT_S)
 
-    async def beat(self, control: _Control, number: int, state: str) -> None:
+    async def beat(self, control: HollowControl, number: int, state: str) -> None:
         """A server's heartbeat."""
         self._sequence += 1
         body = orjson.dumps(
@@ -153,8 +158,8 @@
         )
         await control.desk.heartbeat(f"i-{number:08x}", body)
 
-    def configure(self, version: int) -> None:
-        """A configuration is chosen: every control node's register says so."""
+    def configure(self, version: int, controls: Sequence[HollowControl] | None = None) -> None:
+        """A configuration is chosen: the registers of these control nodes, of all if left out, say so."""
         routes = [
             {"Name": f"r{number}", "Host": f"h{number}.example", "PathPrefix": "/p/", "Type": "streaming"}
             | {"TimeoutMs": 5000, "TargetLatencyMs": 200, "Priority": 0, "Service": SERVICE, "MaxAttempts": 1}
@@ -162,11 +167,11 @@
         ]
         document = {"Version": version, "Routes": routes, "Services": [{"Name": SERVICE}], "Limits": {}}
         state = ControlState(version=version, packed=pack(orjson.dumps(document)))
-        for control in self.controls:
+        for control in self.controls if controls is None else controls:
             control.board.take_state(state)
 
 
-async def _time_until(has: Callable[[_Gateway], bool], gateways: Sequence[_Gateway]) -> float:
+async def time_until(has: Callable[[HollowGateway], bool], gateways: Sequence[HollowGateway]) -> float:
     """Seconds until all gateways have it."""
     loop = asyncio.get_running_loop()
     began_s = loop.time()
@@ -178,7 +183,8 @@
     return loop.time() - began_s
 
 
-def _figures(meters: Sequence[Meter], seconds: float) -> RoleFigures:
+def figures_of(meters: Sequence[Meter], seconds: float) -> RoleFigures:
+    """What these nodes used in so many seconds."""
     cpu = [meter.cpu_s / seconds for meter in meters]
     sizes = [(meter.sent_bytes + meter.received_bytes) / seconds for meter in meters]
     calls = [meter.calls / seconds for meter in meters]
@@ -190,7 +196,7 @@
 async def _play(size: Size, seconds: float, found: list[ScaleFigures]) -> None:
     loop = asyncio.get_running_loop()
     meter_tasks(loop)
-    world = _World(size)
+    world = World(size)
     world.start()
     await asyncio.sleep(START_S)
     world.configure(1)
@@ -202,26 +208,28 @@
     for meter in (*meters["control"], *meters["gateway"]):
         meter.clear()
     await asyncio.sleep(seconds)
-    roles = {role: _figures(mine, seconds) for role, mine in meters.items()}
+    roles = {role: figures_of(mine, seconds) for role, mine in meters.items()}
     known = min(len(one.follower.servers) for one in world.gateways)
     world.configure(2)
-    configured_s = await _time_until(_has_version_2, world.gateways)
+    configured_s = await time_until(has_version_2, world.gateways)
     world.draining = True
     began_s = loop.time()
     await world.beat(world.controls[0], 0, "draining")
     acknowledged_s = loop.time() - began_s
-    drained_s = acknowledged_s + await _time_until(_knows_the_drain, world.gateways)
+    drained_s = acknowledged_s + await time_until(knows_the_drain, world.gateways)
     found.append(
         ScaleFigures(size, roles["control"], roles["gateway"], known, acknowledged_s, drained_s, configured_s)
     )
 
 
-def _has_version_2(gateway: _Gateway) -> bool:
+def has_version_2(gateway: HollowGateway) -> bool:
+    """Whether it has the second configuration."""
     configuration = gateway.follower.configuration
     return configuration is not None and configuration.version >= 2
 
 
-def _knows_the_drain(gateway: _Gateway) -> bool:
+def knows_the_drain(gateway: HollowGateway) -> bool:
+    """Whether it sends nothing new to the first server."""
     fact = gateway.follower.servers.get(f"i-{0:08x}")
     return fact is None or fact.state is not ServerState.READY
 
--- a/emberring/lab/hollow_network.py
+++ b/emberring/lab/hollow_network.py
@@ -88,6 +88,7 @@
     def __init__(self, hub: dict[str, HollowNetwork], address: str) -> None:
         super().__init__()
         self.meter = Meter()
+        self.side = ""  # of a cut: calls between two sides are lost
         self.context = contextvars.copy_context()
         self.context.run(_CURRENT.set, self.meter)
         self._hub = hub
@@ -111,9 +112,9 @@
         self.meter.sent_bytes += len(line)
         try:
             async with asyncio.timeout(timeout_s):
-                await asyncio.sleep(DELAY_S)
+                await asyncio.sleep(DELAY_S if peer.side == self.side else timeout_s)
                 answer_line = await peer.start(peer.answer_line(line, self._address))
-                await asyncio.sleep(DELAY_S)
+                await asyncio.sleep(DELAY_S if peer.side == self.side else timeout_s)
         except TimeoutError:
             raise PeerTimeoutError(f"no reply from {address}") from None
         self.meter.received_bytes += len(answer_line)
--- /dev/null
+++ b/tests/emberring/lab/test_tier_control_cut.py
@@ -0,0 +1,62 @@
+"""A cut between two sides of a hollow control plane."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+from typer.testing import CliRunner
+
+from emberring.cli.lab_commands import app
+from emberring.distribution.view import ORPHAN_S
+from emberring.errors import PeerTimeoutError
+from emberring.lab.control_cut import measure_cut
+from emberring.lab.control_scale import Size
+from emberring.lab.hollow_network import HollowNetwork, meter_tasks
+from emberring.lab.virtual_time import run_virtually
+from emberring.transport.messages import Ok
+
+
+def test_calls_between_two_sides_are_lost_on_either_way() -> None:
+    async def play() -> None:
+        meter_tasks(asyncio.get_running_loop())
+        hub: dict[str, HollowNetwork] = {}
+        asker, other = HollowNetwork(hub, "a:1"), HollowNetwork(hub, "b:1")
+        taken: list[Ok] = []
+
+        async def take(message: Ok, caller: object) -> Ok:
+            taken.append(message)
+            other.side = "parted"  # the cut begins before the reply leaves
+            return Ok()
+
+        other.handle(Ok, take)
+        with pytest.raises(PeerTimeoutError):
+            await asker.start(asker.call("b:1", Ok(), Ok, 0.5))
+        assert len(taken) == 1
+        with pytest.raises(PeerTimeoutError):
+            await asker.start(asker.call("b:1", Ok(), Ok, 0.5))
+        assert len(taken) == 1
+        other.side = ""
+
+    run_virtually(play())
+
+
+@pytest.mark.parametrize("size", [Size(6, 9, 3), Size(10, 20, 5)])
+def test_each_side_learns_in_time_what_it_must(size: Size) -> None:
+    found = measure_cut(size, ORPHAN_S - 2.0)
+    assert found.parted == size.gateways // size.controls
+    assert found.absent_s < 2.0
+    assert found.drain_s < 0.5
+    assert found.configuration_s < 0.5
+    assert found.kept == size.servers  # nothing is dropped for a short cut
+    assert found.drain_after_s < 2.0
+    assert found.configuration_after_s < 2.0
+    assert found.servers_after_s < 3.0
+    assert found.counted_after_s < 3.0
+
+
+def test_the_command_prints_a_row_for_each_figure() -> None:
+    done = CliRunner().invoke(app, ["cut", "--gateways", "6", "--seconds", "5"])
+    assert done.exit_code == 0, done.output
+    assert "2 of 6 gateways parted for 5 s" in done.output
+    assert "configuration known to all" in done.output
