Control: a server that is only slow under a burst is no warning

Change: the warning is written where two gateways find more than slowness; for slowness alone a line of level INFO. Measured: a table of what is told and whether it warns, once each.

--- a/emberring/control/suspicion_ledger.py
+++ b/emberring/control/suspicion_ledger.py
@@ -1,7 +1,8 @@
 """Which model servers gateways hold to be in trouble, over the whole tier. No sockets.
 
-One gateway may be mistaken, or cut off itself; where two say the same, or the only one does, the server is called
-failing, in a line of the log and on the status page.
+One gateway may be mistaken, or cut off itself; where two say the same, or the only one does, the server is held to be in
+trouble, in a line of the log and on the status page. The line is a warning unless they find it slow alone, as servers are
+in any burst.
 """
 
 from __future__ import annotations
@@ -16,6 +17,7 @@
 
 WITNESSES = 2  # gateways that must suspect a server, where there are so many
 WELL_AFTER_S = 2.0  # without that
+SLOW = "slow"
 
 Suspects = Mapping[str, Mapping[str, int]]
 """By server id: how many gateways hold it to have which trouble."""
@@ -34,11 +36,13 @@
 
 @attrs.define
 class Failing:
-    """A server that gateways agree on. Times are seconds of the steady clock."""
+    """A server that gateways agree on. Times are seconds of the steady clock; `warned` is whether it was called failing
+    already, and not only slow."""
 
     since_s: float
     last_s: float
     troubles: Mapping[str, int]
+    warned: bool = False
 
 
 class SuspicionLedger:
@@ -50,32 +54,38 @@
 
     def look(self, now_s: float, told: Suspects, gateways: int) -> None:
         """What gateways hold now; `gateways` is how many there are."""
+        wanted = min(WITNESSES, gateways)
         for server_id, troubles in told.items():
-            if sum(troubles.values()) >= min(WITNESSES, gateways):
-                self._fails(now_s, server_id, troubles, gateways)
+            if sum(troubles.values()) >= wanted:
+                self._suffers(now_s, server_id, troubles, wanted)
         for server_id, failing in list(self.failing.items()):
             if now_s - failing.last_s >= WELL_AFTER_S:
                 self._ends(server_id, failing)
 
-    def _fails(self, now_s: float, server_id: str, troubles: Mapping[str, int], gateways: int) -> None:
+    def _suffers(self, now_s: float, server_id: str, troubles: Mapping[str, int], wanted: int) -> None:
         known = self.failing.get(server_id)
-        if known is not None:
-            known.last_s, known.troubles = now_s, troubles
-            return
-        self.failing[server_id] = Failing(now_s, now_s, troubles)
+        if known is None:
+            known = self.failing[server_id] = Failing(now_s, now_s, troubles)
+            if not _grave(troubles, wanted):
+                logger.info("event=server_slow %s", self._described(server_id, troubles))
+        known.last_s, known.troubles = now_s, troubles
+        if not known.warned and _grave(troubles, wanted):
+            known.warned = True
+            logger.warning("event=server_failing %s", self._described(server_id, troubles))
+
+    def _described(self, server_id: str, troubles: Mapping[str, int]) -> str:
         fact = self._servers().get(server_id)
-        logger.warning(
-            "event=server_failing server=%s service=%s address=%s zone=%s troubles=%s gateways=%d",
-            server_id,
-            fact.service if fact else "",
-            fact.address if fact else "",
-            fact.zone if fact else "",
-            ",".join(f"{name}:{count}" for name, count in sorted(troubles.items())),
-            gateways,
-        )
+        service, address, zone = (fact.service, fact.address, fact.zone) if fact else ("", "", "")
+        counts = ",".join(f"{name}:{count}" for name, count in sorted(troubles.items()))
+        return f"server={server_id} service={service} address={address} zone={zone} troubles={counts}"
 
     def _ends(self, server_id: str, failing: Failing) -> None:
         del self.failing[server_id]
         logger.info(
             "event=server_recovered server=%s lasted_s=%.1f", server_id, failing.last_s - failing.since_s
         )
+
+
+def _grave(troubles: Mapping[str, int], wanted: int) -> bool:
+    """Whether so many gateways find more than slowness."""
+    return sum(count for name, count in troubles.items() if name != SLOW) >= wanted
--- a/tests/emberring/control/test_tier_suspicion_ledger.py
+++ b/tests/emberring/control/test_tier_suspicion_ledger.py
@@ -5,6 +5,7 @@
 import orjson
 import pytest
 
+from emberring.control import suspicion_ledger
 from emberring.control.board import Board
 from emberring.control.status_page import StatusPage
 from emberring.control.suspicion_ledger import WELL_AFTER_S, SuspicionLedger, summed_suspects
@@ -14,6 +15,18 @@
 SERVER = ServerFact("i-1", "llm", "10.0.0.9:80", "z", 12, ServerState.READY, 1)
 
 
+class Lines:
+    """Stands for the logger."""
+
+    def __init__(self) -> None:
+        self.warnings: list[str] = []
+
+    def warning(self, text: str, *args: object) -> None:
+        self.warnings.append(text % args)
+
+    def info(self, text: str, *args: object) -> None: ...
+
+
 def gateway(number: int) -> NodeFact:
     return NodeFact(f"edge-{number}", NodeRole.GATEWAY, f"10.0.1.{number}:70", "z", "", f"e{number}")
 
@@ -40,6 +53,29 @@
     assert (SERVER.id in ledger.failing) is failing
 
 
+@pytest.mark.parametrize(
+    ("told", "warned"),
+    [
+        ([{"slow": 5}], False),
+        ([{"slow": 5, "silent": 1}], False),  # one gateway alone finds more than slowness
+        ([{"silent": 2}], True),
+        ([{"slow": 2}, {"slow": 1, "failing": 2}], True),  # it got worse
+        ([{"failing": 2}, {"slow": 2}], True),
+    ],
+)
+def test_a_warning_is_written_once_and_not_where_servers_are_only_slow(
+    told: list[dict[str, int]], warned: bool, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    lines = Lines()
+    monkeypatch.setattr(suspicion_ledger, "logger", lines)
+    ledger = SuspicionLedger(lambda: {SERVER.id: SERVER})
+    for turn, troubles in enumerate(told * 3):
+        ledger.look(1.0 + 0.1 * turn, {SERVER.id: troubles}, 5)
+    assert ledger.failing[SERVER.id].warned is warned
+    assert len(lines.warnings) == int(warned)
+    assert all(SERVER.address in line for line in lines.warnings)
+
+
 def test_it_lasts_until_nobody_has_said_so_for_a_while() -> None:
     ledger = SuspicionLedger(dict)
     ledger.look(1.0, {"i-1": {"silent": 2}}, 5)
