--- a/emberring/control/suspicion_ledger.py
+++ b/emberring/control/suspicion_ledger.py
@@ -1,8 +1,8 @@
 """Which model servers gateways hold to be in trouble, over the whole tier. No sockets.
 
-One gateway may be mistaken, or cut off itself; where two say the same, or the only one does, the server is held to be in
-trouble, in a line of the log and on the status page. The line is a warning unless they find it slow alone, as servers are
-in any burst.
+One gateway may be mistaken, or cut off itself; where two say the same, or the only one does, the server is held to be
+in trouble, in a line of the log and on the status page. The line is a warning unless they find it slow alone, as
+servers are in any burst.
 """
 
 from __future__ import annotations
