Distribution: word of calls is told seldom only where gateways times servers are many

Change: as before the change up to 12,000 gateways times servers: every server with every answer, thresholds by word of each server. Beyond it, where a control node would be full, seldom word of the servers in use, and the sums.

--- a/emberring/admission/admission.py
+++ b/emberring/admission/admission.py
@@ -65,8 +65,9 @@
                     view.connections = max(1.0, service.max_connections / gateways)
                 if service is not None and service.kv_cache_tokens > 0:
                     view.kv_tokens = float(service.kv_cache_tokens)
-            _hear_load(now_s, views, load, gateways, load.totals.get(name))
-            pool.set_servers(views, gateways, load.totals.get(name))
+            total = load.totals.get(name) if load.usual is not None else None
+            _hear_load(now_s, views, load, gateways, total)
+            pool.set_servers(views, gateways, total)
 
     def offer(self, now_s: float, call: CallInfo) -> Decision:
         """Decide at once; an admitted call counts against its server from now on."""
--- a/emberring/distribution/follower.py
+++ b/emberring/distribution/follower.py
@@ -146,7 +146,7 @@
         report = self.report
         word = Word.TOTALS
         if report is not None:
-            word = self._word.next(now_s, view.gateways, reporting=slot == 0)
+            word = self._word.next(now_s, view.gateways, len(view.servers), reporting=slot == 0)
         told = report(word is not Word.TOTALS) if report is not None and slot == 0 else None
         return Pull(
             me=self.me,
--- a/emberring/distribution/load.py
+++ b/emberring/distribution/load.py
@@ -7,10 +7,10 @@
 
 import attrs
 
-WORD_EVERY_S = 0.3  # for each server, where each gateway can go by word of single servers
 USUAL_S = 3.0  # over which a server's calls are smoothed: much longer than word of them takes
-WORD_EVERY_MOST_S = USUAL_S  # older word is no word
+WORD_EVERY_S = USUAL_S  # for each server, where it is seldom; older word is no word
 GATEWAYS_BY_WORD = 8  # so many gateways can go by the newest word without all choosing the same server
+FREQUENT_PAIRS = 12_000  # gateways times servers up to which control can tell of all servers at each answer
 
 
 class Word(Enum):
@@ -39,20 +39,19 @@
 class WordSchedule:
     """When a gateway asks for each server's calls; the totals come with every answer.
 
-    With few gateways every answer brings them. With many, a gateway goes by what is usual at a server, which changes
-    slowly, asks so much less often that all gateways together ask no more for each further one, and asks after the
-    servers in use alone: there it is told as much whatever the number of servers.
+    Where gateways are few, or gateways times servers are, every answer brings them. Elsewhere a gateway goes by what is
+    usual at a server, which changes slowly: it asks seldom, and after the servers in use alone, so that it is told as
+    much whatever the number of servers.
     """
 
     def __init__(self) -> None:
-        self._asked_s = -WORD_EVERY_MOST_S
+        self._asked_s = -WORD_EVERY_S
 
-    def next(self, now_s: float, gateways: int, reporting: bool) -> Word:
+    def next(self, now_s: float, gateways: int, servers: int, reporting: bool) -> Word:
         """What to ask for now. What is told of the servers in use holds this node's calls as they were `reporting`."""
-        if gateways <= GATEWAYS_BY_WORD:
+        if gateways <= GATEWAYS_BY_WORD or gateways * servers <= FREQUENT_PAIRS:
             return Word.EVERY_SERVER
-        every_s = min(WORD_EVERY_MOST_S, WORD_EVERY_S * gateways / GATEWAYS_BY_WORD)
-        due = now_s - self._asked_s >= every_s
+        due = now_s - self._asked_s >= WORD_EVERY_S
         return Word.SERVERS_IN_USE if due and reporting else Word.TOTALS
 
     def answered(self, asked_s: float, word: Word) -> None:
