Tests: waits for what happens in place of fixed sleeps

Cause: three test files slept for a fixed time: processes of the rig slept for a minute and their end was polled, the feed's loads were told with pauses of a virtual clock, a control node's stand-in held each pull for 0.3 s. Change: processes wait for a signal and their end is awaited on a pidfd; loads are told at explicit times; the stand-in holds a pull as a control node does, until news or its time is over, and a test ends at so many reports. Assertions are the same.

--- a/tests/emberring/control/test_tier_feed.py
+++ b/tests/emberring/control/test_tier_feed.py
@@ -11,7 +11,6 @@
 from emberring.distribution.facts import NodeFact, NodeRole, ServerFact, ServerState
 from emberring.distribution.load import Word
 from emberring.distribution.messages import Pull, Update
-from emberring.lab.virtual_time import run_virtually
 from emberring.transport.network import Caller
 
 CALLER = Caller("10.0.1.1:5")
@@ -23,22 +22,20 @@
 
 def answer_to(pull: Pull) -> Update:
     """The answer of a control node that another gateway told of 3 calls at one server and 2 at another."""
-    found: list[Update] = []
 
-    async def play() -> None:
+    async def play() -> Update:
+        now_s = asyncio.get_running_loop().time()
         me = NodeFact("core-0", NodeRole.CONTROL, "10.0.0.1:70", "z", "d0", "c0")
-        board = Board(0.0, me, [me.address], 1.2)
+        board = Board(now_s - 20.0, me, [me.address], 1.2)
         servers = [ServerFact(name, "llm", f"{name}:1", "z", 12, ServerState.READY, 1) for name in ("a", "b")]
-        board.state_servers(0.0, servers)
-        feed = Feed(board)
-        for _ in range(100):  # as long as it takes until that is usual
-            await feed.on_pull(Pull(gateway(1), {}, load={"a": 3, "b": 2}, tells_load=True), CALLER)
-            board.load.calls(asyncio.get_running_loop().time())
-            await asyncio.sleep(0.2)
-        found.append(await feed.on_pull(pull, CALLER))
-
-    run_virtually(play())
-    return found[0]
+        board.state_servers(now_s - 20.0, servers)
+        for step in range(100):  # as long as it takes until that is usual
+            then_s = now_s - 20.0 + 0.2 * step
+            board.node_called(then_s, gateway(1), {"a": 3, "b": 2}, tells_load=True)
+            board.load.calls(then_s)
+        return await Feed(board).on_pull(pull, CALLER)
+
+    return asyncio.run(play())
 
 
 @pytest.mark.parametrize(
--- a/tests/emberring/distribution/test_tier_calls_in_flight.py
+++ b/tests/emberring/distribution/test_tier_calls_in_flight.py
@@ -8,6 +8,7 @@
 import pytest
 
 from emberring.control.load_ledger import NEGLIGIBLE, LoadLedger
+from emberring.control.signal import Signal
 from emberring.distribution.contacts import Contacts
 from emberring.distribution.facts import NodeFact, NodeRole, ServerFact, ServerState
 from emberring.distribution.follower import Follower
@@ -133,7 +134,7 @@
 
 
 class OneControl:
-    """Answers every pull after a while with so many gateways."""
+    """Answers pulls with so many gateways; each is held back for as long as it allows, as nothing ever changes."""
 
     def __init__(self, hub: dict[str, HollowNetwork], address: str, gateways: int) -> None:
         self.network = HollowNetwork(hub, address)
@@ -141,10 +142,11 @@
         self.gateways = gateways
         self.entries = [ServerEntry("c", number, server(f"s{number}", "x")) for number in range(1, 101)]
         self.pulls: list[Pull] = []
+        self._news = Signal()
 
     async def _on_pull(self, pull: Pull, caller: Caller) -> Update:
         self.pulls.append(pull)
-        await asyncio.sleep(0.3)
+        await self._news.wait(pull.wait_ms / 1000)
         calls = {} if pull.word is Word.TOTALS else {"i": 1}
         known = pull.vector.get("c", 0)
         entries = tuple(entry for entry in self.entries if entry.number > known)
@@ -152,14 +154,17 @@
         return Update("c", 0.0, delta, ("c",), self.gateways, server_load=calls)
 
 
-def asked_for(gateways: int, seconds: float) -> tuple[OneControl, list[bool]]:
-    """The pulls of a gateway among so many, and what its report was told."""
+def asked_for(gateways: int, count: int) -> tuple[OneControl, list[bool]]:
+    """The pulls of a gateway among so many until it has made so many reports, and what its report was told."""
     reports: list[bool] = []
+    enough = asyncio.Event()
     hub: dict[str, HollowNetwork] = {}
     controls = [OneControl(hub, f"core-{number}:1", gateways) for number in range(2)]
 
     def report(word_follows: bool) -> dict[str, int]:
         reports.append(word_follows)
+        if len(reports) == count:
+            enough.set()
         return {"i": 1}
 
     async def play() -> None:
@@ -168,7 +173,7 @@
         follower = Follower(network, me, ["core-0:1", "core-1:1"])
         follower.report = report
         await follower.start()
-        await asyncio.sleep(seconds)
+        await enough.wait()
         assert follower.load.calls == {"i": 1}
         await follower.stop()
 
@@ -178,14 +183,14 @@
 
 
 def test_few_gateways_get_word_with_every_answer() -> None:
-    telling, reports = asked_for(3, 6.0)
+    telling, reports = asked_for(3, 20)
     assert all(pull.word is Word.EVERY_SERVER for pull in telling.pulls)
     assert all(pull.load == {"i": 1} for pull in telling.pulls if pull.tells_load)
     assert all(reports)
 
 
 def test_many_gateways_get_word_of_each_server_seldom_and_of_what_is_usual() -> None:
-    telling, reports = asked_for(400, 30.0)
+    telling, reports = asked_for(400, 100)
     later = telling.pulls[5:]
     wanted = [pull for pull in later if pull.word is not Word.TOTALS]
     assert 7 <= len(wanted) <= 11  # one in 3 s
--- a/tests/fleet/test_processes.py
+++ b/tests/fleet/test_processes.py
@@ -5,10 +5,10 @@
 import asyncio
 import json
 import os
+import select
 import signal
 import subprocess
 import sys
-import time
 
 import pytest
 
@@ -21,33 +21,32 @@
 from orchidledge.fleet.processes import Supervisor
 async def main():
     supervisor = Supervisor(pathlib.Path(sys.argv[1]))
-    started = await supervisor.start("one", ["-c", "import time; print('ready', flush=True); time.sleep(60)"], "ready")
+    stays = "import signal; print('ready', flush=True); signal.pause()"
+    started = await supervisor.start("one", ["-c", stays], "ready")
     print(started.process.pid, flush=True)
-    await asyncio.sleep(60)
+    await asyncio.Event().wait()
 asyncio.run(main())
 """
 
 
-def alive(pid: int) -> bool:
-    try:
-        os.kill(pid, 0)
-    except ProcessLookupError:
-        return False
-    with open(f"/proc/{pid}/stat") as stat:
-        return stat.read().rsplit(")", 1)[1].split()[0] != "Z"  # ended, and nobody has asked for its end yet
+def has_ended(process: int, within_s: float) -> bool:
+    """Whether the process of this descriptor (of `pidfd_open`) has ended, or ends in this time."""
+    readable, _, _ = select.select([process], [], [], within_s)
+    return bool(readable)
 
 
 def test_a_rig_that_is_killed_leaves_no_process(tmp_path):
     rig = subprocess.Popen([sys.executable, "-c", RIG, str(tmp_path)], stdout=subprocess.PIPE, text=True)
     assert rig.stdout is not None
     pid = int(rig.stdout.readline())
-    assert alive(pid)
-    rig.kill()
-    rig.wait()
-    until = time.monotonic() + 20.0
-    while alive(pid) and time.monotonic() < until:
-        time.sleep(0.02)
-    assert not alive(pid)
+    process = os.pidfd_open(pid)
+    try:
+        assert not has_ended(process, 0.0)
+        rig.kill()
+        rig.wait()
+        assert has_ended(process, 20.0)
+    finally:
+        os.close(process)
 
 
 def test_a_process_that_does_not_come_up_is_told_with_its_words(tmp_path):
