Transport: what a reply must be is checked in one place

Cause: the hollow network of the lab had a copy of the network's check of replies, and its own way of a line twice. Change: both call transport.network.expected; the lab's way of a line is one method. Behaviour is the same. Measured: the tests of transport and lab pass.

--- a/emberring/lab/hollow_network.py
+++ b/emberring/lab/hollow_network.py
@@ -15,13 +15,12 @@
 
 import attrs
 
-from emberring.errors import PeerTimeoutError, PeerUnavailableError, ProtocolViolationError, error_from_wire
-from emberring.transport.messages import Envelope, Failure, decode, encode
-from emberring.transport.network import Caller, Network
+from emberring.errors import PeerTimeoutError, PeerUnavailableError
+from emberring.transport.messages import Envelope, decode, encode
+from emberring.transport.network import Caller, Network, Reply, expected
 
 DELAY_S = 0.0005  # one way
 
-Reply = TypeVar("Reply")
 Result = TypeVar("Result")
 
 
@@ -112,18 +111,17 @@
         self.meter.sent_bytes += len(line)
         try:
             async with asyncio.timeout(timeout_s):
-                await asyncio.sleep(DELAY_S if peer.side == self.side else timeout_s)
+                await self._pass_to(peer, timeout_s)
                 answer_line = await peer.start(peer.answer_line(line, self._address))
-                await asyncio.sleep(DELAY_S if peer.side == self.side else timeout_s)
+                await self._pass_to(peer, timeout_s)
         except TimeoutError:
             raise PeerTimeoutError(f"no reply from {address}") from None
         self.meter.received_bytes += len(answer_line)
-        answer = decode(answer_line).body
-        if isinstance(answer, Failure):
-            raise error_from_wire(answer.kind, answer.detail)
-        if not isinstance(answer, reply):
-            raise ProtocolViolationError(f"{address} replied with {type(answer).__name__}")
-        return answer
+        return expected(reply, decode(answer_line).body, address)
+
+    async def _pass_to(self, peer: HollowNetwork, timeout_s: float) -> None:
+        """The way of a line; between two sides of a cut it outlasts the call."""
+        await asyncio.sleep(DELAY_S if peer.side == self.side else timeout_s)
 
     async def answer_line(self, line: bytes, caller: str) -> bytes:
         """The reply to a line that has come."""
--- a/emberring/transport/network.py
+++ b/emberring/transport/network.py
@@ -52,6 +52,16 @@
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_MS)
 
 
+def expected(reply: type[Reply], answer: object, address: str) -> Reply:
+    """The answer of a call to this address; its error where the other side failed, `ProtocolViolationError` where it
+    is no message of this kind."""
+    if isinstance(answer, Failure):
+        raise error_from_wire(answer.kind, answer.detail)
+    if not isinstance(answer, reply):
+        raise ProtocolViolationError(f"{address} replied with {type(answer).__name__}")
+    return answer
+
+
 class _Lines(asyncio.Protocol):
     """Cuts what comes into lines; bytes that are no message end this connection alone."""
 
@@ -209,11 +219,7 @@
             raise PeerTimeoutError(f"no reply from {address} to {type(body).__name__}") from None
         finally:
             connection.waiting.pop(number, None)
-        if isinstance(answer, Failure):
-            raise error_from_wire(answer.kind, answer.detail)
-        if not isinstance(answer, reply):
-            raise ProtocolViolationError(f"{address} replied with {type(answer).__name__}")
-        return answer
+        return expected(reply, answer, address)
 
     async def tell(self, address: str, body: Any) -> None:
         """Send a hint that wants no reply; failures are ignored."""
