Lab: calm and cut control planes start and wait alike

Cause: the plays of a calm time and of a cut each had the same start of a world, and a loop of their own that waits until something holds. Change: started and time_until serve both; all_have is the condition over gateways.

--- a/emberring/lab/control_cut.py
+++ b/emberring/lab/control_cut.py
@@ -8,24 +8,24 @@
 from __future__ import annotations
 
 import asyncio
-import math
 from collections.abc import Callable, Sequence
 
 import attrs
 
 from emberring.lab.control_scale import (
-    START_S,
     HollowControl,
     HollowGateway,
     RoleFigures,
     Size,
     World,
+    all_have,
     figures_of,
     has_version_2,
     knows_the_drain,
+    started,
     time_until,
 )
-from emberring.lab.hollow_network import HollowNetwork, meter_tasks
+from emberring.lab.hollow_network import HollowNetwork
 from emberring.lab.virtual_time import run_virtually
 
 PARTED = "parted"
@@ -84,17 +84,6 @@
         self.parted_control.board.quorum_age_s = lambda: 0.0
 
 
-async def _until(holds: Callable[[], bool]) -> float:
-    """Seconds until this holds."""
-    loop = asyncio.get_running_loop()
-    began_s = loop.time()
-    while not holds():
-        if loop.time() - began_s > GIVE_UP_S:
-            return math.inf
-        await asyncio.sleep(LOOK_S)
-    return loop.time() - began_s
-
-
 def _counts(controls: Sequence[HollowControl], gateways: int) -> Callable[[], bool]:
     loop = asyncio.get_running_loop()
     return lambda: all(one.board.gateways(loop.time()) == gateways for one in controls)
@@ -106,23 +95,18 @@
 
 async def _play(size: Size, cut_s: float, found: list[CutFigures]) -> None:
     loop = asyncio.get_running_loop()
-    meter_tasks(loop)
-    world = World(size)
-    world.start()
-    await asyncio.sleep(START_S)
-    world.configure(1)
-    await asyncio.sleep(1.0)
+    world = await started(size)
     cut, meters = _Cut(world), [one.network.meter for one in world.controls]
     for meter in meters:
         meter.clear()
     cut.begin()
     cut_began_s = loop.time()
-    absent_s = await _until(_counts(cut.larger_controls, len(cut.larger)))
+    absent_s = await time_until(_counts(cut.larger_controls, len(cut.larger)), LOOK_S, GIVE_UP_S)
     world.draining = True
     await world.beat(world.controls[0], 0, "draining")
-    drain_s = await time_until(knows_the_drain, cut.larger)
+    drain_s = await time_until(all_have(knows_the_drain, cut.larger))
     world.configure(2, cut.larger_controls)
-    configuration_s = await time_until(has_version_2, cut.larger)
+    configuration_s = await time_until(all_have(has_version_2, cut.larger))
     await asyncio.sleep(max(0.0, cut_began_s + cut_s - loop.time()))
     during = figures_of(meters, loop.time() - cut_began_s)
     kept = min(len(one.follower.servers) for one in cut.parted)
@@ -132,10 +116,10 @@
     healed_s = loop.time()
     world.configure(2, [cut.parted_control])  # its register hears of it at once
     drain_after, configuration_after, servers_after, counted_after = await asyncio.gather(
-        time_until(knows_the_drain, cut.parted),
-        time_until(has_version_2, cut.parted),
-        _until(_know(world.gateways, size.servers - 1)),
-        _until(_counts(world.controls, size.gateways)),
+        time_until(all_have(knows_the_drain, cut.parted)),
+        time_until(all_have(has_version_2, cut.parted)),
+        time_until(_know(world.gateways, size.servers - 1), LOOK_S, GIVE_UP_S),
+        time_until(_counts(world.controls, size.gateways), LOOK_S, GIVE_UP_S),
     )
     await asyncio.sleep(max(0.0, healed_s + SETTLE_S - loop.time()))
     after = figures_of(meters, loop.time() - healed_s)
--- a/emberring/lab/control_scale.py
+++ b/emberring/lab/control_scale.py
@@ -32,7 +32,8 @@
 from emberring.settings import FaultTolerance
 
 HEARTBEAT_S = 1.2
-START_S = 4.0  # until all know one another
+START_S = 4.0  # until all know one another,
+CONFIGURED_S = 1.0  # and the first configuration
 LOOK_S = 0.01
 GIVE_UP_S = 10.0  # for word to reach everybody
 SERVICE = "llm"
@@ -171,18 +172,41 @@
             control.board.take_state(state)
 
 
-async def time_until(has: Callable[[HollowGateway], bool], gateways: Sequence[HollowGateway]) -> float:
-    """Seconds until all gateways have it."""
+async def started(size: Size) -> World:
+    """A world of this size, whose tasks are metered, in which all know one another and the first configuration."""
+    meter_tasks(asyncio.get_running_loop())
+    world = World(size)
+    world.start()
+    await asyncio.sleep(START_S)
+    world.configure(1)
+    await asyncio.sleep(CONFIGURED_S)
+    return world
+
+
+async def time_until(
+    holds: Callable[[], bool], look_s: float = LOOK_S, give_up_s: float = GIVE_UP_S
+) -> float:
+    """Seconds until this holds; infinite where it is given up."""
     loop = asyncio.get_running_loop()
     began_s = loop.time()
-    missing = list(gateways)
-    while missing := [one for one in missing if not has(one)]:
-        if loop.time() - began_s > GIVE_UP_S:
+    while not holds():
+        if loop.time() - began_s > give_up_s:
             return math.inf
-        await asyncio.sleep(LOOK_S)
+        await asyncio.sleep(look_s)
     return loop.time() - began_s
 
 
+def all_have(has: Callable[[HollowGateway], bool], gateways: Sequence[HollowGateway]) -> Callable[[], bool]:
+    """Whether all gateways have it by now; one that had it is not asked again."""
+    missing = list(gateways)
+
+    def hold() -> bool:
+        missing[:] = [one for one in missing if not has(one)]
+        return not missing
+
+    return hold
+
+
 def figures_of(meters: Sequence[Meter], seconds: float) -> RoleFigures:
     """What these nodes used in so many seconds."""
     cpu = [meter.cpu_s / seconds for meter in meters]
@@ -195,12 +219,7 @@
 
 async def _play(size: Size, seconds: float, found: list[ScaleFigures]) -> None:
     loop = asyncio.get_running_loop()
-    meter_tasks(loop)
-    world = World(size)
-    world.start()
-    await asyncio.sleep(START_S)
-    world.configure(1)
-    await asyncio.sleep(1.0)
+    world = await started(size)
     meters = {
         "control": [one.network.meter for one in world.controls],
         "gateway": [one.network.meter for one in world.gateways],
@@ -211,12 +230,12 @@
     roles = {role: figures_of(mine, seconds) for role, mine in meters.items()}
     known = min(len(one.follower.servers) for one in world.gateways)
     world.configure(2)
-    configured_s = await time_until(has_version_2, world.gateways)
+    configured_s = await time_until(all_have(has_version_2, world.gateways))
     world.draining = True
     began_s = loop.time()
     await world.beat(world.controls[0], 0, "draining")
     acknowledged_s = loop.time() - began_s
-    drained_s = acknowledged_s + await time_until(knows_the_drain, world.gateways)
+    drained_s = acknowledged_s + await time_until(all_have(knows_the_drain, world.gateways))
     found.append(
         ScaleFigures(size, roles["control"], roles["gateway"], known, acknowledged_s, drained_s, configured_s)
     )
