Lab commands: sizes are read and checked in one place

Cause: lab scale and lab cut each had the option of servers a gateway and the check of what is played. Change: one option, one check; lab cut's error names the bound of gateways as well.

--- a/emberring/cli/lab_commands.py
+++ b/emberring/cli/lab_commands.py
@@ -98,6 +98,18 @@
 MOST_GATEWAYS = 1000
 MOST_SERVERS = 20_000
 
+ServersEachOption = Annotated[
+    float, typer.Option("--servers-each", min=0.1, max=100, help="Model servers for each gateway.")
+]
+
+
+def _size(gateways: int, servers_each: float, controls: int) -> Size:
+    """The size that is asked for; `BadRequestError` where it is more than is played."""
+    size = Size(gateways, max(1, round(gateways * servers_each)), controls)
+    if not 1 <= size.gateways <= MOST_GATEWAYS or size.servers > MOST_SERVERS:
+        raise BadRequestError(f"1 to {MOST_GATEWAYS} gateways and at most {MOST_SERVERS} servers are played")
+    return size
+
 
 @app.command(epilog=EXIT_CODES_TEXT)
 def scale(
@@ -105,18 +117,14 @@
         list[int] | None,
         typer.Option(help="How many gateways; give it several times for a slope. 10, 30 and 100 by default."),
     ] = None,
-    servers_each: Annotated[
-        float, typer.Option(min=0.1, max=100, help="Model servers for each gateway.")
-    ] = 1.0,
+    servers_each: ServersEachOption = 1.0,
     controls: Annotated[int, typer.Option(min=2, max=27, help="Control nodes.")] = 3,
     seconds: Annotated[float, typer.Option(min=1, max=60, help="Calm seconds that are measured.")] = 3.0,
     as_json: JsonOption = False,
 ) -> None:
     """Play the control plane at several sizes with hollow nodes in this process; what each role uses, how it grows."""
     counts = gateways or [10, 30, 100]
-    sizes = [Size(count, max(1, round(count * servers_each)), controls) for count in counts]
-    if any(not 1 <= size.gateways <= MOST_GATEWAYS or size.servers > MOST_SERVERS for size in sizes):
-        raise BadRequestError(f"1 to {MOST_GATEWAYS} gateways and at most {MOST_SERVERS} servers are played")
+    sizes = [_size(count, servers_each, controls) for count in counts]
     found = [measure(size, seconds) for size in sizes]
     if as_json:
         print_json([attrs.asdict(one) for one in found])
@@ -129,18 +137,13 @@
 @app.command(epilog=EXIT_CODES_TEXT)
 def cut(
     gateways: Annotated[int, typer.Option(min=3, max=MOST_GATEWAYS, help="Gateways.")] = 30,
-    servers_each: Annotated[
-        float, typer.Option(min=0.1, max=100, help="Model servers for each gateway.")
-    ] = 1.0,
+    servers_each: ServersEachOption = 1.0,
     controls: Annotated[int, typer.Option(min=3, max=27, help="Control nodes; one is parted.")] = 3,
     seconds: Annotated[float, typer.Option(min=4, max=600, help="How long the cut lasts.")] = 15.0,
     as_json: JsonOption = False,
 ) -> None:
     """Part one control node with its gateways and servers from the rest; what each side knows when, and the cost."""
-    size = Size(gateways, max(1, round(gateways * servers_each)), controls)
-    if size.servers > MOST_SERVERS:
-        raise BadRequestError(f"at most {MOST_SERVERS} servers are played")
-    found = measure_cut(size, seconds)
+    found = measure_cut(_size(gateways, servers_each, controls), seconds)
     if as_json:
         print_json(attrs.asdict(found))
         return
