Lab: one kind of step for both simulators' schedules

Cause: the schedules of lots and of the register each had a class of steps with the same fields and the same line. Change: ScheduledStep serves both, each with its own kinds.

--- a/emberring/lab/lots_schedule.py
+++ b/emberring/lab/lots_schedule.py
@@ -7,6 +7,8 @@
 
 import attrs
 
+from emberring.lab.scheduled_step import ScheduledStep
+
 TROUBLE_S = 12.0
 MOST_TROUBLES = 7
 MOST_LOTS = 30
@@ -44,17 +46,7 @@
 _TROUBLES = tuple(kind for kind in Kind if kind is not Kind.LOT)
 
 
-@attrs.frozen
-class Step:
-    """Something that happens at a time (s); `slot` picks the machine, `lasts_s` is how long it goes on."""
-
-    at_s: float
-    kind: Kind
-    slot: int = 0
-    lasts_s: float = 0.0
-
-    def __str__(self) -> str:
-        return f"{self.at_s:6.3f} s  {self.kind.value:<20} machine {self.slot}  for {self.lasts_s:.3f} s"
+Step = ScheduledStep[Kind]
 
 
 @attrs.frozen
--- a/emberring/lab/register_simulator.py
+++ b/emberring/lab/register_simulator.py
@@ -12,6 +12,7 @@
 import attrs
 
 from emberring.lab.register_world import Bugs, Machine, Weather, World
+from emberring.lab.scheduled_step import ScheduledStep
 from emberring.lab.shortening import fewest_steps
 from emberring.register.keeper import PATIENCE, Patience
 from emberring.register.model import Proposal
@@ -65,18 +66,7 @@
 )
 
 
-@attrs.frozen
-class Step:
-    """Something that happens at a time (s). `slot` picks the machine among those that there are; `lasts_s` is how
-    long it goes on, or until the machine comes back."""
-
-    at_s: float
-    kind: Kind
-    slot: int
-    lasts_s: float = 0.0
-
-    def __str__(self) -> str:
-        return f"{self.at_s:6.3f} s  {self.kind.value:<20} machine {self.slot}  for {self.lasts_s:.3f} s"
+Step = ScheduledStep[Kind]
 
 
 @attrs.frozen
