Distribution: what a node tells of servers is one report, troubles are named in one place

Cause: calls, whether they are told and suspected servers went as three arguments through feed, board and contacts; contacts counted suspicions with a loop of its own beside summed_suspects; the control node had the word slow again that the gateway's closed list of troubles has. Change: Report, Trouble with Suspects and its sum in registry/trouble. The wire is the same.

--- a/emberring/admission/admission.py
+++ b/emberring/admission/admission.py
@@ -7,11 +7,12 @@
 
 from emberring.admission.pool import Pool
 from emberring.admission.server import Placed, ServerView
-from emberring.admission.suspicion import SuspicionChange, Trouble
+from emberring.admission.suspicion import SuspicionChange
 from emberring.admission.types import AdmissionSettings, CallInfo, CallOutcome, Decision, NoServer
 from emberring.configuration.model import Service
 from emberring.distribution.facts import ServerFact
 from emberring.registry.known_load import KnownLoad
+from emberring.registry.trouble import Trouble
 
 
 def always_connected(server_id: str) -> bool:
--- a/emberring/admission/suspicion.py
+++ b/emberring/admission/suspicion.py
@@ -7,7 +7,6 @@
 from __future__ import annotations
 
 from collections.abc import Iterable
-from enum import Enum
 
 import attrs
 
@@ -15,21 +14,11 @@
 from emberring.admission.failures import CHANCE
 from emberring.admission.server import SLOW_CHANCE, ServerView
 from emberring.admission.types import CallOutcome
+from emberring.registry.trouble import Trouble
 
 WELL_AFTER_S = 2.0  # without a sign of trouble
 
 
-class Trouble(Enum):
-    """What speaks against a server: its connections don't come up, it owes events, it breaks answers off, it fails
-    a part of its calls, its first events come late."""
-
-    UNREACHABLE = "unreachable"
-    SILENT = "silent"
-    BREAKING_OFF = "breaking_off"
-    FAILING = "failing"
-    SLOW = "slow"
-
-
 _BY_OUTCOME = {
     CallOutcome.CONNECT_FAILED: Trouble.UNREACHABLE,
     CallOutcome.SILENT: Trouble.SILENT,
--- a/emberring/control/board.py
+++ b/emberring/control/board.py
@@ -10,8 +10,8 @@
 from emberring.configuration.state import ControlState
 from emberring.control.load_ledger import LoadLedger
 from emberring.control.signal import Signal
-from emberring.control.suspicion_ledger import SuspicionLedger, summed_suspects
-from emberring.distribution.contacts import NOBODY, Contacts
+from emberring.control.suspicion_ledger import SuspicionLedger
+from emberring.distribution.contacts import Contacts, Report
 from emberring.distribution.facts import NodeFact, NodeRole, ServerFact
 from emberring.distribution.facts_store import FactStore
 from emberring.distribution.messages import Delta, Exchange, Exchanged
@@ -20,6 +20,7 @@
 from emberring.registry.heartbeats import Heartbeat
 from emberring.registry.merge import level, merged
 from emberring.registry.servers import ServerRegistry
+from emberring.registry.trouble import summed_suspects
 
 logger = get_logger("control")
 
@@ -117,25 +118,17 @@
 
     # -- nodes
 
-    def node_called(
-        self,
-        now_s: float,
-        fact: NodeFact,
-        load: dict[str, int],
-        tells_load: bool = False,
-        suspects: Mapping[str, str] = NOBODY,
-    ) -> None:
-        """A gateway or store pulled."""
-        if self.contacts.note(now_s, fact, load, tells_load, suspects):
+    def node_called(self, now_s: float, fact: NodeFact, report: Report | None = None) -> None:
+        """A gateway or store pulled; `report` is what it told, if it did."""
+        if self.contacts.note(now_s, fact, report):
             self._state_node(now_s, fact, present=True)
 
     def _state_node(self, now_s: float, fact: NodeFact, present: bool) -> None:
         word = "present" if present else "absent"
         logger.info("event=node_%s name=%s role=%s zone=%s", word, fact.name, fact.role.value, fact.zone)
         self.store.state_node(fact, present)
-        if (
-            fact.role is not NodeRole.GATEWAY
-        ):  # those are only counted, and their number is told with other news
+        # Gateways are only counted, and their number is told with other news.
+        if fact.role is not NodeRole.GATEWAY:
             self.hurry(now_s)
             self.changed()
 
--- a/emberring/control/feed.py
+++ b/emberring/control/feed.py
@@ -5,6 +5,7 @@
 import asyncio
 
 from emberring.control.board import Board
+from emberring.distribution.contacts import Report
 from emberring.distribution.facts import NodeRole
 from emberring.distribution.load import Word
 from emberring.distribution.messages import Pull, Update
@@ -26,7 +27,7 @@
     async def on_pull(self, pull: Pull, caller: Caller) -> Update:
         """The answer to a pull."""
         loop = asyncio.get_running_loop()
-        self._board.node_called(loop.time(), pull.me, pull.load, pull.tells_load, pull.suspects)
+        self._board.node_called(loop.time(), pull.me, _report_of(pull))
         give_up_at = loop.time() + min(LONGEST_WAIT_S, pull.wait_ms / 1000)
         while True:
             left_s = give_up_at - loop.time()
@@ -73,3 +74,9 @@
         if pull.word is Word.SERVERS_IN_USE:
             return {server_id: calls.get(server_id, 0) for server_id in pull.load}
         return calls
+
+
+def _report_of(pull: Pull) -> Report | None:
+    """What the asker told of its calls; None where it told another control node. Calls without the word that they are
+    told come from a node of an older version."""
+    return Report(pull.load, pull.suspects) if pull.tells_load or pull.load else None
--- a/emberring/control/suspicion_ledger.py
+++ b/emberring/control/suspicion_ledger.py
@@ -7,33 +7,20 @@
 
 from __future__ import annotations
 
-from collections import Counter
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Callable, Mapping
 
 import attrs
 
 from emberring.distribution.facts import ServerFact
 from emberring.logs import get_logger
+from emberring.registry.trouble import Suspects, Trouble
 
 WITNESSES = 2  # gateways that must suspect a server, where there are so many
 WELL_AFTER_S = 2.0  # without that
-SLOW = "slow"
-
-Suspects = Mapping[str, Mapping[str, int]]
-"""By server id: how many gateways hold it to have which trouble."""
 
 logger = get_logger("control")
 
 
-def summed_suspects(parts: Iterable[Suspects]) -> dict[str, dict[str, int]]:
-    """The sum by server and trouble."""
-    total: dict[str, Counter[str]] = {}
-    for part in parts:
-        for server_id, troubles in part.items():
-            total.setdefault(server_id, Counter()).update(troubles)
-    return {server_id: dict(troubles) for server_id, troubles in total.items()}
-
-
 @attrs.define
 class Failing:
     """A server that gateways agree on. Times are seconds of the steady clock; `warned` is whether it was called failing
@@ -88,4 +75,4 @@
 
 def _grave(troubles: Mapping[str, int], wanted: int) -> bool:
     """Whether so many gateways find more than slowness."""
-    return sum(count for name, count in troubles.items() if name != SLOW) >= wanted
+    return sum(count for name, count in troubles.items() if name != Trouble.SLOW.value) >= wanted
--- a/emberring/distribution/contacts.py
+++ b/emberring/distribution/contacts.py
@@ -8,10 +8,10 @@
 import attrs
 
 from emberring.distribution.facts import NodeFact
+from emberring.registry.trouble import summed_suspects
 
 ABSENT_S = 1.4  # a node that did not pull for so long is no longer in contact
 LOAD_FRESH_S = 1.2
-NOBODY: Mapping[str, str] = {}
 
 
 @attrs.define
@@ -20,11 +20,18 @@
     at_s: float
 
 
-@attrs.define
-class _Load:
+@attrs.frozen
+class Report:
+    """What a node told of model servers: its calls in flight, and which trouble it finds with which, by server id."""
+
     calls: Mapping[str, int]
+    suspects: Mapping[str, str] = attrs.field(factory=dict)
+
+
+@attrs.frozen
+class _Told:
+    report: Report
     at_s: float
-    suspects: Mapping[str, str]
 
 
 class Contacts:
@@ -32,19 +39,12 @@
 
     def __init__(self) -> None:
         self._contacts: dict[str, _Contact] = {}
-        self._loads: dict[str, _Load] = {}
-
-    def note(
-        self,
-        now_s: float,
-        fact: NodeFact,
-        load: Mapping[str, int],
-        tells_load: bool = False,
-        suspects: Mapping[str, str] = NOBODY,
-    ) -> bool:
-        """A node called; whether this says anything new about it. An empty load counts if it `tells_load`."""
-        if load or tells_load:
-            self._loads[fact.name] = _Load(load, now_s, suspects)
+        self._told: dict[str, _Told] = {}
+
+    def note(self, now_s: float, fact: NodeFact, report: Report | None = None) -> bool:
+        """A node called, and may have told something; whether this says anything new about the node."""
+        if report is not None:
+            self._told[fact.name] = _Told(report, now_s)
         contact = self._contacts.get(fact.name)
         if contact is None:
             self._contacts[fact.name] = _Contact(fact, now_s)
@@ -62,7 +62,7 @@
         gone = [contact.fact for contact in self._contacts.values() if now_s - contact.at_s > ABSENT_S]
         for fact in gone:
             del self._contacts[fact.name]
-            self._loads.pop(fact.name, None)
+            self._told.pop(fact.name, None)
         return gone
 
     def renew(self, now_s: float) -> None:
@@ -82,16 +82,17 @@
 
     def load(self, now_s: float) -> dict[str, int]:
         """Calls in flight by server id, over the nodes that told this control node."""
-        return summed(entry.calls for entry in self._loads.values() if now_s - entry.at_s < LOAD_FRESH_S)
+        return summed(report.calls for report in self._fresh(now_s))
 
     def suspects(self, now_s: float) -> dict[str, dict[str, int]]:
         """By server id: how many nodes that told this control node hold it to have which trouble."""
-        found: dict[str, Counter[str]] = {}
-        for entry in self._loads.values():
-            if now_s - entry.at_s < LOAD_FRESH_S:
-                for server_id, trouble in entry.suspects.items():
-                    found.setdefault(server_id, Counter())[trouble] += 1
-        return {server_id: dict(troubles) for server_id, troubles in found.items()}
+        return summed_suspects(
+            {server_id: {trouble: 1} for server_id, trouble in report.suspects.items()}
+            for report in self._fresh(now_s)
+        )
+
+    def _fresh(self, now_s: float) -> list[Report]:
+        return [told.report for told in self._told.values() if now_s - told.at_s < LOAD_FRESH_S]
 
 
 def summed(loads: Iterable[Mapping[str, int]]) -> dict[str, int]:
--- a/emberring/gateway/suspicions.py
+++ b/emberring/gateway/suspicions.py
@@ -5,8 +5,9 @@
 from collections import Counter
 
 from emberring.admission import Admission
-from emberring.admission.suspicion import SuspicionChange, Trouble
+from emberring.admission.suspicion import SuspicionChange
 from emberring.logs import get_logger
+from emberring.registry.trouble import Trouble
 
 logger = get_logger("gateway")
 
--- a/tests/emberring/admission/test_tier_suspicion.py
+++ b/tests/emberring/admission/test_tier_suspicion.py
@@ -8,10 +8,11 @@
 
 from emberring.admission import Admission, AdmissionSettings, Admitted, CallInfo, CallOutcome, pacing
 from emberring.admission.server import ServerView
-from emberring.admission.suspicion import WELL_AFTER_S, SuspicionBook, Trouble, trouble_of
+from emberring.admission.suspicion import WELL_AFTER_S, SuspicionBook, trouble_of
 from emberring.distribution.facts import ServerFact, ServerState
 from emberring.gateway.suspicions import SuspicionReport
 from emberring.registry.known_load import NO_LOAD
+from emberring.registry.trouble import Trouble
 
 PAUSE_MS = 5.0
 
--- a/tests/emberring/control/test_tier_board_simulation.py
+++ b/tests/emberring/control/test_tier_board_simulation.py
@@ -163,7 +163,7 @@
     def _answer(self, control: AControl, follower: AFollower) -> Update:
         view, board = follower.view, control.board
         pull = Pull(follower.fact, dict(view.store.vector))
-        board.node_called(self.now_s, pull.me, {})
+        board.node_called(self.now_s, pull.me)
         return Update(
             origin=board.me.incarnation,
             quorum_age_ms=board.quorum_age_s() * 1000,
--- a/tests/emberring/control/test_tier_feed.py
+++ b/tests/emberring/control/test_tier_feed.py
@@ -8,6 +8,7 @@
 
 from emberring.control.board import Board
 from emberring.control.feed import Feed
+from emberring.distribution.contacts import Report
 from emberring.distribution.facts import NodeFact, NodeRole, ServerFact, ServerState
 from emberring.distribution.load import Word
 from emberring.distribution.messages import Pull, Update
@@ -31,7 +32,7 @@
         board.state_servers(now_s - 20.0, servers)
         for step in range(100):  # as long as it takes until that is usual
             then_s = now_s - 20.0 + 0.2 * step
-            board.node_called(then_s, gateway(1), {"a": 3, "b": 2}, tells_load=True)
+            board.node_called(then_s, gateway(1), Report({"a": 3, "b": 2}))
             board.load.calls(then_s)
         return await Feed(board).on_pull(pull, CALLER)
 
@@ -61,3 +62,16 @@
 def test_stores_are_told_none() -> None:
     update = answer_to(Pull(gateway(2, NodeRole.STORE), {}))
     assert (update.server_load, update.usual_load, update.service_load) == ({}, {}, {})
+
+
+@pytest.mark.parametrize(
+    ("pull", "calls"),
+    [
+        (Pull(gateway(1), {}, load={"a": 1}, tells_load=True), {"a": 1}),
+        (Pull(gateway(1), {}, load={}, tells_load=True), {}),  # it has none now
+        (Pull(gateway(1), {}), {"a": 3, "b": 2}),  # it told another control node
+        (Pull(gateway(1), {}, load={"a": 1}), {"a": 1}),  # of a version that does not say that it tells
+    ],
+)
+def test_what_a_gateway_told_last_counts(pull: Pull, calls: dict[str, int]) -> None:
+    assert answer_to(pull).server_load == calls
--- a/tests/emberring/control/test_tier_suspicion_ledger.py
+++ b/tests/emberring/control/test_tier_suspicion_ledger.py
@@ -8,9 +8,10 @@
 from emberring.control import suspicion_ledger
 from emberring.control.board import Board
 from emberring.control.status_page import StatusPage
-from emberring.control.suspicion_ledger import WELL_AFTER_S, SuspicionLedger, summed_suspects
-from emberring.distribution.contacts import LOAD_FRESH_S, Contacts
+from emberring.control.suspicion_ledger import WELL_AFTER_S, SuspicionLedger
+from emberring.distribution.contacts import LOAD_FRESH_S, Contacts, Report
 from emberring.distribution.facts import NodeFact, NodeRole, ServerFact, ServerState
+from emberring.registry.trouble import summed_suspects
 
 SERVER = ServerFact("i-1", "llm", "10.0.0.9:80", "z", 12, ServerState.READY, 1)
 
@@ -89,11 +90,11 @@
 
 def test_gateways_word_is_counted_by_trouble_and_grows_old() -> None:
     contacts = Contacts()
-    contacts.note(0.0, gateway(1), {}, True, {"i-1": "silent"})
-    contacts.note(0.0, gateway(2), {}, True, {"i-1": "silent", "i-2": "slow"})
-    contacts.note(0.1, gateway(2), {}, False)  # a pull that tells nothing takes nothing back
+    contacts.note(0.0, gateway(1), Report({}, {"i-1": "silent"}))
+    contacts.note(0.0, gateway(2), Report({}, {"i-1": "silent", "i-2": "slow"}))
+    contacts.note(0.1, gateway(2))  # a pull that tells nothing takes nothing back
     assert contacts.suspects(0.2) == {"i-1": {"silent": 2}, "i-2": {"slow": 1}}
-    contacts.note(0.3, gateway(2), {}, True)
+    contacts.note(0.3, gateway(2), Report({}))
     assert contacts.suspects(0.4) == {"i-1": {"silent": 1}}
     assert contacts.suspects(LOAD_FRESH_S + 0.1) == {}
 
@@ -106,8 +107,8 @@
 def test_control_nodes_add_up_what_their_gateways_say_and_show_it() -> None:
     first, second = board(0), board(1)
     first.state_servers(0.0, [SERVER])
-    first.node_called(0.1, gateway(1), {}, True, {SERVER.id: "silent"})
-    second.node_called(0.1, gateway(2), {}, True, {SERVER.id: "failing"})
+    first.node_called(0.1, gateway(1), Report({}, {SERVER.id: "silent"}))
+    second.node_called(0.1, gateway(2), Report({}, {SERVER.id: "failing"}))
     for one in (first, second):
         one.tick(0.2)
         assert one.suspicions.failing[SERVER.id].troubles.keys() < {"silent", "failing"}  # the one it heard
--- a/tests/emberring/distribution/test_tier_calls_in_flight.py
+++ b/tests/emberring/distribution/test_tier_calls_in_flight.py
@@ -9,7 +9,7 @@
 
 from emberring.control.load_ledger import NEGLIGIBLE, LoadLedger
 from emberring.control.signal import Signal
-from emberring.distribution.contacts import Contacts
+from emberring.distribution.contacts import Contacts, Report
 from emberring.distribution.facts import NodeFact, NodeRole, ServerFact, ServerState
 from emberring.distribution.follower import Follower
 from emberring.distribution.load import FREQUENT_PAIRS, Word, WordSchedule
@@ -80,10 +80,10 @@
 def test_an_empty_load_counts_only_from_who_tells_loads() -> None:
     contacts = Contacts()
     fact = NodeFact("edge-1", NodeRole.GATEWAY, "10.0.0.2:70", "zone")
-    contacts.note(0.0, fact, {"i": 1}, True)
-    contacts.note(0.1, fact, {}, False)
+    contacts.note(0.0, fact, Report({"i": 1}))
+    contacts.note(0.1, fact)
     assert contacts.load(0.2) == {"i": 1}
-    contacts.note(0.3, fact, {}, True)
+    contacts.note(0.3, fact, Report({}))
     assert contacts.load(0.4) == {}
 
 
--- a/tests/emberring/distribution/test_tier_follower_view.py
+++ b/tests/emberring/distribution/test_tier_follower_view.py
@@ -10,7 +10,7 @@
 import pytest
 
 from emberring.configuration.reading import pack
-from emberring.distribution.contacts import Contacts, summed
+from emberring.distribution.contacts import Contacts, Report, summed
 from emberring.distribution.facts import NodeFact, NodeRole, ServerFact, ServerState
 from emberring.distribution.facts_store import FactStore
 from emberring.distribution.messages import Delta, Update
@@ -202,14 +202,14 @@
 def test_contacts_end_with_silence() -> None:
     contacts = Contacts()
     fact = NodeFact("edge-1", NodeRole.GATEWAY, "10.0.0.2:70", "zone")
-    assert contacts.note(0.0, fact, {"i": 1})
-    assert not contacts.note(0.5, fact, {})
+    assert contacts.note(0.0, fact, Report({"i": 1}))
+    assert not contacts.note(0.5, fact)
     assert contacts.load(1.0) == {"i": 1}
     assert contacts.load(1.5) == {}
-    assert contacts.note(0.6, attrs.evolve(fact, leaving=True), {})
+    assert contacts.note(0.6, attrs.evolve(fact, leaving=True))
     assert contacts.expired(1.9) == []
     assert [one.name for one in contacts.expired(2.1)] == ["edge-1"]
-    assert contacts.note(2.2, fact, {})
+    assert contacts.note(2.2, fact)
 
 
 def test_loads_are_added_up() -> None:
