Admission and control: nothing kept twice, nothing computed twice or for nobody

Change: the known calls hold the servers; sound servers are found once; calls are smoothed where they are asked for; the lab calls summed.

--- a/emberring/admission/known_calls.py
+++ b/emberring/admission/known_calls.py
@@ -8,7 +8,7 @@
 
 
 class KnownCalls:
-    """The sums over a pool's servers that decisions go by. `servers` is set with the pool's."""
+    """A pool's servers by id, and the sums over them that decisions go by."""
 
     def __init__(self) -> None:
         self.servers: dict[str, ServerView] = {}
@@ -16,8 +16,9 @@
         self._reported = 0  # this gateway's calls when they were last reported
         self._others: float | None = None  # all others' calls, where that is told
 
-    def told(self, total: int | None) -> None:
-        """The servers or the others' calls have just been set; `total` is all gateways' calls, where it is told."""
+    def told(self, servers: dict[str, ServerView], total: int | None) -> None:
+        """The servers, told of the others' calls; `total` is all gateways' calls, where it is told."""
+        self.servers = servers
         self.own_when_told = own_calls(self.servers.values())
         self._others = None if total is None else max(0.0, total - self._reported)
 
--- a/emberring/admission/pool.py
+++ b/emberring/admission/pool.py
@@ -41,7 +41,6 @@
     """One service's servers as this gateway sees them."""
 
     def __init__(self, settings: AdmissionSettings, random: Random, connected: Callable[[str], bool]) -> None:
-        self.servers: dict[str, ServerView] = {}
         self.gateways = 1
         self.table = CursorTable()
         self.meter = LoadMeter()
@@ -56,12 +55,15 @@
 
     # ------------------------------------------------------------- what is known
 
+    @property
+    def servers(self) -> dict[str, ServerView]:
+        """The servers now known, by id."""
+        return self.calls.servers
+
     def set_servers(self, servers: dict[str, ServerView], gateways: int, total: int | None) -> None:
         """The servers now known and the live gateways; `total` is all gateways' calls, where it is told."""
-        self.servers = servers
         self.gateways = gateways
-        self.calls.servers = servers
-        self.calls.told(total)
+        self.calls.told(servers, total)
 
     def look_at_servers(self, now_s: float) -> list[SuspicionChange]:
         """Which servers came into trouble, or are well again, since the last look."""
@@ -95,6 +97,10 @@
         ready = self._ready(frozenset())
         return [server for server in ready if not pacing.failing(server)] or ready
 
+    def _sound(self, now_s: float, servers: list[ServerView]) -> list[ServerView]:
+        """Those against which nothing speaks now."""
+        return [one for one in servers if pacing.sound(now_s, one, self.usual_pause_ms)]
+
     # ------------------------------------------------------------- decisions
 
     def offer(self, now_s: float, call: CallInfo) -> Decision:
@@ -105,7 +111,7 @@
             return NoServer()
         if not call.admitted and self._turned_away(now_s, call):
             return Refused(self._retry_after_s())
-        sound = [one for one in ready if pacing.sound(now_s, one, self.usual_pause_ms)]
+        sound = self._sound(now_s, ready)
         share = self._batch_share() if call.batch else 1.0 + self._settings.live_queue_share
         open_ones = [one for one in sound if pacing.room(now_s, one, share, self.gateways) > 0.0]
         if not open_ones and not call.batch:
@@ -128,7 +134,9 @@
         servers = self._working()
         own = own_calls(servers)
         if call.batch:
-            return own >= self._batch_threshold(servers) or self._prompts_room(now_s, servers) <= 0
+            if own >= self._batch_threshold(servers):
+                return True
+            return self._prompts_room(len(servers), self._sound(now_s, servers)) <= 0
         if self.calls.fill(servers) < NEVER_REFUSED:
             return False
         return own >= self._live_threshold(servers, call.priority)
@@ -155,15 +163,15 @@
         ahead = free if free <= 0.0 else max(1.0, BATCH_AHEAD * free / self.gateways)
         return min(self.calls.own_when_told + ahead, max(1.0, most / self.gateways))
 
-    def _prompts_room(self, now_s: float, servers: list[ServerView]) -> int:
+    def _prompts_room(self, count: int, sound: list[ServerView]) -> int:
         """How many more items may have their prompts before a server's first word, by this gateway's even share.
 
         Guard: items come in lots; taken all at once, their prompts stood before those of live calls. Those at a
-        server that has gone dark wait for nothing, and held up all others until they were given up.
+        server that has gone dark wait for nothing, and held up all others until they were given up: only those at
+        `sound` ones of the `count` servers count.
         """
-        sound = [one for one in servers if pacing.sound(now_s, one, self.usual_pause_ms)]
         unheard = sum(1 for one in sound for placed in one.unheard() if placed.call.batch)
-        return max(1, math.floor(BATCH_PROMPTS * len(servers) / self.gateways + 0.5)) - unheard
+        return max(1, math.floor(BATCH_PROMPTS * count / self.gateways + 0.5)) - unheard
 
     def _live_threshold(self, servers: list[ServerView], priority: int) -> float:
         """The same for live calls: all that the others leave, and no less than an even share."""
@@ -205,13 +213,9 @@
         if not servers:
             return 0
         own = own_calls(servers)
-        share = self._batch_share()
-        room = sum(
-            max(0.0, pacing.room(now_s, one, share, self.gateways))
-            for one in servers
-            if pacing.sound(now_s, one, self.usual_pause_ms)
-        )
-        most = min(room, self._batch_threshold(servers) - own, self._prompts_room(now_s, servers))
+        share, sound = self._batch_share(), self._sound(now_s, servers)
+        room = sum(max(0.0, pacing.room(now_s, one, share, self.gateways)) for one in sound)
+        most = min(room, self._batch_threshold(servers) - own, self._prompts_room(len(servers), sound))
         return max(0, math.ceil(most))
 
     # ------------------------------------------------------------- outcomes
--- a/emberring/control/load_ledger.py
+++ b/emberring/control/load_ledger.py
@@ -29,6 +29,7 @@
         self._loads = loads
         self._servers = servers
         self._at_s = -math.inf
+        self._smoothed_s = -math.inf
         self._calls: dict[str, int] = {}
         self._usual: dict[str, float] = {}
         self._totals: dict[str, int] = {}
@@ -40,7 +41,7 @@
 
     def usual(self, now_s: float, wanted: Iterable[str]) -> dict[str, float]:
         """The same, smoothed, to tenths, for these servers."""
-        self._refresh(now_s)
+        self._smooth(now_s)
         return {server_id: round(self._usual.get(server_id, 0.0), 1) for server_id in wanted}
 
     def totals(self, now_s: float) -> dict[str, int]:
@@ -55,11 +56,15 @@
         self._at_s = now_s
         calls = summed(self._loads(now_s))
         self._calls = {server_id: count for server_id, count in calls.items() if count}
-        self._smooth(age_s)
         self._totals = self._by_service()
 
-    def _smooth(self, age_s: float) -> None:
-        kept = math.exp(-age_s / USUAL_S)
+    def _smooth(self, now_s: float) -> None:
+        """Only where somebody asks for what is usual: small tiers never do."""
+        self._refresh(now_s)
+        if self._smoothed_s == self._at_s:
+            return
+        kept = math.exp((self._smoothed_s - self._at_s) / USUAL_S)
+        self._smoothed_s = self._at_s
         smoothed = {server_id: kept * usual for server_id, usual in self._usual.items()}
         for server_id, count in self._calls.items():
             smoothed[server_id] = smoothed.get(server_id, 0.0) + (1.0 - kept) * count
--- a/emberring/lab/admission_simulator.py
+++ b/emberring/lab/admission_simulator.py
@@ -16,6 +16,7 @@
 
 from emberring.admission import Admitted, AttemptBudget, CallInfo, CallOutcome, PrefixPart, Refused
 from emberring.configuration.model import Service
+from emberring.distribution.contacts import summed
 from emberring.distribution.facts import ServerFact, ServerState
 from emberring.lab.admission_baselines import Policy
 from emberring.lab.admission_parts import Attempt, Request, Server
@@ -131,10 +132,7 @@
             kv_cache_tokens=self.site.engine.kv_tokens,
             stride=self.site.engine.stride,
         )
-        sums: dict[str, int] = {}
-        for report in self._reported.values():
-            for name, calls in report.items():
-                sums[name] = sums.get(name, 0) + calls
+        sums = summed(self._reported.values())
         self.policies[index].set_servers(
             self.now_ms / 1000.0, facts, {SERVICE: info}, len(self.policies), KnownLoad(sums)
         )
--- a/tests/emberring/control/test_tier_feed.py
+++ b/tests/emberring/control/test_tier_feed.py
@@ -33,7 +33,7 @@
         for step in range(100):  # as long as it takes until that is usual
             then_s = now_s - 20.0 + 0.2 * step
             board.node_called(then_s, gateway(1), Report({"a": 3, "b": 2}))
-            board.load.calls(then_s)
+            board.load.usual(then_s, ())
         return await Feed(board).on_pull(pull, CALLER)
 
     return asyncio.run(play())
