What nothing calls any more is gone

Cause: Board lists what live origins state by server_entries since its statements count and not only that there are some; server_origins was left for tests alone. Change: they are gone; the test of the store asks the entries for their origins, with the same expectations.

--- a/emberring/admission/pace.py
+++ b/emberring/admission/pace.py
@@ -5,7 +5,6 @@
 
 FORGET = 0.995  # what each outcome leaves of those before it
 LEAST_RATE, MOST_RATE = 5.0, 5000.0  # tokens per ms
-LEAST_SPREAD = 1e4  # of the tokens, squared, under which a slope says nothing
 PRIOR_WEIGHT = 10.0  # the start's figures count as much as so many outcomes
 PRIOR_TOKENS = 8000.0
 HOLD_GAIN = 0.02
--- a/emberring/admission/server.py
+++ b/emberring/admission/server.py
@@ -105,11 +105,6 @@
         """Calls in flight there, all gateways' together."""
         return len(self.calls) + self.others
 
-    @property
-    def fill(self) -> float:
-        """The same as a share of its places."""
-        return self.load / self.capacity
-
     def unheard(self) -> Iterator[Placed]:
         """This gateway's calls that have had no event yet."""
         return (placed for placed in self.calls.values() if placed.first_s is None)
--- a/emberring/distribution/contacts.py
+++ b/emberring/distribution/contacts.py
@@ -53,10 +53,6 @@
         contact.fact, contact.at_s = fact, now_s
         return changed
 
-    def has(self, name: str) -> bool:
-        """Whether this node is in contact."""
-        return name in self._contacts
-
     def expired(self, now_s: float) -> list[NodeFact]:
         """Nodes whose contact has just ended."""
         gone = [contact.fact for contact in self._contacts.values() if now_s - contact.at_s > ABSENT_S]
--- a/emberring/distribution/facts_store.py
+++ b/emberring/distribution/facts_store.py
@@ -67,10 +67,6 @@
         """The join of all statements, by server id, in every state."""
         return self._merged
 
-    def server_origins(self, server_id: str) -> Iterable[str]:
-        """Whose statements about this server are kept."""
-        return self._servers.get(server_id, {}).keys()
-
     def server_entries(self, server_id: str) -> Iterable[ServerEntry]:
         """The statements about this server that are kept."""
         return self._servers.get(server_id, {}).values()
--- a/emberring/distribution/follower.py
+++ b/emberring/distribution/follower.py
@@ -7,8 +7,6 @@
 import random
 from collections.abc import Callable, Iterable, Sequence
 
-import attrs
-
 from emberring.configuration.model import Configuration
 from emberring.distribution.facts import NodeFact, ServerFact
 from emberring.distribution.load import Word, WordSchedule
@@ -167,8 +165,3 @@
                 callback()
             except Exception:
                 logger.exception("event=callback_failed")
-
-
-def leaving(fact: NodeFact) -> NodeFact:
-    """The same node on its way out."""
-    return attrs.evolve(fact, leaving=True)
--- a/emberring/transport/network.py
+++ b/emberring/transport/network.py
@@ -29,7 +29,6 @@
 UNACKNOWLEDGED_MS = 1500  # bytes that the peer's machine has not acknowledged for so long end the connection
 MAX_UNSENT_BYTES = 32 * 1024 * 1024  # waiting for one peer; more calls to it are refused
 SILENT_LIMIT = 2  # time-outs in a row, with nothing heard, after which a connection is made anew
-READ_CHUNK_BYTES = 256 * 1024
 
 Reply = TypeVar("Reply")
 Handler = Callable[[Any, "Caller"], Awaitable[Any]]
--- a/tests/emberring/distribution/test_tier_facts_store.py
+++ b/tests/emberring/distribution/test_tier_facts_store.py
@@ -195,8 +195,8 @@
     store = FactStore("a")
     store.take(Delta({"b": 1}, (ServerEntry("b", 1, server("i-1", sequence=1)),)))
     store.take(Delta({"c": 1}, (ServerEntry("c", 1, server("i-1", sequence=5)),)))
-    assert set(store.server_origins("i-1")) == {"b", "c"}
+    assert {entry.origin for entry in store.server_entries("i-1")} == {"b", "c"}
     store.forget_origin("c")  # nobody else says what it said
-    assert set(store.server_origins("i-1")) == {"b", "c"}
+    assert {entry.origin for entry in store.server_entries("i-1")} == {"b", "c"}
     store.forget_origin("b")
-    assert set(store.server_origins("i-1")) == {"c"}
+    assert {entry.origin for entry in store.server_entries("i-1")} == {"c"}
