--- a/emberring/register/service.py
+++ b/emberring/register/service.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
 import itertools
 import os
 import random
@@ -224,8 +223,12 @@
 
     async def _rewrite(self, segment: int) -> None:
         """Empty the oldest segment: nothing in it counts once a snapshot stands in a later one."""
-        if self._snapshot_segment > segment or self._node is None or self._journal is None:
+        if self._snapshot_segment > segment:
             return
+        if (
+            self._node is None or self._journal is None
+        ):  # returning would give the segment up without a snapshot
+            raise NotReadyError("the register does not run")
         position = await self._journal.append(self._node.acceptor.snapshot(), reclaiming=True)
         self._snapshot_segment = position.segment
 
@@ -269,14 +272,21 @@
 
     async def _call(self, action: Call) -> None:
         reply: object | None = None
-        with contextlib.suppress(EmberringError, TimeoutError):
-            if action.address == self._address:
-                async with asyncio.timeout(action.timeout_s):
-                    reply = await self._serve(action.message)
-            else:
-                reply = await self._network.call(action.address, action.message, object, action.timeout_s)
+        try:
+            reply = await self._reply_to(action)
+        except (EmberringError, TimeoutError):
+            pass
+        except Exception:
+            # Guard: a call that never ends leaves its replica unasked for good, and this one behind.
+            logger.exception("event=call_failed address=%s", action.address)
         self._apply(Replied(action.call, reply))
 
+    async def _reply_to(self, action: Call) -> object:
+        if action.address != self._address:
+            return await self._network.call(action.address, action.message, object, action.timeout_s)
+        async with asyncio.timeout(action.timeout_s):
+            return await self._serve(action.message)
+
     def _append(self, action: Append) -> None:
         if self._journal is None:
             return
