Control: a node that was cut off or frozen until now refuses no retirement

Cause: 404 and 409 to a retirement are judged on the stores that the node's board knows to live. A node that had just started refused nothing for 3 s; one whose cut or freeze had just ended did at once, though its board had lost sight of all stores, while the register already answered it.

Change: the board counts for how long the node has been in contact without a break; refusals wait for 3 s of that.

--- a/emberring/control/board.py
+++ b/emberring/control/board.py
@@ -48,6 +48,7 @@
         self._exchanges = Signal()
         self._hurry = Signal()
         self._last_tick_s = now_s
+        self._settled_since_s = now_s
         self._grace_until_s = now_s
         self._seen_origins: dict[str, float] = {}
         self._counted: Mapping[str, NodeFact] = {}
@@ -104,6 +105,11 @@
         roles = (NodeRole.GATEWAY, NodeRole.STORE, NodeRole.CONTROL)
         return list(self.store.live_nodes(self.live_origins(now_s), roles).values())
 
+    def settled_s(self, now_s: float) -> float:
+        """For how long (s) this node has run, without a pause, in contact with a quorum and with another control node:
+        what it does not know of after some time of that is not there."""
+        return now_s - self._settled_since_s
+
     def gateways(self, now_s: float) -> int:
         """How many gateways live; at least 1."""
         live = self.store.live_nodes(self.live_origins(now_s), (NodeRole.GATEWAY,))
@@ -248,6 +254,8 @@
             self._expire_peers(now_s)
         alone = self.peers.others_exist() and not self.peers.live(now_s)
         trusted = not frozen and not alone and self.quorum_age_s() < LONGEST_GAP_S
+        if not trusted:
+            self._settled_since_s = now_s
         known = self.store.servers()
         live = self.live_origins(now_s)
         silent = self.registry.on_tick(
--- a/emberring/control/operator_orders.py
+++ b/emberring/control/operator_orders.py
@@ -22,7 +22,7 @@
 CUT_OFF_S = 1.2
 LARGE_BODY_BYTES = 256 * 1024
 LARGE_TIMEOUT_S = 1.6  # the operator waits longer for large bodies
-WARM_S = 3.0  # a node started less long ago may not know all stores yet
+SETTLED_S = 3.0  # a node started, cut off or frozen less long ago may not know all stores
 
 logger = get_logger("control")
 
@@ -34,7 +34,6 @@
         self._register = register
         self._board = board
         self._tolerance = tolerance
-        self._started_s = asyncio.get_running_loop().time()
 
     def _timeout_s(self, body_bytes: int = 0) -> float:
         if self._register.majority_age_s() > CUT_OFF_S:
@@ -89,9 +88,9 @@
         return retire_state(state.placement, name)
 
     def _must_be_certain(self, state: ControlState) -> None:
-        """A node that has just started doesn't know all stores."""
-        warm = asyncio.get_running_loop().time() - self._started_s > WARM_S
-        if state.placement is None or not warm:
+        """A node that has just started, or was cut off or frozen until now, doesn't know all stores."""
+        settled = self._board.settled_s(asyncio.get_running_loop().time()) > SETTLED_S
+        if state.placement is None or not settled:
             raise NotReadyError("the stores are not all known yet")
 
     async def retirement(self, name: str) -> str:
