--- a/tests/emberring/register/test_tier_register_service.py
+++ b/tests/emberring/register/test_tier_register_service.py
@@ -434,3 +434,46 @@
         assert register.identity == ""
 
     on_deployment(tmp_path, work)
+
+
+class FaultyNetwork(Network):
+    """Fails calls with an error of its own, as a fault in our code would."""
+
+    broken = False
+
+    async def call(self, address: str, body: Any, reply: type[Any], timeout_s: float) -> Any:
+        if self.broken:
+            raise RuntimeError("a fault in the program")
+        return await super().call(address, body, reply, timeout_s)
+
+
+def test_a_fault_in_a_call_leaves_no_replica_unasked_for_good(tmp_path: Path) -> None:
+    async def work(deployment: Deployment) -> None:
+        deployment.network_class = FaultyNetwork
+        await deployment.start(0, 1, 2)
+        await deployment[0].change(adding(b"1"), PATIENCE_S)
+        faulty = deployment.nodes[2].network
+        assert isinstance(faulty, FaultyNetwork)
+        faulty.broken = True
+        with pytest.raises(NoQuorumError):
+            await deployment[2].read(0.7)  # long enough that every replica was pinged meanwhile
+        await deployment[0].change(adding(b"2"), PATIENCE_S)
+        faulty.broken = False
+        assert await deployment[2].read(PATIENCE_S) == b"1 2"
+        await deployment.until(lambda: deployment.nodes[2].seen[-1:] == [b"1 2"], number=2)
+        await deployment.until(lambda: deployment[2].majority_age_s() < 0.3, number=2)
+
+    on_deployment(tmp_path, work)
+
+
+def test_a_segment_is_not_given_up_while_the_register_does_not_run(tmp_path: Path) -> None:
+    async def work(deployment: Deployment) -> None:
+        await deployment.start(0, 1, 2)
+        register = deployment[2]
+        await register._rewrite(0)  # a snapshot stands in a later place from here on
+        node, register._node = register._node, None
+        with pytest.raises(NotReadyError):  # the journal keeps the segment
+            await register._rewrite(1)
+        register._node = node
+
+    on_deployment(tmp_path, work)
