Control: a drain is acknowledged once a quorum of the replicas knows it

Cause: copies were counted (one besides its own at a tolerance of one machine), wherever they were. With more control nodes than replicas, or in a cut that leaves spares on one side, two nodes without a quorum could acknowledge a drain that no gateway hears of, since gateways leave nodes without a quorum: requests would go on to that server after DrainMs. On the first sites (three control nodes, all replicas) both rules are the same.

Change: besides the old rule, the replicas among those who know it must be a quorum of the set in force.

Result: test_a_drain_that_no_quorum_of_replicas_knows_is_not_acknowledged (200 before, 503 now, 200 once a second replica knows it); the control and register tests pass.

--- a/emberring/control/heartbeat_desk.py
+++ b/emberring/control/heartbeat_desk.py
@@ -1,8 +1,11 @@
-"""Model servers' heartbeats and goodbyes. A drain is acknowledged when enough other control nodes know of it."""
+"""Model servers' heartbeats and goodbyes. A drain is acknowledged when enough other control nodes know of it: as many
+as outlive what may be lost at once, and a quorum of the register's replicas. Nodes that pull leave a control node that
+has no quorum in contact, so a drain that only a minority knew could reach none of them while a cut lasts."""
 
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 
 from emberring.control.board import Board
 from emberring.control.holders import HolderRule
@@ -13,11 +16,13 @@
 
 
 class HeartbeatDesk:
-    """Takes heartbeats; `rule` says which other control nodes must know of a drain."""
+    """Takes heartbeats. `rule` says which other control nodes must know of a drain, `is_quorum` whether the register's
+    replicas among those who know it are a quorum."""
 
-    def __init__(self, board: Board, rule: HolderRule) -> None:
+    def __init__(self, board: Board, rule: HolderRule, is_quorum: Callable[[frozenset[str]], bool]) -> None:
         self._board = board
         self._rule = rule
+        self._is_quorum = is_quorum
 
     async def heartbeat(self, server_id: str, body: bytes) -> None:
         """A server says how it is; `NotReadyError` where its drain could not be told to others in time."""
@@ -42,5 +47,8 @@
             await self._board.wait_for_exchange(left_s)
 
     def _held(self, now_s: float, server_id: str) -> bool:
+        me = self._board.me
         holders = self._board.holders_of_end(now_s, server_id)
-        return self._rule.satisfied(self._board.me, holders, self._board.peers.met())
+        if not self._rule.satisfied(me, holders, self._board.peers.met()):
+            return False
+        return self._is_quorum(frozenset(fact.identity for fact in (me, *holders)))
--- a/emberring/control/node.py
+++ b/emberring/control/node.py
@@ -75,7 +75,7 @@
         self._feed = Feed(self.board)
         self._orders = OperatorOrders(register, self.board, tolerance)
         self._placement = PlacementLoop(register, self.board, tolerance)
-        desk = HeartbeatDesk(self.board, holder_rule(settings, others))
+        desk = HeartbeatDesk(self.board, holder_rule(settings, others), register.is_quorum)
         self.app = ControlApp(self._orders, desk, StatusPage(self.board))
         self._tasks: list[asyncio.Task[None]] = []
         network.handle(Pull, self._feed.on_pull)
--- a/emberring/control/register_port.py
+++ b/emberring/control/register_port.py
@@ -35,5 +35,8 @@
     def majority_age_s(self) -> float:
         """How long ago a majority was in contact (seconds)."""
 
+    def is_quorum(self, identities: frozenset[str]) -> bool:
+        """Whether these replicas are a quorum of the replica set in force, as far as this node knows."""
+
     def note_peers(self, facts: Sequence[NodeFact]) -> None:
         """The other control nodes that live."""
--- a/emberring/lab/control_scale.py
+++ b/emberring/lab/control_scale.py
@@ -83,7 +83,9 @@
         me = NodeFact(f"core-{number}", NodeRole.CONTROL, address, f"zone-{number}", address, f"{number}.1")
         self.network = HollowNetwork(hub, address)
         self.board = Board(0.0, me, seeds, HEARTBEAT_S)
-        self.desk = HeartbeatDesk(self.board, HolderRule(len(seeds) - 1, FaultTolerance(1, 0, 0), {}))
+        rule = HolderRule(len(seeds) - 1, FaultTolerance(1, 0, 0), {})
+        replicas = frozenset(seeds)  # a control node's identity is its address here
+        self.desk = HeartbeatDesk(self.board, rule, lambda found: 2 * len(found & replicas) > len(replicas))
         self._exchanger = Exchanger(self.network, self.board)
         self.network.handle(Pull, Feed(self.board).on_pull)
 
--- a/emberring/register/node.py
+++ b/emberring/register/node.py
@@ -143,6 +143,10 @@
             return float("inf")
         return self.contacts.quorum_age_s(now_s, self.known.state.replicas)
 
+    def is_quorum(self, identities: frozenset[str]) -> bool:
+        """Whether these replicas are a quorum of the set that this node knows to be chosen."""
+        return self.learned is not None and self.learned.state.replicas.has_quorum(identities)
+
     def next_wake_s(self, now_s: float) -> float:
         """When to send the next `Tick` at the latest."""
         wake_s = now_s + IDLE_WAKE_S
--- a/emberring/register/service.py
+++ b/emberring/register/service.py
@@ -160,6 +160,10 @@
             return float("inf")
         return self._node.majority_age_s(asyncio.get_running_loop().time())
 
+    def is_quorum(self, identities: frozenset[str]) -> bool:
+        """Whether these replicas are a quorum of the set that this node knows to be chosen; not before it knows one."""
+        return self._node is not None and self._node.is_quorum(identities)
+
     def note_peers(self, facts: Sequence[NodeFactLike]) -> None:
         """All other control nodes known at present; those that are not replicas may become some."""
         self._peers = tuple(
--- a/tests/emberring/control/test_tier_control_hard.py
+++ b/tests/emberring/control/test_tier_control_hard.py
@@ -178,6 +178,47 @@
     on_cluster(scenario)
 
 
+def test_a_drain_that_no_quorum_of_replicas_knows_is_not_acknowledged() -> None:
+    """Nodes that pull leave a side without a quorum: what only that side knew could not reach them during a cut."""
+
+    async def scenario(cluster: Cluster) -> None:
+        cluster.shared.members = {"identity-0", "identity-1", "identity-2"}
+        await cluster.stop(1, 2)
+        drain = await cluster.http(0, "PUT", "/v1/instances/i-1", a_heartbeat(1, "draining"))
+        assert drain.status == 503  # the fourth node knows it, but is no replica
+        assert cluster.node(3).board.store.servers()["i-1"].state is ServerState.DRAINING
+        assert (await cluster.http(3, "DELETE", "/v1/instances/i-1")).status == 503
+        await cluster.start(1)
+        await eventually(lambda: len(cluster.node(0).board.live_origins(now())) == 3)
+        assert (await cluster.http(0, "PUT", "/v1/instances/i-1", a_heartbeat(2, "draining"))).status == 200
+
+    on_cluster(scenario, count=4)
+
+
+def test_a_node_whose_cut_has_just_ended_refuses_no_retirement() -> None:
+    async def scenario(cluster: Cluster) -> None:
+        async with (
+            AFollower(cluster.seeds, "store-1", NodeRole.STORE) as first,
+            AFollower(cluster.seeds, "store-2", NodeRole.STORE),
+            AFollower(cluster.seeds, "store-3", NodeRole.STORE),
+        ):
+            await eventually(lambda: first.placement is not None)
+            assert await settled(cluster, "store-9") == 404
+            cluster.shared.up.discard("identity-0")
+            await eventually(lambda: cluster.node(0).board.settled_s(now()) < 0.5)
+            cluster.shared.up.add("identity-0")
+            for name in (
+                "store-9",
+                "store-1",
+            ):  # unknown here, too few left here: as far as this node can know
+                answer = await cluster.http(0, "POST", f"/v1/retire/{name}", {"DurationS": 10})
+                assert answer.status == 503
+            assert await settled(cluster, "store-9") == 404
+            assert await settled(cluster, "store-1") == 409
+
+    on_cluster(scenario)
+
+
 def test_a_drain_outlives_the_node_that_acknowledged_it() -> None:
     async def scenario(cluster: Cluster) -> None:
         async with AFollower(cluster.seeds) as follower:
--- a/tests/emberring/control/tier_control_fixture.py
+++ b/tests/emberring/control/tier_control_fixture.py
@@ -26,6 +26,7 @@
         self.value: bytes | None = None
         self.changes = 0
         self.replicas: list[FakeRegister] = []
+        self.members: set[str] | None = None  # the replica set, where not all nodes are in it
         self.up: set[str] = set()
 
     @property
@@ -92,6 +93,10 @@
     def majority_age_s(self) -> float:
         return self.age_s if self.identity in self.shared.up else max(self.age_s, 5.0)
 
+    def is_quorum(self, identities: frozenset[str]) -> bool:
+        members = self.shared.members or {replica.identity for replica in self.shared.replicas}
+        return 2 * len(members & identities) > len(members)
+
     def note_peers(self, facts: Sequence[NodeFact]) -> None:
         self.peers = list(facts)
 
