Placement: the table of shards is a package of its own below the configuration

Cause: placement is control state, yet it lived in lots/; configuration, distribution and control imported upwards for it, by an exception in the structure test.

Change: emberring/placement (model; planning; retirement), a row of its own below registry and configuration; the exception is gone. No behaviour changed.

--- a/emberring/configuration/state.py
+++ b/emberring/configuration/state.py
@@ -9,7 +9,7 @@
 
 from emberring.configuration.reading import pack, read_checked, unpack
 from emberring.errors import CorruptRecordError
-from emberring.lots.placement import Placement
+from emberring.placement.model import Placement
 from emberring.transport.messages import converter
 
 FORMAT = b"emberring-control-1\n"
--- a/emberring/control/operator_orders.py
+++ b/emberring/control/operator_orders.py
@@ -15,7 +15,8 @@
 from emberring.distribution.facts import NodeRole
 from emberring.errors import ConflictError, NotFoundError, NotReadyError
 from emberring.logs import get_logger
-from emberring.lots.placement import begin_retire, finish_move, retire_state
+from emberring.placement.model import finish_move
+from emberring.placement.retirement import begin_retire, retire_state
 
 ORDER_TIMEOUT_S = 0.8
 CUT_OFF_TIMEOUT_S = 0.25  # while no majority is in contact: the operator had better ask another node soon
--- a/emberring/control/placement_loop.py
+++ b/emberring/control/placement_loop.py
@@ -13,7 +13,7 @@
 from emberring.distribution.facts import NodeRole
 from emberring.errors import EmberringError
 from emberring.logs import get_logger
-from emberring.lots.placement import PlanMemory, plan
+from emberring.placement.planning import PlanMemory, plan
 
 PLAN_EVERY_S = 0.3
 CHANGE_TIMEOUT_S = 1.0
--- a/emberring/control/status_page.py
+++ b/emberring/control/status_page.py
@@ -9,7 +9,7 @@
 from emberring.control.board import Board
 from emberring.control.suspicion_ledger import Failing
 from emberring.distribution.facts import NodeFact, ServerFact
-from emberring.lots.placement import Placement
+from emberring.placement.model import Placement
 
 
 class StatusPage:
--- a/emberring/distribution/follower.py
+++ b/emberring/distribution/follower.py
@@ -15,7 +15,7 @@
 from emberring.distribution.view import FollowerView
 from emberring.errors import EmberringError
 from emberring.logs import get_logger
-from emberring.lots.placement import Placement
+from emberring.placement.model import Placement
 from emberring.registry.known_load import NO_LOAD, KnownLoad
 from emberring.transport.network import Network
 
--- a/emberring/distribution/messages.py
+++ b/emberring/distribution/messages.py
@@ -10,7 +10,7 @@
 
 from emberring.distribution.facts import NodeFact, ServerFact
 from emberring.distribution.load import Word
-from emberring.lots.placement import Placement
+from emberring.placement.model import Placement
 from emberring.transport.messages import message
 
 
--- a/emberring/distribution/view.py
+++ b/emberring/distribution/view.py
@@ -13,7 +13,7 @@
 from emberring.distribution.facts_store import FactStore
 from emberring.distribution.load import Word
 from emberring.distribution.messages import Update
-from emberring.lots.placement import Placement
+from emberring.placement.model import Placement
 from emberring.registry.known_load import NO_LOAD, KnownLoad
 from emberring.registry.merge import merged
 
--- a/emberring/lab/lots_bugs.py
+++ b/emberring/lab/lots_bugs.py
@@ -11,9 +11,9 @@
 from emberring.lots import adoption, merge, owner, replication
 from emberring.lots.messages import Lease, LeaseAnswer, WriteSlots
 from emberring.lots.owner import ShardOwner
-from emberring.lots.placement import Group, quorum
 from emberring.lots.records import NO_TERM
 from emberring.lots.replica import Action, Replica
+from emberring.placement.model import Group, quorum
 
 
 @attrs.frozen
--- a/emberring/lab/lots_simulator.py
+++ b/emberring/lab/lots_simulator.py
@@ -20,15 +20,9 @@
 from emberring.lab.lots_store import SYNC_S, StoreMachine
 from emberring.lab.lots_world import Weather, World
 from emberring.lab.shortening import fewest_steps
-from emberring.lots.placement import (
-    Placement,
-    PlanMemory,
-    begin_retire,
-    finish_move,
-    plan,
-    retire_state,
-    shard_of,
-)
+from emberring.placement.model import Placement, finish_move, shard_of
+from emberring.placement.planning import PlanMemory, plan
+from emberring.placement.retirement import begin_retire, retire_state
 
 CALM_S = 8.0
 LAST_READS_S = 2.0
--- a/emberring/lab/lots_store.py
+++ b/emberring/lab/lots_store.py
@@ -23,10 +23,10 @@
 )
 from emberring.lots.messages import Touch, TouchReply
 from emberring.lots.owner import BecameOwner, Chosen, LostOwnership, Moved, OwnerAction, Send, ShardOwner
-from emberring.lots.placement import Placement
 from emberring.lots.replica import REFUSE_S, Action, Fail, Persist, Replica, Reply
 from emberring.lots.replica_log import decode_entry, encode_entry
 from emberring.lots.shelf import Answer, BookAction, Propose, Refuse
+from emberring.placement.model import Placement
 
 TICK_S = 0.05
 TOUCH_S = 0.2
--- a/emberring/lots/adoption.py
+++ b/emberring/lots/adoption.py
@@ -7,10 +7,10 @@
 from emberring.lots.merge import Inventories, MergedSlot, merge, misplaced
 from emberring.lots.owned import OwnedLot, OwnedSlot
 from emberring.lots.peer import Ref
-from emberring.lots.placement import Group
 from emberring.lots.records import Record, Term, checksum, pack_records
 from emberring.lots.replica import Replica
 from emberring.lots.results import item_index
+from emberring.placement.model import Group
 
 FETCH_BYTES = 256 * 1024
 
--- a/emberring/lots/client.py
+++ b/emberring/lots/client.py
@@ -35,8 +35,8 @@
 )
 from emberring.lots.directory import Knowledge, OwnerDirectory
 from emberring.lots.packing import squeeze
-from emberring.lots.placement import shard_of
 from emberring.lots.results import page_json
+from emberring.placement.model import shard_of
 from emberring.transport.messages import Ok
 from emberring.transport.network import Network
 
--- a/emberring/lots/directory.py
+++ b/emberring/lots/directory.py
@@ -7,7 +7,7 @@
 
 from emberring.configuration.model import Configuration
 from emberring.distribution.facts import NodeFact, NodeRole
-from emberring.lots.placement import Placement, in_order
+from emberring.placement.model import Placement, in_order
 
 
 class Knowledge(Protocol):
--- a/emberring/lots/lease.py
+++ b/emberring/lots/lease.py
@@ -4,7 +4,7 @@
 
 import math
 
-from emberring.lots.placement import Group, quorum
+from emberring.placement.model import Group, quorum
 
 LEASE_S = 0.6  # after the sending of a touch that a quorum granted; replicas refuse others for longer
 
--- a/emberring/lots/merge.py
+++ b/emberring/lots/merge.py
@@ -7,8 +7,8 @@
 import attrs
 
 from emberring.lots.lease import has_quorum
-from emberring.lots.placement import Group
 from emberring.lots.records import FORGOTTEN, LotState, SlotState, Term
+from emberring.placement.model import Group
 
 
 @attrs.frozen
--- a/emberring/lots/owner.py
+++ b/emberring/lots/owner.py
@@ -28,10 +28,10 @@
     WriteReply,
 )
 from emberring.lots.owned import OwnedLot, OwnedRecords
-from emberring.lots.placement import Group, in_order
 from emberring.lots.records import FORGOTTEN, NO_TERM, LotState, Term, unpack_inventory, unpack_records
 from emberring.lots.replica import CLAIM_HOLD_S, REFUSE_S, Replica
 from emberring.lots.replication import Replication
+from emberring.placement.model import Group, in_order
 
 RANK_DELAY_S = 0.25  # each store waits so much longer than the one before it in the order
 CLAIM_WAIT_S = 0.7
--- a/emberring/lots/replication.py
+++ b/emberring/lots/replication.py
@@ -8,9 +8,9 @@
 from emberring.lots.messages import DropSlots, WriteSlots
 from emberring.lots.owned import OwnedRecords
 from emberring.lots.peer import FETCH_AGAIN_S, Peer, Ref
-from emberring.lots.placement import Group, quorum
 from emberring.lots.records import FORGOTTEN, NO_TERM, LotState, Record, Term, pack_records
 from emberring.lots.replica import age_ms
+from emberring.placement.model import Group, quorum
 
 MESSAGE_BYTES = 256 * 1024
 MISMATCH_S = 1.0  # for so long an idle replica may differ before it is compared again
--- a/emberring/lots/placement.py
+++ b/emberring/placement/planning.py
@@ -1,22 +1,17 @@
-"""Which stores keep which shard: the table in the register, and the changes that control nodes make to it.
+"""What the table of shards should be, given the stores that live: members that are lost or leave get successors.
 
-All functions are pure: they take a table and give another. A group changes in two steps. `plan` names the next
-members as `joining`; from then on every quorum is one of both sets. When the shard's owner reports that all records
-stand on the joining set, `finish_move` makes that set the members. Only `joining` may be changed in between.
+Pure functions: they take a table and give another.
 """
 
 from __future__ import annotations
 
-import functools
-import hashlib
 from collections.abc import Sequence
 
 import attrs
 
 from emberring.distribution.facts import NodeFact, NodeRole
-from emberring.errors import ConflictError, NotFoundError
+from emberring.placement.model import SHARDS, Group, Placement, StoreMember, in_order
 
-SHARDS = 16
 SETTLE_S = 0.4  # after enough stores are known, before the first table is made
 FIRST_TABLE_WAIT_S = 8.0  # after which a first table is made of fewer stores than wanted
 FRESH_ABSENCE_S = 1.0  # a member absent for so long gives way to a store that has just come
@@ -24,43 +19,6 @@
 FRESH_S = 10.0  # a store is new for so long
 
 
-@attrs.frozen
-class StoreMember:
-    """A store by the identity that was born with its disk."""
-
-    identity: str
-    name: str
-    address: str
-    zone: str = ""
-
-
-@attrs.frozen
-class Group:
-    """The replicas of a shard, by identity. While `joining` is not empty, every quorum is one of `members`
-    and one of `joining` too; the epoch rises with each change."""
-
-    shard: int
-    epoch: int
-    members: tuple[str, ...]
-    joining: tuple[str, ...] = ()
-
-    @property
-    def everyone(self) -> tuple[str, ...]:
-        """All who take part, each once."""
-        return self.members + tuple(identity for identity in self.joining if identity not in self.members)
-
-
-@attrs.frozen
-class Placement:
-    """The whole table. `retiring` and `retired` hold names of stores that are being, or have been, emptied."""
-
-    epoch: int
-    stores: dict[str, StoreMember]
-    groups: tuple[Group, ...]
-    retiring: tuple[str, ...] = ()
-    retired: tuple[str, ...] = ()
-
-
 @attrs.define
 class PlanMemory:
     """What one control node remembers of the stores between plans: when each identity was first and last live."""
@@ -90,29 +48,6 @@
         return now_s - first <= FRESH_S and first > (self.began_s or 0.0)
 
 
-def shard_of(host: str) -> int:
-    """The shard of all lots under this `Host`."""
-    digest = hashlib.blake2b(host.lower().encode(), digest_size=8).digest()
-    return int.from_bytes(digest, "big") % SHARDS
-
-
-@functools.lru_cache(maxsize=1024)
-def score(shard: int, identity: str) -> int:
-    """The rendezvous score of a store for a shard; the highest comes first."""
-    digest = hashlib.blake2b(f"{shard}/{identity}".encode(), digest_size=8).digest()
-    return int.from_bytes(digest, "big")
-
-
-def in_order(shard: int, identities: Sequence[str]) -> list[str]:
-    """These identities in the order in which they take over a shard."""
-    return sorted(identities, key=lambda identity: -score(shard, identity))
-
-
-def quorum(members: Sequence[str]) -> int:
-    """How many of these are a majority."""
-    return len(members) // 2 + 1
-
-
 def plan(
     current: Placement | None, live: Sequence[NodeFact], now_s: float, tolerance: int, memory: PlanMemory
 ) -> Placement | None:
@@ -261,44 +196,3 @@
         spares = in_order(shard, [identity for identity in self.usable if identity not in target])
         elsewhere = [identity for identity in spares if self.usable[identity].zone not in zones]
         return next(iter(elsewhere or spares), None)
-
-
-def begin_retire(
-    placement: Placement | None, name: str, live: Sequence[NodeFact], tolerance: int = 1
-) -> Placement:
-    """The table in which this store is being emptied; `NotFoundError` where no store has this name,
-    `ConflictError` where too few stores would remain. Asked again, it changes nothing."""
-    if placement is None:
-        raise NotFoundError(f"no store named {name} is known yet")
-    if name in placement.retiring or name in placement.retired:
-        return placement
-    staying = {
-        fact.name
-        for fact in live
-        if fact.role is NodeRole.STORE and fact.identity and fact.name not in placement.retiring
-    }
-    known = {member.name for member in placement.stores.values()} | staying
-    if name not in known:
-        raise NotFoundError(f"no store named {name}")
-    if len(staying - {name}) < 2 * tolerance + 1:
-        raise ConflictError(f"too few stores would remain without {name}")
-    return attrs.evolve(placement, epoch=placement.epoch + 1, retiring=(*placement.retiring, name))
-
-
-def retire_state(placement: Placement | None, name: str) -> str:
-    """`active` or `completed`; `NotFoundError` where the store was never asked to be emptied."""
-    if placement is not None and name in placement.retired:
-        return "completed"
-    if placement is not None and name in placement.retiring:
-        return "active"
-    raise NotFoundError(f"{name} is not being emptied")
-
-
-def finish_move(placement: Placement, shard: int, epoch: int) -> Placement:
-    """The table after all records of a shard stand on its joining set; unchanged where that is not the epoch."""
-    group = placement.groups[shard]
-    if group.epoch != epoch or not group.joining:
-        return placement
-    moved = Group(shard, group.epoch + 1, group.joining)
-    groups = (*placement.groups[:shard], moved, *placement.groups[shard + 1 :])
-    return attrs.evolve(placement, epoch=placement.epoch + 1, groups=groups)
--- /dev/null
+++ b/emberring/placement/retirement.py
@@ -0,0 +1,42 @@
+"""Stores that are emptied to be taken away. Pure functions on the table of shards."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+
+import attrs
+
+from emberring.distribution.facts import NodeFact, NodeRole
+from emberring.errors import ConflictError, NotFoundError
+from emberring.placement.model import Placement
+
+
+def begin_retire(
+    placement: Placement | None, name: str, live: Sequence[NodeFact], tolerance: int = 1
+) -> Placement:
+    """The table in which this store is being emptied; `NotFoundError` where no store has this name,
+    `ConflictError` where too few stores would remain. Asked again, it changes nothing."""
+    if placement is None:
+        raise NotFoundError(f"no store named {name} is known yet")
+    if name in placement.retiring or name in placement.retired:
+        return placement
+    staying = {
+        fact.name
+        for fact in live
+        if fact.role is NodeRole.STORE and fact.identity and fact.name not in placement.retiring
+    }
+    known = {member.name for member in placement.stores.values()} | staying
+    if name not in known:
+        raise NotFoundError(f"no store named {name}")
+    if len(staying - {name}) < 2 * tolerance + 1:
+        raise ConflictError(f"too few stores would remain without {name}")
+    return attrs.evolve(placement, epoch=placement.epoch + 1, retiring=(*placement.retiring, name))
+
+
+def retire_state(placement: Placement | None, name: str) -> str:
+    """`active` or `completed`; `NotFoundError` where the store was never asked to be emptied."""
+    if placement is not None and name in placement.retired:
+        return "completed"
+    if placement is not None and name in placement.retiring:
+        return "active"
+    raise NotFoundError(f"{name} is not being emptied")
--- a/emberring/store/disk.py
+++ b/emberring/store/disk.py
@@ -13,9 +13,9 @@
 from emberring.journal.layout import Position
 from emberring.journal.layout import Record as JournalRecord
 from emberring.logs import get_logger
-from emberring.lots.placement import SHARDS
 from emberring.lots.replica import REFUSE_S, Replica
 from emberring.lots.replica_log import Logged, Started, decode_entry, encode_entry
+from emberring.placement.model import SHARDS
 from emberring.store.identity import create_identity, read_identity
 
 JOURNAL_FOLDER = "journal"
--- a/emberring/store/gateway_calls.py
+++ b/emberring/store/gateway_calls.py
@@ -7,8 +7,8 @@
 
 from emberring.errors import NotReadyError, OverloadedError
 from emberring.lots.calls import EndLot, FinishRun, ReadItem, ReadLot, ReportAnswer, ReportRuns, SubmitLot
-from emberring.lots.placement import shard_of
 from emberring.lots.records import lot_key
+from emberring.placement.model import shard_of
 from emberring.store.shards import Shards
 
 
--- a/emberring/store/shards.py
+++ b/emberring/store/shards.py
@@ -13,8 +13,8 @@
 from emberring.lots.book import LotBook
 from emberring.lots.messages import TouchReply
 from emberring.lots.owner import BecameOwner, Chosen, LostOwnership, Moved, OwnerAction, Send, ShardOwner
-from emberring.lots.placement import SHARDS, Placement
 from emberring.lots.shelf import Answer, BookAction, Propose, Refuse
+from emberring.placement.model import SHARDS, Placement
 from emberring.store.peers import Peers
 from emberring.store.replicas import ReplicaHost
 
--- a/tests/emberring/configuration/test_tier_orders.py
+++ b/tests/emberring/configuration/test_tier_orders.py
@@ -19,7 +19,7 @@
     InvalidConfigurationError,
     VersionConflictError,
 )
-from emberring.lots.placement import Group, Placement, StoreMember
+from emberring.placement.model import Group, Placement, StoreMember
 
 
 def route(name: str, timeout_ms: int = 4000, service: str = "s") -> dict[str, Any]:
--- a/tests/emberring/distribution/test_tier_follower_view.py
+++ b/tests/emberring/distribution/test_tier_follower_view.py
@@ -16,7 +16,7 @@
 from emberring.distribution.messages import Delta, Update
 from emberring.distribution.sources import SourceChoice
 from emberring.distribution.view import ORPHAN_S, PATIENCE_S, FollowerView
-from emberring.lots.placement import Placement
+from emberring.placement.model import Placement
 
 READY, DRAINING, GONE, LOST = ServerState.READY, ServerState.DRAINING, ServerState.GONE, ServerState.LOST
 
--- a/tests/emberring/lots/test_tier_lots_client.py
+++ b/tests/emberring/lots/test_tier_lots_client.py
@@ -25,8 +25,8 @@
 )
 from emberring.lots.calls import LotPage, SubmitLot
 from emberring.lots.client import LotClient
-from emberring.lots.placement import SHARDS, Group, Placement, StoreMember
 from emberring.lots.results import ResultState, encode_result
+from emberring.placement.model import SHARDS, Group, Placement, StoreMember
 from emberring.transport.messages import Ok
 
 HOST = "lots.example"
--- a/tests/emberring/lots/test_tier_lots_merge.py
+++ b/tests/emberring/lots/test_tier_lots_merge.py
@@ -7,7 +7,6 @@
 from emberring.lots.adoption import Adoption
 from emberring.lots.lease import LEASE_S, OwnerLease, has_quorum
 from emberring.lots.merge import merge, misplaced
-from emberring.lots.placement import Group
 from emberring.lots.records import (
     DEFINITION,
     FORGOTTEN,
@@ -21,6 +20,7 @@
 from emberring.lots.replica import Replica
 from emberring.lots.replica_log import Written
 from emberring.lots.results import ResultState, encode_result
+from emberring.placement.model import Group
 
 GROUP = Group(0, 1, ("a", "b", "c"))
 JOINT = Group(0, 2, ("a", "b", "c"), ("b", "c", "d"))
--- a/tests/emberring/lots/test_tier_lots_owner.py
+++ b/tests/emberring/lots/test_tier_lots_owner.py
@@ -11,10 +11,10 @@
 from emberring.lots.lease import LEASE_S
 from emberring.lots.messages import Claim
 from emberring.lots.owner import Stage
-from emberring.lots.placement import Group, in_order
 from emberring.lots.records import DEFINITION, FORGOTTEN, Term
 from emberring.lots.replica import REFUSE_S
 from emberring.lots.results import ResultState, encode_result, item_index
+from emberring.placement.model import Group, in_order
 
 ABC = Group(0, 1, ("a", "b", "c"))
 JOINING = Group(0, 2, ("a", "b", "c"), ("b", "c", "d"))
--- a/tests/emberring/lots/tier_lots_trio.py
+++ b/tests/emberring/lots/tier_lots_trio.py
@@ -8,9 +8,9 @@
 
 from emberring.lots.messages import Touch
 from emberring.lots.owner import BecameOwner, Chosen, LostOwnership, Moved, OwnerAction, Send, ShardOwner
-from emberring.lots.placement import Group
 from emberring.lots.replica import REFUSE_S, Action, Fail, Persist, Replica, Reply
 from emberring.lots.replica_log import Entry
+from emberring.placement.model import Group
 
 
 @attrs.define(eq=False)
--- a/tests/emberring/lots/test_tier_lots_placement.py
+++ b/tests/emberring/placement/test_tier_placement.py
@@ -9,22 +9,16 @@
 
 from emberring.distribution.facts import NodeFact, NodeRole
 from emberring.errors import ConflictError, NotFoundError
-from emberring.lots.placement import (
+from emberring.placement.model import SHARDS, Group, Placement, finish_move, in_order, shard_of
+from emberring.placement.planning import (
     ABSENCE_S,
     FIRST_TABLE_WAIT_S,
     FRESH_ABSENCE_S,
     SETTLE_S,
-    SHARDS,
-    Group,
-    Placement,
     PlanMemory,
-    begin_retire,
-    finish_move,
-    in_order,
     plan,
-    retire_state,
-    shard_of,
 )
+from emberring.placement.retirement import begin_retire, retire_state
 
 
 def store(name: str, identity: str = "", zone: str = "", address: str = "") -> NodeFact:
--- a/tests/emberring/store/test_tier_store_path.py
+++ b/tests/emberring/store/test_tier_store_path.py
@@ -11,7 +11,7 @@
 
 from emberring.errors import NotFoundError, QuotaExceededError
 from emberring.lots.items import OutcomeKind
-from emberring.lots.placement import shard_of
+from emberring.placement.model import shard_of
 
 
 def test_a_lot_is_taken_run_and_read(tmp_path: Path) -> None:
--- a/tests/emberring/store/test_tier_store_troubles.py
+++ b/tests/emberring/store/test_tier_store_troubles.py
@@ -11,7 +11,8 @@
 from tier_store_cluster import HOST, ROUTE, Cluster, FakeExecutor, lot_body, read_all, run, text_of
 
 from emberring.errors import InDoubtError, NotFoundError, NotReadyError, OverloadedError
-from emberring.lots.placement import begin_retire, retire_state, shard_of
+from emberring.placement.model import shard_of
+from emberring.placement.retirement import begin_retire, retire_state
 
 SHARD = shard_of(HOST)
 
--- a/tests/emberring/store/tier_store_cluster.py
+++ b/tests/emberring/store/tier_store_cluster.py
@@ -19,8 +19,9 @@
 from emberring.lots.client import LotClient
 from emberring.lots.directory import OwnerDirectory
 from emberring.lots.items import ItemCall, ItemEvent, ItemOutcome, OutcomeKind
-from emberring.lots.placement import Placement, PlanMemory, finish_move, plan
 from emberring.lots.runner import UnitRunner
+from emberring.placement.model import Placement, finish_move
+from emberring.placement.planning import PlanMemory, plan
 from emberring.settings import Limits, Settings
 from emberring.store.role import Store
 from emberring.transport.messages import Ok
--- a/tests/emberring/test_tier_structure.py
+++ b/tests/emberring/test_tier_structure.py
@@ -23,6 +23,7 @@
     frozenset({"lots"}),
     frozenset({"admission", "distribution"}),
     frozenset({"registry", "configuration"}),
+    frozenset({"placement"}),
     frozenset({"register"}),
     frozenset({"membership", "journal"}),
     frozenset({"transport"}),
@@ -30,7 +31,7 @@
     frozenset({"__init__"}),
 )
 # Modules of types alone, which packages below theirs may import too.
-TYPES = frozenset({"distribution.facts", "lots.placement"})
+TYPES = frozenset({"distribution.facts"})
 SETTINGS_ROW = frozenset({"settings", "errors", "logs"})
 # Files that are longer than the most, each with its reason.
 LONG: dict[str, str] = {}
