--- /dev/null
+++ b/tests/emberring/test_tier_deploy.py
@@ -0,0 +1,134 @@
+"""The deploy file names the system packages that the build and the programs use, no more and no fewer."""
+
+from __future__ import annotations
+
+import importlib.metadata
+import shlex
+import subprocess
+import tomllib
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+ROOT = Path(__file__).parent.parent.parent
+
+# What Debian installs on every machine: the C library, the shell and its utilities, the compiler's run-time.
+ALWAYS_THERE = frozenset({"libc6", "dash", "coreutils", "libgcc-s1"})
+PACKAGE_OF_COMMAND = {
+    "[": "coreutils",
+    "touch": "coreutils",
+    "python3": "python3",
+    "python3 -m pip": "python3-pip",
+    "pip over TLS": "ca-certificates",
+}
+PACKAGE_OF_LIBRARY = {
+    "libc.so.6": "libc6",
+    "libm.so.6": "libc6",
+    "libpthread.so.0": "libc6",
+    "libdl.so.2": "libc6",
+    "librt.so.1": "libc6",
+    "libgcc_s.so.1": "libgcc-s1",
+    "libstdc++.so.6": "libstdc++6",
+}
+SHELL_WORDS = frozenset({"||", "&&", ";"})
+
+
+def deploy() -> dict[str, Any]:
+    return tomllib.loads((ROOT / "deploy" / "system.toml").read_text())
+
+
+def commands_of(line: str) -> list[list[str]]:
+    """The commands of a shell line, each a list of words."""
+    commands: list[list[str]] = [[]]
+    for word in shlex.split(line.replace("(", " ").replace(")", " ")):
+        if word in SHELL_WORDS:
+            commands.append([])
+        else:
+            commands[-1].append(word)
+    return [command for command in commands if command]
+
+
+def packages_of(command: list[str]) -> set[str]:
+    """The packages that a command needs; `KeyError` for one that the table does not know."""
+    needed = {PACKAGE_OF_COMMAND[command[0]]}
+    if command[:3] == ["python3", "-m", "pip"]:
+        needed |= {PACKAGE_OF_COMMAND["python3 -m pip"], PACKAGE_OF_COMMAND["pip over TLS"]}
+    return needed
+
+
+def required_distributions() -> set[str]:
+    """The libraries of the tier's programs, and what these require in turn."""
+    lines = (ROOT / "requirements-tier.txt").read_text().splitlines()
+    waiting = [
+        line.split(">")[0].split("[")[0].strip() for line in lines if line and not line.startswith("#")
+    ]
+    found: set[str] = set()
+    while waiting:
+        name = waiting.pop()
+        if name in found:
+            continue
+        found.add(name)
+        for requirement in importlib.metadata.requires(name) or ():
+            if "extra ==" not in requirement and "python_version <" not in requirement:
+                waiting.append(requirement.split(";")[0].split(">")[0].split("[")[0].split("!")[0].strip())
+    return found
+
+
+def linked_libraries() -> dict[str, str]:
+    """The shared libraries that the extension modules of the tier's libraries link to, each with one that does."""
+    found: dict[str, str] = {}
+    for name in required_distributions():
+        files = importlib.metadata.files(name) or []
+        for file in files:
+            if ".so" not in "".join(file.suffixes):
+                continue
+            listing = subprocess.run(
+                ["ldd", str(file.locate())], capture_output=True, text=True, check=True, timeout=30
+            ).stdout
+            for line in listing.splitlines():
+                library = line.split()[0]
+                if "=>" in line and "/" not in library:
+                    found.setdefault(library, name)
+    return found
+
+
+def needed_packages() -> set[str]:
+    file = deploy()
+    lines = [file["build"], *(role["run"] for role in file["roles"].values())]
+    needed = {package for line in lines for command in commands_of(line) for package in packages_of(command)}
+    needed |= {PACKAGE_OF_LIBRARY[library] for library in linked_libraries()}
+    return needed - ALWAYS_THERE
+
+
+def test_the_deploy_file_names_the_system_packages_that_build_and_programs_use() -> None:
+    assert set(deploy()["packages"]) == needed_packages()
+    assert len(deploy()["packages"]) == len(set(deploy()["packages"]))
+
+
+def test_every_library_of_the_build_comes_as_a_wheel_for_this_interpreter() -> None:
+    """What a compiler built here, which the users' machines lack, has a tag of this machine alone."""
+    for name in required_distributions():
+        wheel = importlib.metadata.distribution(name).read_text("WHEEL") or ""
+        tags = [line.removeprefix("Tag: ") for line in wheel.splitlines() if line.startswith("Tag: ")]
+        assert tags, name
+        assert all("manylinux" in tag or tag.endswith("-any") for tag in tags), (name, tags)
+
+
+@pytest.mark.parametrize(
+    ("line", "packages"),
+    [
+        (
+            "[ a -nt b ] || (python3 -m pip install x && touch a)",
+            {"coreutils", "python3", "python3-pip", "ca-certificates"},
+        ),
+        ("python3 -m emberring store", {"python3"}),
+    ],
+)
+def test_commands_are_found_in_a_shell_line(line: str, packages: set[str]) -> None:
+    assert {package for command in commands_of(line) for package in packages_of(command)} == packages
+
+
+def test_a_command_that_no_package_is_known_for_is_told() -> None:
+    with pytest.raises(KeyError):
+        packages_of(commands_of("cargo build")[0])
