Control: the name of a node's start may be given

Cause: a simulated run must repeat, and the name was drawn inside. Change: an argument, drawn as before where it is left out. Result: control tests pass; the programs do not use it.

--- a/emberring/control/node.py
+++ b/emberring/control/node.py
@@ -42,7 +42,7 @@
 
 class ControlNode:
     """All parts of a control node but its HTTP listener. `seeds` are internal addresses of control nodes, the
-    settings' if left out; `remembered` keeps those met before."""
+    settings' if left out; `remembered` keeps those met before; `incarnation` names this start, anew if left out."""
 
     def __init__(
         self,
@@ -51,6 +51,7 @@
         register: Register,
         seeds: Sequence[str] | None = None,
         remembered: RememberedNodes | None = None,
+        incarnation: str = "",
     ) -> None:
         loop = asyncio.get_running_loop()
         me = NodeFact(
@@ -59,7 +60,7 @@
             address=settings.internal_address(CONTROL_PORT_OFFSET),
             zone=settings.zone,
             identity=register.identity,
-            incarnation=new_incarnation(),
+            incarnation=incarnation or new_incarnation(),
         )
         tolerance = most_lost(settings.fault_tolerance)
         known = settings.internal_seeds() if seeds is None else tuple(seeds)
