Lab: the whole control plane in simulated time, and the register looked at whole in small

Orders, board, drains, followers and placement were in no simulator together.

Change: emberring/lab/controlplane: real RegisterNode over the real ring, real ControlNode (orders, board, desk, feed, placement) and followers on a clock that jumps, with operators, servers, gateways and stores; cuts by direction, freezes, losses, replacements, slow and refusing disks; safety and progress checked, failing schedules shortened and printed as steps; `emberring check control`. lab/register_model: every order of events of two proposers, a replacement, a lost disk, a restart, on the real acceptors and ballots; `emberring check model`. `--jobs` for the check commands.

--- a/emberring/cli/check_commands.py
+++ b/emberring/cli/check_commands.py
@@ -11,7 +11,7 @@
 from emberring.cli.disk_reports import DiskReport, report_register, report_store
 from emberring.cli.places import JsonOption
 from emberring.cli.printing import EXIT_CODES_TEXT, ExitCode, complain, leave, print_json, print_line
-from emberring.cli.simulator_checks import run_check
+from emberring.cli.simulator_checks import played, run_check
 from emberring.errors import SettingsError
 from emberring.settings import load_settings
 
@@ -43,6 +43,7 @@
 ]
 SeedsOption = Annotated[int, typer.Option("--seeds", min=1, help="How many schedules to play.")]
 FirstOption = Annotated[int, typer.Option("--first", min=0, help="The seed of the first one.")]
+JobsOption = Annotated[int, typer.Option("--jobs", min=1, help="How many processes play them.")]
 ShownOption = Annotated[int, typer.Option("--show", min=0, help="Failing schedules to shorten and show.")]
 
 
@@ -55,15 +56,16 @@
     seeds: SeedsOption = 200,
     first: FirstOption = 1,
     show: ShownOption = 3,
+    jobs: JobsOption = 1,
     as_json: JsonOption = False,
 ) -> None:
     """Verify every record of a control node's register (DIR), or play the register in a simulator (--seeds)."""
     if directory is not None:
         _tell(report_register(directory), as_json)
         return
-    from emberring.lab.register_simulator import check_register, describe, shorten
+    from emberring.lab.register_simulator import describe, play_seed, shorten
 
-    run_check("register", check_register(first, seeds), shorten, describe, show, as_json)
+    run_check("register", played(play_seed, first, seeds, jobs), shorten, describe, show, as_json)
 
 
 @app.command(epilog=EXIT_CODES_TEXT)
@@ -74,12 +76,62 @@
 
 @app.command(epilog=EXIT_CODES_TEXT)
 def lots(
-    seeds: SeedsOption = 100, first: FirstOption = 1, show: ShownOption = 3, as_json: JsonOption = False
+    seeds: SeedsOption = 100,
+    first: FirstOption = 1,
+    show: ShownOption = 3,
+    jobs: JobsOption = 1,
+    as_json: JsonOption = False,
 ) -> None:
     """Play lots on stores in a simulator with seeded schedules of troubles."""
-    from emberring.lab.lots_simulator import check_lots, describe, shorten
+    from emberring.lab.lots_simulator import describe, play_seed, shorten
+
+    run_check("lots", played(play_seed, first, seeds, jobs), shorten, describe, show, as_json)
+
+
+@app.command(epilog=EXIT_CODES_TEXT)
+def control(
+    seeds: SeedsOption = 100,
+    first: FirstOption = 1,
+    show: ShownOption = 3,
+    jobs: JobsOption = 1,
+    as_json: JsonOption = False,
+) -> None:
+    """Play the whole control plane in a simulator: orders, drains, cuts, losses, replacements, restarts."""
+    from emberring.lab.controlplane.simulator import describe, play_seed, shorten
 
-    run_check("lots", check_lots(first, seeds), shorten, describe, show, as_json)
+    run_check("control", played(play_seed, first, seeds, jobs), shorten, describe, show, as_json)
+
+
+@app.command(epilog=EXIT_CODES_TEXT)
+def model(
+    depth: Annotated[int, typer.Option("--depth", min=1, help="Events in a row, at most.")] = 30,
+    states: Annotated[int, typer.Option("--states", min=1, help="States in all, about.")] = 100_000,
+    ballots: Annotated[
+        str, typer.Option("--ballots", help="Ballots of the two proposers, as in 2,1.")
+    ] = "1,1",
+    losses: Annotated[int, typer.Option("--losses", min=0, help="Disks that may be lost.")] = 1,
+    restarts: Annotated[int, typer.Option("--restarts", min=0, help="Replicas that may start again.")] = 1,
+    as_json: JsonOption = False,
+) -> None:
+    """Look at every order of events in a small register: two proposers, a replacement, a lost disk, a restart."""
+    from emberring.lab.register_model import Bounds, search
+
+    parts = ballots.split(",")
+    if len(parts) != 2 or not all(part.strip().isdigit() for part in parts):
+        complain("--ballots wants two whole numbers, as in 2,1")
+        leave(ExitCode.UNUSABLE)
+        return
+    found = search(Bounds(depth, states, (int(parts[0]), int(parts[1])), losses, restarts))
+    if as_json:
+        print_json(attrs.asdict(found))
+    else:
+        more = "all there are" if found.whole else "not all there are"
+        print_line(f"model: {found.states} states, {found.depth} events deep, {more}")
+        for event in found.way:
+            print_line(f"  {event}")
+    if found.wrong:
+        complain(found.wrong)
+        leave(ExitCode.REFUSED)
 
 
 def _tell(report: DiskReport, as_json: bool) -> None:
--- a/emberring/cli/simulator_checks.py
+++ b/emberring/cli/simulator_checks.py
@@ -3,12 +3,14 @@
 from __future__ import annotations
 
 import time
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Iterator
+from concurrent.futures import ProcessPoolExecutor
 from typing import Any, Protocol, TypeVar
 
 from emberring.cli.printing import ExitCode, complain, leave, print_json, print_line
 
 TELL_EVERY_S = 10.0
+SEEDS_AT_ONCE = 4  # that a process gets
 
 
 class SomeVerdict(Protocol):
@@ -25,6 +27,16 @@
 Verdict = TypeVar("Verdict", bound=SomeVerdict)
 
 
+def played(play_seed: Callable[[int], Verdict], first: int, seeds: int, jobs: int) -> Iterator[Verdict]:
+    """The verdicts of so many seeds, in their order, played by so many processes."""
+    wanted = range(first, first + seeds)
+    if jobs == 1:
+        yield from map(play_seed, wanted)
+        return
+    with ProcessPoolExecutor(jobs) as pool:
+        yield from pool.map(play_seed, wanted, chunksize=SEEDS_AT_ONCE)
+
+
 def run_check(
     what: str,
     verdicts: Iterable[Verdict],
--- /dev/null
+++ b/emberring/lab/controlplane/simulator.py
@@ -0,0 +1,212 @@
+"""The check of the whole control plane: schedules from seeds in simulated time, histories and progress checked."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+
+import attrs
+
+from emberring.configuration.orders import OrderKind
+from emberring.lab.controlplane.deployment import CONTACT_S, Deployment
+from emberring.lab.controlplane.mistakes import Mistake, seeded
+from emberring.lab.controlplane.process import hold_tasks
+from emberring.lab.controlplane.schedule import Schedule, make_schedule
+from emberring.lab.controlplane.troubles import Troubles
+from emberring.lab.shortening import fewest_steps
+from emberring.lab.virtual_time import run_virtually
+
+ACK_S = 4.0
+APPLY_S = 2.0
+CATCH_UP_S = 4.9
+WHOLE_S = 8.0  # from calm on, until the replica set is as wide as wanted
+SERVERS_KNOWN_S = 8.0  # from calm on, until every gateway knows every server
+LOOK_S = 0.02
+
+
+@attrs.frozen
+class Times:
+    """How long the last part of a schedule took, in seconds from calm on."""
+
+    order_s: float = 0.0
+    followers_s: float = 0.0  # from the acknowledgement on
+    replicas_s: float = 0.0
+    whole_s: float = 0.0
+
+
+@attrs.frozen
+class Verdict:
+    """What was wrong with a schedule (empty: nothing), and how much happened in it."""
+
+    schedule: Schedule
+    mistakes: tuple[str, ...]
+    acknowledged: int = 0
+    events: int = 0
+    times: Times = Times()
+
+
+class _Play:
+    """One schedule in one deployment."""
+
+    def __init__(self, schedule: Schedule, mistake: Mistake | None) -> None:
+        self._schedule = schedule
+        self._mistake = mistake
+        self.verdict = Verdict(schedule, ())
+
+    async def run(self) -> None:
+        """Play it; the verdict is kept."""
+        hold_tasks(asyncio.get_running_loop())
+        deployment = Deployment(self._schedule, self._mistake)
+        asyncio.get_running_loop().set_exception_handler(
+            lambda _, context: deployment.world.seen.wrong(
+                f"fault: {context.get('exception', context['message'])!r}"
+            )
+        )
+        troubles = Troubles(deployment)
+        await deployment.start()
+        began_s = deployment.world.sync()
+        for step in self._schedule.steps:
+            deployment.world.at(began_s + step.at_s, troubles.run, step)
+        await asyncio.sleep(self._schedule.span_s)
+        troubles.end()
+        times = await _Recovery(deployment).run()
+        await deployment.stop()
+        seen = deployment.world.seen
+        acknowledged = sum(1 for order in seen.orders if order.status == 200)
+        self.verdict = Verdict(
+            self._schedule, tuple(seen.finish()), acknowledged, deployment.world.handled, times
+        )
+
+
+class _Recovery:
+    """What must come to hold once nothing is wrong any more, and in what time."""
+
+    def __init__(self, deployment: Deployment) -> None:
+        self._deployment = deployment
+        self._world = deployment.world
+
+    async def run(self) -> Times:
+        """Wait for each; what does not come in time is a mistake."""
+        whole, order = await asyncio.gather(
+            self._until(self._set_is_whole, WHOLE_S, "the replica set is not whole"), self._order()
+        )
+        servers = self._until(self._servers_known, SERVERS_KNOWN_S, "a gateway does not know all servers")
+        await servers
+        await self._drain()
+        await self._last_reads()
+        return Times(order[0], order[1], order[2], whole)
+
+    async def _until(self, condition: Callable[[], bool], within_s: float, wrong: str) -> float:
+        began_s = self._world.sync()
+        while not condition():
+            await asyncio.sleep(LOOK_S)
+            if self._world.sync() - began_s > within_s:
+                self._world.seen.wrong(f"{wrong} {within_s} s after it could be")
+                return within_s
+        return self._world.now_s - began_s
+
+    async def _order(self) -> tuple[float, float, float]:
+        """A change on top of the newest version, from the moment at which machines are in touch again."""
+        replicas = asyncio.get_running_loop().create_task(
+            self._until(self._replicas_agree, CATCH_UP_S, "a replica has not caught up")
+        )
+        await asyncio.sleep(CONTACT_S)
+        operators = self._deployment.operators
+        began_s = self._world.sync()
+        base = max([operators.known, *(machine.told_version for machine in self._deployment.cores)])
+        order = operators.order(base, base + 1, OrderKind.WHOLE)
+        status = await operators.send(order, OrderKind.WHOLE)
+        took_s = self._world.sync() - began_s
+        if status != 200:
+            self._world.seen.wrong(f"in the calm at the end, {order} was answered {status}")
+        if took_s > ACK_S:
+            self._world.seen.wrong(f"in the calm at the end, {order} took {took_s:.1f} s")
+        followers_s = await self._until(
+            lambda: self._followers_have(order.version), APPLY_S, "a follower has not the newest version"
+        )
+        return took_s, followers_s, await replicas
+
+    def _followers_have(self, version: int) -> bool:
+        return all(
+            store.follower is not None
+            and store.follower.configuration is not None
+            and store.follower.configuration.version >= version
+            for store in self._deployment.followers
+            if not store.gone
+        )
+
+    def _replicas_agree(self) -> bool:
+        learned = [
+            machine.node.learned.ballot if machine.node is not None and machine.node.learned else None
+            for machine in self._deployment.cores
+        ]
+        return None not in learned and len(set(learned)) == 1
+
+    def _set_is_whole(self) -> bool:
+        here = {machine.identity for machine in self._deployment.cores if machine.node is not None}
+        for machine in self._deployment.cores:
+            if machine.node is None or machine.node.learned is None:
+                return False
+            replicas = machine.node.learned.state.replicas
+            if replicas.joining or not all(member.identity in here for member in replicas.members):
+                return False
+        return True
+
+    def _servers_known(self) -> bool:
+        serving = [
+            server for server in self._deployment.servers if not server.gone and server.state == "ready"
+        ]
+        return all(
+            self._deployment.uses(gateway, server)
+            for gateway in self._deployment.gateways
+            for server in serving
+        )
+
+    async def _drain(self) -> None:
+        """A server that leaves in calm is acknowledged in time; `Deployment` checks that no gateway uses it then."""
+        server = self._deployment.add_server()
+        await asyncio.sleep(APPLY_S)
+        server.drain()
+        await self._until(lambda: server.acknowledged_s is not None, ACK_S, "a drain was not acknowledged")
+        await asyncio.sleep(APPLY_S + LOOK_S)
+
+    async def _last_reads(self) -> None:
+        """Every control machine answers with the newest version."""
+        for machine in self._deployment.cores:
+            if await self._deployment.operators.read(machine) is None:
+                self._world.seen.wrong(f"the last read at {machine.name} had no answer")
+
+
+def play(schedule: Schedule, mistake: Mistake | None = None) -> Verdict:
+    """Play a schedule; the same one gives the same verdict in the same process."""
+    playing = _Play(schedule, mistake)
+    with seeded(mistake):
+        run_virtually(playing.run())
+    return playing.verdict
+
+
+def play_seed(seed: int, mistake: Mistake | None = None) -> Verdict:
+    """Play the schedule of a seed."""
+    return play(make_schedule(seed), mistake)
+
+
+def shorten(verdict: Verdict, mistake: Mistake | None = None) -> Verdict:
+    """The verdict of a schedule that fails with as few of this one's steps as leaving them out one by one gives."""
+    return fewest_steps(
+        verdict,
+        verdict.schedule.steps,
+        lambda steps: play(attrs.evolve(verdict.schedule, steps=steps), mistake),
+    )
+
+
+def describe(verdict: Verdict) -> str:
+    """A failing schedule for a person: its seed, its steps as a test would write them, what was wrong."""
+    schedule = verdict.schedule
+    lines = [
+        f"seed {schedule.seed}: {len(schedule.steps)} steps in {schedule.span_s} s, {schedule.spares} spares, "
+        f"ways of up to {schedule.slowest_s} s, syncs of {schedule.sync_s} s"
+    ]
+    for step in schedule.steps:
+        lines.append(f"  Step({step.at_s:.4f}, Kind.{step.kind.name}, {step.slot}, {step.lasts_s:.4f}),")
+    lines += [f"  wrong: {mistake}" for mistake in verdict.mistakes]
+    return "\n".join(lines)
--- /dev/null
+++ b/emberring/lab/controlplane/world.py
@@ -0,0 +1,70 @@
+"""Clock, network and chance of a simulated control plane: the register's world on an event loop whose clock jumps."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from typing import Any
+
+from emberring.lab.controlplane.history import ControlHistory
+from emberring.lab.controlplane.process import Process
+from emberring.lab.register_world import Bugs, World
+from emberring.register.keeper import PATIENCE
+
+
+class ControlWorld(World):
+    """`at` and `send` run on the event loop; cuts are told by direction; `processes` are told apart by address."""
+
+    def __init__(self, seed: int, bugs: Bugs) -> None:
+        super().__init__(seed, bugs, PATIENCE)
+        self.seen = ControlHistory()
+        self.history = self.seen
+        self.processes: dict[str, Process] = {}
+        self.dark: set[str] = set()  # addresses of machines without power
+        self.blocked: dict[tuple[str, str], float] = {}  # (from, to): until when nothing passes (s)
+
+    def sync(self) -> float:
+        """The time now; to be called where work begins that the loop started."""
+        self.now_s = asyncio.get_running_loop().time()
+        return self.now_s
+
+    def at(self, when_s: float, work: Callable[..., None], *arguments: Any) -> None:
+        asyncio.get_running_loop().call_at(when_s, self._do, work, arguments)
+
+    def _do(self, work: Callable[..., None], arguments: tuple[Any, ...]) -> None:
+        self.sync()
+        work(*arguments)
+
+    def passes(self, origin: str, target: str) -> bool:
+        """Whether a message from the one machine reaches the other."""
+        return self.blocked.get((origin, target), 0.0) <= self.now_s
+
+    def block(self, origin: str, target: str, until_s: float) -> None:
+        """Let nothing pass in this direction until then."""
+        if origin != target:
+            self.blocked[(origin, target)] = max(until_s, self.blocked.get((origin, target), 0.0))
+
+    def join(self) -> None:
+        """No cut any more."""
+        self.blocked.clear()
+
+    def reach(self, one: str, other: str) -> bool:
+        return self.passes(one, other) and self.passes(other, one)
+
+    def way_s(self) -> float:
+        """How long a message takes now."""
+        return self.weather.way_s(self.rng)
+
+    def is_lost(self) -> bool:
+        """Whether the weather loses a message."""
+        return self.weather.lost > 0 and self.rng.random() < self.weather.lost
+
+    def send(self, origin: str, target: str, work: Callable[..., None], *arguments: Any) -> None:
+        if origin == target:
+            self.at(self.now_s, work, *arguments)
+            return
+        if not self.passes(origin, target) or self.is_lost():
+            return
+        copies = 2 if self.weather.doubled and self.rng.random() < self.weather.doubled else 1
+        for _ in range(copies):
+            self.at(self.now_s + self.way_s(), work, *arguments)
--- a/emberring/lab/lots_simulator.py
+++ b/emberring/lab/lots_simulator.py
@@ -367,6 +367,11 @@
     )
 
 
+def play_seed(seed: int) -> Verdict:
+    """Play the schedule of a seed."""
+    return play(make_schedule(seed))
+
+
 def check_lots(first_seed: int, seeds: int, bugs: Bugs | None = None) -> Iterator[Verdict]:
     """Play the schedules of so many seeds; the verdicts as they come. The caller shortens the failing ones."""
     for seed in range(first_seed, first_seed + seeds):
--- a/emberring/lab/register_simulator.py
+++ b/emberring/lab/register_simulator.py
@@ -25,6 +25,8 @@
 LAST_READ_S = 1.0
 MOST_TROUBLES = 8
 MOST_OPERATIONS = 30
+BURST_OPERATIONS = 60  # reads, changes made before and new ones, at all nodes
+BURST_S = 0.6
 HASTY = Patience(dead_after_s=0.4, name_silent_s=0.2, rank_delay_s=0.1, joiner_wait_s=0.2)
 HASTIER = Patience(dead_after_s=0.2, name_silent_s=0.1, rank_delay_s=0.0, joiner_wait_s=0.0)
 
@@ -51,6 +53,7 @@
     REFUSING_DISK = "refusing_disk"
     WEATHER = "weather"
     ADD = "add"
+    BURST = "burst"
 
 
 _TROUBLES = tuple(kind for kind in Kind if kind not in (Kind.CHANGE, Kind.READ))
@@ -72,8 +75,9 @@
 @attrs.frozen
 class Climate:
     """How the world is while there are troubles: the longest delay of a message and the time of a sync (s), the
-    shares of messages lost and doubled, how many control nodes there are beyond the founders, and how patient nodes
-    are with silent replicas. Slow ones let ballots overlap, impatient ones change the replica set again and again."""
+    shares of messages lost and doubled, how many control nodes there are beyond the founders, how patient nodes are
+    with silent replicas, and the share of messages that are slow. Slow ones let ballots overlap, a few slow ones let
+    one ballot overtake another, impatient nodes change the replica set again and again."""
 
     slowest_s: float = 0.003
     sync_s: float = 0.001
@@ -81,6 +85,7 @@
     doubled: float = 0.0
     spares: int = 0
     patience: Patience = PATIENCE
+    slow_share: float = 1.0
 
 
 @attrs.frozen
@@ -128,6 +133,7 @@
         doubled=rng.choice((0.0, 0.1, 0.3)),
         spares=rng.choice((0, 0, 1, 2)),
         patience=rng.choice((PATIENCE, PATIENCE, HASTY, HASTIER)),
+        slow_share=rng.choice((1.0, 1.0, 0.15)),
     )
 
 
@@ -260,6 +266,8 @@
                 machine.ask(self._changes)
             case Kind.READ:
                 machine.ask(0)
+            case Kind.BURST:
+                self._burst()
             case Kind.KILL:
                 self._down(machine, machine.stop, step.lasts_s)
             case Kind.POWER:
@@ -283,6 +291,17 @@
             case _:
                 self._disturb(machine, step)
 
+    def _burst(self) -> None:
+        world = self._world
+        for _ in range(BURST_OPERATIONS):
+            self._changes += world.rng.random() < 0.2
+            asked = world.rng.randint(0, self._changes)
+            world.at(world.now_s + world.rng.random() * BURST_S, self._ask_anywhere, asked)
+
+    def _ask_anywhere(self, number: int) -> None:
+        if not self._ended:
+            self._pick(self._world.rng.randrange(6)).ask(number)
+
     def _disturb(self, machine: Machine, step: Step) -> None:
         world = self._world
         end_s = world.now_s + step.lasts_s
@@ -315,7 +334,9 @@
         """The climate's weather."""
         climate = self._schedule.climate
         if not self._ended:
-            self._world.weather = Weather(climate.lost, climate.doubled, climate.slowest_s)
+            self._world.weather = Weather(
+                climate.lost, climate.doubled, climate.slowest_s, climate.slow_share
+            )
 
     def _fair_disk(self, machine: Machine) -> None:
         if not self._ended:
@@ -396,6 +417,11 @@
     )
 
 
+def play_seed(seed: int) -> Verdict:
+    """Play the schedule of a seed."""
+    return play(make_schedule(seed))
+
+
 def check_register(first_seed: int, seeds: int, bugs: Bugs | None = None) -> Iterator[Verdict]:
     """Play the schedules of so many seeds; the verdicts as they come. The caller shortens the failing ones."""
     for seed in range(first_seed, first_seed + seeds):
--- /dev/null
+++ b/tests/emberring/lab/test_tier_control_simulator.py
@@ -0,0 +1,158 @@
+"""The simulated control plane: nothing wrong on the program as it is, the worst days forced, mistakes found."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from emberring.configuration.state import ControlState
+from emberring.lab.controlplane.history import ControlHistory, OrderSeen
+from emberring.lab.controlplane.mistakes import Mistake, seeded
+from emberring.lab.controlplane.process import Process, hold_tasks
+from emberring.lab.controlplane.schedule import Kind, Schedule, Step
+from emberring.lab.controlplane.simulator import describe, play, play_seed, shorten
+from emberring.lab.virtual_time import run_virtually
+
+
+@pytest.mark.parametrize("first", [0, 8])
+def test_schedules_leave_nothing_wrong(first: int) -> None:
+    verdicts = [play_seed(seed) for seed in range(first, first + 8)]
+    assert [describe(verdict) for verdict in verdicts if verdict.mistakes] == []
+    assert sum(verdict.acknowledged for verdict in verdicts) > 10
+
+
+def test_a_schedule_played_again_gives_the_same_verdict() -> None:
+    assert play_seed(4) == play_seed(4)
+
+
+def test_a_mistake_is_found_and_its_schedule_made_short() -> None:
+    mistake = Mistake.READS_FROM_MEMORY
+    steps = (
+        Step(0.3, Kind.CUT_OFF, 0, 7.0),
+        Step(1.5, Kind.ORDER, 1),
+        Step(2.0, Kind.SERVER, 0),
+        Step(3.0, Kind.ORDER, 2),
+        Step(5.0, Kind.READ, 0),
+    )
+    schedule = Schedule(3, steps, 8.0)
+    verdict = play(schedule, mistake)
+    assert verdict.mistakes
+    short = shorten(verdict, mistake)
+    assert short.mistakes
+    assert len(short.schedule.steps) < len(schedule.steps)
+    assert "wrong:" in describe(short)
+    assert "Kind.READ" in describe(verdict)
+
+
+def test_mistakes_are_out_of_the_program_again() -> None:
+    with seeded(Mistake.FORGETS_DIGESTS):
+        assert (
+            len(
+                ControlState()
+                .with_configuration(1, b"a", b"1" * 16)
+                .with_configuration(2, b"b", b"2" * 16)
+                .taken
+            )
+            == 1
+        )
+    assert (
+        len(
+            ControlState().with_configuration(1, b"a", b"1" * 16).with_configuration(2, b"b", b"2" * 16).taken
+        )
+        == 2
+    )
+
+
+# The history by itself.
+
+
+def an_order(number: int, base: int, version: int, sent_s: float) -> OrderSeen:
+    return OrderSeen(number, base, version, b"%16d" % number, sent_s)
+
+
+def a_state(*orders: OrderSeen) -> ControlState:
+    return ControlState(orders[-1].version, b"", tuple(order.digest for order in orders))
+
+
+def test_a_good_history_is_good() -> None:
+    history = ControlHistory()
+    first, second, late = an_order(1, 0, 1, 0.0), an_order(2, 1, 5, 1.0), an_order(3, 1, 5, 1.1)
+    for order in (first, second, late):
+        history.order_sent(order)
+    history.state_learned(0.5, "a", a_state(first), 0)
+    history.order_taken(0.6, first)
+    history.state_learned(1.5, "a", a_state(first, second), 1)
+    history.order_refused(1.6, late, 412)
+    history.order_taken(1.7, second)
+    history.read(1.8, 1.9, "b", 5, 2)
+    history.followed(1.9, "edge", 1, 5, 2)
+    assert history.finish() == []
+
+
+def test_bad_histories_are_told() -> None:
+    first, second, third = an_order(1, 0, 1, 0.0), an_order(2, 1, 5, 1.0), an_order(3, 1, 6, 1.0)
+
+    def wrong(*acts: str) -> str:
+        history = ControlHistory()
+        for order in (first, second, third):
+            order.ended_s, order.status = None, 0
+            history.order_sent(order)
+        history.state_learned(0.5, "a", a_state(first), 0)
+        history.order_taken(0.6, first)
+        for act in acts:
+            if act == "both":
+                history.order_taken(1.5, second)
+                history.order_taken(1.6, third)
+            elif act == "older read":
+                history.order_taken(1.5, second)
+                history.read(2.0, 2.1, "b", 1, 1)
+            elif act == "wrong content":
+                history.read(2.0, 2.1, "b", 1, 2)
+            elif act == "back":
+                history.followed(2.0, "edge", 5, 1, 1)
+            elif act == "older told":
+                history.state_learned(2.0, "a", a_state(first), 5)
+            elif act == "refused though taken":
+                history.order_refused(1.5, second, 412)
+                history.state_learned(2.0, "a", a_state(first, second), 1)
+            elif act == "refused for nothing":
+                history.order_refused(1.5, second, 412)
+            elif act == "skips":
+                other = an_order(4, 5, 7, 1.0)
+                history.order_sent(other)
+                history.state_learned(2.0, "a", a_state(first, other), 1)
+        return "; ".join(history.finish())
+
+    assert "both acknowledged" in wrong("both")
+    assert "where 5 was proved" in wrong("older read")
+    assert "with what order 2 said" in wrong("wrong content")
+    assert "went back" in wrong("back")
+    assert "after 5" in wrong("older told")
+    assert "yet it was taken" in wrong("refused though taken")
+    assert "while its base was in force" in wrong("refused for nothing")
+    assert "was made on" in wrong("skips")
+    assert wrong() == ""
+
+
+def test_a_frozen_process_stands_still_and_goes_on() -> None:
+    seen: list[float] = []
+
+    async def beat() -> None:
+        loop = asyncio.get_running_loop()
+        while True:
+            await asyncio.sleep(0.5)
+            seen.append(loop.time())
+
+    async def run() -> None:
+        hold_tasks(asyncio.get_running_loop())
+        process = Process("a")
+        process.start(beat())
+        await asyncio.sleep(1.2)
+        process.freeze(4.0)
+        await asyncio.sleep(4.0)
+        process.kill()
+        await asyncio.sleep(2.0)
+
+    run_virtually(run())
+    assert [round(at_s, 1) for at_s in seen] == [0.5, 1.0, 4.0, 4.5, 5.0]
--- /dev/null
+++ b/tests/emberring/lab/test_tier_control_worst_days.py
@@ -0,0 +1,16 @@
+"""The operators' worst days of control, simulated: nothing wrong on any, with and without spare control nodes."""
+
+from __future__ import annotations
+
+import pytest
+from control_worst_days import WORST_DAYS, worst_day
+
+from emberring.lab.controlplane.simulator import play
+
+
+@pytest.mark.parametrize("spares", [0, 2])
+@pytest.mark.parametrize("name", WORST_DAYS)
+def test_a_worst_day(name: str, spares: int) -> None:
+    verdict = play(worst_day(name, 7, spares))
+    assert verdict.mistakes == ()
+    assert verdict.acknowledged >= 5
--- /dev/null
+++ b/tests/emberring/register/test_tier_register_model.py
@@ -0,0 +1,47 @@
+"""The register looked at whole, in small: every order of events leads to one history, and mistakes are found."""
+
+from __future__ import annotations
+
+import attrs
+import pytest
+
+from emberring.lab.controlplane.mistakes import Mistake, seeded
+from emberring.lab.register_model import Bounds, Found, search
+
+SMALL = Bounds(ballots=(1, 1), losses=0, restarts=0)
+
+
+def test_two_ballots_in_every_order_leave_one_history() -> None:
+    found = search(SMALL)
+    assert found.wrong == ""
+    assert found.whole
+    assert found.states > 1000
+
+
+def test_a_replacement_and_a_loss_are_looked_at_to_a_depth() -> None:
+    found = search(Bounds(depth=9, ballots=(2, 1), losses=1, restarts=1, states=40_000))
+    assert found.wrong == ""
+    assert found.states > 5000
+
+
+def way_of(found: Found) -> str:
+    assert found.wrong != ""
+    return "; ".join(found.way)
+
+
+def test_a_replica_that_forgets_its_promises_is_found() -> None:
+    with seeded(Mistake.FORGETS_PROMISES):
+        found = search(attrs.evolve(SMALL, restarts=1))
+    assert "starts again" in way_of(found)
+
+
+def test_a_replica_that_loses_its_disk_and_keeps_its_name_is_found() -> None:
+    found = search(attrs.evolve(SMALL, losses=1), keeps_identity=True)
+    assert "loses its disk" in way_of(found)
+
+
+@pytest.mark.parametrize("states", [500])
+def test_a_search_says_when_it_did_not_see_all(states: int) -> None:
+    found = search(attrs.evolve(SMALL, states=states))
+    assert not found.whole
+    assert found.states >= states
--- a/tests/emberring/register/test_tier_register_simulator.py
+++ b/tests/emberring/register/test_tier_register_simulator.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from emberring.lab.controlplane.mistakes import Mistake, seeded
 from emberring.lab.register_history import History, add_number, parse_value
 from emberring.lab.register_simulator import (
     FOUNDERS,
@@ -19,6 +20,7 @@
 from emberring.lab.register_world import Bugs, Machine, Weather, World
 from emberring.register.keeper import PATIENCE
 
+OLD_SET_SEED = 20  # within 40 seeds from here a change of the set by the old set alone does harm
 AMNESIAC_SEED = 705  # one of those that show the replica that votes after losing its disk
 
 
@@ -117,6 +119,37 @@
     assert world.history.finish() == []
 
 
+def a_burst(seed: int) -> list[str]:
+    """Reads, changes and repeats of changes at all nodes, 100 a second, over a network in which a few messages are
+    slow, so that one ballot overtakes another; what was wrong."""
+    world = World(seed, Bugs(), PATIENCE)
+    world.weather = Weather(slowest_s=0.2, slow_share=0.15)
+    for name in FOUNDERS:
+        world.machines[name] = Machine(world, name, FOUNDERS, bootstrap=True)
+        world.machines[name].start()
+    world.run(1.0)
+    for step in range(400):
+        asked = world.rng.randint(0, 1 + step // 8)
+        world.at(1.0 + step * 0.01, world.machines[world.rng.choice(FOUNDERS)].ask, asked)
+    world.run(7.0)
+    return world.history.finish()
+
+
+def test_a_burst_over_a_network_with_a_few_slow_messages() -> None:
+    assert [mistake for seed in range(8) for mistake in a_burst(seed)] == []
+
+
+def test_a_ballot_that_takes_in_late_jobs_is_found() -> None:
+    with seeded(Mistake.LATE_JOBS):
+        wrong = a_burst(0)
+    assert any("had been acknowledged" in mistake for mistake in wrong)
+
+
+def test_a_change_of_the_set_by_the_old_set_alone_is_found() -> None:
+    with seeded(Mistake.OLD_SET_ALONE):
+        assert any(verdict.mistakes for verdict in check_register(OLD_SET_SEED, 40))
+
+
 def test_values_of_numbers() -> None:
     assert parse_value(None) == ()
     assert add_number(None, 4) == b"4"
