Control: waiting tasks wake in order; what came of a job is told in one place

Cause: a set of futures woke tasks in an order that differs from run to run, and the simulator put a set of its own on top of it. The simulator also had a copy of how a job's outcome reaches its caller. Change: Signal keeps a dict; the simulator's set is gone. `settle` serves the service and the simulated machine. A condition that the formatter had broken around its comment is written plainly.

--- a/emberring/control/signal.py
+++ b/emberring/control/signal.py
@@ -7,10 +7,10 @@
 
 
 class Signal:
-    """Each `give` ends every `wait` that is under way, and none that begins later."""
+    """Each `give` ends every `wait` that is under way, in the order of their beginnings, and none that begins later."""
 
     def __init__(self) -> None:
-        self._waiting: set[asyncio.Future[None]] = set()
+        self._waiting: dict[asyncio.Future[None], None] = {}
 
     @property
     def waiters(self) -> int:
@@ -27,11 +27,11 @@
     async def wait(self, timeout_s: float) -> None:
         """Wait for the next `give`, at most this long (seconds)."""
         future = asyncio.get_running_loop().create_future()
-        self._waiting.add(future)
+        self._waiting[future] = None
         try:
             # Guard: `wait_for` of Python 3.11 loses a cancellation that comes as the future is done.
             with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(max(0.0, timeout_s)):
                     await future
         finally:
-            self._waiting.discard(future)
+            self._waiting.pop(future, None)
--- a/emberring/lab/controlplane/control_machine.py
+++ b/emberring/lab/controlplane/control_machine.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable, Iterator, Sequence
+from collections.abc import Callable, Sequence
 from typing import Any
 
 import attrs
@@ -26,6 +26,7 @@
     Resolve,
 )
 from emberring.register.model import Member
+from emberring.register.service import settle
 from emberring.settings import FaultTolerance, Settings
 
 FIRST_PORT = 7000
@@ -39,29 +40,6 @@
     return f"{ip}:{INTERNAL_PORT}"
 
 
-class _InOrder(set[asyncio.Future[None]]):
-    """A set that gives its members in the order in which they came."""
-
-    def __init__(self) -> None:
-        super().__init__()
-        self._order: dict[asyncio.Future[None], None] = {}
-
-    def add(self, future: asyncio.Future[None]) -> None:
-        super().add(future)
-        self._order[future] = None
-
-    def discard(self, future: object) -> None:
-        super().discard(future)
-        self._order.pop(future, None)  # type: ignore[call-overload]
-
-    def clear(self) -> None:
-        super().clear()
-        self._order.clear()
-
-    def __iter__(self) -> Iterator[asyncio.Future[None]]:
-        return iter(list(self._order))
-
-
 @attrs.frozen
 class Answer:
     """An HTTP answer of a control node."""
@@ -118,12 +96,7 @@
 
     def _make_control(self, network: SimulatedNetwork) -> ControlNode:
         register = HostedRegister(self)
-        control = ControlNode(self._settings(), network, register, incarnation=f"{self.ip}.{self.life}")
-        for signal in (control.board._news, control.board._exchanges, control.board._hurry):
-            signal._waiting = (
-                _InOrder()
-            )  # a set of futures wakes them in an order that differs from play to play
-        return control
+        return ControlNode(self._settings(), network, register, incarnation=f"{self.ip}.{self.life}")
 
     def _settings(self) -> Settings:
         return Settings(
@@ -198,21 +171,12 @@
     def _execute(self, action: Action) -> None:
         match action:
             case Resolve():
-                self._resolve(action)
+                settle(self._futures.pop(action.job, None), action)
             case Learned():
                 self._learn_value(action.payload)
             case _:
                 super()._execute(action)
 
-    def _resolve(self, action: Resolve) -> None:
-        future = self._futures.pop(action.job, None)
-        if future is None or future.done():
-            return
-        if action.error is not None:
-            future.set_exception(action.error)
-        else:
-            future.set_result(action.payload)
-
     def _learn_value(self, payload: bytes) -> None:
         state = ControlState.decode(payload)
         self.world.seen.state_learned(self.world.now_s, self.name, state, self.told_version)
--- a/emberring/register/service.py
+++ b/emberring/register/service.py
@@ -55,6 +55,16 @@
 logger = get_logger("register")
 
 
+def settle(future: asyncio.Future[bytes | None] | None, outcome: Resolve) -> None:
+    """Tell the caller of a job, if it still waits, what came of it."""
+    if future is None or future.done():
+        return
+    if outcome.error is not None:
+        future.set_exception(outcome.error)
+    else:
+        future.set_result(outcome.payload)
+
+
 class NodeFactLike(Protocol):
     """What `note_peers` needs of a node's fact."""
 
@@ -229,9 +239,8 @@
         """Empty the oldest segment: nothing in it counts once a snapshot stands in a later one."""
         if self._snapshot_segment > segment:
             return
-        if (
-            self._node is None or self._journal is None
-        ):  # returning would give the segment up without a snapshot
+        # Guard: a return would give the segment up without a snapshot.
+        if self._node is None or self._journal is None:
             raise NotReadyError("the register does not run")
         position = await self._journal.append(self._node.acceptor.snapshot(), reclaiming=True)
         self._snapshot_segment = position.segment
@@ -265,7 +274,7 @@
             case Reply():
                 self._reply(action)
             case Resolve():
-                self._resolve(action)
+                settle(self._jobs.get(action.job), action)
             case Learned():
                 self._tell_subscribers(action.payload)
 
@@ -325,15 +334,6 @@
         if future is not None and not future.done():
             future.set_result(action.message)
 
-    def _resolve(self, action: Resolve) -> None:
-        future = self._jobs.get(action.job)
-        if future is None or future.done():
-            return
-        if action.error is not None:
-            future.set_exception(action.error)
-        else:
-            future.set_result(action.payload)
-
     def _tell_subscribers(self, payload: bytes) -> None:
         self._last_learned = payload
         for callback in list(self._subscribers):
