Register: the queues of jobs are named once; a remark stands above its loop

Cause: the tuple of four queues stood twice, and a comment had broken a loop's head apart. Change: a property; the comment above. Result: register tests pass; behaviour as before.

--- a/emberring/lab/register_history.py
+++ b/emberring/lab/register_history.py
@@ -91,10 +91,8 @@
         for operation in self.operations:
             end = "pending" if operation.ended_s is None else operation.error
             ends.setdefault(operation.number, set()).add(end)
-        for (
-            number,
-            seen,
-        ) in ends.items():  # a change may be asked for more than once: one of them may have taken it
+        # A change may be asked for more than once: one of them may have taken it.
+        for number, seen in ends.items():
             if number in self._longest and seen == {"no_quorum"}:
                 self.mistakes.append(f"change {number} was taken after a no_quorum without doubt")
         return self.mistakes
--- a/emberring/register/node.py
+++ b/emberring/register/node.py
@@ -147,6 +147,11 @@
         """Whether these replicas are a quorum of the set that this node knows to be chosen."""
         return self.learned is not None and self.learned.state.replicas.has_quorum(identities)
 
+    @property
+    def _queues(self) -> tuple[deque[Job], ...]:
+        """All jobs that wait, but those of the ballot that has decided."""
+        return (self._jobs, self._round_jobs, self._reads, self._query_reads)
+
     def next_wake_s(self, now_s: float) -> float:
         """When to send the next `Tick` at the latest."""
         wake_s = now_s + IDLE_WAKE_S
@@ -154,7 +159,7 @@
             wake_s = min(wake_s, self._retry_at)
         if self._scrub_at is not None:
             wake_s = min(wake_s, self._scrub_at)
-        for jobs in (self._jobs, self._round_jobs, self._reads, self._query_reads):
+        for jobs in self._queues:
             for job in jobs:
                 wake_s = min(wake_s, job.deadline_s)
         return max(now_s + 0.001, wake_s)
@@ -415,7 +420,7 @@
             self._out.append(Tell(address, Chosen(chosen.ballot, self.me.address)))
 
     def _expire(self, now_s: float) -> None:
-        for jobs in (self._jobs, self._round_jobs, self._reads, self._query_reads):
+        for jobs in self._queues:
             if not jobs:
                 continue
             for job in [job for job in jobs if job.deadline_s <= now_s]:
