Lab: one owner of tasks for metered nodes and for simulated processes; no test sleeps

Cause: the loop that runs a coroutine from wait to wait, and the task factory around it, stood twice. The test of a frozen process waited by sleeping on the simulated clock, where tests are not to sleep. Change: lab/task_owner.py, with hooks for a pause before a step and for the step itself; both serve on it. The test sets futures at times of the simulated clock and also holds that nothing runs after the kill.

--- a/emberring/lab/control_scale.py
+++ b/emberring/lab/control_scale.py
@@ -27,7 +27,8 @@
 from emberring.distribution.facts import NodeFact, NodeRole, ServerState
 from emberring.distribution.follower import Follower
 from emberring.distribution.messages import Pull
-from emberring.lab.hollow_network import HollowNetwork, Meter, meter_tasks
+from emberring.lab.hollow_network import HollowNetwork, Meter
+from emberring.lab.task_owner import own_tasks
 from emberring.lab.virtual_time import run_virtually
 from emberring.settings import FaultTolerance
 
@@ -176,7 +177,7 @@
 
 async def started(size: Size) -> World:
     """A world of this size, whose tasks are metered, in which all know one another and the first configuration."""
-    meter_tasks(asyncio.get_running_loop())
+    own_tasks(asyncio.get_running_loop())
     world = World(size)
     world.start()
     await asyncio.sleep(START_S)
--- a/emberring/lab/controlplane/simulator.py
+++ b/emberring/lab/controlplane/simulator.py
@@ -10,10 +10,10 @@
 from emberring.configuration.orders import OrderKind
 from emberring.lab.controlplane.deployment import CONTACT_S, Deployment
 from emberring.lab.controlplane.mistakes import Mistake, seeded
-from emberring.lab.controlplane.process import hold_tasks
 from emberring.lab.controlplane.schedule import Schedule, make_schedule
 from emberring.lab.controlplane.troubles import Troubles
 from emberring.lab.shortening import fewest_steps
+from emberring.lab.task_owner import own_tasks
 from emberring.lab.virtual_time import run_virtually
 
 ACK_S = 4.0
@@ -57,7 +57,7 @@
 
     async def run(self) -> None:
         """Play it; the verdict is kept."""
-        hold_tasks(asyncio.get_running_loop())
+        own_tasks(asyncio.get_running_loop())
         deployment = Deployment(self._schedule, self._mistake)
         asyncio.get_running_loop().set_exception_handler(
             lambda _, context: deployment.world.seen.wrong(
--- a/emberring/lab/hollow_network.py
+++ b/emberring/lab/hollow_network.py
@@ -7,15 +7,14 @@
 from __future__ import annotations
 
 import asyncio
-import contextvars
 import time
-import types
-from collections.abc import Awaitable, Coroutine, Generator
+from collections.abc import Awaitable, Callable, Coroutine
 from typing import Any, TypeVar
 
 import attrs
 
 from emberring.errors import PeerTimeoutError, PeerUnavailableError
+from emberring.lab.task_owner import TaskOwner
 from emberring.transport.messages import Envelope, decode, encode
 from emberring.transport.network import Caller, Network, Reply, expected
 
@@ -39,46 +38,19 @@
         self.sent_bytes = self.received_bytes = self.calls = 0
 
 
-_CURRENT: contextvars.ContextVar[Meter | None] = contextvars.ContextVar("meter", default=None)
+class _MeteredTasks(TaskOwner):
+    """A node's tasks; the time between their waits counts on its meter."""
 
+    def __init__(self, meter: Meter) -> None:
+        super().__init__()
+        self._meter = meter
 
-@types.coroutine
-def _stepped(coroutine: Coroutine[Any, Any, Result], meter: Meter) -> Generator[Any, Any, Result]:
-    """Run a coroutine; the time between its waits counts on the meter."""
-    value: Any = None
-    raised: BaseException | None = None
-    while True:
+    def step(self, resume: Callable[[], Any]) -> Any:
         began_s = time.thread_time()
         try:
-            wanted = coroutine.send(value) if raised is None else coroutine.throw(raised)
-        except StopIteration as done:
-            result: Result = done.value
-            return result
+            return resume()
         finally:
-            meter.cpu_s += time.thread_time() - began_s
-        value, raised = None, None
-        try:
-            value = yield wanted
-        except BaseException as error:
-            raised = error
-
-
-async def _metered(coroutine: Coroutine[Any, Any, Result], meter: Meter) -> Result:
-    return await _stepped(coroutine, meter)
-
-
-def meter_tasks(loop: asyncio.AbstractEventLoop) -> None:
-    """Have the loop's tasks count on the meter of the context in which they are started."""
-
-    def make(
-        _: asyncio.AbstractEventLoop, coroutine: Any, context: contextvars.Context | None = None
-    ) -> asyncio.Task[Any]:
-        meter = context.get(_CURRENT) if context is not None else _CURRENT.get()
-        if meter is not None:
-            coroutine = _metered(coroutine, meter)
-        return asyncio.Task(coroutine, loop=loop, context=context)
-
-    loop.set_task_factory(make)
+            self._meter.cpu_s += time.thread_time() - began_s
 
 
 class HollowNetwork(Network):
@@ -88,15 +60,14 @@
         super().__init__()
         self.meter = Meter()
         self.side = ""  # of a cut: calls between two sides are lost
-        self.context = contextvars.copy_context()
-        self.context.run(_CURRENT.set, self.meter)
+        self._tasks = _MeteredTasks(self.meter)
         self._hub = hub
         self._address = address
         hub[address] = self
 
     def start(self, coroutine: Coroutine[Any, Any, Result]) -> asyncio.Task[Result]:
         """Start a task of this node."""
-        return asyncio.get_running_loop().create_task(coroutine, context=self.context)
+        return self._tasks.start(coroutine)
 
     async def listen(self, address: str) -> None:
         """Nothing to do: the hub knows the address."""
--- a/tests/emberring/lab/test_tier_control_cut.py
+++ b/tests/emberring/lab/test_tier_control_cut.py
@@ -12,14 +12,15 @@
 from emberring.errors import PeerTimeoutError
 from emberring.lab.control_cut import measure_cut
 from emberring.lab.control_scale import Size
-from emberring.lab.hollow_network import HollowNetwork, meter_tasks
+from emberring.lab.hollow_network import HollowNetwork
+from emberring.lab.task_owner import own_tasks
 from emberring.lab.virtual_time import run_virtually
 from emberring.transport.messages import Ok
 
 
 def test_calls_between_two_sides_are_lost_on_either_way() -> None:
     async def play() -> None:
-        meter_tasks(asyncio.get_running_loop())
+        own_tasks(asyncio.get_running_loop())
         hub: dict[str, HollowNetwork] = {}
         asker, other = HollowNetwork(hub, "a:1"), HollowNetwork(hub, "b:1")
         taken: list[Ok] = []
--- a/tests/emberring/lab/test_tier_control_scale.py
+++ b/tests/emberring/lab/test_tier_control_scale.py
@@ -11,7 +11,8 @@
 from emberring.cli.lab_commands import app
 from emberring.errors import PeerTimeoutError, PeerUnavailableError
 from emberring.lab.control_scale import Size, measure, power
-from emberring.lab.hollow_network import HollowNetwork, meter_tasks
+from emberring.lab.hollow_network import HollowNetwork
+from emberring.lab.task_owner import own_tasks
 from emberring.lab.virtual_time import run_virtually
 from emberring.transport.messages import Ok
 
@@ -24,7 +25,7 @@
 
 def test_processor_time_counts_for_the_node_that_uses_it() -> None:
     async def play() -> None:
-        meter_tasks(asyncio.get_running_loop())
+        own_tasks(asyncio.get_running_loop())
         hub: dict[str, HollowNetwork] = {}
         asker, worker = HollowNetwork(hub, "a:1"), HollowNetwork(hub, "b:1")
 
@@ -47,7 +48,7 @@
 
 def test_a_silent_peer_and_an_absent_one_are_told_apart() -> None:
     async def play() -> None:
-        meter_tasks(asyncio.get_running_loop())
+        own_tasks(asyncio.get_running_loop())
         hub: dict[str, HollowNetwork] = {}
         asker, silent = HollowNetwork(hub, "a:1"), HollowNetwork(hub, "b:1")
 
--- a/tests/emberring/lab/test_tier_control_simulator.py
+++ b/tests/emberring/lab/test_tier_control_simulator.py
@@ -9,9 +9,10 @@
 from emberring.configuration.state import ControlState
 from emberring.lab.controlplane.history import ControlHistory, OrderSeen
 from emberring.lab.controlplane.mistakes import Mistake, seeded
-from emberring.lab.controlplane.process import Process, hold_tasks
+from emberring.lab.controlplane.process import Process
 from emberring.lab.controlplane.schedule import Kind, Schedule, Step
 from emberring.lab.controlplane.simulator import describe, play, play_seed, shorten
+from emberring.lab.task_owner import own_tasks
 from emberring.lab.virtual_time import run_virtually
 
 
@@ -136,23 +137,27 @@
 
 
 def test_a_frozen_process_stands_still_and_goes_on() -> None:
+    """Something happens each half second, on a clock that jumps; the process notes when it sees that."""
     seen: list[float] = []
 
-    async def beat() -> None:
-        loop = asyncio.get_running_loop()
-        while True:
-            await asyncio.sleep(0.5)
-            seen.append(loop.time())
+    async def watch(events: list[asyncio.Future[None]]) -> None:
+        for event in events:
+            await event
+            seen.append(asyncio.get_running_loop().time())
 
     async def run() -> None:
-        hold_tasks(asyncio.get_running_loop())
+        loop = asyncio.get_running_loop()
+        own_tasks(loop)
         process = Process("a")
-        process.start(beat())
-        await asyncio.sleep(1.2)
-        process.freeze(4.0)
-        await asyncio.sleep(4.0)
-        process.kill()
-        await asyncio.sleep(2.0)
+        events = [loop.create_future() for _ in range(14)]
+        for number, event in enumerate(events, 1):
+            loop.call_at(0.5 * number, event.set_result, None)
+        watching = process.start(watch(events))
+        loop.call_at(1.2, process.freeze, 3.7)
+        loop.call_at(5.2, process.kill)
+        await events[-1]
+        assert watching.cancelled()
 
     run_virtually(run())
-    assert [round(at_s, 1) for at_s in seen] == [0.5, 1.0, 4.0, 4.5, 5.0]
+    # Frozen from 1.2 to 3.7 s: what happened meanwhile is seen at the thaw. Killed at 5.2 s: nothing after.
+    assert [round(at_s, 1) for at_s in seen] == [0.5, 1.0, *[3.7] * 5, 4.0, 4.5, 5.0]
