Lab: what nothing reads in the simulated control plane is gone

Cause: a list of processes, a start time, an override and a constant had no reader; slow troubles were told twice. Change: they are gone; a slow trouble is told once.

--- a/emberring/lab/controlplane/control_machine.py
+++ b/emberring/lab/controlplane/control_machine.py
@@ -65,7 +65,6 @@
         self.ip = ip
         self.process: Process | None = None
         self.control: ControlNode | None = None
-        self.started_s = 0.0
         self.told_version = 0
         self._hub = hub
         self._futures: dict[int, asyncio.Future[bytes | None]] = {}
@@ -87,9 +86,7 @@
     def _boot(self) -> None:
         world = self.world
         world.dark.discard(self.name)
-        self.started_s = world.now_s
         self.process = Process(self.name)
-        world.processes[self.name] = self.process
         network = SimulatedNetwork(world, self.process, self._hub)
         self.control = self.process.call(self._make_control, network)
         self.process.start(self._run(self.control))
--- a/emberring/lab/controlplane/follower_process.py
+++ b/emberring/lab/controlplane/follower_process.py
@@ -71,7 +71,6 @@
         self._version = 0
         self.process = Process(self.address)
         self._world.dark.discard(self.address)
-        self._world.processes[self.address] = self.process
         self.network = SimulatedNetwork(self._world, self.process, self._hub)
         me = NodeFact(
             self.name, self.role, self.address, "zone-0", self.identity, f"{self.name}.{self._life}"
--- a/emberring/lab/controlplane/history.py
+++ b/emberring/lab/controlplane/history.py
@@ -9,7 +9,7 @@
 from emberring.configuration.state import ControlState
 from emberring.lab.register_history import History
 
-TAKEN, READ_OK = 200, 200
+TAKEN = 200
 REFUSED = frozenset({400, 409, 412})
 
 
@@ -57,10 +57,6 @@
 
     # The register's value.
 
-    def learned(self, node: str, payload: bytes, before: tuple[int, ...]) -> tuple[int, ...]:
-        """A node was told a chosen value after `before` (its versions) in the same life; its versions now."""
-        return before
-
     def state_learned(self, now_s: float, where: str, state: ControlState, before: int) -> None:
         """A node was told this state after one of version `before` in the same life."""
         if state.version < before:
--- a/emberring/lab/controlplane/troubles.py
+++ b/emberring/lab/controlplane/troubles.py
@@ -67,9 +67,9 @@
             self._disturb()
             machine.start()
 
-    def _disturb(self, lasts_s: float = 0.0) -> None:
-        """Something is wrong for so long; a repair that is under way gets its time anew."""
-        self._deployment.disturbed()
+    def _disturb(self, lasts_s: float = 0.0, slow: bool = False) -> None:
+        """Something is wrong for so long, all of it `slow`; a repair that is under way gets its time anew."""
+        self._deployment.disturbed(lasts_s if slow else 0.0)
         now_s = self._world.sync()
         self._troubled_until_s = max(self._troubled_until_s, now_s + lasts_s)
         if now_s < self._repaired_s:
@@ -224,8 +224,7 @@
     def _disk_slow(self, step: Step) -> None:
         machine = self._core(step)
         machine.sync_s = SLOW_SYNC_S
-        self._deployment.disturbed(step.lasts_s)
-        self._disturb(step.lasts_s)
+        self._disturb(step.lasts_s, slow=True)
         self._later(step.lasts_s, self._fair_disk, machine)
 
     def _fair_disk(self, machine: ControlMachine) -> None:
@@ -235,14 +234,12 @@
     def _disk_refuses(self, step: Step) -> None:
         machine = self._core(step)
         machine.folder.refusing = True
-        self._deployment.disturbed(step.lasts_s)
-        self._disturb(step.lasts_s)
+        self._disturb(step.lasts_s, slow=True)
         self._later(step.lasts_s, setattr, machine.folder, "refusing", False)
 
     def _weather(self, step: Step) -> None:
         self._world.weather = Weather(lost=0.15, doubled=0.2, slowest_s=min(1.0, step.lasts_s / 4))
-        self._deployment.disturbed(step.lasts_s)
-        self._disturb(step.lasts_s)
+        self._disturb(step.lasts_s, slow=True)
         self._later(step.lasts_s, self._fair)
 
     def _fair(self) -> None:
--- a/emberring/lab/controlplane/world.py
+++ b/emberring/lab/controlplane/world.py
@@ -7,19 +7,17 @@
 from typing import Any
 
 from emberring.lab.controlplane.history import ControlHistory
-from emberring.lab.controlplane.process import Process
 from emberring.lab.register_world import Bugs, World
 from emberring.register.keeper import PATIENCE
 
 
 class ControlWorld(World):
-    """`at` and `send` run on the event loop; cuts are told by direction; `processes` are told apart by address."""
+    """`at` and `send` run on the event loop; cuts are told by direction."""
 
     def __init__(self, seed: int, bugs: Bugs) -> None:
         super().__init__(seed, bugs, PATIENCE)
         self.seen = ControlHistory()
         self.history = self.seen
-        self.processes: dict[str, Process] = {}
         self.dark: set[str] = set()  # addresses of machines without power
         self.blocked: dict[tuple[str, str], float] = {}  # (from, to): until when nothing passes (s)
 
