Lab: the three simulators share shortening, seeds and the command that plays them

Cause: each had its own copy of the search for the fewest steps and of the walk over seeds; since the commands play seeds by processes the walks had no caller but tests. `check lots` and `check control` were the same lines twice. Change: `shortened`; `play_seed(seed, bugs)` in each; one function adds the commands. Tests play the same seeds as before; the command line's test has `control`, two processes, and `check model`.

--- a/emberring/cli/check_commands.py
+++ b/emberring/cli/check_commands.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import importlib
 from pathlib import Path
 from typing import Annotated
 
@@ -15,6 +16,13 @@
 from emberring.errors import SettingsError
 from emberring.settings import load_settings
 
+# Modules with `play_seed`, `shorten` and `describe`; imported when they are played.
+SIMULATORS = {
+    "register": "emberring.lab.register_simulator",
+    "lots": "emberring.lab.lots_simulator",
+    "control": "emberring.lab.controlplane.simulator",
+}
+
 app = typer.Typer(no_args_is_help=True, epilog=EXIT_CODES_TEXT)
 
 
@@ -63,9 +71,7 @@
     if directory is not None:
         _tell(report_register(directory), as_json)
         return
-    from emberring.lab.register_simulator import describe, play_seed, shorten
-
-    run_check("register", played(play_seed, first, seeds, jobs), shorten, describe, show, as_json)
+    _play("register", seeds, first, show, jobs, as_json)
 
 
 @app.command(epilog=EXIT_CODES_TEXT)
@@ -74,32 +80,32 @@
     _tell(report_store(directory), as_json)
 
 
-@app.command(epilog=EXIT_CODES_TEXT)
-def lots(
-    seeds: SeedsOption = 100,
-    first: FirstOption = 1,
-    show: ShownOption = 3,
-    jobs: JobsOption = 1,
-    as_json: JsonOption = False,
-) -> None:
-    """Play lots on stores in a simulator with seeded schedules of troubles."""
-    from emberring.lab.lots_simulator import describe, play_seed, shorten
+def _play(what: str, seeds: int, first: int, show: int, jobs: int, as_json: bool) -> None:
+    """Play schedules in the simulator of this name."""
+    simulator = importlib.import_module(SIMULATORS[what])
+    verdicts = played(simulator.play_seed, first, seeds, jobs)
+    run_check(what, verdicts, simulator.shorten, simulator.describe, show, as_json)
 
-    run_check("lots", played(play_seed, first, seeds, jobs), shorten, describe, show, as_json)
 
+def _add_simulator(what: str, text: str) -> None:
+    """Add the command that plays a simulator and does nothing else."""
+
+    @app.command(what, help=text, epilog=EXIT_CODES_TEXT)
+    def command(
+        seeds: SeedsOption = 100,
+        first: FirstOption = 1,
+        show: ShownOption = 3,
+        jobs: JobsOption = 1,
+        as_json: JsonOption = False,
+    ) -> None:
+        _play(what, seeds, first, show, jobs, as_json)
 
-@app.command(epilog=EXIT_CODES_TEXT)
-def control(
-    seeds: SeedsOption = 100,
-    first: FirstOption = 1,
-    show: ShownOption = 3,
-    jobs: JobsOption = 1,
-    as_json: JsonOption = False,
-) -> None:
-    """Play the whole control plane in a simulator: orders, drains, cuts, losses, replacements, restarts."""
-    from emberring.lab.controlplane.simulator import describe, play_seed, shorten
 
-    run_check("control", played(play_seed, first, seeds, jobs), shorten, describe, show, as_json)
+_add_simulator("lots", "Play lots on stores in a simulator with seeded schedules of troubles.")
+_add_simulator(
+    "control",
+    "Play the whole control plane in a simulator: orders, drains, cuts, losses, replacements, restarts.",
+)
 
 
 @app.command(epilog=EXIT_CODES_TEXT)
--- a/emberring/cli/simulator_checks.py
+++ b/emberring/cli/simulator_checks.py
@@ -47,24 +47,24 @@
 ) -> None:
     """Go through the verdicts; ends with exit code 1 where a schedule was wrong."""
     began = told = time.monotonic()
-    played = events = 0
+    count = events = 0
     failing: list[Verdict] = []
     for verdict in verdicts:
-        played += 1
+        count += 1
         events += verdict.events
         if verdict.mistakes:
             failing.append(verdict)
             complain(f"seed {verdict.schedule.seed}: {verdict.mistakes[0]}")
         if time.monotonic() - told > TELL_EVERY_S and not as_json:
             told = time.monotonic()
-            print_line(f"{played} schedules played, {len(failing)} wrong")
+            print_line(f"{count} schedules played, {len(failing)} wrong")
     took_s = time.monotonic() - began
     shown = sorted((shorten(verdict) for verdict in failing[:most_shown]), key=_length)
     if as_json:
         print_json(
             {
                 "Checked": what,
-                "Schedules": played,
+                "Schedules": count,
                 "Events": events,
                 "Seconds": round(took_s, 1),
                 "WrongSeeds": [verdict.schedule.seed for verdict in failing],
@@ -74,7 +74,7 @@
     else:
         for verdict in shown:
             print_line(describe(verdict))
-        print_line(f"{what}: {played} schedules, {events} events, {len(failing)} wrong, in {took_s:.1f} s")
+        print_line(f"{what}: {count} schedules, {events} events, {len(failing)} wrong, in {took_s:.1f} s")
     if failing:
         leave(ExitCode.REFUSED)
 
--- a/emberring/lab/controlplane/simulator.py
+++ b/emberring/lab/controlplane/simulator.py
@@ -8,19 +8,18 @@
 import attrs
 
 from emberring.configuration.orders import OrderKind
-from emberring.lab.controlplane.deployment import CONTACT_S, Deployment
+from emberring.lab.controlplane.deployment import APPLY_S, CONTACT_S, Deployment
+from emberring.lab.controlplane.history import TAKEN
 from emberring.lab.controlplane.mistakes import Mistake, seeded
 from emberring.lab.controlplane.schedule import Schedule, make_schedule
 from emberring.lab.controlplane.troubles import Troubles
-from emberring.lab.shortening import fewest_steps
+from emberring.lab.shortening import shortened
 from emberring.lab.task_owner import own_tasks
 from emberring.lab.virtual_time import run_virtually
 
 ACK_S = 4.0
-APPLY_S = 2.0
-CATCH_UP_S = (
-    2.9  # inside the bound of 4.9, and before the change that is made in the calm could help a replica on
-)
+# Inside the bound of 4.9 s, and before the change that is made in the calm could help a replica on.
+CATCH_UP_S = 2.9
 WHOLE_S = 8.0  # from calm on, until the replica set is as wide as wanted
 SERVERS_KNOWN_S = 8.0  # from calm on, until every gateway knows every server
 LOOK_S = 0.02
@@ -74,7 +73,7 @@
         times = await _Recovery(deployment).run()
         await deployment.stop()
         seen = deployment.world.seen
-        acknowledged = sum(1 for order in seen.orders if order.status == 200)
+        acknowledged = sum(1 for order in seen.orders if order.status == TAKEN)
         self.verdict = Verdict(
             self._schedule, tuple(seen.finish()), acknowledged, deployment.world.handled, times
         )
@@ -92,8 +91,7 @@
         whole, order = await asyncio.gather(
             self._until(self._set_is_whole, WHOLE_S, "the replica set is not whole"), self._order()
         )
-        servers = self._until(self._servers_known, SERVERS_KNOWN_S, "a gateway does not know all servers")
-        await servers
+        await self._until(self._servers_known, SERVERS_KNOWN_S, "a gateway does not know all servers")
         await self._drain()
         await self._last_reads()
         return Times(order[0], order[1], order[2], whole)
@@ -119,7 +117,7 @@
         order = operators.order(base, base + 1, OrderKind.WHOLE)
         status = await operators.send(order, OrderKind.WHOLE)
         took_s = self._world.sync() - began_s
-        if status != 200:
+        if status != TAKEN:
             self._world.seen.wrong(f"in the calm at the end, {order} was answered {status}")
         if took_s > ACK_S:
             self._world.seen.wrong(f"in the calm at the end, {order} took {took_s:.1f} s")
@@ -193,12 +191,8 @@
 
 
 def shorten(verdict: Verdict, mistake: Mistake | None = None) -> Verdict:
-    """The verdict of a schedule that fails with as few of this one's steps as leaving them out one by one gives."""
-    return fewest_steps(
-        verdict,
-        verdict.schedule.steps,
-        lambda steps: play(attrs.evolve(verdict.schedule, steps=steps), mistake),
-    )
+    """The verdict of the failing schedule with as few steps as may be."""
+    return shortened(verdict, lambda schedule: play(schedule, mistake))
 
 
 def describe(verdict: Verdict) -> str:
--- a/emberring/lab/lots_simulator.py
+++ b/emberring/lab/lots_simulator.py
@@ -1,14 +1,12 @@
 """The check of lots: schedules of troubles from a seed, played in a simulated world, what was seen judged.
 
-`check_lots(first_seed, seeds)` plays many; `shorten` makes a failing schedule as short as it gets.
+`play_seed(seed)` plays one; `shorten` makes a failing schedule as short as it gets.
 """
 
 from __future__ import annotations
 
 import random
-from collections.abc import Callable, Iterator
-
-import attrs
+from collections.abc import Callable
 
 from emberring.distribution.facts import NodeFact, NodeRole
 from emberring.errors import ConflictError, NotFoundError
@@ -19,7 +17,7 @@
 from emberring.lab.lots_schedule import TROUBLE_S, Kind, Schedule, Step, Verdict, make_schedule
 from emberring.lab.lots_store import SYNC_S, StoreMachine
 from emberring.lab.lots_world import Weather, World
-from emberring.lab.shortening import fewest_steps
+from emberring.lab.shortening import shortened
 from emberring.placement.model import Placement, finish_move, shard_of
 from emberring.placement.planning import PlanMemory, plan
 from emberring.placement.retirement import begin_retire, retire_state
@@ -359,23 +357,13 @@
 
 
 def shorten(verdict: Verdict, bugs: Bugs | None = None) -> Verdict:
-    """The verdict of a schedule that fails with as few of this one's steps as leaving them out one by one gives."""
-    return fewest_steps(
-        verdict,
-        verdict.schedule.steps,
-        lambda steps: play(attrs.evolve(verdict.schedule, steps=steps), bugs),
-    )
+    """The verdict of the failing schedule with as few steps as may be."""
+    return shortened(verdict, lambda schedule: play(schedule, bugs))
 
 
-def play_seed(seed: int) -> Verdict:
+def play_seed(seed: int, bugs: Bugs | None = None) -> Verdict:
     """Play the schedule of a seed."""
-    return play(make_schedule(seed))
-
-
-def check_lots(first_seed: int, seeds: int, bugs: Bugs | None = None) -> Iterator[Verdict]:
-    """Play the schedules of so many seeds; the verdicts as they come. The caller shortens the failing ones."""
-    for seed in range(first_seed, first_seed + seeds):
-        yield play(make_schedule(seed), bugs)
+    return play(make_schedule(seed), bugs)
 
 
 def describe(verdict: Verdict) -> str:
--- a/emberring/lab/register_simulator.py
+++ b/emberring/lab/register_simulator.py
@@ -1,19 +1,19 @@
 """The check of the register: schedules of troubles from a seed, played in a simulated world, histories checked.
 
-`check_register(first_seed, seeds)` plays many; a failing schedule is made as short as it gets while it still fails.
+`play_seed(seed)` plays one; a failing schedule is made as short as it gets while it still fails.
 """
 
 from __future__ import annotations
 
 import random
-from collections.abc import Callable, Iterator
+from collections.abc import Callable
 from enum import Enum
 
 import attrs
 
 from emberring.lab.register_world import Bugs, Machine, Weather, World
 from emberring.lab.scheduled_step import ScheduledStep
-from emberring.lab.shortening import fewest_steps
+from emberring.lab.shortening import shortened
 from emberring.register.keeper import PATIENCE, Patience
 from emberring.register.model import Proposal
 
@@ -409,23 +409,13 @@
 
 
 def shorten(verdict: Verdict, bugs: Bugs | None = None) -> Verdict:
-    """The verdict of a schedule that fails with as few of this one's steps as leaving them out one by one gives."""
-    return fewest_steps(
-        verdict,
-        verdict.schedule.steps,
-        lambda steps: play(attrs.evolve(verdict.schedule, steps=steps), bugs),
-    )
+    """The verdict of the failing schedule with as few steps as may be."""
+    return shortened(verdict, lambda schedule: play(schedule, bugs))
 
 
-def play_seed(seed: int) -> Verdict:
+def play_seed(seed: int, bugs: Bugs | None = None) -> Verdict:
     """Play the schedule of a seed."""
-    return play(make_schedule(seed))
-
-
-def check_register(first_seed: int, seeds: int, bugs: Bugs | None = None) -> Iterator[Verdict]:
-    """Play the schedules of so many seeds; the verdicts as they come. The caller shortens the failing ones."""
-    for seed in range(first_seed, first_seed + seeds):
-        yield play(make_schedule(seed), bugs)
+    return play(make_schedule(seed), bugs)
 
 
 def describe(verdict: Verdict) -> str:
--- a/emberring/lab/shortening.py
+++ b/emberring/lab/shortening.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Sequence
-from typing import Protocol, TypeVar
+from typing import Any, Protocol, TypeVar
+
+import attrs
 
 
 class Judged(Protocol):
@@ -14,8 +16,24 @@
         """What was wrong."""
 
 
+class JudgedSchedule(Judged, Protocol):
+    """A verdict with its schedule, whose `steps` may be fewer."""
+
+    @property
+    def schedule(self) -> Any:
+        """What was played."""
+
+
 Step = TypeVar("Step")
 Verdict = TypeVar("Verdict", bound=Judged)
+OfSchedule = TypeVar("OfSchedule", bound=JudgedSchedule)
+
+
+def shortened(verdict: OfSchedule, play: Callable[[Any], OfSchedule]) -> OfSchedule:
+    """The verdict of a schedule that fails with as few of this one's steps as leaving them out one by one gives."""
+    return fewest_steps(
+        verdict, verdict.schedule.steps, lambda steps: play(attrs.evolve(verdict.schedule, steps=steps))
+    )
 
 
 def fewest_steps(
--- a/tests/emberring/cli/test_tier_check_disk.py
+++ b/tests/emberring/cli/test_tier_check_disk.py
@@ -232,7 +232,17 @@
     assert found["Shortest"] == ["schedule of 3", "schedule of 5"]
 
 
-@pytest.mark.parametrize("what", ["register", "lots"])
-def test_a_simulator_plays_from_the_command_line(what, capsys):
-    assert main(["check", what, "--seeds", "2", "--first", "7", "--json"]) == 0
+@pytest.mark.parametrize("jobs", ["1", "2"])
+@pytest.mark.parametrize("what", ["register", "lots", "control"])
+def test_a_simulator_plays_from_the_command_line(what, jobs, capsys):
+    assert main(["check", what, "--seeds", "2", "--first", "7", "--jobs", jobs, "--json"]) == 0
     assert json.loads(capsys.readouterr().out)["Schedules"] == 2
+
+
+def test_the_model_is_looked_at_from_the_command_line(capsys):
+    small = ["check", "model", "--losses", "0", "--restarts", "0", "--depth", "4"]
+    assert main([*small, "--json"]) == 0
+    found = json.loads(capsys.readouterr().out)
+    assert (found["depth"], found["whole"], found["wrong"]) == (4, False, "")
+    assert main([*small, "--ballots", "many"]) == 2
+    assert "--ballots wants two whole numbers" in capsys.readouterr().err
--- a/tests/emberring/lab/test_tier_lots_simulator.py
+++ b/tests/emberring/lab/test_tier_lots_simulator.py
@@ -5,11 +5,11 @@
 import pytest
 
 from emberring.lab.lots_bugs import Bugs
-from emberring.lab.lots_simulator import check_lots, describe, make_schedule, play
+from emberring.lab.lots_simulator import describe, make_schedule, play, play_seed
 
 
 def test_schedules_are_clean_and_something_happens_in_them() -> None:
-    verdicts = list(check_lots(1000, 12))
+    verdicts = [play_seed(seed) for seed in range(1000, 1012)]
     assert not [describe(verdict) for verdict in verdicts if verdict.mistakes]
     assert sum(verdict.listed for verdict in verdicts) > 300
 
@@ -24,4 +24,4 @@
     ids=["tokenless", "shows_early", "unsynced"],
 )
 def test_a_seeded_mistake_is_found(bugs: Bugs, first_seed: int) -> None:
-    assert any(verdict.mistakes for verdict in check_lots(first_seed, 120, bugs))
+    assert any(play_seed(seed, bugs).mistakes for seed in range(first_seed, first_seed + 120))
--- a/tests/emberring/register/test_tier_register_simulator.py
+++ b/tests/emberring/register/test_tier_register_simulator.py
@@ -11,10 +11,10 @@
     Kind,
     Schedule,
     Step,
-    check_register,
     describe,
     make_schedule,
     play,
+    play_seed,
     shorten,
 )
 from emberring.lab.register_world import Bugs, Machine, Weather, World
@@ -24,7 +24,7 @@
 
 
 def test_schedules_leave_nothing_wrong() -> None:
-    verdicts = list(check_register(0, 60))
+    verdicts = [play_seed(seed) for seed in range(60)]
     assert [describe(verdict) for verdict in verdicts if verdict.mistakes] == []
     assert sum(verdict.acknowledged for verdict in verdicts) > 300
 
@@ -161,7 +161,7 @@
 
 def test_a_change_of_the_set_by_the_old_set_alone_is_found() -> None:
     with seeded(Mistake.OLD_SET_ALONE):
-        assert any(verdict.mistakes for verdict in check_register(OLD_SET_SEED, 40))
+        assert any(play_seed(seed).mistakes for seed in range(OLD_SET_SEED, OLD_SET_SEED + 40))
 
 
 def test_values_of_numbers() -> None:
