Distribution: word of every server's calls comes three times as often, and says its age

Cause: in the lab's model of the waterworks (45 servers of 12 places, 68 gateways), 86 of 100 late counter questions waited over 100 ms for a place while 28 of 100 places were free. A gateway has some five calls in flight, so it knows next to nothing of the servers by itself; the word of the others' calls was some 0.35 s old, and a call holds its place for a second or less. Change: the puller that reports is answered after 0.1 s (0.3 s before) where the answer brings each server's calls; control nodes exchange every 0.025 s times their number, from 0.1 s to 0.3 s (0.3 s before); a gateway takes the word in as it comes instead of at its next look. Updates and exchanges say how long ago the gateways told the sums (mean, by calls).

--- a/emberring/control/board.py
+++ b/emberring/control/board.py
@@ -41,7 +41,7 @@
         self.peers = PeerTable(me, seeds)
         self.contacts = Contacts()
         self.registry = ServerRegistry(now_s, heartbeat_s)
-        self.load = LoadLedger(self._told_loads, self.store.servers)
+        self.load = LoadLedger(self._told_loads, self.load_age_s, self.store.servers)
         self.suspicions = SuspicionLedger(self.store.servers)
         self.quorum_age_s: Callable[[], float] = lambda: 0.0
         self._news = Signal()
@@ -122,6 +122,13 @@
         """Calls in flight by server id, as this node and the other control nodes were told."""
         return [self.contacts.load(now_s), *self.peers.loads(now_s)]
 
+    def load_age_s(self, now_s: float) -> float:
+        """How long ago, in the mean over all calls, the gateways told what `load` sums."""
+        mine = sum(self.contacts.load(now_s).values()), self.contacts.load_age_s(now_s)
+        told = [mine, *self.peers.load_ages(now_s)]
+        calls = sum(count for count, _ in told)
+        return sum(count * age_s for count, age_s in told) / calls if calls else 0.0
+
     # -- nodes
 
     def node_called(self, now_s: float, fact: NodeFact, report: Report | None = None) -> None:
@@ -200,6 +207,7 @@
             vector=dict(self.store.vector),
             heard=self.registry.heard_since(max(peer.answered_s, now_s - HEARD_SPAN_S)),
             load=self.contacts.load(now_s),
+            load_age_ms=self.contacts.load_age_s(now_s) * 1000.0,
             suspects=self.contacts.suspects(now_s),
         )
 
--- a/emberring/control/feed.py
+++ b/emberring/control/feed.py
@@ -64,6 +64,7 @@
             controls=board.peers.addresses(),
             usual_load=board.load.usual(now_s, pull.load) if pull.word is Word.SERVERS_IN_USE else {},
             service_load=board.load.totals(now_s) if routing else {},
+            load_age_ms=round(board.load.age_s(now_s) * 1000.0) if routing else 0.0,
         )
 
     def _server_load(self, now_s: float, pull: Pull) -> dict[str, int]:
--- a/emberring/control/load_ledger.py
+++ b/emberring/control/load_ledger.py
@@ -20,15 +20,19 @@
 
 Loads = Callable[[float], Iterable[Mapping[str, int]]]
 """At a time, what the sources have told: calls in flight by server id."""
+Age = Callable[[float], float]
+"""At a time, how long ago (seconds) the sources told that in the mean."""
 
 
 class LoadLedger:
-    """Sums over what `loads` gives; `servers` are the known servers by id."""
+    """Sums over what `loads` gives, which is as old as `age` says; `servers` are the known servers by id."""
 
-    def __init__(self, loads: Loads, servers: Callable[[], Mapping[str, ServerFact]]) -> None:
+    def __init__(self, loads: Loads, age: Age, servers: Callable[[], Mapping[str, ServerFact]]) -> None:
         self._loads = loads
+        self._age = age
         self._servers = servers
         self._at_s = -math.inf
+        self._age_s = 0.0  # of the sums when they were made
         self._smoothed_s = -math.inf
         self._calls: dict[str, int] = {}
         self._usual: dict[str, float] = {}
@@ -49,11 +53,17 @@
         self._refresh(now_s)
         return self._totals
 
+    def age_s(self, now_s: float) -> float:
+        """How old the sums are, in the mean over all calls."""
+        self._refresh(now_s)
+        return self._age_s + now_s - self._at_s
+
     def _refresh(self, now_s: float) -> None:
         age_s = now_s - self._at_s
         if age_s < max(KEPT_S, KEPT_EACH_S * len(self._calls)):
             return
         self._at_s = now_s
+        self._age_s = self._age(now_s)
         calls = summed(self._loads(now_s))
         self._calls = {server_id: count for server_id, count in calls.items() if count}
         self._totals = self._by_service()
--- a/emberring/distribution/contacts.py
+++ b/emberring/distribution/contacts.py
@@ -80,6 +80,11 @@
         """Calls in flight by server id, over the nodes that told this control node."""
         return summed(report.calls for report in self._fresh(now_s))
 
+    def load_age_s(self, now_s: float) -> float:
+        """How long ago, in the mean, the nodes told the calls that `load` sums; 0 if none did."""
+        ages = [now_s - told.at_s for told in self._told.values() if now_s - told.at_s < LOAD_FRESH_S]
+        return sum(ages) / len(ages) if ages else 0.0
+
     def suspects(self, now_s: float) -> dict[str, dict[str, int]]:
         """By server id: how many nodes that told this control node hold it to have which trouble."""
         return summed_suspects(
--- a/emberring/distribution/follower.py
+++ b/emberring/distribution/follower.py
@@ -21,7 +21,8 @@
 
 PULLERS = 2
 WAIT_S = 0.5  # how long a control node may hold an answer back
-REPORT_WAIT_S = 0.3  # the same while this node reports calls in flight
+REPORT_WAIT_S = 0.3  # the same while this node reports calls in flight,
+WORD_WAIT_S = 0.1  # and where the answer to that report brings the calls at every server
 REPLY_SLACK_S = 0.5  # beyond that wait, an answer that has not come is not waited for
 SHORTEST_PULL_S = 0.02  # many changes in a row are taken in bundles of this length
 
@@ -47,6 +48,7 @@
         self._view: FollowerView | None = None
         self._sources = SourceChoice(seeds, random.Random(f"{me.name}/{me.incarnation}"))
         self._callbacks: list[Callable[[], None]] = []
+        self._load_callbacks: list[Callable[[], None]] = []
         self._tasks: list[asyncio.Task[None]] = []
         self._word = WordSchedule()
 
@@ -104,6 +106,10 @@
         """Call this after any change of what is known, other than the load."""
         self._callbacks.append(callback)
 
+    def subscribe_load(self, callback: Callable[[], None]) -> None:
+        """Call this after each answer that told the calls in flight at servers."""
+        self._load_callbacks.append(callback)
+
     def note_controls(self, addresses: Iterable[str]) -> None:
         """Other control nodes (internal addresses) that this node has heard of by other ways."""
         self._sources.note(addresses)
@@ -125,8 +131,9 @@
         view = self._view
         assert view is not None
         asked_s = loop.time()
-        wait_s = WAIT_S if self.report is None else REPORT_WAIT_S
-        pull = self._question(asked_s, view, slot, wait_s if self._sources.settled(address) else 0.0)
+        word = self._word_for(asked_s, view, slot)
+        wait_s = self._wait_s(word, slot)
+        pull = self._question(view, slot, word, wait_s if self._sources.settled(address) else 0.0)
         try:
             update = await self._network.call(address, pull, Update, wait_s + REPLY_SLACK_S)
         except EmberringError as error:
@@ -137,15 +144,27 @@
         self._sources.note(update.controls)
         self._word.answered(asked_s, pull.word)
         if view.take(loop.time(), update, pull.word):
-            self._tell()
-
-    def _question(self, now_s: float, view: FollowerView, slot: int, wait_s: float) -> Pull:
+            _tell(self._callbacks)
+        if pull.word is not Word.TOTALS:
+            _tell(self._load_callbacks)
+
+    def _wait_s(self, word: Word, slot: int) -> float:
+        """How long the answer to a pull may be held back. Word of every server is worth little once it is old: a call
+        holds its place for about a second."""
+        if self.report is None:
+            return WAIT_S
+        return WORD_WAIT_S if word is Word.EVERY_SERVER and slot == 0 else REPORT_WAIT_S
+
+    def _word_for(self, now_s: float, view: FollowerView, slot: int) -> Word:
+        """What to ask for of calls in flight."""
+        if self.report is None:
+            return Word.TOTALS
+        return self._word.next(now_s, view.gateways, len(view.servers), reporting=slot == 0)
+
+    def _question(self, view: FollowerView, slot: int, word: Word, wait_s: float) -> Pull:
         """What to ask a control node. The first of the two is told this node's calls, and asked for all others'
         where these are asked for seldom; an answer of the other would be counted against another report."""
         report = self.report
-        word = Word.TOTALS
-        if report is not None:
-            word = self._word.next(now_s, view.gateways, len(view.servers), reporting=slot == 0)
         told = report(word is not Word.TOTALS) if report is not None and slot == 0 else None
         return Pull(
             me=self.me,
@@ -159,9 +178,10 @@
             suspects=self.suspects() if self.suspects is not None and told is not None else {},
         )
 
-    def _tell(self) -> None:
-        for callback in self._callbacks:
-            try:
-                callback()
-            except Exception:
-                logger.exception("event=callback_failed")
+
+def _tell(callbacks: Iterable[Callable[[], None]]) -> None:
+    for callback in callbacks:
+        try:
+            callback()
+        except Exception:
+            logger.exception("event=callback_failed")
--- a/emberring/distribution/messages.py
+++ b/emberring/distribution/messages.py
@@ -13,6 +13,8 @@
 from emberring.placement.model import Placement
 from emberring.transport.messages import message
 
+UNTOLD_AGE_MS = 300.0  # of word whose age is not told, by a node of an older version
+
 
 @attrs.frozen
 class ServerEntry:
@@ -74,7 +76,8 @@
     `configuration` is the compressed document of `configuration_version` if that is newer than the asker's.
     `controls` are the addresses of all control nodes that this one has heard of, also of those it can't reach.
     Calls in flight over all gateways: `service_load` by service, and as far as they were asked for by server
-    `server_load` and, smoothed, `usual_load`. What has none is left out, unless it was asked for by name."""
+    `server_load` and, smoothed, `usual_load`. What has none is left out, unless it was asked for by name.
+    `load_age_ms` is how long ago, in the mean, the gateways told this."""
 
     origin: str
     quorum_age_ms: float
@@ -88,14 +91,15 @@
     controls: tuple[str, ...] = ()
     usual_load: dict[str, float] = attrs.field(factory=dict)
     service_load: dict[str, int] = attrs.field(factory=dict)
+    load_age_ms: float = UNTOLD_AGE_MS
 
 
 @message("distribution.exchange")
 @attrs.frozen
 class Exchange:
     """A control node tells another what that one lacks, and says what it has itself. `heard` has the newest
-    sequence by server id of heartbeats taken here lately, `load` the calls in flight that nodes told this one,
-    `suspects` how many of them hold a server to have which trouble.
+    sequence by server id of heartbeats taken here lately, `load` the calls in flight that nodes told this one
+    (`load_age_ms` ago in the mean), `suspects` how many of them hold a server to have which trouble.
     `to` is the origin for which `delta` was made; any other takes nothing from it."""
 
     me: NodeFact
@@ -105,6 +109,7 @@
     heard: dict[str, int] = attrs.field(factory=dict)
     load: dict[str, int] = attrs.field(factory=dict)
     suspects: dict[str, dict[str, int]] = attrs.field(factory=dict)
+    load_age_ms: float = UNTOLD_AGE_MS
 
 
 @message("distribution.exchanged")
--- a/emberring/distribution/peers.py
+++ b/emberring/distribution/peers.py
@@ -9,7 +9,9 @@
 from emberring.distribution.facts import NodeFact
 from emberring.distribution.messages import Exchange, Exchanged
 
-EXCHANGE_EVERY_S = 0.3
+EXCHANGE_EVERY_S = 0.3  # among many control nodes; among few as often as these allow:
+EXCHANGE_EACH_S = 0.025  # for each other control node, and
+EXCHANGE_LEAST_S = 0.1
 RETRY_S = 0.8  # an address that does not answer is tried again after so long
 LIVE_S = 1.3  # a control node that was not heard for so long counts as absent
 FORGET_S = 60.0  # an address that is no seed is forgotten after so long without a word
@@ -27,6 +29,7 @@
     vector: dict[str, int] = attrs.field(factory=dict)
     load: dict[str, int] = attrs.field(factory=dict)
     load_s: float = -1e9
+    load_age_s: float = 0.0  # how old that load was when it was told
     suspects: dict[str, dict[str, int]] = attrs.field(factory=dict)
     heard_s: float = -1e9
     answered_s: float = -1e9
@@ -70,6 +73,7 @@
         peer.fact, peer.heard_s = said.me, now_s
         if isinstance(said, Exchange):
             peer.load, peer.suspects, peer.load_s = said.load, said.suspects, now_s
+            peer.load_age_s = said.load_age_ms / 1000.0
         for origin, number in said.vector.items():
             peer.vector[origin] = max(number, peer.vector.get(origin, 0))
         return peer
@@ -112,12 +116,25 @@
         if peer.again and answered:
             peer.next_s = now_s
         else:
-            peer.next_s = now_s + (EXCHANGE_EVERY_S if answered else RETRY_S)
+            peer.next_s = now_s + (self._every_s() if answered else RETRY_S)
+
+    def _every_s(self) -> float:
+        """The pause between exchanges with one control node: word of calls in flight is the fresher the shorter it is,
+        and the exchanges of a node stay as many."""
+        return min(EXCHANGE_EVERY_S, max(EXCHANGE_LEAST_S, EXCHANGE_EACH_S * len(self._peers)))
 
     def loads(self, now_s: float) -> Iterable[Mapping[str, int]]:
         """The loads that the live ones told."""
         return [peer.load for peer in self._peers.values() if now_s - peer.load_s < LOAD_FRESH_S]
 
+    def load_ages(self, now_s: float) -> Iterable[tuple[int, float]]:
+        """For each of those that told loads: how many calls, and how old that word is now (seconds)."""
+        return [
+            (sum(peer.load.values()), now_s - peer.load_s + peer.load_age_s)
+            for peer in self._peers.values()
+            if now_s - peer.load_s < LOAD_FRESH_S
+        ]
+
     def suspects(self, now_s: float) -> Iterable[Mapping[str, Mapping[str, int]]]:
         """Which servers the live ones were told to be in trouble."""
         return [peer.suspects for peer in self._peers.values() if now_s - peer.load_s < LOAD_FRESH_S]
--- a/emberring/distribution/view.py
+++ b/emberring/distribution/view.py
@@ -62,7 +62,7 @@
         for origin in (update.origin, *update.live_origins):
             self._origins_seen[origin] = self._alive_s
         self.store.take(update.delta)
-        self._take_load(update, word)
+        self._take_load(now_s, update, word)
         changed = self._take_configuration(now_s, update)
         changed |= self._take_placement(update)
         changed |= self._take_gateways(update)
@@ -70,7 +70,7 @@
         changed |= self._show_servers(entry.fact.id for entry in update.delta.servers)
         return self._show_nodes() or changed
 
-    def _take_load(self, update: Update, word: Word) -> None:
+    def _take_load(self, now_s: float, update: Update, word: Word) -> None:
         """A control node that has just started, or is cut off, knows no load; that is not taken for none."""
         if not (update.server_load or update.service_load) and update.quorum_age_ms >= QUORUM_FRESH_S * 1000:
             return
@@ -78,7 +78,8 @@
             self.load = attrs.evolve(self.load, totals=update.service_load)
         else:
             usual = update.usual_load if word is Word.SERVERS_IN_USE else None
-            self.load = KnownLoad(update.server_load, usual, update.service_load)
+            true_s = now_s - update.load_age_ms / 1000.0
+            self.load = KnownLoad(update.server_load, usual, update.service_load, true_s)
 
     def _pass_time(self, now_s: float) -> None:
         self._alive_s += min(MAX_STEP_S, max(0.0, now_s - self._last_answer_s))
--- a/emberring/gateway/role.py
+++ b/emberring/gateway/role.py
@@ -76,6 +76,7 @@
         self.follower.report = self._report
         self.follower.suspects = self._suspicions.told
         self.follower.subscribe(self._on_change)
+        self.follower.subscribe_load(self._on_change)
         self.executor.on_misdirected = self._refresh
         await self.network.listen(self._settings.internal_address(GATEWAY_PORT_OFFSET))
         await self.follower.start()
--- a/tests/emberring/distribution/test_tier_calls_in_flight.py
+++ b/tests/emberring/distribution/test_tier_calls_in_flight.py
@@ -7,13 +7,14 @@
 
 import pytest
 
+from emberring.control.board import Board
 from emberring.control.load_ledger import NEGLIGIBLE, LoadLedger
 from emberring.control.signal import Signal
-from emberring.distribution.contacts import Contacts, Report
+from emberring.distribution.contacts import LOAD_FRESH_S, Contacts, Report
 from emberring.distribution.facts import NodeFact, NodeRole, ServerFact, ServerState
 from emberring.distribution.follower import Follower
 from emberring.distribution.load import FREQUENT_PAIRS, Word, WordSchedule
-from emberring.distribution.messages import Delta, Pull, ServerEntry, Update
+from emberring.distribution.messages import Delta, Exchange, Pull, ServerEntry, Update
 from emberring.distribution.view import FollowerView
 from emberring.lab.hollow_network import HollowNetwork
 from emberring.lab.virtual_time import run_virtually
@@ -21,6 +22,10 @@
 from emberring.transport.network import Caller
 
 
+def gateway(number: int) -> NodeFact:
+    return NodeFact(f"edge-{number}", NodeRole.GATEWAY, f"edge-{number}:1", "z", "", str(number))
+
+
 def server(name: str, service: str) -> ServerFact:
     return ServerFact(name, service, f"{name}:1", "z", 12, ServerState.READY, 1)
 
@@ -32,7 +37,7 @@
         self.loads = list(loads)
         self.asked = 0
         servers = {name: server(name, service) for name, service in (("a", "x"), ("b", "x"), ("c", "y"))}
-        self.ledger = LoadLedger(self._told, lambda: servers)
+        self.ledger = LoadLedger(self._told, lambda now_s: 0.25, lambda: servers)
 
     def _told(self, now_s: float) -> list[Mapping[str, int]]:
         self.asked += 1
@@ -113,16 +118,18 @@
 
 
 def update(calls: dict[str, int], totals: dict[str, int], quorum_age_ms: float = 10.0) -> Update:
-    return Update("a", quorum_age_ms, Delta(), ("a",), server_load=calls, service_load=totals)
+    return Update(
+        "a", quorum_age_ms, Delta(), ("a",), server_load=calls, service_load=totals, load_age_ms=50.0
+    )
 
 
 def test_word_of_each_server_stays_where_only_the_totals_were_asked_for() -> None:
     view = FollowerView(0.0)
     view.take(0.1, update({"i": 3}, {"x": 3}), word=Word.EVERY_SERVER)
     view.take(0.2, update({}, {"x": 5}), word=Word.TOTALS)
-    assert view.load == KnownLoad({"i": 3}, None, {"x": 5})
+    assert view.load == KnownLoad({"i": 3}, None, {"x": 5}, pytest.approx(0.05))  # true when it was told
     view.take(0.3, update({}, {}), word=Word.EVERY_SERVER)
-    assert view.load == KnownLoad()
+    assert view.load == KnownLoad({}, None, {}, pytest.approx(0.25))
 
 
 def test_a_control_node_that_is_cut_off_knows_no_load_and_is_not_taken_for_none() -> None:
@@ -130,7 +137,7 @@
     view.take(0.1, update({"i": 3}, {"x": 3}))
     for word in Word:
         view.take(0.2, update({}, {}, quorum_age_ms=5000.0), word)
-        assert view.load == KnownLoad({"i": 3}, None, {"x": 3})
+        assert view.load == KnownLoad({"i": 3}, None, {"x": 3}, pytest.approx(0.05))
 
 
 class OneControl:
@@ -197,3 +204,65 @@
     assert all(pull.word is Word.SERVERS_IN_USE and pull.tells_load for pull in wanted)
     assert sum(pull.tells_load for pull in later) > 80  # this node's calls are told as often as ever
     assert sum(reports) < 15
+
+
+def test_word_of_every_server_is_waited_for_briefly_by_the_puller_that_reports() -> None:
+    """A call holds its place for about a second: word that is as old is worth little."""
+    telling, _ = asked_for(60, 20)
+    settled = telling.pulls[3:]
+    assert {pull.wait_ms for pull in settled if pull.tells_load} == {100}
+    telling, _ = asked_for(400, 40)
+    settled = [pull for pull in telling.pulls[5:] if pull.word is not Word.EVERY_SERVER]
+    assert {pull.wait_ms for pull in settled} == {300}
+
+
+def test_whoever_wants_to_hear_of_calls_is_told_with_each_word_of_servers() -> None:
+    hub: dict[str, HollowNetwork] = {}
+    controls = [OneControl(hub, f"core-{number}:1", 3) for number in range(2)]
+    heard: list[int] = []
+    enough = asyncio.Event()
+
+    async def play() -> None:
+        me = NodeFact("edge-1", NodeRole.GATEWAY, "edge-1:1", "z", "", "1")
+        follower = Follower(HollowNetwork(hub, me.address), me, ["core-0:1", "core-1:1"])
+        follower.report = lambda word_follows: {"i": 1}
+
+        def on_load() -> None:
+            heard.append(follower.load.calls["i"])
+            if len(heard) == 10:
+                enough.set()
+
+        follower.subscribe_load(on_load)
+        await follower.start()
+        await enough.wait()
+        await follower.stop()
+
+    run_virtually(play())
+    assert heard[:10] == [1] * 10
+    assert sum(len(control.pulls) for control in controls) >= 10
+
+
+def test_the_age_of_sums_goes_on_while_they_are_kept() -> None:
+    sources = Sources({"a": 2})
+    assert sources.ledger.age_s(1.0) == pytest.approx(0.25)
+    assert sources.ledger.age_s(1.01) == pytest.approx(0.26)
+    assert sources.ledger.age_s(1.5) == pytest.approx(0.25)  # made anew
+
+
+def test_the_age_of_word_counts_from_the_gateways_reports() -> None:
+    contacts = Contacts()
+    assert contacts.load_age_s(1.0) == 0.0
+    contacts.note(1.0, gateway(1), Report({"a": 2}))
+    contacts.note(1.2, gateway(2), Report({"a": 3}))
+    assert contacts.load_age_s(1.3) == pytest.approx(0.2)
+    assert contacts.load_age_s(1.0 + LOAD_FRESH_S + 0.1) == pytest.approx(LOAD_FRESH_S - 0.1)
+
+
+def test_a_control_node_weighs_the_age_of_others_word_by_the_calls_it_tells_of() -> None:
+    me = NodeFact("core-0", NodeRole.CONTROL, "c0", "z", "", "x0")
+    board = Board(0.0, me, ["c0", "c1"], 1.2)
+    assert board.load_age_s(1.0) == 0.0
+    board.node_called(1.0, gateway(1), Report({"a": 1}))
+    other = NodeFact("core-1", NodeRole.CONTROL, "c1", "z", "", "x1")
+    board.take_exchange(1.1, Exchange(other, "x0", Delta(), {}, {}, {"a": 3}, load_age_ms=200.0))
+    assert board.load_age_s(1.2) == pytest.approx((1 * 0.2 + 3 * 0.3) / 4)
--- a/tests/emberring/distribution/test_tier_peers.py
+++ b/tests/emberring/distribution/test_tier_peers.py
@@ -2,9 +2,19 @@
 
 from __future__ import annotations
 
+import attrs
+import pytest
+
 from emberring.distribution.facts import NodeFact, NodeRole
 from emberring.distribution.messages import Delta, Exchange
-from emberring.distribution.peers import EXCHANGE_EVERY_S, FORGET_S, LIVE_S, RETRY_S, PeerTable
+from emberring.distribution.peers import (
+    EXCHANGE_EVERY_S,
+    EXCHANGE_LEAST_S,
+    FORGET_S,
+    LIVE_S,
+    RETRY_S,
+    PeerTable,
+)
 
 
 def control(number: int, incarnation: str = "x") -> NodeFact:
@@ -38,6 +48,25 @@
     assert peers.due(RETRY_S) == [first, second]
 
 
+@pytest.mark.parametrize(
+    ("others", "every_s"),
+    [(1, EXCHANGE_LEAST_S), (4, 0.1), (8, 0.2), (26, EXCHANGE_EVERY_S)],
+)
+def test_few_control_nodes_exchange_more_often(others: int, every_s: float) -> None:
+    peers = PeerTable(control(0), [f"c{number}" for number in range(1, others + 1)])
+    first = peers.due(0.0)[0]
+    peers.began(0.0, first)
+    peers.ended(0.0, first, answered=True)
+    assert first.next_s == pytest.approx(every_s)
+
+
+def test_word_of_calls_is_as_old_as_the_other_node_said_and_ages() -> None:
+    peers = table()
+    peers.take(1.0, attrs.evolve(said(control(1)), load_age_ms=150.0))
+    assert list(peers.load_ages(1.1)) == [(2, pytest.approx(0.25))]
+    assert list(peers.load_ages(10.0)) == []
+
+
 def test_news_hurry_the_live_ones_also_while_an_exchange_is_under_way() -> None:
     peers = table()
     first, second = peers.due(0.0)
