Admission: of many servers each is drawn by the room that it will have; the word's age counts

Cause: four of the servers with a resting connection and two of all were ranked, nearly without word of the others' calls (an eighth of it at 68 gateways). Lab, full of lots: calls at a server 9.9 in the mean, spread 4.1 (chance alone: 3.1), and 0.9 calls a server waiting for a place. Change: one server of all and one of those connected are drawn, each with a chance by what it lacks of the mean load once the calls that ended since the word was true are taken off; then they and the prompt's homes are ranked as before. Pools of up to eight servers are ranked whole as before.

--- a/emberring/admission/admission.py
+++ b/emberring/admission/admission.py
@@ -68,7 +68,7 @@
                     view.kv_tokens = float(service.kv_cache_tokens)
             total = load.totals.get(name) if load.usual is not None else None
             _hear_load(now_s, views, load, gateways, total)
-            pool.set_servers(views, gateways, total)
+            pool.set_servers(views, gateways, total, load.true_s)
 
     def offer(self, now_s: float, call: CallInfo) -> Decision:
         """Decide at once; an admitted call counts against its server from now on."""
--- a/emberring/admission/known_calls.py
+++ b/emberring/admission/known_calls.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Iterable, Sequence
 
 from emberring.admission.server import ServerView
@@ -14,11 +15,14 @@
         self.servers: dict[str, ServerView] = {}
         self.own_when_told = 0  # this gateway's calls when the others' were last told
         self._reported = 0  # this gateway's calls when they were last reported
+        self.true_s = -math.inf  # when the word of them was true
         self._others: float | None = None  # all others' calls, where that is told
 
-    def told(self, servers: dict[str, ServerView], total: int | None) -> None:
-        """The servers, told of the others' calls; `total` is all gateways' calls, where it is told."""
+    def told(self, servers: dict[str, ServerView], total: int | None, true_s: float) -> None:
+        """The servers, told of the others' calls as they were at `true_s`; `total` is all gateways' calls, where it is
+        told."""
         self.servers = servers
+        self.true_s = true_s
         self.own_when_told = own_calls(self.servers.values())
         self._others = None if total is None else max(0.0, total - self._reported)
 
--- a/emberring/admission/placement.py
+++ b/emberring/admission/placement.py
@@ -8,7 +8,7 @@
 import attrs
 
 from emberring.admission.affinity import first_homes, home_key
-from emberring.admission.candidates import candidates
+from emberring.admission.candidates import candidates, still_there
 from emberring.admission.ranking import (
     CONNECT_MS,
     Surroundings,
@@ -44,7 +44,9 @@
     key = home_key(call.parts)
     homes = first_homes(key, [one.fact.id for one in servers], HOMES) if key is not None else []
     ranked: list[tuple[float, Choice]] = []
-    for server in candidates(servers, homes, connected, random):
+    for server in candidates(
+        servers, homes, connected, random, still_there(around.word_age_s, around.pace.hold_s)
+    ):
         to_read = tokens_to_read(call, server, homes, key)
         ahead = server.waiting_tokens(around.now_s, around.pace.ms_per_token)
         ahead += around.mean_waiting * around.mean_others
--- a/emberring/admission/pool.py
+++ b/emberring/admission/pool.py
@@ -60,10 +60,13 @@
         """The servers now known, by id."""
         return self.calls.servers
 
-    def set_servers(self, servers: dict[str, ServerView], gateways: int, total: int | None) -> None:
-        """The servers now known and the live gateways; `total` is all gateways' calls, where it is told."""
+    def set_servers(
+        self, servers: dict[str, ServerView], gateways: int, total: int | None, true_s: float = -math.inf
+    ) -> None:
+        """The servers now known and the live gateways; `total` is all gateways' calls, where it is told, and `true_s`
+        the moment at which that and the word of each server were true."""
         self.gateways = gateways
-        self.calls.told(servers, total)
+        self.calls.told(servers, total, true_s)
 
     def look_at_servers(self, now_s: float) -> list[SuspicionChange]:
         """Which servers came into trouble, or are well again, since the last look."""
@@ -193,6 +196,7 @@
             self._others_waiting(now_s),
             self.gateways,
             self._settings.zone,
+            now_s - self.calls.true_s,
         )
         choice = choose(around, call, servers, self._connected, self._random)
         place(around, call, choice)
--- a/emberring/admission/ranking.py
+++ b/emberring/admission/ranking.py
@@ -60,7 +60,8 @@
 @attrs.frozen
 class Surroundings:
     """What a decision goes by besides the call and the server. `mean_others` are the others' calls at a server,
-    `mean_waiting` the tokens that wait to be read for each call in flight; `zone` is the caller's, if it has one."""
+    `mean_waiting` the tokens that wait to be read for each call in flight; `zone` is the caller's, if it has one;
+    `word_age_s` is how long ago word of the others' calls was true."""
 
     now_s: float
     pace: Pace
@@ -69,6 +70,7 @@
     mean_waiting: float
     gateways: int
     zone: str = ""
+    word_age_s: float = math.inf
 
 
 def expected_wait_ms(around: Surroundings, server: ServerView, ahead: float, to_read: float) -> float:
--- a/tests/emberring/admission/test_tier_candidates.py
+++ b/tests/emberring/admission/test_tier_candidates.py
@@ -2,17 +2,28 @@
 
 from __future__ import annotations
 
+import math
 from collections import Counter
 from random import Random
 
+import attrs
 import pytest
 
 from emberring.admission import Admission, AdmissionSettings, Admitted, CallInfo
-from emberring.admission.candidates import ALL_RANKED, DRAWN_ANY, DRAWN_CONNECTED, candidates
+from emberring.admission.candidates import (
+    ALL_RANKED,
+    DRAWN_ANY,
+    DRAWN_CONNECTED,
+    candidates,
+    expected_room,
+    still_there,
+)
 from emberring.admission.server import ServerView
 from emberring.distribution.facts import ServerFact, ServerState
 from emberring.registry.known_load import KnownLoad
 
+KEPT = 0.75  # of the calls told are still there
+
 
 def fact(number: int) -> ServerFact:
     return ServerFact(f"s{number}", "llm", f"10.0.0.1:{number}", "a", 12, ServerState.READY, 1)
@@ -28,7 +39,7 @@
 
 def test_a_small_pool_is_ranked_whole() -> None:
     servers = views(ALL_RANKED)
-    assert candidates(servers, (), never, Random(1)) == servers
+    assert candidates(servers, (), never, Random(1), KEPT) == servers
 
 
 @pytest.mark.parametrize("connected", [0, 1, DRAWN_CONNECTED, 40])
@@ -36,7 +47,7 @@
     servers = views(50)
     for seed in range(200):
         found = candidates(
-            servers, ("s3", "s49"), lambda server_id: int(server_id[1:]) < connected, Random(seed)
+            servers, ("s3", "s49"), lambda server_id: int(server_id[1:]) < connected, Random(seed), KEPT
         )
         ids = [one.fact.id for one in found]
         assert len(set(ids)) == len(ids) <= DRAWN_CONNECTED + DRAWN_ANY + 2
@@ -50,7 +61,7 @@
     drawn = {
         one.fact.id
         for seed in range(400)
-        for one in candidates(servers, (), lambda server_id: server_id == "s1", Random(seed))
+        for one in candidates(servers, (), lambda server_id: server_id == "s1", Random(seed), KEPT)
     }
     assert len(drawn) == 50
 
@@ -78,3 +89,63 @@
         assert decision.server_id != "s0"
         admission.started(0.0, f"c{number}", decision.server_id)
         admission.first_event(0.01, f"c{number}")
+
+
+def told(servers: list[ServerView], loads: list[float]) -> list[ServerView]:
+    for server, load in zip(servers, loads, strict=True):
+        server.hear_others(0.0, load)
+    return servers
+
+
+@pytest.mark.parametrize(
+    ("loads", "least", "most"),
+    [
+        ([6.0] * 20, 0.9, 1.1),  # all alike: all drawn alike
+        ([0.0, 12.0] * 10, 8.0, math.inf),  # the idle ones take nearly all that comes
+        ([5.0, 7.0] * 10, 1.5, 4.0),  # a small difference turns the draw a little
+        ([0.0] * 20, 0.9, 1.1),  # nobody has anything
+    ],
+)
+def test_the_draw_follows_the_room_that_servers_will_have(
+    loads: list[float], least: float, most: float
+) -> None:
+    chances = expected_room(told(views(20), loads), KEPT)
+    assert least <= chances[0] / chances[1] <= most
+
+
+def test_a_server_that_looks_full_is_drawn_seldom_but_drawn() -> None:
+    chances = expected_room(told(views(20), [40.0] + [6.0] * 19), KEPT)
+    assert 0.0 < chances[0] < 0.2 * chances[1]
+
+
+def test_a_larger_server_is_drawn_by_its_places() -> None:
+    servers = told(views(20), [4.0] * 20)
+    servers[0].fact = attrs.evolve(servers[0].fact, capacity=24)
+    servers[0].hear_others(0.0, 8.0)
+    chances = expected_room(servers, KEPT)
+    assert chances[0] == pytest.approx(2 * chances[1])
+
+
+def test_calls_that_end_meanwhile_are_taken_off_the_word() -> None:
+    """Where calls are short, what was told says little; where they last, it says much."""
+    servers = told(views(20), [4.0, 8.0] * 10)
+    short = expected_room(servers, still_there(0.3, 0.1))
+    long = expected_room(servers, still_there(0.3, 10.0))
+    assert short[0] / short[1] == pytest.approx(1.0, abs=0.1)
+    assert long[0] / long[1] > 2.0
+
+
+@pytest.mark.parametrize(
+    ("age_s", "hold_s", "least", "most"),
+    [
+        (0.0, 1.0, 0.85, 0.95),
+        (0.2, 1.0, 0.8, 0.85),
+        (1.0, 1.0, 0.3, 0.4),
+        (math.inf, 1.0, 0.0, 0.0),
+        (0.2, 0.0, 0.0, 0.0),
+    ],
+)
+def test_what_is_left_of_calls_told_falls_with_the_age_of_the_word(
+    age_s: float, hold_s: float, least: float, most: float
+) -> None:
+    assert least <= still_there(age_s, hold_s) <= most
--- a/tests/emberring/admission/test_tier_many_gateways.py
+++ b/tests/emberring/admission/test_tier_many_gateways.py
@@ -75,8 +75,9 @@
         self.told.append((now_s, {**{one.id: 0 for one in self.facts}, **self.loads}))
         while len(self.told) > 1 and self.told[1][0] <= now_s - TOLD_AFTER_S:
             self.told.popleft()
+        true_s, told = self.told[0]
         for gateway in self.gateways:
-            gateway.set_servers(now_s, self.facts, {}, GATEWAYS, KnownLoad(self.told[0][1]))
+            gateway.set_servers(now_s, self.facts, {}, GATEWAYS, KnownLoad(told, true_s=true_s))
 
 
 @pytest.mark.parametrize("seed", [1, 2])
