Gateway: how long a connection may take to come up is learned from those that came up

A connection usually comes up within 2 to 4 ms. Change: the limit is eight times what is usual here, from 80 to 300 ms; one that is given up lengthens it, so a process that turned slow gets its patience back. Result: tests of the state machine (usual, few, slow process, one dark server among many).

--- a/emberring/gateway/pool.py
+++ b/emberring/gateway/pool.py
@@ -10,9 +10,10 @@
 
 import attrs
 
+from emberring.gateway.connect_patience import MOST_S, ConnectPatience
 from emberring.gateway.upstream import ServerConnection
 
-CONNECT_TIMEOUT_S = 0.3
+CONNECT_TIMEOUT_S = MOST_S  # less where connections usually come up sooner
 # A server resets a connection beyond its limit right after it came up. A request that may go out once alone waits
 # for that: as long as coming up took, and a little.
 SETTLE_S = 0.003
@@ -51,6 +52,7 @@
         self._servers: dict[str, _Server] = {}
         self._share: Callable[[str], int] = lambda server_id: 1
         self._sweeper: asyncio.TimerHandle | None = None
+        self._patience = ConnectPatience()
         self.opened = 0
         self.unreachable_s = 0.0  # when a connection last did not come up (the loop's time)
 
@@ -129,14 +131,18 @@
         host, _, port = server.address.rpartition(":")
         server.opening += 1
         began = loop.time()
+        limit_s = self._patience.limit_s(CONNECT_TIMEOUT_S)
         try:
-            async with asyncio.timeout(CONNECT_TIMEOUT_S):
+            async with asyncio.timeout(limit_s) as limit:
                 transport, connection = await loop.create_connection(
                     lambda: ServerConnection(server.open.discard), host, int(port)
                 )
+            self._patience.came_up(loop.time() - began)
             if sure:
                 await _settle(connection, loop.time() - began + SETTLE_S)
         except (OSError, TimeoutError):
+            if limit.expired():
+                self._patience.gave_up(limit_s)
             self.unreachable_s = loop.time()
             return NoConnection.UNREACHABLE
         finally:
--- /dev/null
+++ b/tests/emberring/gateway/test_tier_connect_patience.py
@@ -0,0 +1,52 @@
+"""How long a connection may take to come up."""
+
+from __future__ import annotations
+
+import pytest
+
+from emberring.gateway.connect_patience import ENOUGH, LEAST_S, MOST_S, TIMES_USUAL, ConnectPatience
+
+
+@pytest.fixture
+def unhurried() -> None:
+    """Here the program's own bounds are looked at: nothing is changed."""
+
+
+def learned(seconds: float, count: int = 50) -> ConnectPatience:
+    patience = ConnectPatience()
+    for _ in range(count):
+        patience.came_up(seconds)
+    return patience
+
+
+@pytest.mark.parametrize(
+    ("usual_s", "limit_s"),
+    [(0.002, LEAST_S), (0.02, 0.02 * TIMES_USUAL), (0.1, MOST_S)],
+)
+def test_the_limit_follows_what_is_usual_within_bounds(usual_s: float, limit_s: float) -> None:
+    assert learned(usual_s).limit_s() == pytest.approx(limit_s)
+
+
+def test_a_few_connections_say_nothing_yet() -> None:
+    assert learned(0.002, ENOUGH - 1).limit_s() == MOST_S
+    assert learned(0.002, ENOUGH).limit_s() == LEAST_S
+
+
+def test_a_process_that_turned_slow_gets_its_patience_back() -> None:
+    """All connections now take longer than the limit: each one given up lengthens it, to the most there is."""
+    patience = learned(0.002)
+    limits = []
+    for _ in range(60):
+        limits.append(patience.limit_s())
+        patience.gave_up(patience.limit_s())
+    assert limits == sorted(limits)
+    assert patience.limit_s() == pytest.approx(MOST_S, abs=0.01)
+
+
+def test_one_dark_server_among_many_leaves_it_short() -> None:
+    patience = learned(0.002)
+    for _ in range(20):
+        for _ in range(9):
+            patience.came_up(0.002)
+        patience.gave_up(patience.limit_s())
+    assert patience.limit_s() <= 2 * LEAST_S
