Distribution: the puller that reports goes to a control node of its own zone

Change: the first puller prefers control nodes of its zone once it knows them, leaves one that fails or has no majority, and looks at it again after 5 s; the second stays with any other.

--- a/emberring/distribution/follower.py
+++ b/emberring/distribution/follower.py
@@ -8,7 +8,7 @@
 from collections.abc import Callable, Iterable, Sequence
 
 from emberring.configuration.model import Configuration
-from emberring.distribution.facts import NodeFact, ServerFact
+from emberring.distribution.facts import NodeFact, NodeRole, ServerFact
 from emberring.distribution.load import Word, WordSchedule
 from emberring.distribution.messages import Pull, Update
 from emberring.distribution.sources import SourceChoice
@@ -144,10 +144,19 @@
         self._sources.note(update.controls)
         self._word.answered(asked_s, pull.word)
         if view.take(loop.time(), update, pull.word):
+            self._sources.prefer(self._controls_near(view))
             _tell(self._callbacks)
         if pull.word is not Word.TOTALS:
             _tell(self._load_callbacks)
 
+    def _controls_near(self, view: FollowerView) -> list[str]:
+        """Addresses of the live control nodes of this node's own zone."""
+        return [
+            fact.address
+            for fact in view.nodes.values()
+            if fact.role is NodeRole.CONTROL and fact.zone == self.me.zone
+        ]
+
     def _wait_s(self, word: Word, slot: int) -> float:
         """How long the answer to a pull may be held back. Word of every server is worth little once it is old: a call
         holds its place for about a second."""
--- a/emberring/distribution/sources.py
+++ b/emberring/distribution/sources.py
@@ -1,4 +1,8 @@
-"""Which control nodes a follower pulls from: two that answer and have a majority, if there are such. No sockets."""
+"""Which control nodes a follower pulls from: two that answer and have a majority, if there are such. No sockets.
+
+The first of the two is asked most often, so it is one of the follower's own zone where one answers: bytes between zones
+are paid for. The second is any other, so that a zone's trouble leaves one.
+"""
 
 from __future__ import annotations
 
@@ -12,6 +16,8 @@
 FIRST_PAUSE_S = 0.1
 LONGEST_PAUSE_S = 1.5
 WEAK_PAUSE_S = 0.5  # a node without a majority is asked again after so long, if there is none better
+NEAR_AGAIN_S = 5.0  # a near one that failed is tried again after so long, though others answer
+NEAR_SLOT = 0  # the puller that prefers near ones
 FORGET_FAILURES = 20  # a node that is no seed and failed so often in a row is forgotten
 
 
@@ -24,6 +30,12 @@
     weak: bool = False
     answers: int = 0
     answered_s: float = -1e9
+    failed_s: float = -1e9  # when it last failed, or answered without a majority
+
+    def returnable(self, now_s: float) -> bool:
+        """Whether it is worth leaving another one for this one."""
+        sound = self.failures == 0 and not self.weak
+        return (sound or now_s - self.failed_s >= NEAR_AGAIN_S) and self.not_before_s <= now_s
 
 
 class SourceChoice:
@@ -33,6 +45,7 @@
         self._chance = chance
         self._sources: dict[str, _Source] = {}
         self._current: dict[int, str] = {}
+        self._near: frozenset[str] = frozenset()
         for address in seeds:
             self._sources[address] = _Source(address, seed=True)
 
@@ -42,6 +55,10 @@
             if address not in self._sources:
                 self._sources[address] = _Source(address, seed=False)
 
+    def prefer(self, addresses: Iterable[str]) -> None:
+        """Control nodes of this node's own zone."""
+        self._near = frozenset(addresses)
+
     def settled(self, address: str) -> bool:
         """Whether this node answered already, so that its answers may be held back until something changes."""
         source = self._sources.get(address)
@@ -64,6 +81,7 @@
         source.weak = quorum_age_s > QUORUM_FRESH_S
         source.not_before_s = now_s + WEAK_PAUSE_S if source.weak else now_s
         if source.weak:
+            source.failed_s = now_s
             self._leave(address)
 
     def failed(self, now_s: float, address: str) -> None:
@@ -72,6 +90,7 @@
         if source is None:
             return
         source.failures += 1
+        source.failed_s = now_s
         pause_s = min(LONGEST_PAUSE_S, FIRST_PAUSE_S * 2 ** min(source.failures - 1, 8))
         source.not_before_s = now_s + pause_s * self._chance.uniform(0.5, 1.0)
         self._leave(address)
@@ -86,7 +105,9 @@
         """The node to pull from now; None if none may be asked yet."""
         current = self._current.get(slot)
         if current is not None and current in self._sources:
-            return current
+            nearer = self._nearer(now_s, slot, current)
+            self._current[slot] = nearer
+            return nearer
         taken = {address for other, address in self._current.items() if other != slot}
         free = [
             source
@@ -95,12 +116,32 @@
         ]
         if not free:
             return None
-        best = min((source.weak, min(source.failures, 3)) for source in free)
-        among = [source for source in free if (source.weak, min(source.failures, 3)) == best]
-        chosen = self._chance.choice(among).address
+        best = min(self._rank(slot, source) for source in free)
+        chosen = self._chance.choice([source for source in free if self._rank(slot, source) == best]).address
         self._current[slot] = chosen
         return chosen
 
+    def _rank(self, slot: int, source: _Source) -> tuple[bool, int, bool]:
+        far = slot == NEAR_SLOT and source.address not in self._near
+        return source.weak, min(source.failures, 3), far
+
+    def _nearer(self, now_s: float, slot: int, current: str) -> str:
+        """The node that is asked now, or one of this zone that can be asked instead."""
+        if slot != NEAR_SLOT or current in self._near:
+            return current
+        near = [
+            source.address
+            for source in self._sources.values()
+            if source.address in self._near and source.returnable(now_s)
+        ]
+        if not near:
+            return current
+        chosen = self._chance.choice(near)
+        for other, address in self._current.items():
+            if address == chosen:  # the other puller goes on with the one that is left
+                self._current[other] = current
+        return chosen
+
     def pause_s(self, now_s: float) -> float:
         """How long until a node may be asked again."""
         taken = set(self._current.values())
--- a/tests/emberring/distribution/test_tier_follower_view.py
+++ b/tests/emberring/distribution/test_tier_follower_view.py
@@ -14,7 +14,7 @@
 from emberring.distribution.facts import NodeFact, NodeRole, ServerFact, ServerState
 from emberring.distribution.facts_store import FactStore
 from emberring.distribution.messages import Delta, Update
-from emberring.distribution.sources import SourceChoice
+from emberring.distribution.sources import NEAR_AGAIN_S, SourceChoice
 from emberring.distribution.view import ORPHAN_S, PATIENCE_S, FollowerView
 from emberring.placement.model import Placement
 
@@ -283,6 +283,43 @@
     assert not sources.settled("c1")
 
 
+@pytest.mark.parametrize("seed", range(8))
+def test_the_first_puller_goes_to_a_node_of_its_zone_once_it_is_known(seed: int) -> None:
+    sources = SourceChoice(["c0", "c1", "c2"], random.Random(seed))
+    sources.pick(0.0, 0)
+    sources.pick(0.0, 1)
+    sources.prefer(["c2"])
+    assert sources.pick(0.1, 0) == "c2"
+    assert sources.pick(0.1, 1) in ("c0", "c1")
+    assert sources.pick(0.2, 0) == "c2"
+
+
+def test_a_near_node_that_fails_is_left_and_returned_to() -> None:
+    sources = choice(3)
+    sources.prefer(["c2"])
+    assert sources.pick(0.0, 0) == "c2"
+    sources.failed(0.0, "c2")
+    for now_s in (0.1, 1.0, NEAR_AGAIN_S - 0.1):
+        other = sources.pick(now_s, 0)
+        assert other in ("c0", "c1")
+        sources.answered(now_s, other, 0.0)
+    assert sources.pick(NEAR_AGAIN_S + 0.1, 0) == "c2"  # every way out has a way back
+    sources.answered(NEAR_AGAIN_S + 0.2, "c2", 0.0)
+    assert sources.pick(NEAR_AGAIN_S + 0.3, 0) == "c2"
+
+
+def test_a_near_node_without_a_majority_is_left_and_looked_at_again() -> None:
+    sources = choice(3)
+    sources.prefer(["c2"])
+    assert sources.pick(0.0, 0) == "c2"
+    sources.answered(0.0, "c2", 5.0)
+    for now_s in (0.1, 3.0, NEAR_AGAIN_S - 0.1):
+        assert sources.pick(now_s, 0) in ("c0", "c1")
+    assert sources.pick(NEAR_AGAIN_S + 0.1, 0) == "c2"
+    sources.answered(NEAR_AGAIN_S + 0.1, "c2", 5.0)  # still without
+    assert sources.pick(NEAR_AGAIN_S + 0.2, 0) in ("c0", "c1")
+
+
 def test_nodes_heard_of_are_asked_and_forgotten_when_they_stay_silent() -> None:
     sources = choice(1)
     sources.note(["new"])
