Admission: lots get 0.7 to 0.95 of the places, by the time that their items have left

Cause: one fixed share served neither case. Late items say nothing. The setting `batch_share` is gone.

--- /dev/null
+++ b/emberring/admission/lot_pressure.py
@@ -0,0 +1,48 @@
+"""How much of their time items of lots have left when they are taken, and the share of the places that this gives them.
+
+Items that come with nearly all their time left can wait: few places for them keep places free for live calls. Items
+that come with little left have waited long: lots pile up, and would be late. What is observed is the time left of the
+items that this gateway is given, as a share of the time that their lots had in all.
+"""
+
+from __future__ import annotations
+
+import math
+
+import attrs
+
+EASY_LEFT, PRESSED_LEFT = (
+    0.8,
+    0.5,
+)  # of an item's time: from here on nothing presses; below this it presses in full
+EASY_SHARE, PRESSED_SHARE = 0.7, 0.95  # of the places, up to which items are taken then
+GAIN = 0.2  # of each item in what is usual
+FORGET_S = 3.0  # without items nothing is known
+UNKNOWN_LEFT = 0.83  # what stands for it then: a share of 0.85
+
+
+@attrs.define
+class LotPressure:
+    """The usual share of their time that items have left as they are taken here. Times are seconds."""
+
+    _left: float = UNKNOWN_LEFT
+    _at_s: float = -math.inf
+
+    def taken(self, now_s: float, due_s: float, target_s: float) -> None:
+        """An item is taken that is due then, of a lot that had `target_s` in all. One that is late already says
+        nothing: it can't be saved by more places."""
+        if target_s <= 0.0 or due_s <= now_s:
+            return
+        left = min(1.0, (due_s - now_s) / target_s)
+        self._left = self.left(now_s)
+        self._left += GAIN * (left - self._left)
+        self._at_s = now_s
+
+    def left(self, now_s: float) -> float:
+        """The share of their time that items have left, from 0 to 1."""
+        return UNKNOWN_LEFT + (self._left - UNKNOWN_LEFT) * math.exp((self._at_s - now_s) / FORGET_S)
+
+    def share(self, now_s: float) -> float:
+        """Of the places, up to which items may be taken."""
+        pressed = (EASY_LEFT - self.left(now_s)) / (EASY_LEFT - PRESSED_LEFT)
+        return EASY_SHARE + (PRESSED_SHARE - EASY_SHARE) * min(1.0, max(0.0, pressed))
--- a/emberring/admission/pool.py
+++ b/emberring/admission/pool.py
@@ -9,6 +9,7 @@
 from emberring.admission import pacing
 from emberring.admission.known_calls import KnownCalls, own_calls, places
 from emberring.admission.load import LoadMeter
+from emberring.admission.lot_pressure import LotPressure
 from emberring.admission.pace import Pace
 from emberring.admission.placement import choose, place
 from emberring.admission.ranking import Surroundings
@@ -45,6 +46,7 @@
         self.table = CursorTable()
         self.meter = LoadMeter()
         self.pace = Pace(settings.start_prefill_tokens_per_ms, settings.start_hold_s)
+        self.pressure = LotPressure()
         self.usual_pause_ms = 0.0
         self.suspicions = SuspicionBook()
         self._settings = settings
@@ -115,7 +117,7 @@
         if not call.admitted and self._turned_away(now_s, call):
             return Refused(self._retry_after_s())
         sound = self._sound(now_s, ready)
-        share = self._batch_share() if call.batch else 1.0 + self._settings.live_queue_share
+        share = self._batch_share(now_s) if call.batch else 1.0 + self._settings.live_queue_share
         open_ones = [one for one in sound if pacing.room(now_s, one, share, self.gateways) > 0.0]
         if not open_ones and not call.batch:
             open_ones = self._last_resort(now_s, ready, sound)
@@ -137,22 +139,23 @@
         servers = self._working()
         own = own_calls(servers)
         if call.batch:
-            if own >= self._batch_threshold(servers):
+            if own >= self._batch_threshold(now_s, servers):
                 return True
             return self._prompts_room(len(servers), self._sound(now_s, servers)) <= 0
         if self.calls.fill(servers) < NEVER_REFUSED:
             return False
         return own >= self._live_threshold(servers, call.priority)
 
-    def _batch_share(self) -> float:
-        """The share of the places up to which items are taken: the lower row's at the cursor.
+    def _batch_share(self, now_s: float) -> float:
+        """The share of the places up to which items are taken: the lower row's at the cursor, the more the less time
+        items have left.
 
         Guard: after a jam the row stayed at nothing for seconds while servers stood idle; waits of an idle pool have
         another cause than lots.
         """
-        return max(NEVER_HELD, self._settings.batch_share * self.table.batch_share())
+        return max(NEVER_HELD, self.pressure.share(now_s) * self.table.batch_share())
 
-    def _batch_threshold(self, servers: list[ServerView]) -> float:
+    def _batch_threshold(self, now_s: float, servers: list[ServerView]) -> float:
         """Calls in flight of this gateway up to which items are taken: what it had when the others' were told and
         its share of the places that were free then, and no more than an even share of all places.
 
@@ -160,7 +163,7 @@
         them alone took items for the same free places again and again, 330 for 163 places, and then none for
         seconds. Even shares add up to the places whatever is known.
         """
-        most = places(servers) * self._batch_share()
+        most = places(servers) * self._batch_share(now_s)
         told = self.calls.own_when_told + self.calls.others_at(servers)
         free = most - told
         ahead = free if free <= 0.0 else max(1.0, BATCH_AHEAD * free / self.gateways)
@@ -198,6 +201,8 @@
             self._settings.zone,
             now_s - self.calls.true_s,
         )
+        if call.batch:
+            self.pressure.taken(now_s, call.deadline_s, call.target_s)
         choice = choose(around, call, servers, self._connected, self._random)
         place(around, call, choice)
         return Admitted(choice.server.fact.id)
@@ -217,9 +222,9 @@
         if not servers:
             return 0
         own = own_calls(servers)
-        share, sound = self._batch_share(), self._sound(now_s, servers)
+        share, sound = self._batch_share(now_s), self._sound(now_s, servers)
         room = sum(max(0.0, pacing.room(now_s, one, share, self.gateways)) for one in sound)
-        most = min(room, self._batch_threshold(servers) - own, self._prompts_room(len(servers), sound))
+        most = min(room, self._batch_threshold(now_s, servers) - own, self._prompts_room(len(servers), sound))
         return max(0, math.ceil(most))
 
     # ------------------------------------------------------------- outcomes
--- a/emberring/admission/types.py
+++ b/emberring/admission/types.py
@@ -21,9 +21,9 @@
 
     `priority` is the route's (0 is the most urgent), `parts` are those of `Prefix-Hash` in order (the last is the
     request's own or its session's), `aim_ms` is the time to the first event that earns full worth, `deadline_s`
-    the moment at which the caller gives up or, for an item, is due; `excluded` are servers that were tried and
-    must not be tried again. `admitted` marks a call that the table has let in before (a further attempt, a stream
-    that is resumed): it is not refused by the table again.
+    the moment at which the caller gives up or, for an item, is due, and `target_s` the time that an item's lot had in
+    all; `excluded` are servers that were tried and must not be tried again. `admitted` marks a call that the table has
+    let in before (a further attempt, a stream that is resumed): it is not refused by the table again.
     """
 
     id: str
@@ -36,6 +36,7 @@
     parts: tuple[PrefixPart, ...] = ()
     aim_ms: float = 1000.0
     deadline_s: float = 0.0
+    target_s: float = 0.0
     excluded: frozenset[str] = frozenset()
     admitted: bool = False
 
@@ -83,7 +84,6 @@
 
     period_s: float = 0.05
     live_queue_share: float = 0.5
-    batch_share: float = 0.85
     start_prefill_tokens_per_ms: float = 100.0
     start_hold_s: float = 0.5
     zone: str = ""
--- a/emberring/gateway/execution.py
+++ b/emberring/gateway/execution.py
@@ -198,6 +198,7 @@
             parts=read_parts(request.header(b"prefix-hash")),
             aim_ms=route.target_latency_ms,
             deadline_s=call.end_s if due_s is None else due_s,
+            target_s=route.completion_target_ms / 1000.0 if batch else 0.0,
             excluded=frozenset(excluded),
             admitted=admitted,
         )
--- /dev/null
+++ b/tests/emberring/admission/test_tier_lot_pressure.py
@@ -0,0 +1,80 @@
+"""How many places items of lots get, by the time that they have left."""
+
+from __future__ import annotations
+
+import pytest
+
+from emberring.admission import Admission, AdmissionSettings, Admitted, CallInfo
+from emberring.admission.lot_pressure import (
+    EASY_LEFT,
+    EASY_SHARE,
+    FORGET_S,
+    PRESSED_LEFT,
+    PRESSED_SHARE,
+    LotPressure,
+)
+from emberring.distribution.facts import ServerFact, ServerState
+from emberring.registry.known_load import KnownLoad
+
+TARGET_S = 10.0
+
+
+def heard(left: float, count: int = 60) -> LotPressure:
+    """After so many items with this share of their time left, all at once."""
+    pressure = LotPressure()
+    for _ in range(count):
+        pressure.taken(0.0, left * TARGET_S, TARGET_S)
+    return pressure
+
+
+@pytest.mark.parametrize(
+    ("left", "share"),
+    [
+        (1.0, EASY_SHARE),
+        (EASY_LEFT, EASY_SHARE),
+        ((EASY_LEFT + PRESSED_LEFT) / 2.0, (EASY_SHARE + PRESSED_SHARE) / 2.0),
+        (PRESSED_LEFT, PRESSED_SHARE),
+        (0.05, PRESSED_SHARE),
+    ],
+)
+def test_items_get_the_more_places_the_less_time_they_have_left(left: float, share: float) -> None:
+    assert heard(left).share(0.0) == pytest.approx(share, abs=0.001)
+
+
+@pytest.mark.parametrize(
+    ("due_s", "target_s"),
+    [(-1.0, TARGET_S), (0.0, TARGET_S), (1.0, 0.0)],  # late already, late just now, no time told
+)
+def test_items_that_more_places_can_not_save_say_nothing(due_s: float, target_s: float) -> None:
+    pressure = LotPressure()
+    for _ in range(60):
+        pressure.taken(0.0, due_s, target_s)
+    assert pressure.share(0.0) == pytest.approx(0.85)
+
+
+@pytest.mark.parametrize("left", [0.1, 1.0])
+def test_what_was_heard_is_forgotten_soon_after_the_lots_are_done(left: float) -> None:
+    assert heard(left).share(5.0 * FORGET_S) == pytest.approx(0.85, abs=0.01)
+
+
+def test_a_gateway_takes_more_items_once_those_it_gets_are_pressed() -> None:
+    facts = [
+        ServerFact(f"s{number}", "llm", f"10.0.0.1:{number}", "a", 12, ServerState.READY, 1)
+        for number in range(4)
+    ]
+
+    def room(left: float) -> int:
+        admission = Admission(AdmissionSettings(), seed=1)
+        admission.set_servers(0.0, facts, {}, 1, KnownLoad())
+        for number in range(200):
+            item = CallInfo(
+                f"i{number}", "llm", "r", batch=True, deadline_s=left * TARGET_S, target_s=TARGET_S
+            )
+            if not isinstance(decision := admission.offer(0.0, item), Admitted):
+                return number
+            admission.started(0.0, item.id, decision.server_id)
+            admission.first_event(0.001, item.id)
+        return 200
+
+    assert room(1.0) == round(4 * 12 * EASY_SHARE)
+    assert room(0.1) > 4 * 12 * 0.85
