--- a/emberring/admission/lot_pressure.py
+++ b/emberring/admission/lot_pressure.py
@@ -11,11 +11,10 @@
 
 import attrs
 
-EASY_LEFT, PRESSED_LEFT = (
-    0.8,
-    0.5,
-)  # of an item's time: from here on nothing presses; below this it presses in full
-EASY_SHARE, PRESSED_SHARE = 0.7, 0.95  # of the places, up to which items are taken then
+EASY_LEFT = 0.95  # of an item's time: from here on nothing presses,
+PRESSED_LEFT = 0.75  # and below this it presses in full
+EASY_SHARE = 0.7  # of the places, up to which items are taken then,
+PRESSED_SHARE = 0.95  # and then
 GAIN = 0.2  # of each item in what is usual
 FORGET_S = 3.0  # without items nothing is known
 UNKNOWN_LEFT = 0.83  # what stands for it then: a share of 0.85
