Admission: the rank goes by word of the others' calls as it is, 0.8 of it a server's own

So that a server full of the others' calls is still left alone (its test stands and failed without this), 0.8 instead of half of what is expected there is the server's own, the rest the mean.

--- a/emberring/admission/ranking.py
+++ b/emberring/admission/ranking.py
@@ -21,8 +21,7 @@
 NEXT_KEPT = 0.1  # and that the next home does
 ANEW = 0.6  # what reading anew costs others, as a share of its own time
 OTHERS_TRUSTED = 0.1
-OVER_TRUSTED = 0.5
-OTHERS_SPREAD = 1.0  # the others' calls may be more than was told: so many times the root of their number
+OVER_TRUSTED = 0.8
 CROWD_MS = 2.0  # a call in flight slows the next by about this
 PAUSE_WEIGHT = 0.6  # pauses between events there over the usual ones, that prompts of others explain
 KV_FULL = 0.85  # share of the memory from which a call there may push others out
@@ -78,7 +77,7 @@
     wait_ms = around.pace.wait_ms(ahead + to_read)
     likely = server.likely_load(around.gateways) - len(server.calls)
     others = OVER_TRUSTED * likely + (1.0 - OVER_TRUSTED) * around.mean_others
-    over = len(server.calls) + others + OTHERS_SPREAD * math.sqrt(others) + 1.0 - server.capacity
+    over = len(server.calls) + others + 1.0 - server.capacity
     if over > 0.0:
         wait_ms += over * around.pace.hold_s * 1000.0 / server.capacity
     return wait_ms
