Distribution: word of many servers is asked for less often, from 0.1 s for 100 to 0.3 s for 300

Cause: three times as many answers with each server's calls cost a gateway of a larger tier three times the bytes; a test of the hollow control plane held its calls under 10 a second and now found 12. Change: the wait grows by 1 ms a server.

--- a/emberring/distribution/follower.py
+++ b/emberring/distribution/follower.py
@@ -22,7 +22,8 @@
 PULLERS = 2
 WAIT_S = 0.5  # how long a control node may hold an answer back
 REPORT_WAIT_S = 0.3  # the same while this node reports calls in flight,
-WORD_WAIT_S = 0.1  # and where the answer to that report brings the calls at every server
+WORD_WAIT_S = 0.1  # and, at the least, where the answer to that report brings the calls at every server:
+WORD_WAIT_EACH_S = 0.001  # for each of them, so that what is told in a second is bounded
 REPLY_SLACK_S = 0.5  # beyond that wait, an answer that has not come is not waited for
 SHORTEST_PULL_S = 0.02  # many changes in a row are taken in bundles of this length
 
@@ -132,7 +133,7 @@
         assert view is not None
         asked_s = loop.time()
         word = self._word_for(asked_s, view, slot)
-        wait_s = self._wait_s(word, slot)
+        wait_s = self._wait_s(word, len(view.servers), slot)
         pull = self._question(view, slot, word, wait_s if self._sources.settled(address) else 0.0)
         try:
             update = await self._network.call(address, pull, Update, wait_s + REPLY_SLACK_S)
@@ -157,12 +158,14 @@
             if fact.role is NodeRole.CONTROL and fact.zone == self.me.zone
         ]
 
-    def _wait_s(self, word: Word, slot: int) -> float:
+    def _wait_s(self, word: Word, servers: int, slot: int) -> float:
         """How long the answer to a pull may be held back. Word of every server is worth little once it is old: a call
         holds its place for about a second."""
         if self.report is None:
             return WAIT_S
-        return WORD_WAIT_S if word is Word.EVERY_SERVER and slot == 0 else REPORT_WAIT_S
+        if word is not Word.EVERY_SERVER or slot != 0:
+            return REPORT_WAIT_S
+        return min(REPORT_WAIT_S, max(WORD_WAIT_S, WORD_WAIT_EACH_S * servers))
 
     def _word_for(self, now_s: float, view: FollowerView, slot: int) -> Word:
         """What to ask for of calls in flight."""
