Gateway: figures of what admission goes by: cursor, share of lots, age of the word

Cause: whether lots press, or word of the others' calls is late, could not be seen from outside. Change: three gauges on the figures page; a figure without bound is written as +Inf. Result: tests of the page and of the figures.

--- a/emberring/admission/admission.py
+++ b/emberring/admission/admission.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Callable, Iterable, Mapping
 from random import Random
 
@@ -109,6 +110,16 @@
         """How many more items of lots would be taken now, over all services."""
         return sum(pool.batch_room(now_s) for pool in self._pools.values())
 
+    def decides_by(self, now_s: float) -> tuple[int, float, float]:
+        """Of all services the worst: the table's cursor, the share of the places that lots may have, and how long ago
+        (seconds) word of the others' calls was true; the latter is infinite without any."""
+        pools = self._pools.values()
+        return (
+            max((pool.table.cursor for pool in pools), default=0),
+            max((pool.pressure.share(now_s) for pool in pools), default=0.0),
+            max((now_s - pool.calls.true_s for pool in pools), default=math.inf),
+        )
+
     def look_at_servers(self, now_s: float) -> list[SuspicionChange]:
         """Which servers came into trouble, or are well again, since the last look."""
         return [change for pool in self._pools.values() for change in pool.look_at_servers(now_s)]
--- a/emberring/gateway/readiness.py
+++ b/emberring/gateway/readiness.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Callable, Mapping
 from typing import Any
 
@@ -47,7 +48,8 @@
             typed.add(family)
             kind = "counter" if family.endswith("_total") else "gauge"
             lines.append(f"# TYPE emberring_gateway_{family} {kind}\n")
-        lines.append(f"emberring_gateway_{name} {value:g}\n")
+        told = "+Inf" if value == math.inf else f"{value:g}"
+        lines.append(f"emberring_gateway_{name} {told}\n")
     return "".join(lines).encode()
 
 
--- a/emberring/gateway/role.py
+++ b/emberring/gateway/role.py
@@ -152,6 +152,10 @@
             "items_running": float(self.runner.running),
             "server_connections_total": float(self.pool.opened),
         }
+        cursor, lot_share, word_age_s = self.admission.decides_by(self._loop.time())
+        figures["admission_cursor"] = float(cursor)
+        figures["admission_lot_share"] = lot_share
+        figures["admission_word_age_seconds"] = word_age_s
         figures.update(self._suspicions.figures())
         for status, count in sorted(self.clients.answers.items()):
             figures[f'answers_total{{status="{status}"}}'] = float(count)
--- a/tests/emberring/admission/test_tier_lot_pressure.py
+++ b/tests/emberring/admission/test_tier_lot_pressure.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import math
+
 import pytest
 
 from emberring.admission import Admission, AdmissionSettings, Admitted, CallInfo
@@ -78,3 +80,13 @@
 
     assert room(1.0) == round(4 * 12 * EASY_SHARE)
     assert room(0.1) > 4 * 12 * 0.85
+
+
+def test_what_decisions_go_by_is_told_to_operators() -> None:
+    admission = Admission(AdmissionSettings(), seed=1)
+    assert admission.decides_by(1.0) == (0, 0.0, math.inf)
+    facts = [ServerFact("s1", "llm", "10.0.0.1:1", "a", 12, ServerState.READY, 1)]
+    admission.set_servers(1.0, facts, {}, 1, KnownLoad(true_s=0.8))
+    cursor, share, word_age_s = admission.decides_by(1.1)
+    assert (cursor, share) == (0, pytest.approx(0.85))
+    assert word_age_s == pytest.approx(0.3)
--- a/tests/emberring/gateway/test_tier_gateway_pure.py
+++ b/tests/emberring/gateway/test_tier_gateway_pure.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import math
+
 import attrs
 import pytest
 from gateway_world import HOST, ROUTES, FakeDirectory, event, route
@@ -268,6 +270,11 @@
     assert readiness.ready(SERVERS_WAIT_S)
 
 
+def test_a_figure_without_bound_is_written_as_prometheus_reads_it() -> None:
+    page = render_metrics({"admission_word_age_seconds": math.inf})
+    assert page.endswith(b"emberring_gateway_admission_word_age_seconds +Inf\n")
+
+
 def test_figures_for_prometheus() -> None:
     page = render_metrics({"ready": 1.0, 'a_total{status="200"}': 7.0, 'a_total{status="503"}': 2.0})
     assert page == (
--- a/tests/emberring/gateway/test_tier_gateway_role.py
+++ b/tests/emberring/gateway/test_tier_gateway_role.py
@@ -128,6 +128,8 @@
         assert (await ask(front, request())).body == events(1, 2)
         metrics = await ask(probe, b"GET /metrics HTTP/1.1\r\nHost: n\r\n\r\n")
         assert b"emberring_gateway_configuration_version 3\n" in metrics.body
+        assert b"emberring_gateway_admission_cursor 0\n" in metrics.body
+        assert b"emberring_gateway_admission_lot_share 0.85\n" in metrics.body
         assert (await ask(probe, b"GET /x HTTP/1.1\r\nHost: n\r\n\r\n")).status == 404
         control.facts.append(ServerFact("i-1", "s", server.address, "z", 4, ServerState.DRAINING, 2))
         await until(lambda: gateway.book.sendable("i-1") is None)
