Lab: each mechanism of admission switched off by name, on the same requests

Cause: what a mechanism is worth was told by constants changed by hand in scratch copies. Unknown names are refused before anything is played.

--- a/emberring/cli/lab_commands.py
+++ b/emberring/cli/lab_commands.py
@@ -10,6 +10,7 @@
 import typer
 
 from emberring.admission import Admission, AdmissionSettings
+from emberring.cli.ablation_command import ablation
 from emberring.cli.places import JsonOption
 from emberring.cli.printing import EXIT_CODES_TEXT, print_json, print_line, print_table
 from emberring.errors import BadRequestError
@@ -27,6 +28,7 @@
 from emberring.lab.control_scale import RoleFigures, ScaleFigures, Size, measure, power
 
 app = typer.Typer(no_args_is_help=True, epilog=EXIT_CODES_TEXT)
+app.command(epilog=EXIT_CODES_TEXT)(ablation)
 
 SEED_STEP = 100  # between the seeds of the gateways of one trial
 SHOWN = (
--- /dev/null
+++ b/emberring/lab/ablation.py
@@ -0,0 +1,171 @@
+"""Each mechanism of admission switched off by name, and trials beside whole ones on the same requests.
+
+A mechanism is switched off by a patch of one name for the length of a trial, in the trial's process alone: the gateway
+has no such switches. What the model does not carry (connections that have to be made, zones) can't be judged here.
+"""
+
+from __future__ import annotations
+
+import contextlib
+from collections.abc import Iterator, Sequence
+from enum import Enum
+from typing import Any
+from unittest import mock
+
+import attrs
+
+from emberring.admission import (
+    Admission,
+    AdmissionSettings,
+    candidates,
+    failures,
+    lot_pressure,
+    pacing,
+    placement,
+    pool,
+    ranking,
+    server,
+)
+from emberring.admission.known_calls import places
+from emberring.admission.pool import Pool
+from emberring.admission.prefixes import PrefixMemory
+from emberring.admission.server import ServerView
+from emberring.admission.table import CursorTable
+from emberring.lab.admission_simulator import run_trial
+from emberring.lab.admission_site import Burst, Crash, Site
+from emberring.lab.admission_trial import Figures, figures_of
+
+SEED_STEP = 100  # between the seeds of the gateways of one trial
+DARK_SHARE = 0.2  # of the servers, in the hard case
+LARGE = 1e9
+
+
+class Mechanism(Enum):
+    """What can be switched off."""
+
+    CURSOR = "cursor"
+    LIVE_ROWS = "live-rows"
+    NEVER_HELD = "never-held"
+    NEVER_REFUSED = "never-refused"
+    EVEN_SHARES = "even-shares"
+    LOT_PRESSURE = "lot-pressure"
+    PROMPT_PACING = "prompt-pacing"
+    DRAW_BY_ROOM = "draw-by-room"
+    LIKELY_LOAD = "likely-load"
+    CROWD = "crowd"
+    HOMES = "homes"
+    SECOND_HOME = "second-home"
+    PREFIX_MEMORY = "prefix-memory"
+    READING_ANEW = "reading-anew"
+    MEMORY_PRESSURE = "memory-pressure"
+    PAUSES = "pauses"
+    SLOW_HANDICAP = "slow-handicap"
+    FAILURE_COSTS = "failure-costs"
+    AVOIDANCE = "avoidance"
+    SILENCE = "silence"
+    WAY_BACK = "way-back"
+
+
+def _stay(self: CursorTable, over_target: bool) -> None:
+    """The cursor never moves."""
+
+
+def _without_even_shares(self: Pool, now_s: float, servers: list[ServerView]) -> float:
+    most = places(servers) * self._batch_share(now_s)
+    return most - self.calls.others_at(servers)
+
+
+def _own_calls_alone(self: ServerView, gateways: int) -> float:
+    return float(len(self.calls))
+
+
+def _nothing_known(self: PrefixMemory, parts: Sequence[Any]) -> int:
+    return 0
+
+
+def _never_silent(now_s: float, one: ServerView, usual_pause_ms: float) -> bool:
+    return False
+
+
+def _never_failing(one: ServerView) -> bool:
+    return False
+
+
+_PATCHES: dict[Mechanism, tuple[tuple[Any, str, object], ...]] = {
+    Mechanism.CURSOR: ((CursorTable, "move", _stay),),
+    Mechanism.LIVE_ROWS: ((CursorTable, "live_share", lambda self, priority: 1.0),),
+    Mechanism.NEVER_HELD: ((pool, "NEVER_HELD", 0.0),),
+    Mechanism.NEVER_REFUSED: ((pool, "NEVER_REFUSED", 0.0),),
+    Mechanism.EVEN_SHARES: ((Pool, "_batch_threshold", _without_even_shares),),
+    Mechanism.LOT_PRESSURE: ((lot_pressure.LotPressure, "share", lambda self, now_s: 0.85),),
+    Mechanism.PROMPT_PACING: ((pool, "BATCH_PROMPTS", LARGE),),
+    Mechanism.DRAW_BY_ROOM: ((candidates, "LEAST_CHANCE", LARGE),),
+    Mechanism.LIKELY_LOAD: ((ServerView, "likely_load", _own_calls_alone),),
+    Mechanism.CROWD: ((ranking, "CROWD_MS", 0.0),),
+    Mechanism.HOMES: ((placement, "HOMES", 0),),
+    Mechanism.SECOND_HOME: ((placement, "HOMES", 1),),
+    Mechanism.PREFIX_MEMORY: ((PrefixMemory, "known", _nothing_known),),
+    Mechanism.READING_ANEW: ((ranking, "ANEW", 0.0),),
+    Mechanism.MEMORY_PRESSURE: ((ranking, "KV_MS", 0.0),),
+    Mechanism.PAUSES: ((ranking, "PAUSE_WEIGHT", 0.0),),
+    Mechanism.SLOW_HANDICAP: ((server, "SLOW_CHANCE", LARGE),),
+    Mechanism.FAILURE_COSTS: ((failures, "FAILURE_MS", 0.0),),
+    Mechanism.AVOIDANCE: ((pacing, "AVOID_MOST_S", 0.0),),
+    Mechanism.SILENCE: ((pacing, "silent", _never_silent),),
+    Mechanism.WAY_BACK: ((pacing, "failing", _never_failing),),
+}
+
+
+@contextlib.contextmanager
+def without(mechanism: Mechanism | None) -> Iterator[None]:
+    """Everything in here runs without this mechanism; None switches nothing off."""
+    with contextlib.ExitStack() as stack:
+        for owner, name, value in _PATCHES[mechanism] if mechanism is not None else ():
+            stack.enter_context(mock.patch.object(owner, name, value))
+        yield
+
+
+@attrs.frozen
+class Case:
+    """A hard trial: lots come six times as often for 3 s, then a fifth of the servers goes dark for as long."""
+
+    site: Site
+    seconds: float = 9.0
+    factor: float = 1.0
+
+    def bursts(self) -> list[Burst]:
+        """The burst of lots."""
+        lots = next(kind.name for kind in self.site.kinds if kind.items is not None)
+        return [Burst(lots, 1.0, 3.0, 6.0)]
+
+    def crashes(self) -> list[Crash]:
+        """The servers that go dark."""
+        dark = max(1, round(self.site.servers * DARK_SHARE))
+        return [Crash(place, 5.0, 3.0, dark=True) for place in range(dark)]
+
+
+def play(case: Case, mechanism: Mechanism | None, seed: int) -> Figures:
+    """One trial without this mechanism; None plays it whole."""
+
+    def make(world: object, index: int) -> Admission:
+        return Admission(AdmissionSettings(), seed=index * SEED_STEP)
+
+    with without(mechanism):
+        tally = run_trial(case.site, make, seed, case.seconds, case.factor, case.bursts(), case.crashes())
+    return figures_of(tally)
+
+
+@attrs.frozen
+class Worth:
+    """What a mechanism is worth: the mean difference of worth over the seeds, whole less without, and its spread."""
+
+    mechanism: Mechanism
+    mean: float
+    least: float
+    most: float
+
+
+def worth_of(mechanism: Mechanism, whole: Sequence[Figures], without_it: Sequence[Figures]) -> Worth:
+    """Differences seed by seed of trials in the same order of seeds."""
+    differences = [one.worth - other.worth for one, other in zip(whole, without_it, strict=True)]
+    return Worth(mechanism, sum(differences) / len(differences), min(differences), max(differences))
--- a/tests/emberring/cli/test_tier_cli.py
+++ b/tests/emberring/cli/test_tier_cli.py
@@ -63,6 +63,7 @@
         ["try"],
         ["lab"],
         ["lab", "admission"],
+        ["lab", "ablation"],
         ["gateway"],
         ["control"],
         ["store"],
--- /dev/null
+++ b/tests/emberring/lab/test_tier_ablation.py
@@ -0,0 +1,83 @@
+"""Mechanisms of admission switched off by name: each switch does something, alone, and is on again afterwards."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Sequence
+
+import attrs
+import pytest
+
+from emberring.admission import candidates, pool
+from emberring.admission.table import CursorTable
+from emberring.cli.app import main
+from emberring.lab import ablation
+from emberring.lab.ablation import Case, Mechanism, play, without, worth_of
+from emberring.lab.admission_site import LEDGER, SITES
+from emberring.lab.admission_trial import Figures
+
+SHORT = Case(LEDGER, seconds=1.5, factor=0.5)
+
+
+def figures(worth: float) -> Figures:
+    return attrs.evolve(play(Case(LEDGER, seconds=0.05, factor=0.1), None, 1), worth=worth)
+
+
+@pytest.mark.parametrize("mechanism", Mechanism)
+def test_a_switch_changes_its_own_names_and_puts_them_back(mechanism: Mechanism) -> None:
+    patches = ablation._PATCHES[mechanism]
+    before = [getattr(owner, name) for owner, name, _ in patches]
+    with without(mechanism):
+        assert all(getattr(owner, name) is value for owner, name, value in patches)
+        assert [value for _, _, value in patches] != before
+    assert [getattr(owner, name) for owner, name, _ in patches] == before
+
+
+def test_nothing_is_switched_off_without_a_name() -> None:
+    kept = CursorTable.move, pool.BATCH_PROMPTS, candidates.LEAST_CHANCE
+    with without(None):
+        assert (CursorTable.move, pool.BATCH_PROMPTS, candidates.LEAST_CHANCE) == kept
+
+
+def test_the_same_seed_without_the_same_is_the_same_trial() -> None:
+    assert play(SHORT, Mechanism.HOMES, 3) == play(SHORT, Mechanism.HOMES, 3)
+    assert play(SHORT, None, 3) == play(SHORT, None, 3)
+
+
+def test_without_homes_more_shared_parts_are_read_again() -> None:
+    longer = Case(LEDGER, seconds=8.0)  # so that most shared parts are asked for again
+    assert play(longer, Mechanism.HOMES, 3).shared_prefilled > 1.1 * play(longer, None, 3).shared_prefilled
+
+
+@pytest.mark.parametrize(
+    ("whole", "less", "mean", "least", "most"),
+    [
+        ([0.9, 0.8], [0.8, 0.8], 0.05, 0.0, 0.1),
+        ([0.8], [0.9], -0.1, -0.1, -0.1),  # it does harm
+    ],
+)
+def test_worth_is_told_seed_by_seed(
+    whole: Sequence[float], less: Sequence[float], mean: float, least: float, most: float
+) -> None:
+    found = worth_of(Mechanism.HOMES, [figures(one) for one in whole], [figures(one) for one in less])
+    assert (found.mean, found.least, found.most) == pytest.approx((mean, least, most))
+
+
+def test_the_command_prints_a_row_for_each_mechanism(capsys: pytest.CaptureFixture[str]) -> None:
+    short = ["lab", "ablation", "--seconds", "1", "--factor", "0.1", "--trials", "1"]
+    assert main([*short, "--mechanism", "homes", "--mechanism", "cursor", "--json"]) == 0
+    told = json.loads(capsys.readouterr().out)
+    assert [one["mechanism"] for one in told] == ["homes", "cursor"]
+
+
+@pytest.mark.parametrize("more", [["--site", "nowhere"], ["--mechanism", "magic"]])
+def test_unknown_names_are_refused_before_anything_is_played(
+    more: list[str], capsys: pytest.CaptureFixture[str], monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(ablation, "run_trial", None)
+    assert main(["lab", "ablation", *more]) == 2
+    assert more[1] in capsys.readouterr().err
+
+
+def test_the_waterworks_are_a_site_of_the_lab() -> None:
+    assert SITES["waterworks"].servers == 45
