--- a/emberring/cli/lab_commands.py
+++ b/emberring/cli/lab_commands.py
@@ -9,19 +9,18 @@
 import attrs
 import typer
 
-from emberring.admission import Admission, AdmissionSettings
 from emberring.cli.ablation_command import ablation
 from emberring.cli.places import JsonOption
 from emberring.cli.printing import EXIT_CODES_TEXT, print_json, print_line, print_table
 from emberring.errors import BadRequestError
+from emberring.lab.ablation import SEED_STEP, whole_admission
 from emberring.lab.admission_baselines import (
     PlainPolicy,
-    Policy,
     least_in_flight,
     round_robin,
     two_choices,
 )
-from emberring.lab.admission_simulator import MakePolicy, World, run_trial
+from emberring.lab.admission_simulator import MakePolicy, run_trial
 from emberring.lab.admission_site import SITES
 from emberring.lab.admission_trial import Figures, figures_of
 from emberring.lab.control_cut import CutFigures, measure_cut
@@ -30,7 +29,6 @@
 app = typer.Typer(no_args_is_help=True, epilog=EXIT_CODES_TEXT)
 app.command(epilog=EXIT_CODES_TEXT)(ablation)
 
-SEED_STEP = 100  # between the seeds of the gateways of one trial
 SHOWN = (
     "worth",
     "live_in_aim",
@@ -43,16 +41,12 @@
 )
 
 
-def _ours(world: World, index: int) -> Policy:
-    return Admission(AdmissionSettings(), seed=index * SEED_STEP)
-
-
 def _plain(pick: Any) -> MakePolicy:
     return lambda world, index: PlainPolicy(pick, index * SEED_STEP)
 
 
 POLICIES: dict[str, MakePolicy] = {
-    "admission": _ours,
+    "admission": whole_admission,
     "least-in-flight": _plain(least_in_flight),
     "round-robin": _plain(round_robin),
     "two-choices": _plain(two_choices),
--- a/emberring/lab/ablation.py
+++ b/emberring/lab/ablation.py
@@ -144,14 +144,17 @@
         return [Crash(place, 5.0, 3.0, dark=True) for place in range(dark)]
 
 
-def play(case: Case, mechanism: Mechanism | None, seed: int) -> Figures:
-    """One trial without this mechanism; None plays it whole."""
+def whole_admission(world: object, index: int) -> Admission:
+    """The decisions of a trial's gateway, with a seed of its own."""
+    return Admission(AdmissionSettings(), seed=index * SEED_STEP)
 
-    def make(world: object, index: int) -> Admission:
-        return Admission(AdmissionSettings(), seed=index * SEED_STEP)
 
+def play(case: Case, mechanism: Mechanism | None, seed: int) -> Figures:
+    """One trial without this mechanism; None plays it whole."""
     with without(mechanism):
-        tally = run_trial(case.site, make, seed, case.seconds, case.factor, case.bursts(), case.crashes())
+        tally = run_trial(
+            case.site, whole_admission, seed, case.seconds, case.factor, case.bursts(), case.crashes()
+        )
     return figures_of(tally)
 
 
