--- a/emberring/register/service.py
+++ b/emberring/register/service.py
@@ -244,10 +244,16 @@
 
     def _arm(self, loop: asyncio.AbstractEventLoop, wake_s: float) -> None:
         if self._timer is not None:
-            if not self._timer.cancelled() and loop.time() < self._timer.when() <= wake_s:
+            if self._timer.when() <= wake_s:
                 return
             self._timer.cancel()
-        self._timer = loop.call_at(wake_s, self._apply, Tick())
+        self._timer = loop.call_at(wake_s, self._on_timer)
+
+    def _on_timer(self) -> None:
+        # Forgotten first: an event loop may run a timer up to its clock's resolution early, and one that had run but
+        # was due later by the clock was taken for armed, so that no other was armed.
+        self._timer = None
+        self._apply(Tick())
 
     def _execute(self, action: Action) -> None:
         match action:
--- a/emberring/simulation/register/machine.py
+++ b/emberring/simulation/register/machine.py
@@ -215,10 +215,12 @@
             wake_s = node.next_wake_s(now_s)
             if wake_s < self._wake_s or self._wake_s <= now_s:
                 self._wake_s = wake_s
-                self.world.at(wake_s, self._tick, life)
+                self.world.at(wake_s, self._tick, life, wake_s)
 
-    def _tick(self, life: int) -> None:
-        if life == self.life and self.world.now_s >= self._wake_s:
+    def _tick(self, life: int, armed_for_s: float) -> None:
+        # An event loop may run a timer up to its clock's resolution early, so the clock does not tell whether this is
+        # the timer that was armed last; a tick dropped for that left the node without a timer.
+        if life == self.life and armed_for_s == self._wake_s:
             self._wake_s = float("inf")
             self._handle(life, Tick())
 
