--- a/emberring/jobs/merge.py
+++ b/emberring/jobs/merge.py
@@ -33,7 +33,8 @@
 
 def merge(inventories: Inventories, group: Group) -> dict[str, MergedJob]:
     """Return the records that an owner of this group recovers, given what a quorum of replicas holds."""
-    keys = {key for inventory in inventories.values() for key in inventory}
+    # In the order of the inventories, the same in each process: a set of texts is not.
+    keys = dict.fromkeys(key for inventory in inventories.values() for key in inventory)
     quorums: dict[tuple[str, ...], bool] = {}
     return {key: _merge_job(key, inventories, group, quorums) for key in keys}
 
--- a/emberring/jobs/runner.py
+++ b/emberring/jobs/runner.py
@@ -119,9 +119,9 @@
         """Keep one poll for each live store."""
         while not self._shutting_down:
             wanted = set(self._directory.stores())
-            for address in wanted - set(self._pollers):
+            for address in sorted(wanted - set(self._pollers)):
                 self._pollers[address] = asyncio.get_running_loop().create_task(self._poll_store(address))
-            for address in set(self._pollers) - wanted:
+            for address in sorted(set(self._pollers) - wanted):
                 self._pollers.pop(address).cancel()
             await asyncio.sleep(REPORT_INTERVAL_S)
 
