--- a/tests/emberring/register/test_tier_register_early_timers.py
+++ b/tests/emberring/register/test_tier_register_early_timers.py
@@ -69,7 +69,8 @@
     world.run(8.0)
     for name in ("a", "b", "d"):
         node = world.machines[name].node
-        assert node is not None and node.learned is not None
+        assert node is not None
+        assert node.learned is not None
         assert lost not in {member.identity for member in node.learned.state.replicas.members}
 
 
--- a/tests/emberring/simulation/test_same_schedule_in_every_process.py
+++ b/tests/emberring/simulation/test_same_schedule_in_every_process.py
@@ -24,7 +24,8 @@
     return played.stdout
 
 
-# Before the merge of inventories kept their order, 2004 of the jobs gave 23,108 events in one process, 24,377 in another.
+# Before the merge of inventories kept their order, 2004 of the jobs had 23,108 events in one process and 24,377 in
+# another.
 @pytest.mark.parametrize(
     ("simulator", "first", "seeds"), [("jobs", 2000, 8), ("control_plane", 2000, 4), ("register", 2000, 8)]
 )
