--- a/emberring/configuration/reading.py
+++ b/emberring/configuration/reading.py
@@ -95,7 +95,7 @@
 
 
 def _route(item: Mapping[str, Any]) -> Route:
-    split = tuple(Share(part["Service"], part["Weight"]) for part in item.get("TrafficSplit") or ())
+    split = tuple(Share(part["Service"], part.get("Weight") or 0) for part in item.get("TrafficSplit") or ())
     if not split and item.get("Service"):
         split = (Share(item["Service"], 1),)
     return Route(
--- a/tests/emberring/configuration/test_tier_checks.py
+++ b/tests/emberring/configuration/test_tier_checks.py
@@ -52,6 +52,7 @@
     document(route(Service=None, TrafficSplit=split(90, 10))),
     document(route(TrafficSplit=split(0, 1))),
     document(route(TrafficSplit=[])),
+    document(route(TrafficSplit=[{"Service": "s"}, {"Service": "s", "Weight": 1}])),  # no weight: 0
     document(route(Unknown={"Deep": [1, None]}), Extra=True),
     document(route(), Limits={"MaxBodyBytes": 5, "Unknown": "x"}),
     document(*[route(Name=kind.value, Type=kind.value, PathPrefix=f"/{kind.value}/") for kind in RouteType]),
