--- a/emberring/transport/network.py
+++ b/emberring/transport/network.py
@@ -111,8 +111,9 @@
         self._next_id += 1
         call_id = self._next_id
         future = connection.expect_reply(call_id)
-        self.sent_bytes += connection.send(Envelope(call_id, body))
         try:
+            # Within: a message that could not be encoded left its call in flight for good.
+            self.sent_bytes += connection.send(Envelope(call_id, body))
             # Not `wait_for`: that of Python 3.11 loses a cancellation that comes as the future is done.
             async with asyncio.timeout_at(deadline_s):
                 received = await future
--- a/tests/emberring/transport/test_tier_network.py
+++ b/tests/emberring/transport/test_tier_network.py
@@ -128,6 +128,19 @@
     play(test)
 
 
+def test_a_call_that_can_not_be_encoded_leaves_nothing_in_flight():
+    async def test() -> None:
+        async with Pair() as pair:
+            assert await pair.say("before") == "before"
+            with pytest.raises(TypeError):
+                await pair.here.call(pair.address, Echo(text=object()), Echo, LONG_S)  # type: ignore[arg-type]
+            (connection,) = pair.here.connections
+            assert connection._calls_in_flight == {}
+            assert await pair.say("after") == "after"
+
+    play(test)
+
+
 def test_errors_come_back_as_their_kind():
     async def test() -> None:
         async with Pair() as pair:
