--- a/emberring/cli/trial_command.py
+++ b/emberring/cli/trial_command.py
@@ -95,7 +95,7 @@
     items = sum(len(history.job.items) for history in taken)
     done = sum(result.state == "completed" for result in results)
     slowest = max((history.done_s for history in taken), default=0.0)
-    return (len(jobs), len(taken), items, done, len(results) - done, f"{slowest:.1f}")
+    return (len(jobs), len(taken), items, done, len(results) - done, round(slowest, 1))
 
 
 def document(report: TrialReport) -> dict[str, Any]:
