--- a/loadbalancer/balancer.py
+++ b/loadbalancer/balancer.py
@@ -30,7 +30,7 @@
 REPORT_FRESH_MS = 1500.0  # a reported utilisation counts for this long
 WATCH_RETRY_MS = 250.0  # half the first wait before discovery is asked again; doubled at each failure
 WATCH_RETRY_DOUBLINGS = 8  # that many times at most
-WATCH_RETRY_MAX_MS = 4000.0  # the longest such wait
+WATCH_RETRY_MAX_MS = 12_000.0  # the longest such wait
 
 PERIOD_ALARM, WATCH_ALARM = "period", "watch"
 
@@ -127,11 +127,13 @@
     def _on_membership(self, now: float, event: api.Membership, acts: api.Actions) -> None:
         if event.form is api.ListForm.FAILED:
             acts.append(api.Wake(self._watch_retry_ms(), WATCH_ALARM))
-            self.ranking.list_may_be_stale = self.cfg.ask_discovery
+            self.ranking.list_validity.on_failure(now, event.complete_until_ms)
             return
-        if event.form is not api.ListForm.CACHED:
+        if event.form is api.ListForm.CACHED:
+            self.ranking.list_validity.on_cached(now)
+        else:
             self._watch_failures = 0
-            self.ranking.list_may_be_stale = False
+            self.ranking.list_validity.on_answer()
         self.servers.update(now, event)
 
     def _watch_retry_ms(self) -> float:
--- a/loadbalancer/core/pool.py
+++ b/loadbalancer/core/pool.py
@@ -343,6 +343,11 @@
             self.server_ms += latency
         self.handle(api.Outcome(action.id, sent.number, action.server, result, latency, done, report, own_ms))
 
+    def on_list_failed(self, complete_until_ms: float | None) -> None:
+        """Note that discovery failed; the list lacks no change until that time (Unix, None: until now)."""
+        self.counts[f"list {api.ListForm.FAILED.value}"] += 1
+        self.handle(api.Membership(api.ListForm.FAILED, complete_until_ms=complete_until_ms))
+
     def on_server_list(
         self,
         form: api.ListForm,
@@ -351,10 +356,10 @@
         levels: api.Levels | None = None,
     ) -> None:
         """Take an update of the server list; `endpoints` has the address of each server that may get requests."""
-        self.counts[f"list {form.value}"] += 1
         if form is api.ListForm.FAILED:
-            self.handle(api.Membership(form))
+            self.on_list_failed(None)
             return
+        self.counts[f"list {form.value}"] += 1
         endpoints = endpoints or {}
         # The balancer is notified first, so that what is given up here is sent elsewhere by the new list.
         self.handle(api.Membership(form, servers, levels))
--- a/loadbalancer/discovery/watcher.py
+++ b/loadbalancer/discovery/watcher.py
@@ -4,6 +4,8 @@
 
 import asyncio
 import logging
+import math
+import random
 from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Any
@@ -12,6 +14,7 @@
 
 from loadbalancer.core.address import Address, parse_address
 from loadbalancer.discovery.endpoint_list import EndpointEntry, EndpointList, EndpointUpdate
+from loadbalancer.discovery.pacing import CallPacing
 from loadbalancer.http.client import Awaited, ClientConnection
 from loadbalancer.interface import ListForm, Server, ServerState
 
@@ -26,7 +29,13 @@
 AGENT_WATCH_MS = 2000.0  # a local agent costs nothing to ask; its silence is noticed the sooner
 MAX_LIST_BYTES = 16 * 1024 * 1024
 MAX_WAIT_MS = 20_000.0
-WAIT_SHARE = 0.5  # of the time within which discovery has to be asked
+WAIT_SHARE = 2.0  # of the time within which discovery has to be asked
+# A change counts as notified at the latest so long after discovery had it, and one that a silent watch missed so long
+# after the watch's wait was over (protocol page, "Figures").
+LATEST_NOTICE_S = 6.0
+SILENT_WATCH_NOTICE_S = 2.0
+# A call held for longer than this was a watch and did not wait for its turn: crowded calls fail after 2 to 3 s.
+WATCH_ESTABLISHED_S = 3.2
 
 STATES = {
     "Ready": ServerState.UP,
@@ -61,8 +70,36 @@
     return endpoint_list.replace(now_ms, update.entries(), form=form)
 
 
-def discovery_wait_ms(ask_within_ms: float) -> float:
-    """Return how long discovery may hold a call, in ms, where it has to be asked within so long."""
+@dataclass(slots=True, frozen=True)
+class FailedCall:
+    """A call of discovery that failed; times are seconds of the event loop."""
+
+    began_s: float
+    failed_s: float
+    wait_s: float  # for how long discovery might have held it
+    silent: bool  # nothing came; else discovery ended it
+
+    def complete_until_s(self, answered_s: float) -> float:
+        """Return until when no change is missing, where the call before was answered at `answered_s`."""
+        if self.failed_s - self.began_s <= WATCH_ESTABLISHED_S:
+            return answered_s  # it may have waited for its turn, and brought no change
+        if self.silent:
+            notified_s = self.began_s + self.wait_s + SILENT_WATCH_NOTICE_S
+            return max(answered_s, notified_s - LATEST_NOTICE_S)
+        return self.failed_s  # it was a watch, which had brought all changes until it ended
+
+
+def shared_pacing(ask_within_ms: float, rng: random.Random | None = None) -> CallPacing:
+    """Return the pacing of a watch of a service that many nodes share, which has to be asked within so long (ms)."""
+    return CallPacing(_longest_wait_ms(ask_within_ms), shared=True, rng=rng)
+
+
+def agent_pacing(ask_within_ms: float) -> CallPacing:
+    """Return the pacing of a watch of a local agent, which has to be asked within so long (ms)."""
+    return CallPacing(min(_longest_wait_ms(ask_within_ms), AGENT_WATCH_MS), shared=False)
+
+
+def _longest_wait_ms(ask_within_ms: float) -> float:
     # A discovery that has gone silent must be noticed before updates count as delivered to the node.
     return min(MAX_WAIT_MS, ask_within_ms * WAIT_SHARE)
 
@@ -105,26 +142,32 @@
     ----------
     address: of discovery.
     revision: of the list that is held; None: there is none, so the whole is requested first.
-    wait_ms: how long discovery may hold a call.
-    endless: whether a local agent pushes the list.
+    pacing: when discovery is called, and how long it may hold a call; of a local agent, which pushes the list, the
+        watch is endless.
     on_update: called with each answer, and with FAILED and None after a failure.
+
+    Attributes:
+    ----------
+    complete_until_s: after a failure, the time of the event loop until which the list that is held lacks no change;
+        None while discovery answers.
     """
 
     def __init__(
         self,
         address: Address,
         revision: int | None,
-        wait_ms: float,
-        endless: bool,
+        pacing: CallPacing,
         on_update: Callable[[ListForm, ServerListUpdate | None], None],
     ) -> None:
+        self.complete_until_s: float | None = None
+        self._answered_s = (
+            -math.inf
+        )  # when the list was last known to be complete; one from before the start never was
         self._address = address
         self._revision = revision
-        self._wait_ms = int(min(wait_ms, AGENT_WATCH_MS) if endless else wait_ms)
-        self._endless = endless
+        self._pacing = pacing
+        self._endless = not pacing.shared
         self._on_update = on_update
-        # Whether it is not known that discovery is reachable, so that the next call is not to wait.
-        self._suspected = False
         self._logged_error = ""  # of the last list that could not be used
         self._task: asyncio.Task[None] | None = None
         self._connection: ClientConnection | None = None
@@ -140,7 +183,7 @@
             self.close()
             self._address, self._task = address, None
             # A discovery that counts from the start would have nothing to report until it was past what is held.
-            self._suspected = True
+            self._pacing.on_move()
             # Updates of the new address count as delivered soon, so it is asked now, whatever went before.
             self.start()
 
@@ -151,20 +194,31 @@
         self._drop_connection()
 
     async def _follow(self) -> None:
+        loop = asyncio.get_running_loop()
         while True:
-            suspected = self._suspected
+            pause_s = self._pacing.take_pause_s()
+            if pause_s > 0.0:
+                await asyncio.sleep(pause_s)
+            probing, wait_ms, began_s = self._pacing.probing, self._pacing.next_wait_ms(), loop.time()
             try:
-                await self._step()
+                await self._step(wait_ms)
+                self._pacing.on_answer(loop.time())
+                self._answered_s, self.complete_until_s = loop.time(), None
             except Exception as error:
                 # Whatever a list or its handling does, the watch goes on; it ended for good, and drains with it.
                 self._drop_connection()
-                self._suspected = isinstance(error, TimeoutError)
+                silent = isinstance(error, TimeoutError)
+                if self.complete_until_s is None:
+                    failed = FailedCall(began_s, loop.time(), wait_ms / 1000.0, silent)
+                    self.complete_until_s = failed.complete_until_s(self._answered_s)
                 if not isinstance(error, OSError):
                     self._revision = None  # what could not be taken as changes may do as a whole
-                if self._suspected and not suspected:
+                if silent and not probing:
                     # A watch that had fallen silent was opened again only after a pause, and waited as long again
                     # before a second silence showed, when drains had long counted as delivered.
+                    self._pacing.on_silence()
                     continue
+                self._pacing.on_failure(silent)
                 self._report(error)
                 self._notify_failure()
                 if self._task is not asyncio.current_task():
@@ -187,15 +241,17 @@
                 # Nobody had been notified of the failure, so nobody would have begun another watch.
                 self._task = asyncio.current_task()
 
-    async def _step(self) -> None:
-        """Make one call, and hand on its answer."""
-        wait_ms = 0 if self._suspected else self._wait_ms
+    async def _step(self, wait_ms: int) -> None:
+        """Make one call, which discovery may hold for `wait_ms`, and hand on its answer."""
         limit_s = ANSWER_GRACE_S
-        if self._suspected:
+        if self._pacing.probing:
             limit_s = AGENT_PROBE_TIMEOUT_S if self._endless else PROBE_TIMEOUT_S
-        async with asyncio.timeout(wait_ms / 1000.0 + limit_s):
-            update = await self._request(wait_ms)
-        self._suspected = False
+        established = asyncio.get_running_loop().call_later(WATCH_ESTABLISHED_S, self._on_watch_established)
+        try:
+            async with asyncio.timeout(wait_ms / 1000.0 + limit_s):
+                update = await self._request(wait_ms)
+        finally:
+            established.cancel()
         if not update.complete and self._revision is not None and update.revision < self._revision:
             # A discovery that was restarted counts from the start; what it calls changes is of another list.
             self._revision = None
@@ -203,6 +259,13 @@
         self._on_update(ListForm.FULL if update.complete else ListForm.DELTA, update)
         self._revision, self._logged_error = update.revision, ""
 
+    def _on_watch_established(self) -> None:
+        """Take a call that is held for a list without further changes, where calls had failed before."""
+        if self.complete_until_s is None or self._revision is None:
+            return
+        self._answered_s, self.complete_until_s = asyncio.get_running_loop().time(), None
+        self._on_update(ListForm.DELTA, ServerListUpdate(self._revision, False, (), {}))
+
     def _report(self, error: Exception) -> None:
         """Log each new fault of a list or of its handling once; a discovery that can't be reached is counted."""
         if isinstance(error, OSError):
--- a/loadbalancer/interface.py
+++ b/loadbalancer/interface.py
@@ -133,6 +133,8 @@
     backoff_ms: float = (
         0.0  # ceiling of the first wait before a retry in a pool that fails; doubled each time
     )
+    # While discovery fails, a list is used as it is for so long after it was complete; None: for good.
+    list_expires_ms: float | None = None
 
     def __post_init__(self) -> None:
         """Check all values; raises ValueError that names the first setting that is wrong."""
@@ -150,6 +152,8 @@
             _within(key, getattr(self, key), 1)
         self._check_types()
         _within("overload_factor", self.overload_factor, 0.001)
+        if self.list_expires_ms is not None:
+            _within("list_expires_ms", self.list_expires_ms, 0)
         _within("over_share_worth", self.over_share_worth, 0, 1)
         _within("cold_from", self.cold_from, 0.001, 1)
         for key, names in (("classes", self.classes), ("tenants", self.tenants)):
@@ -237,6 +241,7 @@
     form: ListForm
     servers: tuple[Server, ...] = ()
     levels: Levels | None = None  # None: as before; all servers are one level until it is given
+    complete_until_ms: float | None = None  # of a failure: no change before then is missing; None: until now
 
 
 @dataclass(slots=True)
--- a/loadbalancer/node/config.py
+++ b/loadbalancer/node/config.py
@@ -2,12 +2,12 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 import orjson
 
 from loadbalancer.core.address import Address, parse_address
-from loadbalancer.discovery.watcher import ServerListUpdate, parse_server_list
+from loadbalancer.discovery.watcher import LATEST_NOTICE_S, ServerListUpdate, parse_server_list
 from loadbalancer.interface import Settings
 from loadbalancer.settings import Row, settings_from
 
@@ -50,10 +50,16 @@
             discovery=parse_address(row["discovery"]),
             seed=int(row["seed"], 16),
             known=parse_server_list(row["known"]),
-            settings=settings_from(row["settings"]),
+            settings=_settings(row["settings"]),
             **{key: value for key, value in given.items() if value is not None},
         )
     except KeyError as error:
         raise ValueError(f"{error.args[0]}: missing") from error
     except (TypeError, AttributeError, OverflowError) as error:
         raise ValueError(f"malformed: {error}") from error
+
+
+def _settings(row: Row) -> Settings:
+    """Read the settings, and how long a list lasts where a service that is asked may be out of reach."""
+    settings = settings_from(row)
+    return replace(settings, list_expires_ms=LATEST_NOTICE_S * 1000.0) if settings.ask_discovery else settings
--- a/loadbalancer/node/node.py
+++ b/loadbalancer/node/node.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import logging
+import random
 from dataclasses import replace
 
 from loadbalancer import interface as api
@@ -12,11 +13,13 @@
 from loadbalancer.core.shutdown import finish
 from loadbalancer.core.types import AnswerCause, RequestCapacity
 from loadbalancer.discovery.endpoint_list import EndpointList
+from loadbalancer.discovery.pacing import CallPacing
 from loadbalancer.discovery.watcher import (
     DiscoveryWatcher,
     ServerListUpdate,
-    discovery_wait_ms,
+    agent_pacing,
     endpoint_update,
+    shared_pacing,
 )
 from loadbalancer.http.connection_pool import HttpConnectionPool
 from loadbalancer.node.config import Config
@@ -52,8 +55,7 @@
         self.watcher = DiscoveryWatcher(
             config.discovery,
             config.known.revision,
-            discovery_wait_ms(config.ask_within_ms),
-            not self.settings.ask_discovery,
+            self._pacing(),
             self._on_list,
         )
         room = RequestCapacity(config.max_open)
@@ -72,6 +74,11 @@
         self._beat(self.loop.time())
         self._stats()
 
+    def _pacing(self) -> CallPacing:
+        if not self.settings.ask_discovery:
+            return agent_pacing(self.config.ask_within_ms)
+        return shared_pacing(self.config.ask_within_ms, random.Random(self.config.seed))
+
     def reconfigure(self, config: Config) -> None:
         """Follow a new configuration in what can change while the node runs: where discovery is."""
         self.config = replace(self.config, discovery=config.discovery)
@@ -101,6 +108,10 @@
         self.pool.close()
 
     def _on_list(self, form: api.ListForm, update: ServerListUpdate | None) -> None:
+        if form is api.ListForm.FAILED:
+            complete_until_s = self.watcher.complete_until_s
+            self.pool.on_list_failed(None if complete_until_s is None else self.clock.ms(complete_until_s))
+            return
         self.pool.on_server_list(
             *endpoint_update(self.endpoint_list, self.clock.ms(), form, update).as_pool_arguments
         )
--- a/loadbalancer/ranking.py
+++ b/loadbalancer/ranking.py
@@ -12,10 +12,10 @@
 from loadbalancer.attempts import ReplicaGroup, RequestState, replica_group
 from loadbalancer.class_latency import ClassLatencies, relative_latency
 from loadbalancer.interface import Effect, Scope, Server
+from loadbalancer.list_validity import ListValidity
 from loadbalancer.outlier_detection import TrackedServer
 from loadbalancer.server_table import ServerTable
 from loadbalancer.slow_start import SlowStart
-from loadbalancer.stale_list import last_to_answer
 
 LATENCY_DRIFT_MS = 8000.0  # the latency of a server without answers drifts back to the mean at this pace
 REPORTED_QUEUE_DECAY_MS = 500.0  # a reported queue is believed for about this long
@@ -35,7 +35,7 @@
     ) -> None:
         self.cfg = slow_start.cfg
         self.lag_ms = 0.0  # what came within it may not have been read yet
-        self.list_may_be_stale = False  # the last call of discovery failed
+        self.list_validity = ListValidity(self.cfg.list_expires_ms)
         self._rng = rng
         self._servers = servers
         self._slow_start = slow_start
@@ -48,7 +48,7 @@
             return None, False
         tried = [attempt.server for attempt in request.attempts]
         effective = self._slow_start.effective_servers(now, len(self._servers.ready))
-        for servers in self._candidate_groups(now, bound is not None):
+        for servers in self._candidate_groups(now):
             untried = [item for item in servers if item not in tried]
             candidates = [item for item in untried if bound in (None, replica_group(request.kind, item))]
             best = self._best(now, candidates, effective)
@@ -79,11 +79,11 @@
         forgotten = effect is Effect.KEYED and now - request.first_sent_ms(ran) >= request.kind.memory_ms
         return not forgotten, bound
 
-    def _candidate_groups(self, now: float, bound: bool) -> list[list[TrackedServer]]:
-        """Return the servers to rank: all, or those of the group drawn by its share, then the others."""
+    def _candidate_groups(self, now: float) -> list[list[TrackedServer]]:
+        """Return the servers to rank: those usable now, or the group drawn by its share, then the others."""
         groups = self._servers.groups
         if self._servers.levels is None:
-            return self._candidates_without_groups(now, bound)
+            return [self.list_validity.usable(now, self._servers.ready)]
         draw = self._rng.random()
         for at, group in enumerate(groups):
             draw -= group.share
@@ -92,18 +92,6 @@
                 return [group.members, *(other.members for other in others)]
         return [group.members for group in groups]
 
-    def _candidates_without_groups(self, now: float, bound: bool) -> list[list[TrackedServer]]:
-        """Return all servers in use; while discovery fails, those that answered last.
-
-        Where discovery was crowded for longer than a drain may go unnoticed, calls went on to servers that
-        had long been draining. For a request that is `bound` to a group the others of it follow.
-        """
-        ready = self._servers.ready
-        if not self.list_may_be_stale:
-            return [ready]
-        candidates = last_to_answer(now, ready, self._servers.in_flight())
-        return [candidates, ready] if bound else [candidates]
-
     def _best(self, now: float, servers: list[TrackedServer], effective: float) -> TrackedServer | None:
         """Return the server of the least rank to which slow start allows a call."""
         best, best_rank = None, math.inf
--- a/loadbalancer/runtime/sidecar.py
+++ b/loadbalancer/runtime/sidecar.py
@@ -22,8 +22,9 @@
 from loadbalancer.discovery.watcher import (
     DiscoveryWatcher,
     ServerListUpdate,
-    discovery_wait_ms,
+    agent_pacing,
     endpoint_update,
+    shared_pacing,
 )
 from loadbalancer.http.server import Dialect
 from loadbalancer.overload.connections import share_out
@@ -411,7 +412,8 @@
                 *endpoint_update(endpoint_list, self.clock.ms(), form, update).as_pool_arguments
             )
 
-        watcher = DiscoveryWatcher(address, None, discovery_wait_ms(rules.told_within_ms), endless, on_update)
+        pacing = (agent_pacing if endless else shared_pacing)(rules.told_within_ms)
+        watcher = DiscoveryWatcher(address, None, pacing, on_update)
         managed.watcher = watcher
         managed.pool.watch = watcher.start
         if not managed.pool.up:
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -32,6 +32,7 @@
 def test_the_modules_read_no_clock_no_environment_and_no_files():
     allowed = {"__future__", "math", "collections", "dataclasses", "random", "loadbalancer"}
     allowed_elsewhere = {
+        "loadbalancer/list_validity.py": {"enum"},
         "loadbalancer/priority_levels.py": {"typing"},
         "loadbalancer/retry_policy.py": {"enum"},
     }
