--- a/emberring/distribution/view.py
+++ b/emberring/distribution/view.py
@@ -18,7 +18,7 @@
 from emberring.distribution.status_table import StatusTable
 from emberring.placement.model import Placement
 from emberring.registry.known_load import NO_LOAD, KnownLoad
-from emberring.registry.merge import merged
+from emberring.registry.merge import level, merged
 
 ORPHAN_S = 10.0  # a server that no live control node has a record of for so long is dropped
 QUORUM_FRESH_S = 1.0  # a control node that had no majority for longer may hold an old configuration
@@ -161,14 +161,12 @@
         """The record of a server that may be used; None where it may not."""
         known = self.status_table.servers().get(server_id)
         record = self._live_record(server_id)
-        if (
-            known is None
-            or record is None
-            or record.state not in _USABLE_STATES
-            or known.state not in _USABLE_STATES
-        ):
+        if known is None or record is None:
             return None
-        return attrs.evolve(record, state=known.state)
+        # Of an ended writer only a drain or a goodbye counts: that it had taken the server for lost, no live node may
+        # know, so that none would contradict it.
+        state = known.state if level(known.state) > 0 else record.state
+        return attrs.evolve(record, state=state) if state in _USABLE_STATES else None
 
     def _live_record(self, server_id: str) -> ServerRecord | None:
         """The merged record of a server over the writers that live or did a short while ago.
--- a/emberring/registry/servers.py
+++ b/emberring/registry/servers.py
@@ -88,9 +88,12 @@
         if record.sequence < before.sequence and not heartbeat.draining:
             return []
         after = merged(before, record)
-        if before.state is ServerState.GONE or (live_record is not None and _equivalent(live_record, after)):
+        if before.state is ServerState.GONE:
             return []
-        return [after]
+        # Both: followers go by the live control nodes' record unless the merged one says that the server has ended. One
+        # that an ended node had taken for lost, at a live one's sequence, was never listed again.
+        unchanged = live_record is not None and _equivalent(live_record, after) and _equivalent(before, after)
+        return [] if unchanged else [after]
 
     def _replaced_at(
         self, now_s: float, record: ServerRecord, known: Mapping[str, ServerRecord]
--- a/tests/emberring/distribution/test_tier_follower_view.py
+++ b/tests/emberring/distribution/test_tier_follower_view.py
@@ -157,6 +157,38 @@
     assert set(view.servers) == {"lives"}
 
 
+@pytest.mark.parametrize("sequence", [1, 5])
+def test_a_server_that_an_ended_writer_alone_took_for_lost_is_listed(sequence: int) -> None:
+    """A partitioned control node said so to followers alone, and lost its disk: no live one would contradict it."""
+    view, ended, lives = FollowerView(0.0), AControl("ended"), AControl("lives")
+    lives.status_table.write_server(server("s", READY, 1))
+    lives.tell(view, 0.1)
+    ended.status_table.write_server(server("s", LOST, sequence))
+    ended.tell(view, 0.2)
+    assert view.servers == {}
+    at_s = 0.2
+    while at_s < ORPHAN_S + 2.0:
+        at_s += 0.5
+        lives.tell(view, at_s)
+    assert set(view.servers) == {"s"}
+
+
+@pytest.mark.parametrize("state", [DRAINING, GONE])
+def test_a_drain_that_an_ended_writer_alone_knew_of_still_counts(state: ServerState) -> None:
+    view, ended, lives = FollowerView(0.0), AControl("ended"), AControl("lives")
+    lives.status_table.write_server(server("s", READY, 7))
+    lives.tell(view, 0.1)
+    ended.status_table.write_server(server("s", state, 1))
+    ended.tell(view, 0.2)
+    at_s = 0.2
+    while at_s < ORPHAN_S + 2.0:
+        at_s += 0.5
+        lives.tell(view, at_s)
+    assert {name: record.state for name, record in view.servers.items()} == (
+        {"s": DRAINING} if state is DRAINING else {}
+    )
+
+
 def test_nodes_are_those_in_contact_with_a_control_node_that_lives() -> None:
     view, first, second = FollowerView(0.0), AControl("a"), AControl("b")
     store = NodeRecord("store-1", NodeRole.STORE, "10.0.0.1:70", "zone", "id", "x")
--- a/tests/emberring/registry/test_tier_registry.py
+++ b/tests/emberring/registry/test_tier_registry.py
@@ -179,6 +179,17 @@
     assert node.registry.on_heartbeat(0.0, heartbeat, node.known, record(READY, 6)) == []
 
 
+def test_a_server_that_an_ended_node_took_for_lost_is_written_as_ready_again() -> None:
+    """At the sequence of a live node, which says ready: so no heartbeat was written, and no gateway listed it."""
+    node = ANode()
+    node.take([record(READY, 12), record(LOST, 12)])
+    heartbeat = Heartbeat(record(READY, 13))
+    assert node.registry.on_heartbeat(0.0, heartbeat, node.known, record(READY, 12)) == [record(READY, 13)]
+    node.take([record(READY, 13)])
+    later = Heartbeat(record(READY, 14))
+    assert node.registry.on_heartbeat(1.0, later, node.known, record(READY, 13)) == []
+
+
 def test_a_drain_sticks_and_a_late_heartbeat_revives_nothing() -> None:
     node = ANode()
     node.send_heartbeat(0.0, record(READY, 5))
--- a/tests/emberring/simulation/test_tier_control_simulator.py
+++ b/tests/emberring/simulation/test_tier_control_simulator.py
@@ -23,6 +23,13 @@
     assert sum(verdict.acknowledged for verdict in verdicts) > 10
 
 
+# A partitioned node took a server for lost and ended: it was never listed again, though its heartbeats came.
+@pytest.mark.parametrize("seed", [1121744, 1122108])
+def test_servers_that_an_ended_control_node_took_for_lost_are_known_again(seed: int) -> None:
+    verdict = play_seed(seed)
+    assert not verdict.mistakes, describe(verdict)
+
+
 def test_a_schedule_played_again_gives_the_same_verdict() -> None:
     assert play_seed(4) == play_seed(4)
 
