--- a/emberring/simulation/control_plane/mutations.py
+++ b/emberring/simulation/control_plane/mutations.py
@@ -21,7 +21,9 @@
 from emberring.register.catch_up import CatchUp
 from emberring.register.model import Proposal, ReplicaSet, State
 from emberring.register.proposal_loop import ProposalLoop
+from emberring.simulation.control_plane import network
 from emberring.simulation.control_plane.control_machine import ControlMachine, HostedRegister
+from emberring.transport.messages import Envelope, decode, encode
 
 
 class Mutation(Enum):
@@ -42,6 +44,7 @@
     REWRITES_WITHOUT_SNAPSHOT = "rewrites-without-snapshot"
     NEVER_FETCHES = "never-fetches"
     FORGETS_PROMISES = "forgets-promises"
+    ENCODES_NO_DRAIN = "encodes-no-drain"
 
 
 async def _read_from_memory(self: HostedRegister, timeout_s: float) -> bytes | None:
@@ -135,6 +138,11 @@
     self.promised = None if self.accepted is None else self.accepted.number
 
 
+def _without_drains(body: Any) -> Any:
+    line = encode(Envelope(1, body)).replace(b'"draining"', b'"ready"')
+    return decode(line.rstrip(b"\n")).body
+
+
 _PATCHES: dict[Mutation, tuple[tuple[Any, str, Callable[..., Any]], ...]] = {
     Mutation.READS_FROM_MEMORY: ((HostedRegister, "read", _read_from_memory),),
     Mutation.LATE_JOBS: ((ProposalLoop, "_decide", _decide_with_late_jobs),),
@@ -148,6 +156,7 @@
     Mutation.REWRITES_WITHOUT_SNAPSHOT: ((ControlMachine, "_reclaim", _reclaim_without_snapshot),),
     Mutation.NEVER_FETCHES: ((CatchUp, "on_announced", _never_hears),),
     Mutation.FORGETS_PROMISES: ((Acceptor, "restore", _restore_without_promise),),
+    Mutation.ENCODES_NO_DRAIN: ((network, "over_wire", _without_drains),),
 }
 
 
--- a/emberring/simulation/control_plane/network.py
+++ b/emberring/simulation/control_plane/network.py
@@ -6,6 +6,7 @@
 from typing import Any
 
 from emberring.errors import PeerTimeoutError, PeerUnavailableError
+from emberring.simulation.common.wire import over_wire
 from emberring.simulation.control_plane.process import Process
 from emberring.simulation.control_plane.world import ControlWorld
 from emberring.transport.network import Caller, Network, Reply, check_reply
@@ -45,13 +46,13 @@
         if peer is None or not peer.process.alive:
             await self._report_dead_process(address)
             raise PeerUnavailableError(f"nobody at {address}")
-        answering = peer.process.start(peer.dispatch(body, Caller(me)))
+        answering = peer.process.start(peer.dispatch(over_wire(body), Caller(me)))
         await asyncio.wait({answering})  # the caller may time out while the peer goes on
         if answering.cancelled():
             await self._report_dead_process(address)
             raise PeerTimeoutError(f"the connection to {address} ended")
         await self._transfer(address, me)
-        return answering.result()
+        return over_wire(answering.result())
 
     async def _report_dead_process(self, address: str) -> None:
         """Wait for ever where the machine has no power: a dead process is reported by a reset, that is not."""
--- a/emberring/simulation/register/machine.py
+++ b/emberring/simulation/register/machine.py
@@ -30,6 +30,7 @@
 )
 from emberring.register.model import Member, Proposal, initial_identity, initial_proposal
 from emberring.register.node import RegisterNode
+from emberring.simulation.common.wire import over_wire
 from emberring.simulation.register.disk import SimulatedFolder
 from emberring.simulation.register.history import Operation, append_number
 from emberring.simulation.register.world import World
@@ -260,11 +261,11 @@
         self._requests += 1
         sender = self.world.machines[origin]
         self._replies[self._requests] = (origin, sender._replied, (life, call))
-        self._handle(self.life, Received(self._requests, action.message))
+        self._handle(self.life, Received(self._requests, over_wire(action.message)))
 
     def hint(self, action: NotifyLearned) -> None:
         """Take in a notice from another machine."""
-        self._handle(self.life, Received(0, action.message))
+        self._handle(self.life, Received(0, over_wire(action.message)))
 
     def _replied(self, life: int, call: int, reply: object | None) -> None:
         if life == self.life and call in self._calls:
@@ -280,7 +281,7 @@
 
     def _answer(self, action: Reply) -> None:
         origin, work, arguments = self._replies.pop(action.request)
-        self.world.send(self.name, origin, work, *arguments, action.message)
+        self.world.send(self.name, origin, work, *arguments, over_wire(action.message))
 
     # The disk.
 
--- a/tests/emberring/simulation/test_tier_control_mutations.py
+++ b/tests/emberring/simulation/test_tier_control_mutations.py
@@ -27,6 +27,7 @@
     Mutation.MOVES_WITHOUT_COPY: ("two stores emptied, then a disk lost", 0, 0.001),
     Mutation.UNSYNCED: ("disk lost as all others lose power", 0, SLOW_SYNC_S),
     Mutation.REWRITES_WITHOUT_SNAPSHOT: ("dark for many changes", 0, 0.001),
+    Mutation.ENCODES_NO_DRAIN: ("servers leave during a cut", 2, 0.001),
     Mutation.NEVER_FETCHES: ("cut off until all is calm", 0, 0.001),
 }
 IN_BALLOTS = {Mutation.LATE_JOBS, Mutation.OLD_SET_ALONE, Mutation.FORGETS_PROMISES}
