--- a/emberring/cli/simulator_checks.py
+++ b/emberring/cli/simulator_checks.py
@@ -31,7 +31,7 @@
     """The attributes of a simulator's verdict that this module uses."""
 
     @property
-    def mistakes(self) -> tuple[str, ...]:
+    def violations(self) -> tuple[str, ...]:
         """The violated invariants."""
 
     @property
@@ -96,9 +96,9 @@
     for verdict in verdicts:
         tally.schedules += 1
         tally.events += verdict.events
-        if verdict.mistakes:
+        if verdict.violations:
             tally.failing.append(verdict)
-            print_error(f"seed {verdict.schedule.seed}: {verdict.mistakes[0]}")
+            print_error(f"seed {verdict.schedule.seed}: {verdict.violations[0]}")
         if show_progress and time.monotonic() - last_progress_s > PROGRESS_INTERVAL_S:
             last_progress_s = time.monotonic()
             print_line(f"{tally.schedules} schedules played, {len(tally.failing)} wrong")
--- a/emberring/simulation/common/shrinking.py
+++ b/emberring/simulation/common/shrinking.py
@@ -9,10 +9,10 @@
 
 
 class Judged(Protocol):
-    """The verdict on a schedule: `mistakes` are the violations, empty where there were none."""
+    """The verdict on a schedule: `violations` are the violations, empty where there were none."""
 
     @property
-    def mistakes(self) -> Sequence[str]:
+    def violations(self) -> Sequence[str]:
         """The violations."""
 
 
@@ -53,6 +53,6 @@
         for index in range(len(kept) - 1, -1, -1):
             fewer = kept[:index] + kept[index + 1 :]
             trial = replay(fewer)
-            if trial.mistakes:
+            if trial.violations:
                 best, kept, shorter = trial, fewer, True
     return best
--- a/emberring/simulation/control_plane/clients.py
+++ b/emberring/simulation/control_plane/clients.py
@@ -74,12 +74,12 @@
         """One call; None after a time-out, a refused or a broken connection."""
         try:
             async with asyncio.timeout(ANSWER_TIMEOUT_S):
-                await asyncio.sleep(self.world.way_s())
+                await asyncio.sleep(self.world.delay_s())
                 if machine.process is None:
                     await self._wait_for_dark(machine)
                     return None
                 answer = await machine.http(method, path, body, if_match)
-                await asyncio.sleep(self.world.way_s())
+                await asyncio.sleep(self.world.delay_s())
                 return answer
         except TimeoutError:
             return None
--- a/emberring/simulation/control_plane/control_machine.py
+++ b/emberring/simulation/control_plane/control_machine.py
@@ -97,7 +97,7 @@
 
     def _make_control(self, network: SimulatedNetwork) -> ControlNode:
         register = HostedRegister(self)
-        return ControlNode(self._settings(), network, register, incarnation=f"{self.ip}.{self.life}")
+        return ControlNode(self._settings(), network, register, incarnation=f"{self.ip}.{self.incarnation}")
 
     def _settings(self) -> Settings:
         return Settings(
@@ -152,7 +152,7 @@
         number = self._requests
         future: asyncio.Future[bytes | None] = asyncio.get_running_loop().create_future()
         self._futures[number] = future
-        self._handle(self.life, event(number, now_s + timeout_s))
+        self._handle(self.incarnation, event(number, now_s + timeout_s))
         return await future
 
     def on_live_peers(self, records: Sequence[NodeRecord]) -> None:
@@ -162,7 +162,7 @@
             Peer(record.name, Member(record.identity, record.address), record.zone, record.leaving)
             for record in records
         )
-        self._handle(self.life, PeersChanged(peers))
+        self._handle(self.incarnation, PeersChanged(peers))
 
     def subscribe(self, callback: Callable[[bytes], None]) -> None:
         """Call this with each committed value that the replica learns of."""
--- a/emberring/simulation/control_plane/deployment.py
+++ b/emberring/simulation/control_plane/deployment.py
@@ -14,7 +14,7 @@
 from emberring.simulation.control_plane.network import SimulatedNetwork
 from emberring.simulation.control_plane.schedule import Schedule
 from emberring.simulation.control_plane.world import ControlWorld
-from emberring.simulation.register.world import Bugs, Weather
+from emberring.simulation.register.world import Mutations, NetworkConditions
 
 FOUNDERS = 3
 GATEWAYS = 3
@@ -34,12 +34,12 @@
     """All machines, by role. `FaultInjector` carries out what happens to them."""
 
     def __init__(self, schedule: Schedule, mutation: Mutation | None) -> None:
-        bugs = Bugs(
+        mutations = Mutations(
             amnesiac=mutation is Mutation.KEEPS_IDENTITY,
             unsynced=mutation is Mutation.UNSYNCED,
         )
         self.schedule = schedule
-        self.world = ControlWorld(schedule.seed, bugs)
+        self.world = ControlWorld(schedule.seed, mutations)
         self.hub: dict[str, SimulatedNetwork] = {}
         self.founders = tuple(internal_address(ip_of(number)) for number in range(1, FOUNDERS + 1))
         self.control_machines: list[ControlMachine] = []
@@ -114,8 +114,10 @@
         await asyncio.sleep(1.0)
 
     def fair(self) -> None:
-        """Set the weather that the schedule has without faults."""
-        self.world.weather = Weather(slowest_s=self.schedule.slowest_s, slow_share=self.schedule.slow_share)
+        """Set the conditions that the schedule has without faults."""
+        self.world.conditions = NetworkConditions(
+            slowest_s=self.schedule.slowest_s, slow_share=self.schedule.slow_share
+        )
 
     # Who is in contact.
 
--- a/emberring/simulation/control_plane/fault_injector.py
+++ b/emberring/simulation/control_plane/fault_injector.py
@@ -12,7 +12,7 @@
 from emberring.simulation.control_plane.follower_process import FollowerMachine
 from emberring.simulation.control_plane.history import ACCEPTED
 from emberring.simulation.control_plane.schedule import Kind, Step
-from emberring.simulation.register.world import Weather
+from emberring.simulation.register.world import NetworkConditions
 
 CATCH_UP_S = 4.9  # a machine that lost its disk counts as lost for so long after its return
 SHUTDOWN_NOTICE_S = 0.3
@@ -44,7 +44,7 @@
         deployment, world = self._deployment, self._world
         self._ended = True
         deployment.fair()
-        world.weather.slowest_s = 0.003
+        world.conditions.slowest_s = 0.003
         world.join()
         deployment.platform.answers_lost = 0.0
         deployment.on_fault()
@@ -262,7 +262,7 @@
         for machine in others[1:]:
             self._down(machine, machine.lose_power, lasts_s)
 
-    # Disks, weather.
+    # Disks, conditions.
 
     def _disk_slow(self, step: Step) -> None:
         machine = self._control_machine(step)
@@ -280,12 +280,14 @@
         self._note_fault(step.lasts_s, slow=True)
         self._later(step.lasts_s, setattr, machine.folder, "refusing", False)
 
-    def _weather(self, step: Step) -> None:
-        self._world.weather = Weather(lost=0.15, doubled=0.2, slowest_s=min(1.0, step.lasts_s / 4))
+    def _bad_network(self, step: Step) -> None:
+        self._world.conditions = NetworkConditions(
+            lost=0.15, doubled=0.2, slowest_s=min(1.0, step.lasts_s / 4)
+        )
         self._note_fault(step.lasts_s, slow=True)
-        self._later(step.lasts_s, self._end_weather)
+        self._later(step.lasts_s, self._end_bad_network)
 
-    def _end_weather(self) -> None:
+    def _end_bad_network(self) -> None:
         if not self._ended:
             self._deployment.fair()
 
@@ -392,7 +394,7 @@
     Kind.BEHIND: FaultInjector._behind,
     Kind.DISK_SLOW: FaultInjector._disk_slow,
     Kind.DISK_REFUSES: FaultInjector._disk_refuses,
-    Kind.WEATHER: FaultInjector._weather,
+    Kind.BAD_NETWORK: FaultInjector._bad_network,
     Kind.STORE_KILL: FaultInjector._store_kill,
     Kind.STORE_WIPE: FaultInjector._store_wipe,
     Kind.STORE_ADD: FaultInjector._store_add,
--- a/emberring/simulation/control_plane/history.py
+++ b/emberring/simulation/control_plane/history.py
@@ -39,7 +39,7 @@
 
 
 class ControlHistory(History):
-    """All observations. `mistakes` has the violations found."""
+    """All observations. `violations` has the violations found."""
 
     def __init__(self) -> None:
         super().__init__()
@@ -52,8 +52,8 @@
 
     def wrong(self, text: str) -> None:
         """Record a violation, once."""
-        if text not in self.mistakes:
-            self.mistakes.append(text)
+        if text not in self.violations:
+            self.violations.append(text)
 
     # The register's value.
 
@@ -138,7 +138,7 @@
             if request.status in REJECTED and request.ended_s is not None:
                 self._check_rejection(request, request.ended_s, accepted)
         self._check_chain()
-        return self.mistakes
+        return self.violations
 
     def _check_rejection(self, request: ObservedRequest, ended_s: float, accepted: set[bytes]) -> None:
         if request.digest in accepted:
--- a/emberring/simulation/control_plane/network.py
+++ b/emberring/simulation/control_plane/network.py
@@ -62,4 +62,4 @@
     async def _transfer(self, sender: str, target: str) -> None:
         self._world.sync()
         lost = sender != target and (not self._world.passes(sender, target) or self._world.is_lost())
-        await asyncio.sleep(FOREVER_S if lost else self._world.way_s())
+        await asyncio.sleep(FOREVER_S if lost else self._world.delay_s())
--- a/emberring/simulation/control_plane/schedule.py
+++ b/emberring/simulation/control_plane/schedule.py
@@ -40,7 +40,7 @@
     BEHIND = "left behind"
     DISK_SLOW = "disk slow"
     DISK_REFUSES = "disk refuses"
-    WEATHER = "bad weather"
+    BAD_NETWORK = "bad conditions"
     STORE_KILL = "store killed"
     STORE_WIPE = "store's disk lost"
     STORE_ADD = "store added"
@@ -85,7 +85,16 @@
     Kind.MANY,
 )
 STORES = (Kind.STORE_KILL, Kind.STORE_WIPE, Kind.STORE_ADD, Kind.RETIRE, Kind.RETIRE, Kind.CUT_IN_TWO)
-CROWDS = (Kind.MANY, Kind.RACE, Kind.RACE, Kind.KILL, Kind.WEATHER, Kind.ANSWERS_LOST, Kind.READ, Kind.READ)
+CROWDS = (
+    Kind.MANY,
+    Kind.RACE,
+    Kind.RACE,
+    Kind.KILL,
+    Kind.BAD_NETWORK,
+    Kind.ANSWERS_LOST,
+    Kind.READ,
+    Kind.READ,
+)
 FAULTS = (
     *CUTS,
     *LOSSES,
@@ -98,7 +107,7 @@
     Kind.FREEZE,
     Kind.DISK_SLOW,
     Kind.DISK_REFUSES,
-    Kind.WEATHER,
+    Kind.BAD_NETWORK,
     Kind.GATEWAY_KILL,
     Kind.MANY,
     Kind.ANSWERS_LOST,
--- a/emberring/simulation/control_plane/simulator.py
+++ b/emberring/simulation/control_plane/simulator.py
@@ -40,7 +40,7 @@
     """The violations found on a schedule, and how much happened in it."""
 
     schedule: Schedule
-    mistakes: tuple[str, ...]
+    violations: tuple[str, ...]
     acknowledged: int = 0
     events: int = 0
     times: Times = Times()
@@ -207,5 +207,5 @@
     ]
     for step in schedule.steps:
         lines.append(f"  Step({step.at_s:.4f}, Kind.{step.kind.name}, {step.slot}, {step.lasts_s:.4f}),")
-    lines += [f"  wrong: {mistake}" for mistake in verdict.mistakes]
+    lines += [f"  wrong: {violation}" for violation in verdict.violations]
     return "\n".join(lines)
--- a/emberring/simulation/control_plane/world.py
+++ b/emberring/simulation/control_plane/world.py
@@ -8,14 +8,14 @@
 
 from emberring.register.replica_set_manager import RECONFIGURATION_TIMEOUTS
 from emberring.simulation.control_plane.history import ControlHistory
-from emberring.simulation.register.world import Bugs, World
+from emberring.simulation.register.world import Mutations, World
 
 
 class ControlWorld(World):
     """A world whose `at` and `send` run on the event loop; partitions are kept by direction."""
 
-    def __init__(self, seed: int, bugs: Bugs) -> None:
-        super().__init__(seed, bugs, RECONFIGURATION_TIMEOUTS)
+    def __init__(self, seed: int, mutations: Mutations) -> None:
+        super().__init__(seed, mutations, RECONFIGURATION_TIMEOUTS)
         self.seen = ControlHistory()
         self.history = self.seen
         self.dark: set[str] = set()  # addresses of machines without power
@@ -49,13 +49,13 @@
     def reach(self, one: str, other: str) -> bool:
         return self.passes(one, other) and self.passes(other, one)
 
-    def way_s(self) -> float:
+    def delay_s(self) -> float:
         """The delay (s) of a message sent now."""
-        return self.weather.way_s(self.rng)
+        return self.conditions.delay_s(self.rng)
 
     def is_lost(self) -> bool:
         """Whether a message sent now is lost."""
-        return self.weather.lost > 0 and self.rng.random() < self.weather.lost
+        return self.conditions.lost > 0 and self.rng.random() < self.conditions.lost
 
     def send(self, sender: str, target: str, work: Callable[..., None], *arguments: Any) -> None:
         if sender == target:
@@ -63,6 +63,6 @@
             return
         if not self.passes(sender, target) or self.is_lost():
             return
-        copies = 2 if self.weather.doubled and self.rng.random() < self.weather.doubled else 1
+        copies = 2 if self.conditions.doubled and self.rng.random() < self.conditions.doubled else 1
         for _ in range(copies):
-            self.at(self.now_s + self.way_s(), work, *arguments)
+            self.at(self.now_s + self.delay_s(), work, *arguments)
--- a/emberring/simulation/jobs/schedule.py
+++ b/emberring/simulation/jobs/schedule.py
@@ -34,7 +34,7 @@
     CUT_LINK = "cut_link"
     SLOW_DISK = "slow_disk"
     REFUSING_DISK = "refusing_disk"
-    WEATHER = "weather"
+    BAD_NETWORK = "conditions"
     ADD = "add"
     RETIRE = "retire"
     TERM = "term"
@@ -63,7 +63,7 @@
     """What was wrong with a schedule (empty: nothing), and how much happened in it."""
 
     schedule: Schedule
-    mistakes: tuple[str, ...]
+    violations: tuple[str, ...]
     taken: int = 0
     listed: int = 0
     runs: int = 0
--- a/emberring/simulation/jobs/simulator.py
+++ b/emberring/simulation/jobs/simulator.py
@@ -225,7 +225,7 @@
 
     def _usual_conditions(self) -> NetworkConditions:
         """Return the network's usual conditions: some worlds have slow links, and some lose messages."""
-        rng = random.Random(f"weather {self.schedule.seed}")
+        rng = random.Random(f"conditions {self.schedule.seed}")
         return NetworkConditions(rng.choice((0.0, 0.0, 0.01, 0.03)), 0.002 * 20 ** rng.random())
 
     def _owner_loses_power(self, lasts_s: float) -> None:
@@ -329,7 +329,7 @@
                 self._cut_link(store, step.lasts_s)
             case StepKind.SLOW_DISK | StepKind.REFUSING_DISK:
                 self._disturb_disk(store.disk, step)
-            case StepKind.WEATHER:
+            case StepKind.BAD_NETWORK:
                 self._degrade_network(step.lasts_s)
             case _:
                 self._change_stores(store, step)
@@ -425,5 +425,5 @@
         f"seed {verdict.schedule.seed}: {verdict.schedule.stores} stores, {len(verdict.schedule.steps)} steps"
     ]
     lines += [f"  {step}" for step in verdict.schedule.steps]
-    lines += [f"  wrong: {mistake}" for mistake in verdict.mistakes]
+    lines += [f"  wrong: {violation}" for violation in verdict.violations]
     return "\n".join(lines)
--- a/emberring/simulation/register/history.py
+++ b/emberring/simulation/register/history.py
@@ -43,12 +43,12 @@
 
     Attributes:
         operations: in the order in which they began.
-        mistakes: the violations found so far.
+        violations: the violations found so far.
     """
 
     def __init__(self) -> None:
         self.operations: list[Operation] = []
-        self.mistakes: list[str] = []
+        self.violations: list[str] = []
         self._longest: tuple[int, ...] = ()
         self._acknowledged: list[
             tuple[float, int]
@@ -68,12 +68,12 @@
         operation.value = parse_value(payload)
         self._check_order(operation.value, f"operation {operation.number} at {operation.node}")
         if operation.number and operation.number not in operation.value:
-            self.mistakes.append(f"change {operation.number} is not in the value that acknowledged it")
+            self.violations.append(f"change {operation.number} is not in the value that acknowledged it")
         min_length = max(
             (length for ended, length in self._acknowledged if ended < operation.began_s), default=0
         )
         if len(operation.value) < min_length:
-            self.mistakes.append(
+            self.violations.append(
                 f"operation {operation.number} at {operation.node}, begun at {operation.began_s:.4f}, saw "
                 f"{len(operation.value)} changes where {min_length} had been acknowledged"
             )
@@ -84,15 +84,15 @@
         value = parse_value(payload)
         self._check_order(value, f"learned by {node}")
         if value[: len(before)] != before:
-            self.mistakes.append(f"{node} was told {value} after {before}")
+            self.violations.append(f"{node} was told {value} after {before}")
         return value
 
     def _check_order(self, value: tuple[int, ...], where: str) -> None:
         if len(set(value)) != len(value):
-            self.mistakes.append(f"{where}: a change stands twice in {value}")
+            self.violations.append(f"{where}: a change stands twice in {value}")
         shorter, longer = sorted((value, self._longest), key=len)
         if longer[: len(shorter)] != shorter:
-            self.mistakes.append(f"{where}: {value} and {self._longest} are two histories")
+            self.violations.append(f"{where}: {value} and {self._longest} are two histories")
         self._longest = longer
 
     def finish(self) -> list[str]:
@@ -104,5 +104,5 @@
         # A change may be requested more than once: any of the requests may have committed it.
         for number, seen in ends.items():
             if number in self._longest and seen == {"no_quorum"}:
-                self.mistakes.append(f"change {number} was taken after a no_quorum without doubt")
-        return self.mistakes
+                self.violations.append(f"change {number} was taken after a no_quorum without doubt")
+        return self.violations
--- a/emberring/simulation/register/machine.py
+++ b/emberring/simulation/register/machine.py
@@ -59,7 +59,7 @@
         self.name = name
         self.folder = SimulatedFolder()
         self.node: RegisterNode | None = None
-        self.life = 0
+        self.incarnation = 0
         self.thaw_at_s = 0.0
         self.sync_s = 0.001
         self.learned: tuple[int, ...] = ()
@@ -96,9 +96,9 @@
         if self.node is not None:
             return
         rng = self.world.rng
-        self.life += 1
+        self.incarnation += 1
         if self.folder.refusing:
-            self.world.at(self.world.now_s + REPAIR_INTERVAL_S, self._start_again, self.life)
+            self.world.at(self.world.now_s + REPAIR_INTERVAL_S, self._start_again, self.incarnation)
             return
         self._queue, self._writing, self._durable, self._replies = [], [], [], {}
         self._busy = self._failed = False
@@ -121,8 +121,8 @@
         self._wake_s = self.world.now_s
         self.note_peers()
 
-    def _start_again(self, life: int) -> None:
-        if life == self.life:
+    def _start_again(self, incarnation: int) -> None:
+        if incarnation == self.incarnation:
             self.start()
 
     def _restore_replica(self) -> Acceptor:
@@ -135,14 +135,14 @@
             for record in records:
                 acceptor.restore(record.payload)
         except CorruptRecordError as error:
-            self.world.history.mistakes.append(f"the journal of {self.name} is corrupt: {error.detail}")
+            self.world.history.violations.append(f"the journal of {self.name} is corrupt: {error.detail}")
             self.folder.wipe()
             return self._restore_replica()
         if acceptor.identity:
             return acceptor
         if self._bootstrap and self.name in self._founders:
             acceptor = Acceptor(initial_identity(self.name), initial_proposal(self._founders))
-        elif self.world.bugs.amnesiac and self.identity:
+        elif self.world.mutations.amnesiac and self.identity:
             acceptor = Acceptor(self.identity)
         else:
             acceptor = Acceptor(f"replica:{rng.getrandbits(64):x}")
@@ -168,7 +168,7 @@
 
     def _end(self) -> None:
         self.node = None
-        self.life += 1
+        self.incarnation += 1
         self.thaw_at_s = 0.0
 
     # Callers.
@@ -187,7 +187,7 @@
             )
         else:
             event = ReadRequested(self._requests, until_s)
-        self._handle(self.life, event)
+        self._handle(self.incarnation, event)
 
     def note_peers(self) -> None:
         """Notify the process of the other nodes that it can reach."""
@@ -197,17 +197,17 @@
             if name != self.name and self.world.reach(self.name, name)
         ]
         peers = tuple(Peer(found.name, Member(found.identity, found.name)) for found in others)
-        self._handle(self.life, PeersChanged(peers))
+        self._handle(self.incarnation, PeersChanged(peers))
 
     # Events and actions of the `RegisterNode`.
 
-    def _handle(self, life: int, event: Event) -> None:
+    def _handle(self, incarnation: int, event: Event) -> None:
         node = self.node
-        if node is None or life != self.life:
+        if node is None or incarnation != self.incarnation:
             return
         now_s = self.world.now_s
         if now_s < self.thaw_at_s:
-            self.world.at(self.thaw_at_s, self._handle, life, event)
+            self.world.at(self.thaw_at_s, self._handle, incarnation, event)
             return
         self.world.handled += 1
         for action in node.handle(now_s, event):
@@ -216,14 +216,14 @@
             wake_s = node.next_wake_s(now_s)
             if wake_s < self._wake_s or self._wake_s <= now_s:
                 self._wake_s = wake_s
-                self.world.at(wake_s, self._tick, life, wake_s)
+                self.world.at(wake_s, self._tick, incarnation, wake_s)
 
-    def _tick(self, life: int, armed_for_s: float) -> None:
+    def _tick(self, incarnation: int, armed_for_s: float) -> None:
         # An event loop may run a timer up to its clock's resolution early, so the clock does not tell whether this is
         # the timer that was armed last; a tick dropped for that left the node without a timer.
-        if life == self.life and armed_for_s == self._wake_s:
+        if incarnation == self.incarnation and armed_for_s == self._wake_s:
             self._wake_s = float("inf")
-            self._handle(life, Tick())
+            self._handle(incarnation, Tick())
 
     def _execute(self, action: Action) -> None:
         world = self.world
@@ -233,9 +233,15 @@
                 if action.address in world.machines:
                     target = world.machines[action.address]
                     world.send(
-                        self.name, action.address, target.receive, self.name, self.life, action.call, action
+                        self.name,
+                        action.address,
+                        target.receive,
+                        self.name,
+                        self.incarnation,
+                        action.call,
+                        action,
                     )
-                world.at(world.now_s + action.timeout_s, self._replied, self.life, action.call, None)
+                world.at(world.now_s + action.timeout_s, self._replied, self.incarnation, action.call, None)
             case NotifyLearned():
                 if action.address in world.machines:
                     target = world.machines[action.address]
@@ -254,27 +260,27 @@
             case Learned():
                 self.learned = world.history.learned(self.name, action.payload, self.learned)
 
-    def receive(self, origin: str, life: int, call: int, action: Call) -> None:
+    def receive(self, origin: str, incarnation: int, call: int, action: Call) -> None:
         """Take in a call from another machine."""
         if self.node is None:
             return
         self._requests += 1
         sender = self.world.machines[origin]
-        self._replies[self._requests] = (origin, sender._replied, (life, call))
-        self._handle(self.life, Received(self._requests, over_wire(action.message)))
+        self._replies[self._requests] = (origin, sender._replied, (incarnation, call))
+        self._handle(self.incarnation, Received(self._requests, over_wire(action.message)))
 
     def hint(self, action: NotifyLearned) -> None:
         """Take in a notice from another machine."""
-        self._handle(self.life, Received(0, over_wire(action.message)))
+        self._handle(self.incarnation, Received(0, over_wire(action.message)))
 
-    def _replied(self, life: int, call: int, reply: object | None) -> None:
-        if life == self.life and call in self._calls:
+    def _replied(self, incarnation: int, call: int, reply: object | None) -> None:
+        if incarnation == self.incarnation and call in self._calls:
             self._calls.discard(call)
-            self._handle(life, Replied(call, reply))
+            self._handle(incarnation, Replied(call, reply))
 
     def _reply(self, action: Reply) -> None:
         waiting = {append.append for append in (*self._writing, *self._queue)}
-        if action.durable and waiting and not self.world.bugs.unsynced:
+        if action.durable and waiting and not self.world.mutations.unsynced:
             self._durable.append((waiting, action))
         else:
             self._answer(action)
@@ -296,7 +302,7 @@
                 raise DiskFailedError("the disk refuses")
             written = self._ring.commit([append.record for append in self._writing])
             if not written:
-                self.world.history.mistakes.append(f"the ring of {self.name} is full")
+                self.world.history.violations.append(f"the ring of {self.name} is full")
             # As in the journal, what does not fit waits until a segment is reclaimed.
             self._queue[:0] = self._writing[len(written) :]
             del self._writing[len(written) :]
@@ -305,13 +311,13 @@
         except (DiskFailedError, OSError):
             self._fail()
             written_ok = False
-        self.world.at(self.world.now_s + sync_duration_s, self._written, self.life, written_ok)
+        self.world.at(self.world.now_s + sync_duration_s, self._written, self.incarnation, written_ok)
 
-    def _written(self, life: int, written_ok: bool) -> None:
-        if life != self.life:
+    def _written(self, incarnation: int, written_ok: bool) -> None:
+        if incarnation != self.incarnation:
             return
         if self.world.now_s < self.thaw_at_s:
-            self.world.at(self.thaw_at_s, self._written, life, written_ok)
+            self.world.at(self.thaw_at_s, self._written, incarnation, written_ok)
             return
         done, self._writing = self._writing, []
         if written_ok:
@@ -320,7 +326,9 @@
         self._busy = False
         self._release({append.append for append in done}, written_ok)
         for append in done:
-            self._handle(life, AppendSynced(append.append) if written_ok else AppendFailed(append.append))
+            self._handle(
+                incarnation, AppendSynced(append.append) if written_ok else AppendFailed(append.append)
+            )
         self._write()
 
     def _release(self, done: set[int], written_ok: bool) -> None:
@@ -351,14 +359,14 @@
 
     def _fail(self) -> None:
         self._failed = True
-        self.world.at(self.world.now_s + REPAIR_INTERVAL_S, self._heal, self.life)
+        self.world.at(self.world.now_s + REPAIR_INTERVAL_S, self._heal, self.incarnation)
 
-    def _heal(self, life: int) -> None:
-        if life != self.life or self._ring is None:
+    def _heal(self, incarnation: int) -> None:
+        if incarnation != self.incarnation or self._ring is None:
             return
         try:
             self._ring.heal()
             self.folder.settle()
             self._failed = False
         except DiskFailedError:
-            self.world.at(self.world.now_s + REPAIR_INTERVAL_S, self._heal, life)
+            self.world.at(self.world.now_s + REPAIR_INTERVAL_S, self._heal, incarnation)
--- a/emberring/simulation/register/schedule.py
+++ b/emberring/simulation/register/schedule.py
@@ -53,7 +53,7 @@
     CUT_APART = "cut_apart"
     SLOW_DISK = "slow_disk"
     REFUSING_DISK = "refusing_disk"
-    WEATHER = "weather"
+    BAD_NETWORK = "conditions"
     ADD = "add"
     BURST = "burst"
 
--- a/emberring/simulation/register/simulator.py
+++ b/emberring/simulation/register/simulator.py
@@ -16,7 +16,7 @@
 from emberring.simulation.register.history import Operation
 from emberring.simulation.register.machine import Machine
 from emberring.simulation.register.schedule import FAULTS_S, Schedule, Step, StepKind, make_schedule
-from emberring.simulation.register.world import Bugs, Weather, World
+from emberring.simulation.register.world import Mutations, NetworkConditions, World
 
 FOUNDERS = ("core-a", "core-b", "core-c")
 """The machines of the initial replicas."""
@@ -45,7 +45,7 @@
     """The result of a schedule: its violations, how many operations were acknowledged, how many events handled."""
 
     schedule: Schedule
-    mistakes: tuple[str, ...]
+    violations: tuple[str, ...]
     acknowledged: int = 0
     events: int = 0
 
@@ -53,9 +53,9 @@
 class _Simulation:
     """One run of a schedule."""
 
-    def __init__(self, schedule: Schedule, bugs: Bugs) -> None:
+    def __init__(self, schedule: Schedule, mutations: Mutations) -> None:
         self._schedule = schedule
-        self._world = World(schedule.seed, bugs, schedule.conditions.patience)
+        self._world = World(schedule.seed, mutations, schedule.conditions.patience)
         self._changes = 0
         self._added_count = 0
         self._ended = False
@@ -84,8 +84,8 @@
         world.run(world.now_s + RECOVERY_S)
         acknowledged = sum(1 for operation in world.history.operations if operation.value is not None)
         self._check_final_reads()
-        mistakes = tuple(world.history.finish())
-        return Verdict(self._schedule, mistakes, acknowledged, world.handled)
+        violations = tuple(world.history.finish())
+        return Verdict(self._schedule, violations, acknowledged, world.handled)
 
     # Callers and the cluster around the register.
 
@@ -99,7 +99,7 @@
         world = self._world
         self._ended = True
         self._after_ack.clear()
-        world.weather, world.patience = Weather(), RECONFIGURATION_TIMEOUTS
+        world.conditions, world.patience = NetworkConditions(), RECONFIGURATION_TIMEOUTS
         world.join()
         for machine in self._present():
             machine.folder.refusing = False
@@ -122,23 +122,23 @@
             self._check_replicas(newest)
 
     def _check_same_value(self, reads: list[Operation]) -> None:
-        mistakes = self._world.history.mistakes
+        violations = self._world.history.violations
         for read in reads:
             if read.value is None:
-                mistakes.append(f"the last read at {read.node} failed: {read.error or 'no end'}")
+                violations.append(f"the last read at {read.node} failed: {read.error or 'no end'}")
         if len({read.value for read in reads if read.value is not None}) > 1:
-            mistakes.append("the last reads differ")
+            violations.append("the last reads differ")
 
     def _check_replicas(self, newest: Proposal) -> None:
-        mistakes = self._world.history.mistakes
+        violations = self._world.history.violations
         replicas = newest.state.replicas
         identities = {machine.identity for machine in self._present()}
         missing = [member.identity for member in replicas.all_members if member.identity not in identities]
         if missing or replicas.joining:
-            mistakes.append(f"the replica set still has {missing}, {replicas}")
+            violations.append(f"the replica set still has {missing}, {replicas}")
         for machine in self._present():
             if machine.node is not None and machine.node.learned != newest:
-                mistakes.append(f"{machine.name} has not learned the newest value")
+                violations.append(f"{machine.name} has not learned the newest value")
 
     # Faults.
 
@@ -206,7 +206,7 @@
             StepKind.CUT_APART: self._cut_apart,
             StepKind.SLOW_DISK: self._slow_disk,
             StepKind.REFUSING_DISK: self._fail_disk,
-            StepKind.WEATHER: self._degrade_network,
+            StepKind.BAD_NETWORK: self._degrade_network,
             StepKind.ADD: lambda machine, step: self._add().start(),
             StepKind.BURST: lambda machine, step: self._burst(),
         }
@@ -262,15 +262,15 @@
 
     def _degrade_network(self, machine: Machine, step: Step) -> None:
         world = self._world
-        world.weather.lost, world.weather.doubled = 0.2, 0.3
-        world.weather.slowest_s = step.lasts_s
+        world.conditions.lost, world.conditions.doubled = 0.2, 0.3
+        world.conditions.slowest_s = step.lasts_s
         world.at(world.now_s + step.lasts_s, self._restore_network)
 
     def _restore_network(self) -> None:
         """Return the network to the conditions of the schedule."""
         conditions = self._schedule.conditions
         if not self._ended:
-            self._world.weather = Weather(
+            self._world.conditions = NetworkConditions(
                 conditions.lost, conditions.doubled, conditions.slowest_s, conditions.slow_share
             )
 
@@ -339,19 +339,19 @@
             self._world.at(self._world.now_s, work, name)
 
 
-def play(schedule: Schedule, bugs: Bugs | None = None) -> Verdict:
-    """Play a schedule; the same one always gives the same verdict. `bugs` are seeded mutations."""
-    return _Simulation(schedule, bugs or Bugs()).run()
+def play(schedule: Schedule, mutations: Mutations | None = None) -> Verdict:
+    """Play a schedule; the same one always gives the same verdict. `mutations` are seeded mutations."""
+    return _Simulation(schedule, mutations or Mutations()).run()
 
 
-def shorten(verdict: Verdict, bugs: Bugs | None = None) -> Verdict:
+def shorten(verdict: Verdict, mutations: Mutations | None = None) -> Verdict:
     """Return the verdict of the failing schedule shrunk to as few steps as still fail."""
-    return shortened(verdict, lambda schedule: play(schedule, bugs))
+    return shortened(verdict, lambda schedule: play(schedule, mutations))
 
 
-def play_seed(seed: int, bugs: Bugs | None = None) -> Verdict:
+def play_seed(seed: int, mutations: Mutations | None = None) -> Verdict:
     """Play the schedule of a seed."""
-    return play(make_schedule(seed), bugs)
+    return play(make_schedule(seed), mutations)
 
 
 def describe(verdict: Verdict) -> str:
@@ -359,5 +359,5 @@
     lines = [f"seed {verdict.schedule.seed}: {len(verdict.schedule.steps)} steps"]
     lines.append(f"  {verdict.schedule.conditions}")
     lines += [f"  {step}" for step in verdict.schedule.steps]
-    lines += [f"  wrong: {mistake}" for mistake in verdict.mistakes]
+    lines += [f"  wrong: {violation}" for violation in verdict.violations]
     return "\n".join(lines)
--- a/emberring/simulation/register/world.py
+++ b/emberring/simulation/register/world.py
@@ -26,7 +26,7 @@
 
 
 @attrs.frozen
-class Bugs:
+class Mutations:
     """Mutations to seed, so that the checks can be shown to find them.
 
     Attributes:
@@ -39,7 +39,7 @@
 
 
 @attrs.define
-class Weather:
+class NetworkConditions:
     """Conditions of the network.
 
     Attributes:
@@ -54,7 +54,7 @@
     slowest_s: float = 0.003
     slow_share: float = 1.0
 
-    def way_s(self, rng: random.Random) -> float:
+    def delay_s(self, rng: random.Random) -> float:
         """Return a random delay of a message, in seconds."""
         slow = self.slow_share >= 1.0 or rng.random() < self.slow_share
         return MIN_DELAY_S + rng.random() * (
@@ -65,14 +65,14 @@
 class World:
     """The clock and the network. `machines` are by name; a machine's name is also its address."""
 
-    def __init__(self, seed: int, bugs: Bugs, patience: ReconfigurationTimeouts) -> None:
+    def __init__(self, seed: int, mutations: Mutations, patience: ReconfigurationTimeouts) -> None:
         self.patience = patience
         self.rng = random.Random(seed)
-        self.bugs = bugs
+        self.mutations = mutations
         self.now_s = 0.0
         self.history = History()
         self.machines: dict[str, Machine] = {}
-        self.weather = Weather()
+        self.conditions = NetworkConditions()
         self.cut: set[frozenset[str]] = set()
         self.on_acknowledged: Callable[[str], None] | None = None
         self.handled = 0
@@ -101,12 +101,12 @@
             if self.rng.random() < 0.5:
                 self._held_messages.append((origin, target, work, arguments))
             return
-        weather = self.weather
-        if weather.lost and self.rng.random() < weather.lost:
+        conditions = self.conditions
+        if conditions.lost and self.rng.random() < conditions.lost:
             return
-        copies = 2 if weather.doubled and self.rng.random() < weather.doubled else 1
+        copies = 2 if conditions.doubled and self.rng.random() < conditions.doubled else 1
         for _ in range(copies):
-            self.at(self.now_s + weather.way_s(self.rng), work, *arguments)
+            self.at(self.now_s + conditions.delay_s(self.rng), work, *arguments)
 
     def join(self) -> None:
         """Heal all partitions."""
--- a/tests/emberring/cli/test_tier_check_disk.py
+++ b/tests/emberring/cli/test_tier_check_disk.py
@@ -204,10 +204,10 @@
 
 @attrs.frozen
 class FakeVerdict:
-    """Wrong where there are mistakes."""
+    """Wrong where there are violations."""
 
     schedule: FakeSchedule
-    mistakes: tuple[str, ...] = ()
+    violations: tuple[str, ...] = ()
     events: int = 10
 
 
--- a/tests/emberring/register/test_tier_register_early_timers.py
+++ b/tests/emberring/register/test_tier_register_early_timers.py
@@ -14,7 +14,7 @@
 from emberring.register.replica_set_manager import RECONFIGURATION_TIMEOUTS
 from emberring.simulation.control_plane.simulator import describe, play_seed
 from emberring.simulation.register.machine import Machine
-from emberring.simulation.register.world import Bugs, World
+from emberring.simulation.register.world import Mutations, World
 
 EARLY_S = 0.02
 """How early the timers of the loop of these tests run, in seconds."""
@@ -53,7 +53,7 @@
 
 
 def test_simulated_machines_whose_timers_run_early_replace_a_lost_one() -> None:
-    world = EarlyWorld(1, Bugs(), RECONFIGURATION_TIMEOUTS)
+    world = EarlyWorld(1, Mutations(), RECONFIGURATION_TIMEOUTS)
     names = ("a", "b", "c", "d")
     for name in names:
         world.machines[name] = Machine(world, name, names[:3], bootstrap=True)
@@ -78,4 +78,4 @@
 @pytest.mark.parametrize("seed", [920284, 920287, 920332, 920627, 920753, 950493])
 def test_schedules_in_which_a_timer_ran_early_leave_nothing_wrong(seed: int) -> None:
     verdict = play_seed(seed)
-    assert not verdict.mistakes, describe(verdict)
+    assert not verdict.violations, describe(verdict)
--- a/tests/emberring/register/test_tier_register_simulator.py
+++ b/tests/emberring/register/test_tier_register_simulator.py
@@ -1,4 +1,4 @@
-"""The simulator: nothing wrong in a few hundred schedules, and the mistakes seeded are found."""
+"""The simulator: nothing wrong in a few hundred schedules, and the violations seeded are found."""
 
 from __future__ import annotations
 
@@ -10,14 +10,14 @@
 from emberring.simulation.register.machine import Machine
 from emberring.simulation.register.schedule import Schedule, Step, StepKind, make_schedule
 from emberring.simulation.register.simulator import FOUNDERS, describe, play, play_seed, shorten
-from emberring.simulation.register.world import Bugs, Weather, World
+from emberring.simulation.register.world import Mutations, NetworkConditions, World
 
 OLD_SET_SEED = 20  # within 40 seeds from here a change of the set by the old set alone does harm
 
 
 def test_schedules_leave_nothing_wrong() -> None:
     verdicts = [play_seed(seed) for seed in range(60)]
-    assert [describe(verdict) for verdict in verdicts if verdict.mistakes] == []
+    assert [describe(verdict) for verdict in verdicts if verdict.violations] == []
     assert sum(verdict.acknowledged for verdict in verdicts) > 300
 
 
@@ -43,14 +43,14 @@
 
 
 def test_a_replica_that_votes_after_losing_its_disk_is_found_and_told_briefly() -> None:
-    bugs = Bugs(amnesiac=True)
+    mutations = Mutations(amnesiac=True)
     for seed in (0, 1):
         schedule = Schedule(seed, LOSES_ITS_MEMORY)
-        verdict = play(schedule, bugs)
-        assert any("two histories" in mistake for mistake in verdict.mistakes)
-        assert play(schedule).mistakes == ()
-        short = shorten(verdict, bugs)
-        assert short.mistakes
+        verdict = play(schedule, mutations)
+        assert any("two histories" in violation for violation in verdict.violations)
+        assert play(schedule).violations == ()
+        short = shorten(verdict, mutations)
+        assert short.violations
         assert len(short.schedule.steps) < len(verdict.schedule.steps)
         assert any(step.kind is StepKind.WIPE for step in short.schedule.steps)
         assert "wrong:" in describe(short)
@@ -106,14 +106,14 @@
 @pytest.mark.parametrize("name", HAND_MADE)
 def test_hand_made_schedules(name: str) -> None:
     verdict = play(Schedule(1, HAND_MADE[name]))
-    assert verdict.mistakes == ()
+    assert verdict.violations == ()
     changes = sum(1 for found in HAND_MADE[name] if found.kind is StepKind.CHANGE)
     assert verdict.acknowledged >= changes - 1
 
 
 def test_eight_changes_at_once_all_commit_in_a_moment() -> None:
-    world = World(1, Bugs(), RECONFIGURATION_TIMEOUTS)
-    world.weather = Weather(slowest_s=0.0028)
+    world = World(1, Mutations(), RECONFIGURATION_TIMEOUTS)
+    world.conditions = NetworkConditions(slowest_s=0.0028)
     for name in FOUNDERS:
         machine = Machine(world, name, FOUNDERS, bootstrap=True)
         machine.sync_s = 0.002
@@ -132,8 +132,8 @@
 def a_burst(seed: int) -> list[str]:
     """Reads, changes and repeats of changes at all nodes, 100 a second, over a network in which a few messages are
     slow, so that one ballot overtakes another; what was wrong."""
-    world = World(seed, Bugs(), RECONFIGURATION_TIMEOUTS)
-    world.weather = Weather(slowest_s=0.2, slow_share=0.15)
+    world = World(seed, Mutations(), RECONFIGURATION_TIMEOUTS)
+    world.conditions = NetworkConditions(slowest_s=0.2, slow_share=0.15)
     for name in FOUNDERS:
         world.machines[name] = Machine(world, name, FOUNDERS, bootstrap=True)
         world.machines[name].start()
@@ -146,18 +146,18 @@
 
 
 def test_a_burst_over_a_network_with_a_few_slow_messages() -> None:
-    assert [mistake for seed in range(8) for mistake in a_burst(seed)] == []
+    assert [violation for seed in range(8) for violation in a_burst(seed)] == []
 
 
 def test_an_attempt_that_takes_in_late_operations_is_found() -> None:
     with seeded(Mutation.LATE_JOBS):
         wrong = a_burst(0)
-    assert any("had been acknowledged" in mistake for mistake in wrong)
+    assert any("had been acknowledged" in violation for violation in wrong)
 
 
 def test_a_change_of_the_set_by_the_old_set_alone_is_found() -> None:
     with seeded(Mutation.OLD_SET_ALONE):
-        assert any(play_seed(seed).mistakes for seed in range(OLD_SET_SEED, OLD_SET_SEED + 40))
+        assert any(play_seed(seed).violations for seed in range(OLD_SET_SEED, OLD_SET_SEED + 40))
 
 
 def test_values_of_numbers() -> None:
@@ -199,4 +199,4 @@
     history = History()
     for number, began_s, ended_s, payload, error in operations:
         ended(history, number, began_s, ended_s, payload, error)
-    assert any(wrong in mistake for mistake in history.finish())
+    assert any(wrong in violation for violation in history.finish())
--- a/tests/emberring/register/test_tier_register_throttled.py
+++ b/tests/emberring/register/test_tier_register_throttled.py
@@ -6,7 +6,7 @@
 
 from emberring.register.replica_set_manager import RECONFIGURATION_TIMEOUTS, ReconfigurationTimeouts
 from emberring.simulation.register.machine import Machine
-from emberring.simulation.register.world import Bugs, World
+from emberring.simulation.register.world import Mutations, World
 
 PERIOD_S = 0.1
 STOPPED_S = 0.095
@@ -22,7 +22,7 @@
 
 def throttled_register(timeouts: ReconfigurationTimeouts) -> tuple[World, set[str], set[str]]:
     """Three replicas and a spare under a quota for 20 s, a change a second: the set before and after it."""
-    world = World(5, Bugs(), timeouts)
+    world = World(5, Mutations(), timeouts)
     for name in (*FOUNDERS, "d"):
         world.machines[name] = Machine(world, name, FOUNDERS, bootstrap=True)
     for machine in world.machines.values():
--- a/tests/emberring/simulation/test_tier_control_mutations.py
+++ b/tests/emberring/simulation/test_tier_control_mutations.py
@@ -1,4 +1,4 @@
-"""Known mistakes seeded into the simulated control plane: its checks find each of them."""
+"""Known violations seeded into the simulated control plane: its checks find each of them."""
 
 from __future__ import annotations
 
@@ -10,10 +10,10 @@
 from emberring.simulation.control_plane.mutations import Mutation
 from emberring.simulation.control_plane.simulator import Verdict, play
 
-TRIED = 10  # seeds; the first that shows the mistake ends it
+TRIED = 10  # seeds; the first that shows the violation ends it
 SLOW_SYNC_S = 0.05
 
-# The worst day that shows each mistake, the control nodes beyond the founders, the time of a sync (s). Mistakes in
+# The worst day that shows each violation, the control nodes beyond the founders, the time of a sync (s). Mistakes in
 # ballots are shown by the register's own simulator and model.
 FOUND_ON: dict[Mutation, tuple[str, int, float]] = {
     Mutation.READS_FROM_MEMORY: ("cut off", 0, 0.001),
@@ -41,7 +41,7 @@
 
 @pytest.mark.parametrize("mutation", FOUND_ON, ids=lambda mutation: mutation.value)
 def test_each_mutation_is_found(mutation: Mutation) -> None:
-    assert any(verdict.mistakes for verdict in tries(mutation))
+    assert any(verdict.violations for verdict in tries(mutation))
 
 
 def test_no_mutation_is_left_out() -> None:
@@ -50,4 +50,4 @@
 
 def test_the_day_of_slow_syncs_passes_without_the_mutation() -> None:
     name, spares, sync_s = FOUND_ON[Mutation.UNSYNCED]
-    assert play(worst_day(name, 7, spares, sync_s)).mistakes == ()
+    assert play(worst_day(name, 7, spares, sync_s)).violations == ()
--- a/tests/emberring/simulation/test_tier_control_simulator.py
+++ b/tests/emberring/simulation/test_tier_control_simulator.py
@@ -1,4 +1,4 @@
-"""The simulated control plane: nothing wrong on the program as it is, the worst days forced, mistakes found."""
+"""The simulated control plane: nothing wrong on the program as it is, the worst days forced, violations found."""
 
 from __future__ import annotations
 
@@ -19,7 +19,7 @@
 @pytest.mark.parametrize("first", [0, 8])
 def test_schedules_leave_nothing_wrong(first: int) -> None:
     verdicts = [play_seed(seed) for seed in range(first, first + 8)]
-    assert [describe(verdict) for verdict in verdicts if verdict.mistakes] == []
+    assert [describe(verdict) for verdict in verdicts if verdict.violations] == []
     assert sum(verdict.acknowledged for verdict in verdicts) > 10
 
 
@@ -27,7 +27,7 @@
 @pytest.mark.parametrize("seed", [1121744, 1122108])
 def test_servers_that_an_ended_control_node_took_for_lost_are_known_again(seed: int) -> None:
     verdict = play_seed(seed)
-    assert not verdict.mistakes, describe(verdict)
+    assert not verdict.violations, describe(verdict)
 
 
 def test_a_schedule_played_again_gives_the_same_verdict() -> None:
@@ -45,9 +45,9 @@
     )
     schedule = Schedule(3, steps, 8.0)
     verdict = play(schedule, mutation)
-    assert verdict.mistakes
+    assert verdict.violations
     short = shorten(verdict, mutation)
-    assert short.mistakes
+    assert short.violations
     assert len(short.schedule.steps) < len(schedule.steps)
     assert "wrong:" in describe(short)
     assert "Kind.READ" in describe(verdict)
--- a/tests/emberring/simulation/test_tier_control_worst_days.py
+++ b/tests/emberring/simulation/test_tier_control_worst_days.py
@@ -12,5 +12,5 @@
 @pytest.mark.parametrize("name", WORST_DAYS)
 def test_a_worst_day(name: str, spares: int) -> None:
     verdict = play(worst_day(name, 7, spares))
-    assert verdict.mistakes == ()
+    assert verdict.violations == ()
     assert verdict.acknowledged >= 5
--- a/tests/emberring/simulation/test_tier_jobs_simulator.py
+++ b/tests/emberring/simulation/test_tier_jobs_simulator.py
@@ -1,4 +1,4 @@
-"""The simulator of lots: ordinary schedules are clean, seeded mistakes are found."""
+"""The simulator of lots: ordinary schedules are clean, seeded violations are found."""
 
 from __future__ import annotations
 
@@ -10,7 +10,7 @@
 
 def test_schedules_are_clean_and_something_happens_in_them() -> None:
     verdicts = [play_seed(seed) for seed in range(1000, 1012)]
-    assert not [describe(verdict) for verdict in verdicts if verdict.mistakes]
+    assert not [describe(verdict) for verdict in verdicts if verdict.violations]
     assert sum(verdict.listed for verdict in verdicts) > 300
 
 
@@ -24,4 +24,4 @@
     ids=["tokenless", "shows_early", "unsynced"],
 )
 def test_a_seeded_mistake_is_found(mutations: Mutations, first_seed: int) -> None:
-    assert any(play_seed(seed, mutations).mistakes for seed in range(first_seed, first_seed + 120))
+    assert any(play_seed(seed, mutations).violations for seed in range(first_seed, first_seed + 120))
