--- a/loadbalancer/list_validity.py
+++ b/loadbalancer/list_validity.py
@@ -21,6 +21,10 @@
 
 # Draining servers accepted calls for up to 2.3 s in traces of crowded discovery.
 ACCEPTED_WHILE_DRAINING_MS = 2300.0
+# With fewer than so many the next ones are used too, if they accepted a call not much longer ago: a node with
+# little traffic had one or none, and no server for a retry.
+LEAST_SERVERS = 3
+LEAST_SERVERS_AGE_MS = 5000.0
 # A call that is with a server for longer than this has been accepted: a rejection comes at once.
 REJECTED_WITHIN_MS = 500.0
 
@@ -76,11 +80,15 @@
         """Return those of the servers in use that may be sent a call at this time."""
         if self._notified_after_ms is None or self.state(now) is not ListState.EXPIRED:
             return ready
-        accepted_since_ms = now - (self._notified_after_ms - ACCEPTED_WHILE_DRAINING_MS)
-        accepting = [server for server in ready if _accepted_ms(now, server) > accepted_since_ms]
-        # A process that has just started has little to go by; what changed since can't count as notified yet.
-        starting = now < self._started_ms + self._notified_after_ms
-        return ready if starting and not accepting else accepting
+        accepted = sorted(((_accepted_ms(now, server), at) for at, server in enumerate(ready)), reverse=True)
+        ages = [(now - accepted_ms, ready[at]) for accepted_ms, at in accepted]
+        lately_ms = self._notified_after_ms - ACCEPTED_WHILE_DRAINING_MS
+        accepting = [server for age_ms, server in ages if age_ms < lately_ms]
+        if len(accepting) >= LEAST_SERVERS:
+            return accepting
+        if now < self._started_ms + self._notified_after_ms:
+            return ready  # A process that has just started has little to go by.
+        return [server for age_ms, server in ages[:LEAST_SERVERS] if age_ms < LEAST_SERVERS_AGE_MS]
 
 
 def _accepted_ms(now: float, server: TrackedServer) -> float:
