--- a/loadbalancer/discovery/watcher.py
+++ b/loadbalancer/discovery/watcher.py
@@ -29,7 +29,11 @@
 AGENT_WATCH_MS = 2000.0  # a local agent costs nothing to ask; its silence is noticed the sooner
 MAX_LIST_BYTES = 16 * 1024 * 1024
 MAX_WAIT_MS = 20_000.0
-WAIT_SHARE = 2.0  # of the time within which discovery has to be asked
+# How long a watch is held at most, as a share of the time within which discovery has to be asked: a silent watch is to
+# be noticed before that is over. On the platform what a silent watch missed counts only 2 s after its wait, and longer
+# watches leave room at a discovery that a whole fleet shares.
+WAIT_SHARE = 0.8
+PLATFORM_WAIT_SHARE = 2.0
 # A change counts as notified at the latest so long after discovery had it, and one that a silent watch missed so long
 # after the watch's wait was over (protocol page, "Figures").
 LATEST_NOTICE_S = 6.0
@@ -89,19 +93,16 @@
         return self.failed_s  # it was a watch, which had brought all changes until it ended
 
 
-def shared_pacing(ask_within_ms: float, rng: random.Random | None = None) -> CallPacing:
+def shared_pacing(
+    ask_within_ms: float, rng: random.Random | None = None, wait_share: float = WAIT_SHARE
+) -> CallPacing:
     """Return the pacing of a watch of a service that many nodes share, which has to be asked within so long (ms)."""
-    return CallPacing(_longest_wait_ms(ask_within_ms), shared=True, rng=rng)
+    return CallPacing(min(MAX_WAIT_MS, ask_within_ms * wait_share), shared=True, rng=rng)
 
 
 def agent_pacing(ask_within_ms: float) -> CallPacing:
     """Return the pacing of a watch of a local agent, which has to be asked within so long (ms)."""
-    return CallPacing(min(_longest_wait_ms(ask_within_ms), AGENT_WATCH_MS), shared=False)
-
-
-def _longest_wait_ms(ask_within_ms: float) -> float:
-    # A discovery that has gone silent must be noticed before updates count as delivered to the node.
-    return min(MAX_WAIT_MS, ask_within_ms * WAIT_SHARE)
+    return CallPacing(min(ask_within_ms * WAIT_SHARE, AGENT_WATCH_MS), shared=False)
 
 
 def parse_server_list(row: object) -> ServerListUpdate:
--- a/tests/discovery/test_pacing.py
+++ b/tests/discovery/test_pacing.py
@@ -7,6 +7,7 @@
 import pytest
 
 from loadbalancer.discovery import pacing as lib
+from loadbalancer.discovery import watcher
 from loadbalancer.discovery.pacing import CallPacing
 
 WAIT_MS = 8000.0
@@ -98,3 +99,9 @@
     pacing.on_move()
     assert pacing.take_pause_s() == 0.0
     assert pacing.next_wait_ms() == 0
+
+
+def test_a_silent_watch_of_a_sidecar_is_noticed_before_it_has_to_ask_again():
+    waits = [watcher.shared_pacing(10_000.0).next_wait_ms() for _ in range(50)]
+    assert max(waits) + 1000.0 * watcher.ANSWER_GRACE_S < 10_000.0
+    assert watcher.agent_pacing(10_000.0).next_wait_ms() == watcher.AGENT_WATCH_MS
