--- a/loadbalancer/discovery/pacing.py
+++ b/loadbalancer/discovery/pacing.py
@@ -16,7 +16,7 @@
 FIRST_PAUSE_S = (
     0.1  # after the second of a series; within 0.2 s the watch counts as going on; doubled for each further
 )
-LONGEST_PAUSE_S = 4.0  # the longest such pause
+LONGEST_PAUSE_S = 0.15  # the longest such pause
 DOUBLINGS = 6  # more would not lengthen it
 
 
--- a/loadbalancer/discovery/watcher.py
+++ b/loadbalancer/discovery/watcher.py
@@ -30,14 +30,11 @@
 MAX_LIST_BYTES = 16 * 1024 * 1024
 MAX_WAIT_MS = 20_000.0
 # How long a watch is held at most, as a share of the time within which discovery has to be asked: a silent watch is to
-# be noticed before that is over. On the platform what a silent watch missed counts only 2 s after its wait, and longer
-# watches leave room at a discovery that a whole fleet shares.
-WAIT_SHARE = 0.8
-PLATFORM_WAIT_SHARE = 2.0
-# A change counts as notified at the latest so long after discovery had it, and one that a silent watch missed so long
-# after the watch's wait was over (protocol page, "Figures").
+# be noticed before that is over.
+WAIT_SHARE = 0.5
+# A change counts as notified at the latest so long after discovery had it, whether or not it arrived (protocol page,
+# "Figures").
 LATEST_NOTICE_S = 6.0
-SILENT_WATCH_NOTICE_S = 2.0
 # A call held for longer than this was a watch and did not wait for its turn: crowded calls fail after 2 to 3 s.
 WATCH_ESTABLISHED_S = 3.2
 
@@ -85,19 +82,13 @@
 
     def complete_until_s(self, answered_s: float) -> float:
         """Return until when no change is missing, where the call before was answered at `answered_s`."""
-        if self.failed_s - self.began_s <= WATCH_ESTABLISHED_S:
-            return answered_s  # it may have waited for its turn, and brought no change
-        if self.silent:
-            notified_s = self.began_s + self.wait_s + SILENT_WATCH_NOTICE_S
-            return max(answered_s, notified_s - LATEST_NOTICE_S)
-        return self.failed_s  # it was a watch, which had brought all changes until it ended
+        # A watch that ended may have fallen silent before, so only an answer, or a call that is held, confirms a list.
+        return answered_s
 
 
-def shared_pacing(
-    ask_within_ms: float, rng: random.Random | None = None, wait_share: float = WAIT_SHARE
-) -> CallPacing:
+def shared_pacing(ask_within_ms: float, rng: random.Random | None = None) -> CallPacing:
     """Return the pacing of a watch of a service that many nodes share, which has to be asked within so long (ms)."""
-    return CallPacing(min(MAX_WAIT_MS, ask_within_ms * wait_share), shared=True, rng=rng)
+    return CallPacing(min(MAX_WAIT_MS, ask_within_ms * WAIT_SHARE), shared=True, rng=rng)
 
 
 def agent_pacing(ask_within_ms: float) -> CallPacing:
--- a/loadbalancer/node/node.py
+++ b/loadbalancer/node/node.py
@@ -15,7 +15,6 @@
 from loadbalancer.discovery.endpoint_list import EndpointList
 from loadbalancer.discovery.pacing import CallPacing
 from loadbalancer.discovery.watcher import (
-    PLATFORM_WAIT_SHARE,
     DiscoveryWatcher,
     ServerListUpdate,
     agent_pacing,
@@ -78,8 +77,7 @@
     def _pacing(self) -> CallPacing:
         if not self.settings.ask_discovery:
             return agent_pacing(self.config.ask_within_ms)
-        rng = random.Random(self.config.seed)
-        return shared_pacing(self.config.ask_within_ms, rng, PLATFORM_WAIT_SHARE)
+        return shared_pacing(self.config.ask_within_ms, random.Random(self.config.seed))
 
     def reconfigure(self, config: Config) -> None:
         """Follow a new configuration in what can change while the node runs: where discovery is."""
