--- a/emberring/simulation/common/shrinking.py
+++ b/emberring/simulation/common/shrinking.py
@@ -9,11 +9,11 @@
 
 
 class Judged(Protocol):
-    """The verdict on a schedule: `violations` are the violations, empty where there were none."""
+    """The verdict on a schedule."""
 
     @property
     def violations(self) -> Sequence[str]:
-        """The violations."""
+        """The violated invariants; empty where there were none."""
 
 
 class JudgedSchedule(Judged, Protocol):
--- a/emberring/simulation/control_plane/deployment.py
+++ b/emberring/simulation/control_plane/deployment.py
@@ -114,7 +114,7 @@
         await asyncio.sleep(1.0)
 
     def fair(self) -> None:
-        """Set the conditions that the schedule has without faults."""
+        """Set the network conditions that the schedule has without faults."""
         self.world.conditions = NetworkConditions(
             slowest_s=self.schedule.slowest_s, slow_share=self.schedule.slow_share
         )
--- a/emberring/simulation/control_plane/fault_injector.py
+++ b/emberring/simulation/control_plane/fault_injector.py
@@ -262,7 +262,7 @@
         for machine in others[1:]:
             self._down(machine, machine.lose_power, lasts_s)
 
-    # Disks, conditions.
+    # Disks, the network.
 
     def _disk_slow(self, step: Step) -> None:
         machine = self._control_machine(step)
--- a/emberring/simulation/control_plane/follower_process.py
+++ b/emberring/simulation/control_plane/follower_process.py
@@ -114,9 +114,7 @@
     def __init__(self, world: ControlWorld, stores: list[FollowerMachine], reports_early: bool) -> None:
         self._world = world
         self._stores = stores
-        self._reports_early = (
-            reports_early  # a seeded violation: moves are reported before anything was copied
-        )
+        self._reports_early = reports_early  # a mutation: moves are reported before anything was copied
         self._records: dict[tuple[int, str], set[int]] = {}
         self._lacking_since: dict[tuple[int, str], float] = {}
         self._acknowledged: list[set[int]] = [set() for _ in range(SHARDS)]
--- a/emberring/simulation/control_plane/history.py
+++ b/emberring/simulation/control_plane/history.py
@@ -39,7 +39,7 @@
 
 
 class ControlHistory(History):
-    """All observations. `violations` has the violations found."""
+    """All observations, and in `violations` what was found wrong with them."""
 
     def __init__(self) -> None:
         super().__init__()
--- a/emberring/simulation/control_plane/schedule.py
+++ b/emberring/simulation/control_plane/schedule.py
@@ -40,7 +40,7 @@
     BEHIND = "left behind"
     DISK_SLOW = "disk slow"
     DISK_REFUSES = "disk refuses"
-    BAD_NETWORK = "bad conditions"
+    BAD_NETWORK = "bad network"
     STORE_KILL = "store killed"
     STORE_WIPE = "store's disk lost"
     STORE_ADD = "store added"
--- a/emberring/simulation/jobs/schedule.py
+++ b/emberring/simulation/jobs/schedule.py
@@ -8,6 +8,7 @@
 import attrs
 
 from emberring.simulation.common.scheduled_step import ScheduledStep
+from emberring.simulation.jobs.world import NetworkConditions
 
 FAULT_PERIOD_S = 12.0
 MAX_FAULTS = 7
@@ -34,7 +35,7 @@
     CUT_LINK = "cut_link"
     SLOW_DISK = "slow_disk"
     REFUSING_DISK = "refusing_disk"
-    BAD_NETWORK = "conditions"
+    BAD_NETWORK = "bad network"
     ADD = "add"
     RETIRE = "retire"
     TERM = "term"
@@ -82,3 +83,9 @@
     for _ in range(rng.randint(4, MAX_JOBS)):
         steps.append(Step(0.8 + rng.random() * FAULT_PERIOD_S, StepKind.JOB))
     return Schedule(seed, rng.choice((3, 3, 4)), tuple(sorted(steps, key=lambda step: step.at_s)))
+
+
+def usual_network(seed: int) -> NetworkConditions:
+    """Return the usual network conditions of a seed: some have slow links, and some lose messages."""
+    rng = random.Random(f"weather {seed}")  # the text of earlier versions: seeds keep their schedules
+    return NetworkConditions(rng.choice((0.0, 0.0, 0.01, 0.03)), 0.002 * 20 ** rng.random())
--- a/emberring/simulation/jobs/simulator.py
+++ b/emberring/simulation/jobs/simulator.py
@@ -5,7 +5,6 @@
 
 from __future__ import annotations
 
-import random
 from collections.abc import Callable
 
 from emberring.distribution.records import NodeRecord, NodeRole
@@ -25,6 +24,7 @@
     StepKind,
     Verdict,
     make_schedule,
+    usual_network,
 )
 from emberring.simulation.jobs.store import SYNC_S, Disk, SimulatedStore
 from emberring.simulation.jobs.world import NetworkConditions, World
@@ -70,7 +70,7 @@
         self._faulty_until: dict[str, float] = {}
         self._after_ack: list[Callable[[], None]] = []
         self._after_read: list[Callable[[], None]] = []
-        self.world.conditions = self._usual_conditions()
+        self.world.conditions = usual_network(self.schedule.seed)
         for number in range(schedule.stores):
             self._add(f"store-{number}").start()
         self.gateways = [
@@ -223,11 +223,6 @@
         for work in waiting:
             work()
 
-    def _usual_conditions(self) -> NetworkConditions:
-        """Return the network's usual conditions: some worlds have slow links, and some lose messages."""
-        rng = random.Random(f"conditions {self.schedule.seed}")
-        return NetworkConditions(rng.choice((0.0, 0.0, 0.01, 0.03)), 0.002 * 20 ** rng.random())
-
     def _owner_loses_power(self, lasts_s: float) -> None:
         now_s = self.world.now_s
         for found in self._present_stores():
@@ -362,7 +357,7 @@
         for other in self._present_stores():
             self._note_fault(other, lasts_s)
         self.world.conditions = NetworkConditions(0.1, lasts_s * 0.2)
-        self.world.after(lasts_s, setattr, self.world, "conditions", self._usual_conditions())
+        self.world.after(lasts_s, setattr, self.world, "conditions", usual_network(self.schedule.seed))
 
     def _retire(self, store: SimulatedStore) -> None:
         live = [
--- a/emberring/simulation/register/history.py
+++ b/emberring/simulation/register/history.py
@@ -43,7 +43,7 @@
 
     Attributes:
         operations: in the order in which they began.
-        violations: the violations found so far.
+        violations: what was found wrong so far.
     """
 
     def __init__(self) -> None:
--- a/emberring/simulation/register/schedule.py
+++ b/emberring/simulation/register/schedule.py
@@ -53,7 +53,7 @@
     CUT_APART = "cut_apart"
     SLOW_DISK = "slow_disk"
     REFUSING_DISK = "refusing_disk"
-    BAD_NETWORK = "conditions"
+    BAD_NETWORK = "bad network"
     ADD = "add"
     BURST = "burst"
 
--- a/emberring/simulation/register/simulator.py
+++ b/emberring/simulation/register/simulator.py
@@ -340,7 +340,7 @@
 
 
 def play(schedule: Schedule, mutations: Mutations | None = None) -> Verdict:
-    """Play a schedule; the same one always gives the same verdict. `mutations` are seeded mutations."""
+    """Play a schedule; the same one always gives the same verdict."""
     return _Simulation(schedule, mutations or Mutations()).run()
 
 
--- a/tests/emberring/register/test_tier_register_simulator.py
+++ b/tests/emberring/register/test_tier_register_simulator.py
@@ -1,4 +1,4 @@
-"""The simulator: nothing wrong in a few hundred schedules, and the violations seeded are found."""
+"""The simulator: nothing wrong in a few hundred schedules, and the mutations seeded are found."""
 
 from __future__ import annotations
 
--- a/tests/emberring/simulation/test_tier_control_mutations.py
+++ b/tests/emberring/simulation/test_tier_control_mutations.py
@@ -1,4 +1,4 @@
-"""Known violations seeded into the simulated control plane: its checks find each of them."""
+"""Known mistakes seeded into the simulated control plane: its checks find each of them."""
 
 from __future__ import annotations
 
@@ -10,10 +10,10 @@
 from emberring.simulation.control_plane.mutations import Mutation
 from emberring.simulation.control_plane.simulator import Verdict, play
 
-TRIED = 10  # seeds; the first that shows the violation ends it
+TRIED = 10  # seeds; the first that shows the mutation ends it
 SLOW_SYNC_S = 0.05
 
-# The worst day that shows each violation, the control nodes beyond the founders, the time of a sync (s). Mistakes in
+# The worst day that shows each mutation, the control nodes beyond the founders, the time of a sync (s). Mistakes in
 # ballots are shown by the register's own simulator and model.
 FOUND_ON: dict[Mutation, tuple[str, int, float]] = {
     Mutation.READS_FROM_MEMORY: ("cut off", 0, 0.001),
--- a/tests/emberring/simulation/test_tier_control_simulator.py
+++ b/tests/emberring/simulation/test_tier_control_simulator.py
@@ -1,4 +1,4 @@
-"""The simulated control plane: nothing wrong on the program as it is, the worst days forced, violations found."""
+"""The simulated control plane: nothing wrong on the program as it is, the worst days forced, mutations found."""
 
 from __future__ import annotations
 
--- a/tests/emberring/simulation/test_tier_jobs_simulator.py
+++ b/tests/emberring/simulation/test_tier_jobs_simulator.py
@@ -1,4 +1,4 @@
-"""The simulator of lots: ordinary schedules are clean, seeded violations are found."""
+"""The simulator of lots: ordinary schedules are clean, seeded mutations are found."""
 
 from __future__ import annotations
 
