--- a/tests/emberring/jobs/test_tier_duty_after_refusal.py
+++ b/tests/emberring/jobs/test_tier_duty_after_refusal.py
@@ -59,9 +59,10 @@
     if how == "lease":
         return owner.on_lease_renewal(now_s, other.target, now_s, LeaseRenewal(0, False, higher, 0))
     if how == "inventory":
-        return owner.on_reply(
-            now_s, inventory_ticket(owner, now_s, other.target), InventoryReply(None, higher)
-        )
+        for send in sent:  # an idle replica whose contents differ is asked for its inventory
+            owner.on_reply(now_s, send.ticket, WriteSlotsReply(True))
+        ticket = inventory_ticket(owner, now_s, other.target)
+        return owner.on_reply(now_s, ticket, InventoryReply(None, higher))
     return owner.on_reply(now_s, other.ticket, WriteSlotsReply(False, higher))
 
 
