--- a/review/stand_ins/batch_client.py
+++ b/review/stand_ins/batch_client.py
@@ -7,6 +7,7 @@
 import itertools
 import json
 import secrets
+from collections import Counter
 from typing import Any, NamedTuple
 
 from stand_ins.http_client import Answer, Call, call
@@ -88,11 +89,14 @@
         loop = asyncio.get_running_loop()
         until_s = loop.time() + within_s
         found: list[dict[str, Any]] = []
+        statuses: Counter[int] = Counter()
         while len(found) < count and loop.time() < until_s:
             answer = await self.read(job, len(found))
+            statuses[answer.status] += 1
             if answer.status == 200:
                 found += json.loads(answer.body)["Results"]
             await asyncio.sleep(0.3)
         states = [f"{result['Id']} {result['State']}" for result in found]
+        self._setup.note(f"batch job {job}: answers by status {dict(statuses)}")
         self._setup.note(f"batch job {job} lists {len(found)} of {count}: {', '.join(states)}")
         return found
--- a/review/stand_ins/tier.py
+++ b/review/stand_ins/tier.py
@@ -21,6 +21,7 @@
 START_TIMEOUT_S = 25.0
 CLASSES = {"gateway": "edge", "control": "core", "store": "storage"}
 SERVES = {"gateway": "edge", "control": "controller", "store": "storage"}
+MEMORY_MB = {"gateway": 300, "control": 296, "store": 340}
 BOUNDS = """
 [Bounds]
 SeedLagS = 3
@@ -111,7 +112,7 @@
                 "[Listen]",
                 listen,
                 "[Limits]",
-                "MemoryMb = 300",
+                f"MemoryMb = {MEMORY_MB[self.role]}",
                 "MaxFds = 4100",
                 f"DiskMb = {520 if self.role == 'store' else 128 if has_disk else 0}",
                 "[FaultTolerance]",
