Review case: a stream that is continued ends as complete with the text of a failure

A server crashes in the middle of resumable streams while another one answers part of its requests with 422. The gateway asks the second one to continue; its failure's body is written into the stream, which then ends as complete.

--- a/review/stand_ins/model_server.py
+++ b/review/stand_ins/model_server.py
@@ -5,6 +5,7 @@
 import asyncio
 import contextlib
 import json
+import random
 import secrets
 from collections.abc import Callable, Mapping, Sequence
 from typing import NamedTuple
@@ -13,7 +14,8 @@
 
 HEARTBEAT_S = 1.2
 EVENT_PAUSE_S = 0.02
-EVENTS = 5
+EVENTS = 14
+FAILURE_STATUS = 422
 
 
 class Run(NamedTuple):
@@ -39,6 +41,7 @@
     ) -> None:
         self.id = f"i-{secrets.token_hex(4)}"
         self.address = ""
+        self.failing_share = 0.0  # of the requests, which are answered with a failure
         self._service, self._controls, self._on_run, self._zone = service, list(controls), on_run, zone
         self._sequence = 0
         self._server: asyncio.Server | None = None
@@ -106,6 +109,9 @@
             writer.write(self._refusal(421, request_id))
         elif not request_id:
             writer.write(self._refusal(400, request_id))
+        elif random.random() < self.failing_share:
+            self._on_run(Run(request_id, method, path, headers, body))
+            writer.write(self._failure(request_id))
         else:
             self._on_run(Run(request_id, method, path, headers, body))
             await self._stream(writer, request_id, int(headers.get("last-event-id", "0")))
@@ -117,6 +123,14 @@
             f"Instance-Id: {self.id}\r\nContent-Length: 0\r\n\r\n"
         ).encode("latin-1")
 
+    def _failure(self, request_id: str) -> bytes:
+        body = b"this cannot be done"
+        head = (
+            f"HTTP/1.1 {FAILURE_STATUS} Unprocessable Content\r\nRequest-Id: {request_id}\r\n"
+            f"Response-Signature: {self.id}.{request_id}.failed\r\nContent-Length: {len(body)}\r\n\r\n"
+        )
+        return head.encode("latin-1") + body
+
     async def _stream(self, writer: asyncio.StreamWriter, request_id: str, after: int) -> None:
         writer.write(
             (
--- a/review/stand_ins/scenario.py
+++ b/review/stand_ins/scenario.py
@@ -20,6 +20,7 @@
 HOST = "desk.example"
 SERVICE = "ledger-assist"
 LIVE_PREFIX = "/explain/"
+RESUMABLE_PREFIX = "/review/"
 BATCH_PREFIX = "/lots-in/"
 MAX_QUEUED_TOKENS = 1_200_000
 
@@ -88,6 +89,14 @@
         "MaxAttempts": 1,
         "Resumable": False,
     }
+    resumable = live | {
+        "Name": "review",
+        "PathPrefix": RESUMABLE_PREFIX,
+        "TimeoutMs": 3000,
+        "TargetLatencyMs": 300,
+        "MaxAttempts": 2,
+        "Resumable": True,
+    }
     batch = {
         "Name": "lots",
         "PathPrefix": BATCH_PREFIX,
@@ -114,7 +123,8 @@
         "HeaderTimeoutMs": 3000,
         "IdleTimeoutMs": 15000,
     }
-    return {"Version": 1, "Routes": [common | live, common | batch], "Services": [service], "Limits": limits}
+    routes = [common | live, common | resumable, common | batch]
+    return {"Version": 1, "Routes": routes, "Services": [service], "Limits": limits}
 
 
 Scenario = Callable[[Setup, bool], Awaitable[bool]]
