--- a/review/stand_ins/scenario.py
+++ b/review/stand_ins/scenario.py
@@ -5,6 +5,7 @@
 import asyncio
 import json
 import os
+import signal
 import sys
 import tempfile
 import time
@@ -17,6 +18,7 @@
 from stand_ins.tier import Tier
 
 HELD, BROKEN, COULD_NOT_RUN = 0, 1, 2
+SCENARIO_LIMIT_S = 105.0  # without the start; a script may run for 120 s
 HOST = "desk.example"
 SERVICE = "ledger-assist"
 LIVE_PREFIX = "/explain/"
@@ -131,26 +133,18 @@
 
 
 async def _run(scenario: Scenario, record_path: Path, servers: int, gateways: int) -> int:
-    trouble = os.environ.get("TROUBLE", "1") != "0"
+    task = asyncio.current_task()
+    assert task is not None
+    for number in (signal.SIGTERM, signal.SIGINT):
+        asyncio.get_running_loop().add_signal_handler(number, task.cancel)
     with tempfile.TemporaryDirectory() as folder:
         tier = Tier(Path(folder), gateways=gateways)
         setup = Setup(tier, record_path)
         try:
-            tier.start()
-            await setup.add_servers(servers)
-            if not await setup.put_configuration() or not await tier.wait_ready():
-                setup.note("the tier did not start")
-                return COULD_NOT_RUN
-            await asyncio.sleep(3.0)
-            setup.note(f"the tier is ready; the disruption is {'on' if trouble else 'off'}")
-            held = await scenario(setup, trouble)
-            peaks = [f"{node.name} {node.peak_memory_mb():.0f}" for node in tier.nodes]
-            setup.note(f"peak memory in MB: {', '.join(peaks)}")
-            dead = [node.name for node in tier.nodes if not node.running]
-            if dead:
-                setup.note(f"processes that ended: {', '.join(dead)}")
-            setup.note("the rule held" if held else "the rule was broken")
-            return HELD if held else BROKEN
+            return await _play(scenario, setup, servers)
+        except (TimeoutError, asyncio.CancelledError):
+            setup.note("the scenario did not end in time or was ended from outside")
+            return COULD_NOT_RUN
         finally:
             await stop_all(setup.servers)
             if os.environ.get("KEEP_LOGS"):
@@ -159,6 +153,27 @@
             setup.close()
 
 
+async def _play(scenario: Scenario, setup: Setup, servers: int) -> int:
+    trouble = os.environ.get("TROUBLE", "1") != "0"
+    tier = setup.tier
+    tier.start()
+    await setup.add_servers(servers)
+    if not await setup.put_configuration() or not await tier.wait_ready():
+        setup.note("the tier did not start")
+        return COULD_NOT_RUN
+    await asyncio.sleep(3.0)
+    setup.note(f"the tier is ready; the disruption is {'on' if trouble else 'off'}")
+    async with asyncio.timeout(SCENARIO_LIMIT_S):
+        held = await scenario(setup, trouble)
+    peaks = [f"{node.name} {node.peak_memory_mb():.0f}" for node in tier.nodes]
+    setup.note(f"peak memory in MB: {', '.join(peaks)}")
+    dead = [node.name for node in tier.nodes if not node.running]
+    if dead:
+        setup.note(f"processes that ended: {', '.join(dead)}")
+    setup.note("the rule held" if held else "the rule was broken")
+    return HELD if held else BROKEN
+
+
 def _copy_logs(folder: Path, target: Path) -> None:
     target.mkdir(parents=True, exist_ok=True)
     for log in folder.glob("*/log"):
