Gateway: a failure that answers a continuation is never joined to the stream

Cause: a complete failure response that allows no retry has the outcome COMPLETED. The executor passed it to ClientResponse.end, which writes a whole response or, if one has begun, the rest of it; nothing asked whether it may follow what was sent. Retryable failures took another way, which checks that.

Change: the executor breaks the response off if a part of it has been sent. end is for the rest of a success; a server's complete response has send_response, which always starts a response. The random tests answer with 404, 422 and 507 too.

The new test failed for eight of eight statuses on the old gateway, one random test found the fault there within its examples; with the change all tests of the gateway pass.

--- a/emberring/gateway/attempt.py
+++ b/emberring/gateway/attempt.py
@@ -42,7 +42,7 @@
         """Forward a part of a body that is too long to be buffered."""
 
     async def end(self, head: ResponseHead, data: bytes) -> None:
-        """Forward the rest of a response, or all of it if nothing was forwarded before."""
+        """Forward the rest of a success, or all of it if nothing was forwarded before."""
 
 
 @attrs.define(eq=False)
--- a/emberring/gateway/client_response.py
+++ b/emberring/gateway/client_response.py
@@ -37,14 +37,20 @@
         await self._write(data, True)
 
     async def end(self, head: ResponseHead, data: bytes) -> None:
-        """Write the rest of a response, or all of it if nothing was written before."""
-        if not self._started:
-            headers = end_to_end_headers(head.headers)
-            bodiless = self._is_head or head.status in BODILESS_STATUSES
-            if not bodiless:
-                headers = [*_without_length(head), (b"content-length", b"%d" % len(data))]
-            await self._start(head.status, headers)
-        await self._write(data, False)
+        """Write the rest of a success, or all of it if nothing was written before."""
+        if self._started:
+            await self._write(data, False)
+        else:
+            await self.send_response(head, data)
+
+    async def send_response(self, head: ResponseHead, body: bytes) -> None:
+        """Write a complete response of a server; the protocol raises RuntimeError after the start of another one."""
+        headers = end_to_end_headers(head.headers)
+        bodiless = self._is_head or head.status in BODILESS_STATUSES
+        if not bodiless:
+            headers = [*_without_length(head), (b"content-length", b"%d" % len(body))]
+        await self._start(head.status, headers)
+        await self._write(body, False)
 
     async def send_local(self, response: GatewayResponse) -> None:
         """Write a response that the gateway generated, usually an error."""
--- a/emberring/gateway/execution.py
+++ b/emberring/gateway/execution.py
@@ -14,7 +14,7 @@
 from emberring.gateway.calls import choose_service, read_milliseconds, read_prefix_parts, read_token_count
 from emberring.gateway.connection_pool import ConnectionPool
 from emberring.gateway.items import ItemReceiver, item_outcome, item_request
-from emberring.gateway.messages import ClientRequest
+from emberring.gateway.messages import ClientRequest, ResponseHead
 from emberring.gateway.ports import AdmissionPort
 from emberring.gateway.response import ResponseTimeouts, ServerActivity
 from emberring.gateway.responses import DEFAULT_RETRY_AFTER_S, NOT_EXECUTED_STATUSES, GatewayResponse
@@ -32,6 +32,9 @@
 class LiveReceiver(Receiver, Protocol):
     """The destination of the response to a live request."""
 
+    async def send_response(self, head: ResponseHead, body: bytes) -> None:
+        """Send a complete response of a server; only while nothing was forwarded."""
+
     def abort_response(self) -> None:
         """End a partly sent response so that the client detects that it is incomplete."""
 
@@ -103,8 +106,7 @@
                 call, decision.server_id, receiver, self._response_timeouts(route, progress)
             )
             if last.outcome is CallOutcome.COMPLETED:
-                if last.head is not None:
-                    await receiver.end(last.head, last.body)
+                await self._finish_response(receiver, last)
                 return None
             if last.outcome is CallOutcome.BROKEN:
                 broken_servers.add(decision.server_id)
@@ -114,6 +116,17 @@
                 return await self._respond_to_failure(receiver, progress, last, None)
             call.resumed = receiver.started
 
+    @staticmethod
+    async def _finish_response(receiver: LiveReceiver, result: AttemptResult) -> None:
+        """Finish the response after an attempt to which the server sent a complete response."""
+        if result.head is None:
+            return  # a success, which the attempt has forwarded to its end
+        if receiver.started:
+            # Guard: a failure joined to the events of an earlier attempt would look like a complete stream.
+            receiver.abort_response()
+            return
+        await receiver.send_response(result.head, result.body)
+
     @staticmethod
     def _response_timeouts(route: Route, progress: _AttemptProgress) -> ResponseTimeouts | None:
         """Return the timeouts of the next attempt; None if no retry is possible after it."""
@@ -135,7 +148,7 @@
         failed = last.head if last is not None and last.outcome is CallOutcome.FAILED else None
         # The client reads such a status as "not executed", which the server did not guarantee.
         if last is not None and failed is not None and failed.status not in NOT_EXECUTED_STATUSES:
-            await receiver.end(failed, last.body)
+            await receiver.send_response(failed, last.body)
             return None
         if last is not None and last.outcome is CallOutcome.SILENT:
             return GatewayResponse(504, "the server fell silent")
--- a/tests/emberring/gateway/test_tier_gateway_failures.py
+++ b/tests/emberring/gateway/test_tier_gateway_failures.py
@@ -534,6 +534,47 @@
     play(scenario)
 
 
+# Guards against review case 2: the body of a failure response joined to the events of another server.
+@pytest.mark.parametrize("status", [304, 400, 404, 410, 422, 451, 501, 507])
+def test_a_failure_response_never_continues_a_stream(status: int) -> None:
+    async def scenario(world: World) -> None:
+        async def answer_failure(side: ServerSide, seen: ReceivedRequest) -> None:
+            body = b"" if status == 304 else b"this cannot be done"
+            await side.answer(seen, status, body)
+
+        await world.server(close_inside_an_event)
+        second, third = await world.server(answer_failure), await world.server(continue_stream)
+        answer = await (await world.client()).ask("/again/1")
+        assert (answer.status, answer.body, answer.whole) == (200, events(1, 2), False)
+        assert answer.headers["response-signature"] == "sig-r1"
+        assert (len(second.seen), len(third.seen)) == (1, 0)
+        assert second.seen[0].headers["last-event-id"] == "2"
+        assert world.admission.outcomes == ["broken", "completed"]
+        assert world.listener.responses["broken_off"] == 1
+
+    play(scenario)
+
+
+@pytest.mark.parametrize("status", [304, 404, 422, 507])
+def test_a_failure_response_is_forwarded_unchanged_if_nothing_was_forwarded_before(status: int) -> None:
+    async def scenario(world: World) -> None:
+        body = b"" if status == 304 else b"this cannot be done"
+
+        async def answer_failure(side: ServerSide, seen: ReceivedRequest) -> None:
+            await side.answer(seen, status, body)
+
+        await world.server(send_head_only)
+        await world.server(answer_failure)
+        client = await world.client()
+        await client.send(request("/again/1"))
+        raw_head = await client.reader.readuntil(b"\r\n\r\n")
+        assert raw_head.startswith(b"HTTP/1.1 %d " % status)
+        assert b"response-signature: sig-r1" in raw_head.lower()
+        assert await client.reader.readexactly(len(body)) == body
+
+    play(scenario)
+
+
 def test_a_stream_resumed_by_the_client_continues_from_there() -> None:
     async def scenario(world: World) -> None:
         server = await world.server(continue_stream)
--- a/tests/emberring/gateway/test_tier_gateway_fuzz.py
+++ b/tests/emberring/gateway/test_tier_gateway_fuzz.py
@@ -48,6 +48,9 @@
     "full",
     "wrong",
     "error",
+    "impossible",
+    "not_found",
+    "no_storage",
     "garble",
     "garble_inside",
     "unsigned",
@@ -56,6 +59,8 @@
     "nothing",
 )
 NOT_RUN = frozenset(("full", "wrong"))
+FAILURE_STATUSES = {"error": 500, "impossible": 422, "not_found": 404, "no_storage": 507}
+FAILURE_BODY = b"this cannot be done"
 BEHAVIOURS = st.builds(Behaviour, st.sampled_from(KINDS), st.integers(0, LAST), st.booleans())
 
 
@@ -79,13 +84,14 @@
         if late:
             await side.write(late)
         await self._follow(behaviour, side, seen, after)
-        if behaviour.duplicate and behaviour.kind in ("whole", "error"):
-            self.late = (
-                await self._whole_bytes(seen, after) if behaviour.kind == "whole" else self._error(seen)
-            )
+        if behaviour.duplicate and behaviour.kind == "whole":
+            self.late = await self._whole_bytes(seen, after)
+        elif behaviour.duplicate and behaviour.kind in FAILURE_STATUSES:
+            self.late = self._failure(behaviour.kind, seen)
 
-    def _error(self, seen: ReceivedRequest) -> bytes:
-        return head(seen, 500, 0, Response_Signature=signature(self.name, seen))
+    def _failure(self, kind: str, seen: ReceivedRequest) -> bytes:
+        status, name = FAILURE_STATUSES[kind], signature(self.name, seen)
+        return head(seen, status, len(FAILURE_BODY), Response_Signature=name) + FAILURE_BODY
 
     async def _whole_bytes(self, seen: ReceivedRequest, after: int) -> bytes:
         name = signature(self.name, seen)
@@ -119,8 +125,8 @@
                 await side.write(head(seen, 503, 0, signed=False, Not_Executed="1"))
             case "wrong":
                 await side.write(head(seen, 421, 0, signed=False, Instance_Id=self.name))
-            case "error":
-                await side.write(self._error(seen))
+            case "error" | "impossible" | "not_found" | "no_storage":
+                await side.write(self._failure(behaviour.kind, seen))
             case "garble":
                 await side.write(b"\x16\x03\x01 junk\r\n\r\n")
                 side.close()
@@ -151,8 +157,9 @@
         assert server == f"{own_runs[0][1]}/{request_id}" or idempotent, "MIXED"
         assert server.endswith("/" + request_id), "MIXED"
         check_body(path, request_id, answer)
-    elif answer.status == 500:
+    elif answer.status in FAILURE_STATUSES.values():
         assert answer.headers["response-signature"].endswith("/" + request_id)
+        assert (answer.body, answer.whole) == (FAILURE_BODY, True), "MIXED"
     else:
         assert answer.status == 502
         assert "response-signature" not in answer.headers
--- a/tests/emberring/gateway/test_tier_gateway_items.py
+++ b/tests/emberring/gateway/test_tier_gateway_items.py
@@ -171,6 +171,25 @@
     play(scenario)
 
 
+# Guards against the body of a failure in the text of a batch item that another server had begun.
+@pytest.mark.parametrize(
+    ("status", "kind"),
+    [(404, OutcomeKind.BROKEN), (422, OutcomeKind.IMPOSSIBLE_422), (500, OutcomeKind.FAILED_500)],
+)
+def test_a_failure_response_adds_nothing_to_a_continued_item(status: int, kind: OutcomeKind) -> None:
+    async def scenario(world: World) -> None:
+        async def answer_with_events(side: ServerSide, seen: ReceivedRequest) -> None:
+            await side.answer(seen, status, event(3), Content_Type="text/event-stream")
+
+        server = await world.server(answer_with_events)
+        received: list[ItemEvent] = []
+        outcome = await world.executor.run_item(item(resume_after=2), received.extend)
+        assert (outcome.kind, received) == (kind, [])
+        assert server.seen[0].headers["last-event-id"] == "2"
+
+    play(scenario)
+
+
 def test_a_late_duplicate_of_a_failure_is_not_taken_for_the_next_attempt() -> None:
     async def scenario(world: World) -> None:
         async def answer_500_first(side: ServerSide, seen: ReceivedRequest) -> None:
