Gateway: a response is continued only after an event whose id is known

Cause: the position after which a resumable response is continued is also set by the client's own Last-Event-Id, before anything is forwarded. After a partly forwarded body that is no stream, or an event without an id, it was taken for the end of what had been forwarded, and another server's events were joined behind.

Change: a call records whether what was forwarded ends at the event with its position; otherwise the response is broken off. Comments change nothing.

Measured: three of four new tests failed before (a cut body of chunks ended as complete, with events behind it; the fourth, a comment, held before); all pass with the change, as do all tests of the gateway.

--- a/emberring/gateway/attempt.py
+++ b/emberring/gateway/attempt.py
@@ -55,7 +55,8 @@
         send_deadline: whether the remaining time is sent to the server as `Deadline-Ms`.
         stream_only: whether a successful response must be an event stream.
         allowed: returns whether the call may still be sent; called immediately before it is sent.
-        last_event_id: id of the last forwarded event; None before the first one.
+        last_event_id: id of the last forwarded event, or the client's `Last-Event-Id`; None without either.
+        ends_at_event: whether nothing was forwarded after the event with that id, comments apart.
         resumed: whether the next event must have the id that follows `last_event_id`.
         possibly_sent: whether a server may have received a byte of the request and has not guaranteed that it did
             not execute it.
@@ -69,17 +70,25 @@
     stream_only: bool = False
     allowed: Callable[[], bool] = always_allowed
     last_event_id: int | None = None
+    ends_at_event: bool = True
     resumed: bool = False
     possibly_sent: bool = False
 
+    @property
+    def continuable(self) -> bool:
+        """Whether another server can continue the response after what was forwarded."""
+        return self.last_event_id is not None and self.ends_at_event
+
     def accept_event(self, event: Event) -> bool:
         """Record the id of an event; return False, without recording, if the event is out of order."""
         if event.id is None:
+            self.ends_at_event = self.ends_at_event and event.is_comment
             return True
         last = self.last_event_id
         if last is not None and (event.id <= last or (self.resumed and event.id != last + 1)):
             return False
         self.last_event_id = event.id
+        self.ends_at_event = True
         self.resumed = False
         return True
 
@@ -229,6 +238,8 @@
             if finished:
                 return AttemptResult(self._failure())
             if len(buffered) > BUFFERED_BODY_BYTES or (self._receiver.started and buffered):
+                # Guard: a stream joined to a body of another kind, after the `Last-Event-Id` of the client.
+                self._call.ends_at_event = False
                 await self._receiver.body_chunk(head, buffered)
                 buffered = b""
             if not response.finished and not response.buffered_bytes:
--- a/emberring/gateway/events.py
+++ b/emberring/gateway/events.py
@@ -21,6 +21,11 @@
     raw: bytes
     id: int | None
 
+    @property
+    def is_comment(self) -> bool:
+        """Whether it has comment lines only, such as a server sends to keep a connection open."""
+        return all(line.startswith(b":") for line in _LINE_END.split(self.raw) if line)
+
     @property
     def data(self) -> bytes:
         """The event's data: its `data` lines joined by line feeds."""
--- a/emberring/gateway/execution.py
+++ b/emberring/gateway/execution.py
@@ -111,7 +111,7 @@
             if last.outcome is CallOutcome.BROKEN:
                 broken_servers.add(decision.server_id)
             progress.value = progress.value.after(last.outcome)
-            resumable = not receiver.started or (route.resumable and call.last_event_id is not None)
+            resumable = not receiver.started or (route.resumable and call.continuable)
             if not resumable or not progress.value.allows_another(last.outcome):
                 return await self._respond_to_failure(receiver, progress, last, None)
             call.resumed = receiver.started
--- a/tests/emberring/gateway/test_tier_gateway_failures.py
+++ b/tests/emberring/gateway/test_tier_gateway_failures.py
@@ -585,6 +585,58 @@
     play(scenario)
 
 
+# Guards against events joined to a body that is no stream, when the client itself had sent `Last-Event-Id`.
+@pytest.mark.parametrize("length_known", [False, True])
+def test_a_partly_forwarded_body_is_never_continued_by_a_stream(length_known: bool) -> None:
+    async def scenario(world: World) -> None:
+        body = b"x" * (attempt.BUFFERED_BODY_BYTES + 1)
+
+        async def cut_long_body(side: ServerSide, seen: ReceivedRequest) -> None:
+            if length_known:
+                await side.write(head(seen, 200, len(body) + 100) + body)
+            else:
+                await side.write(head(seen, 200, None, Transfer_Encoding="chunked") + chunk(body))
+            side.close()
+
+        await world.server(cut_long_body)
+        second = await world.server(continue_stream)
+        answer = await (await world.client()).ask("/again/1", Last_Event_Id="3")
+        assert (answer.status, answer.body, answer.whole) == (200, body, False)
+        assert not second.seen
+
+    play(scenario)
+
+
+# Guards against a stream that is continued from an older position than that of its last event.
+def test_a_stream_is_not_continued_after_an_event_without_an_id() -> None:
+    async def scenario(world: World) -> None:
+        async def cut_after_an_event_without_id(side: ServerSide, seen: ReceivedRequest) -> None:
+            await side.write(stream_head(seen) + chunk(event(1) + b"data: text 2\n\n"))
+            side.close()
+
+        await world.server(cut_after_an_event_without_id)
+        second = await world.server(continue_stream)
+        answer = await (await world.client()).ask("/again/1")
+        assert (answer.body, answer.whole) == (event(1) + b"data: text 2\n\n", False)
+        assert not second.seen
+
+    play(scenario)
+
+
+def test_a_stream_is_continued_after_a_comment() -> None:
+    async def scenario(world: World) -> None:
+        async def cut_after_a_comment(side: ServerSide, seen: ReceivedRequest) -> None:
+            await side.write(stream_head(seen) + chunk(event(1) + b": still here\n\n"))
+            side.close()
+
+        await world.server(cut_after_a_comment)
+        await world.server(continue_stream)
+        answer = await (await world.client()).ask("/again/1")
+        assert (answer.body, answer.whole) == (event(1) + b": still here\n\n" + events(2, 3, 4, 5), True)
+
+    play(scenario)
+
+
 def test_a_duplicate_event_breaks_the_stream() -> None:
     async def scenario(world: World) -> None:
         async def duplicate_event(side: ServerSide, seen: ReceivedRequest) -> None:
