Item runner: a run that fails inside the gateway is reported, and its item run again

What operators saw: an item with a text that Latin-1 does not have was accepted and stood as running until its retention.

Cause: the task of a run ended with the exception, before the end of the run was delivered, and the run stayed among those whose leases each report renews.

Change: an unexpected exception is logged (event=run_failed) and the run reported as broken.

--- a/emberring/jobs/runner.py
+++ b/emberring/jobs/runner.py
@@ -25,8 +25,11 @@
 from emberring.jobs.directory import OwnerDirectory, TierKnowledge
 from emberring.jobs.items import ItemCall, ItemEvent, ItemExecutor, OutcomeKind
 from emberring.jobs.packing import pack_events, unpack_events
+from emberring.logs import get_logger
 from emberring.transport.network import Network
 
+logger = get_logger("jobs")
+
 ITEM_LEASE_S = 1.5  # since a report was sent that the owner acknowledged
 INITIAL_LEASE_S = 0.8  # since an item was received; shorter, as the reply may have been delayed on its way
 REPORT_INTERVAL_S = 0.2
@@ -168,6 +171,10 @@
                 self._runs.pop(run.assignment.ticket, None)
                 raise
             kind = OutcomeKind.BROKEN
+        except Exception:
+            # Guard: a run whose task ends without a report would be reported as running until the item's retention.
+            logger.exception("event=run_failed item=%r", run.assignment.id)
+            kind = OutcomeKind.BROKEN
         run.ended = True
         self._run_ended.set()
         if kind is OutcomeKind.NOT_RUN:
--- a/tests/emberring/store/test_tier_store_path.py
+++ b/tests/emberring/store/test_tier_store_path.py
@@ -107,6 +107,24 @@
     run(scenario())
 
 
+# Guards against a run whose task has failed and that its gateway reports as running until the item is given up.
+def test_an_item_whose_run_fails_inside_the_gateway_is_run_again(tmp_path: Path) -> None:
+    async def scenario() -> None:
+        cluster = await Cluster.begin(tmp_path)
+        executor = FakeExecutor()
+        executor.defects["lot1-0"] = UnicodeEncodeError("latin-1", "Ж", 0, 1, "not in range")
+        gateway = cluster.gateway(executor)
+        await gateway.runner.start()
+        await gateway.client.submit(HOST, ROUTE, "lot1", job_body("lot1", 2))
+        results = await read_all(gateway.client, "lot1")
+        assert {result["State"] for result in results} == {"completed"}
+        assert [run_id for run_id, _ in executor.runs].count("lot1-0") == 2
+        await gateway.end()
+        await cluster.end()
+
+    run(scenario())
+
+
 def test_no_result_is_lost_if_the_owner_is_killed(tmp_path: Path) -> None:
     async def scenario() -> None:
         cluster = await Cluster.begin(tmp_path)
--- a/tests/emberring/store/tier_store_cluster.py
+++ b/tests/emberring/store/tier_store_cluster.py
@@ -153,6 +153,7 @@
         self.runs: list[tuple[str, int | None]] = []
         self.bodies: dict[str, bytes] = {}
         self.script: dict[str, list[OutcomeKind]] = {}
+        self.defects: dict[str, Exception] = {}  # raised by the first run of the item with this id
         self.active = 0
         self.capacity = 20
 
@@ -166,6 +167,8 @@
         try:
             self.runs.append((item.id, item.resume_after))
             self.bodies[item.id] = item.body
+            if item.id in self.defects:
+                raise self.defects.pop(item.id)
             script = self.script.get(item.id)
             kind = script.pop(0) if script else OutcomeKind.COMPLETED
             if kind is not OutcomeKind.COMPLETED:
