Batch items: texts that HTTP does not allow are rejected and never rendered

Cause: JSON strings hold any character; the interface checked types only and the renderer relied on its callers.

Change: http_syntax states what RFC 9110 and 9112 allow. parse_items answers 400 with item and field before anything is written; render_request refuses a head that is not one request line and the fields it wrote; framing and hop-by-hop headers are not taken from an item; an item that an older version stored ends as a dead letter, at the owner and at a gateway that gets it from an older owner.

--- a/emberring/gateway/execution.py
+++ b/emberring/gateway/execution.py
@@ -10,6 +10,7 @@
 from emberring.admission.attempts import AttemptBudget
 from emberring.admission.types import Admitted, CallInfo, CallOutcome, Decision, NoServer, Refused
 from emberring.configuration.model import Route
+from emberring.errors import BadRequestError
 from emberring.gateway.attempt import Attempt, AttemptContext, AttemptResult, Receiver, UpstreamCall
 from emberring.gateway.calls import choose_service, read_milliseconds, read_prefix_parts, read_token_count
 from emberring.gateway.connection_pool import ConnectionPool
@@ -168,11 +169,15 @@
         return self._admission.batch_room(asyncio.get_running_loop().time())
 
     async def run_item(self, item: ItemCall, on_events: Callable[[list[ItemEvent]], None]) -> ItemOutcome:
-        """Run one attempt of a batch item."""
+        """Run one attempt of a batch item; an item that can't be written as a request is impossible."""
         loop = asyncio.get_running_loop()
+        try:
+            request = item_request(item, loop.time())
+        except BadRequestError:
+            return ItemOutcome(OutcomeKind.IMPOSSIBLE_422)
         call = UpstreamCall(
             id=f"i{next(self._call_numbers)}",
-            request=item_request(item, loop.time()),
+            request=request,
             idempotent=True,
             deadline_s=loop.time() + ITEM_LIMIT_S,
             allowed=item.still_allowed,
--- a/emberring/gateway/items.py
+++ b/emberring/gateway/items.py
@@ -5,30 +5,42 @@
 from collections.abc import Callable
 
 from emberring.admission.types import CallOutcome
+from emberring.errors import BadRequestError
 from emberring.gateway.attempt import AttemptResult
 from emberring.gateway.events import Event
-from emberring.gateway.messages import ClientRequest, ResponseHead
+from emberring.gateway.messages import CONNECTION_HEADERS, ClientRequest, ResponseHead
+from emberring.jobs.item_text import invalid_item_texts
 from emberring.jobs.items import ItemCall, ItemEvent, ItemOutcome, OutcomeKind
 
 UNPROCESSABLE_STATUS = 422
 EXECUTION_FAILED_STATUS = 500
 
+_HEADERS_NOT_TAKEN = CONNECTION_HEADERS | {b"request-id", b"host", b"content-length", b"expect"}
 _NOT_RUN_OUTCOMES = frozenset(
     (CallOutcome.FULL, CallOutcome.WRONG_SERVER, CallOutcome.CONNECT_FAILED, CallOutcome.NOT_SENT)
 )
 
 
 def item_request(item: ItemCall, now_s: float) -> ClientRequest:
-    """Return the request of an item: a `POST` of its body with its headers, and its id as `Request-Id`."""
+    """Return the request of an item: a `POST` of its body with its headers, and its id as `Request-Id`.
+
+    Headers that frame a message or concern one connection are not taken from the item.
+
+    Raises:
+        BadRequestError: a text of the item can't be written into a request.
+    """
+    invalid = invalid_item_texts(item.id, item.path, item.headers)
+    if invalid:
+        raise BadRequestError(f"item {item.id!r}: {', '.join(invalid)}")
     headers = [
-        (name.lower().encode("latin-1"), value.encode("latin-1"))
+        (name.lower().encode("ascii"), value.encode("latin-1"))
         for name, value in item.headers
-        if name.lower() != "request-id"
+        if name.lower().encode("ascii") not in _HEADERS_NOT_TAKEN
     ]
     headers.append((b"request-id", item.id.encode("latin-1")))
     return ClientRequest(
         method=b"POST",
-        target=item.path.encode("latin-1"),
+        target=item.path.encode("ascii"),
         host=item.host,
         headers=tuple(headers),
         body=item.body,
--- a/emberring/gateway/messages.py
+++ b/emberring/gateway/messages.py
@@ -4,6 +4,9 @@
 
 import attrs
 
+from emberring.errors import InternalError
+from emberring.http_syntax import is_request_head
+
 Header = tuple[bytes, bytes]
 
 # Hop-by-hop headers (RFC 9110, section 7.6.1).
@@ -112,6 +115,9 @@
         server_id: id of the server incarnation that must answer it.
         remaining_ms: time left for the request; if None, the client's `Deadline-Ms` is forwarded.
         last_event_id: event after which a stream is resumed; if None, the client's `Last-Event-Id` is forwarded.
+
+    Raises:
+        InternalError: a text would end the request or one of its lines; the caller has not checked it.
     """
     lines = [
         request.method + b" " + request.target + b" HTTP/1.1",
@@ -130,5 +136,8 @@
     lines.append(b"Expected-Instance: " + server_id.encode("latin-1"))
     if request.body or request.method not in _BODILESS_METHODS:
         lines.append(b"Content-Length: %d" % len(request.body))
-    lines.append(b"\r\n")
-    return b"\r\n".join(lines) + request.body
+    head = b"\r\n".join(lines)
+    if not is_request_head(head, len(lines) - 1):
+        # Guard: a text with line ends would be read as another request.
+        raise InternalError("a request holds a text that HTTP does not allow")
+    return head + b"\r\n\r\n" + request.body
--- a/emberring/jobs/definition.py
+++ b/emberring/jobs/definition.py
@@ -11,6 +11,7 @@
 
 from emberring.errors import BadRequestError, CorruptRecordError
 from emberring.jobs.calls import JobTerms
+from emberring.jobs.item_text import invalid_item_texts
 from emberring.jobs.packing import decompress
 
 MAX_ITEMS = 200
@@ -19,7 +20,10 @@
 
 @attrs.frozen
 class ItemSpec:
-    """An item as submitted; `body` is encoded in base64."""
+    """An item as submitted; `body` is encoded in base64.
+
+    Older versions accepted and stored any text, so a decoded item may hold texts that can't be sent.
+    """
 
     id: str
     path: str
@@ -31,6 +35,10 @@
         """Return the decoded body."""
         return base64.b64decode(self.body)
 
+    def invalid_texts(self) -> list[str]:
+        """Return the names of the fields that can't be written into the item's request."""
+        return invalid_item_texts(self.id, self.path, self.headers.items())
+
 
 def parse_items(compressed: bytes) -> list[ItemSpec]:
     """Return the items of a submitted batch job; raises `BadRequestError` with the reason if it is not valid."""
@@ -59,9 +67,12 @@
         "Tokens": _is_count(entry.get("Tokens", 0)),
     }
     invalid = [name for name, valid in checks.items() if not valid]
-    if invalid:
+    spec = None if invalid else _spec(entry)
+    if spec is not None:
+        invalid = spec.invalid_texts()
+    if spec is None or invalid:
         raise BadRequestError(f"Requests[{number}]: {', '.join(invalid)}")
-    return _spec(entry)
+    return spec
 
 
 def _is_base64(text: str) -> bool:
--- a/emberring/jobs/execution.py
+++ b/emberring/jobs/execution.py
@@ -59,12 +59,19 @@
             self._takeover_waits.append((now_s + TAKEOVER_GRACE_S, job.key, index))
 
     def lease_items(self, now_s: float, gateway: str, capacity: int, shard: int) -> list[Assignment]:
-        """Lease up to `capacity` items to a gateway, each under a new ticket."""
+        """Lease up to `capacity` items to a gateway, each under a new ticket.
+
+        An item that can't be written as a request becomes a dead letter.
+        """
         assignments: list[Assignment] = []
         while len(assignments) < capacity and (entry := self._table.schedule.pop(now_s)) is not None:
             job = self._table.jobs.get(entry.key)
             if job is None or job.ended or job.items[entry.index].status is not ItemStatus.WAITING:
                 continue
+            if self._table.specs(job)[entry.index].invalid_texts():
+                # Guard: a batch job stored by an older version whose header ends the request and begins another one.
+                self._assign_position(job, entry.index, ResultState.DEAD_LETTER, "")
+                continue
             assignments.append(self._assign(now_s, gateway, shard, job, entry.index))
         return assignments
 
--- a/tests/emberring/gateway/test_tier_gateway_items.py
+++ b/tests/emberring/gateway/test_tier_gateway_items.py
@@ -4,7 +4,9 @@
 
 import asyncio
 from collections.abc import Callable
+from typing import Any
 
+import attrs
 import pytest
 from gateway_world import (
     PATIENCE_S,
@@ -159,6 +161,27 @@
     play(scenario)
 
 
+# Guards against an owner of an older version that leases an item whose header holds another request.
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"headers": (("Note", "a\r\nContent-Length: 0\r\n\r\nPOST / HTTP/1.1"),)},
+        {"headers": (("Note", "\u0416"),)},
+        {"path": "/lots/\u0416"},
+        {"id": "\u0416"},
+    ],
+)
+def test_an_item_that_can_not_be_sent_is_impossible_and_reaches_no_server(change: dict[str, Any]) -> None:
+    async def scenario(world: World) -> None:
+        server = await world.server(stream_to_three)
+        outcome = await world.executor.run_item(attrs.evolve(item(), **change), lambda events: None)
+        assert outcome.kind is OutcomeKind.IMPOSSIBLE_422
+        assert not server.seen
+        assert world.admission.in_flight == 0
+
+    play(scenario)
+
+
 def test_an_item_continues_after_the_stored_events() -> None:
     async def scenario(world: World) -> None:
         server = await world.server(stream_to_three)
--- a/tests/emberring/gateway/test_tier_gateway_pure.py
+++ b/tests/emberring/gateway/test_tier_gateway_pure.py
@@ -5,6 +5,7 @@
 import math
 
 import attrs
+import httptools
 import pytest
 from gateway_world import HOST, ROUTES, FakeDirectory, event, route
 from hypothesis import given
@@ -13,7 +14,7 @@
 from emberring.admission.types import PrefixPart
 from emberring.configuration.model import ClientLimits, Configuration, RouteType, Service, Share
 from emberring.distribution.records import ServerRecord, ServerState
-from emberring.errors import NotReadyError, OverloadedError, QuotaExceededError
+from emberring.errors import InternalError, NotReadyError, OverloadedError, QuotaExceededError
 from emberring.gateway.calls import choose_service, read_milliseconds, read_prefix_parts, read_token_count
 from emberring.gateway.events import EventParser
 from emberring.gateway.messages import ClientRequest, ResponseHead, render_request
@@ -206,6 +207,46 @@
         assert text not in data
 
 
+HEAD_PIECES = st.sampled_from(
+    [b"a", b"/", b" ", b":", b"\r\n", b"\r", b"\n", b"\0", b"\x7f", b"\xe9", b"Note: y"]
+)
+HEAD_TEXTS = st.lists(HEAD_PIECES, max_size=5).map(b"".join)
+
+
+class HeadCounter:
+    """Counts the requests and header fields that a server's parser finds."""
+
+    def __init__(self) -> None:
+        self.requests = 0
+        self.fields = 0
+
+    def on_message_begin(self) -> None:
+        self.requests += 1
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        self.fields += 1
+
+
+# Guards against a request that a caller's unchecked text ends early, so that a server reads another one behind it.
+@given(
+    target=HEAD_TEXTS.map(lambda text: b"/" + text),
+    host=HEAD_TEXTS,
+    headers=st.lists(st.tuples(HEAD_TEXTS, HEAD_TEXTS), max_size=3),
+    server_id=HEAD_TEXTS,
+)
+def test_the_renderer_refuses_what_would_not_be_read_as_one_request(
+    target: bytes, host: bytes, headers: list[tuple[bytes, bytes]], server_id: bytes
+) -> None:
+    unchecked = ClientRequest(b"POST", target, host.decode("latin-1"), tuple(headers), b"body", 0.0)
+    try:
+        data = render_request(unchecked, server_id.decode("latin-1"), None, None)
+    except InternalError:
+        return
+    counter = HeadCounter()
+    httptools.HttpRequestParser(counter).feed_data(data)
+    assert (counter.requests, counter.fields) == (1, 3 + len(headers))
+
+
 def directory() -> FakeDirectory:
     services = (Service("s", max_connections=70), Service("t"))
     new_directory = FakeDirectory(Configuration(1, ROUTES, services, ClientLimits()))
--- a/tests/emberring/jobs/test_tier_job_manager.py
+++ b/tests/emberring/jobs/test_tier_job_manager.py
@@ -32,6 +32,7 @@
     RunProgress,
     SubmitJob,
 )
+from emberring.jobs.definition import encode_definition
 from emberring.jobs.execution import RETENTION_GRACE_S, RUN_LEASE_S, TAKEOVER_GRACE_S
 from emberring.jobs.items import OutcomeKind
 from emberring.jobs.job_manager import UNENDED_RETENTION_MARGIN_S, JobManager
@@ -180,6 +181,26 @@
     return [(result["Id"], result["State"], result["Message"]) for result in page["Results"]]
 
 
+# Items that an older version accepted.
+
+
+# Guards against a header stored by an older version that ends the item's request and begins another one.
+def test_a_stored_item_that_can_not_be_sent_ends_as_a_dead_letter() -> None:
+    harness = JobManagerHarness()
+    stored = orjson.loads(body(2))
+    stored["Requests"][0]["Headers"]["Note"] = "a\r\nContent-Length: 0\r\n\r\nPOST / HTTP/1.1"
+    value = encode_definition(TERMS, compress(orjson.dumps(stored)))
+    harness.records.put(f"{HOST}/l", DEFINITION, value, 0.0)
+    owned = harness.records.find(f"{HOST}/l", DEFINITION)
+    assert owned is not None
+    harness.records.mark_committed(owned)
+    new_owner = harness.takeover()
+    new_owner.pass_time(TAKEOVER_GRACE_S)
+    assert [item.id for item in new_owner.lease_items()] == ["i1"]
+    new_owner.pass_time(0.0)
+    assert states(new_owner.read("l")) == [("i0", "dead_letter", "")]
+
+
 # Submission.
 
 
--- a/tests/emberring/test_tier_structure.py
+++ b/tests/emberring/test_tier_structure.py
@@ -27,7 +27,7 @@
     frozenset({"register"}),
     frozenset({"membership", "journal"}),
     frozenset({"transport"}),
-    frozenset({"settings", "errors", "logs"}),
+    frozenset({"settings", "errors", "logs", "http_syntax"}),
     frozenset({"__init__"}),
 )
 # Modules that define only types; packages in lower rows may import them too.
