--- a/emberring/settings.py
+++ b/emberring/settings.py
@@ -191,13 +191,13 @@
     def addresses(self, key: str) -> tuple[str, ...]:
         items = self.strings(key)
         for item in items:
-            if not _is_address(item):
+            if not is_address(item):
                 self._errors.append(f"{self._prefix}{key}: {item!r} is not an address")
         return items
 
     def address(self, key: str) -> str:
         value = self.string(key)
-        if value and not _is_address(value):
+        if value and not is_address(value):
             self._add_error(key, "an address")
         return value
 
@@ -230,9 +230,11 @@
     return type(value) is int and 0 < value <= MAX_PORT
 
 
-def _is_address(text: str) -> bool:
+def is_address(text: str) -> bool:
+    """Return whether a text is `host:port`: a host in printable ASCII without white space, and a port."""
     host, _, port = text.rpartition(":")
-    return bool(host) and port.isdigit() and 0 < int(port) <= MAX_PORT
+    printable = text.isascii() and text.isprintable() and " " not in text
+    return printable and bool(host) and port.isdigit() and 0 < int(port) <= MAX_PORT
 
 
 def parse_settings(text: str, source: str = "settings") -> Settings:
--- a/tests/emberring/registry/test_tier_registry.py
+++ b/tests/emberring/registry/test_tier_registry.py
@@ -125,6 +125,33 @@
         read_heartbeat("i-7", body)
 
 
+# Guards against a server whose id ends the header of a request, or fails each request that is placed there.
+@pytest.mark.parametrize("server_id", ["i-7\r", "i-7\r\nNote: y", "i-\u0416", "i-7\0", " i-7", "i-7 "])
+def test_a_heartbeat_whose_id_does_not_fit_into_a_header_is_rejected(server_id: str) -> None:
+    with pytest.raises(BadRequestError):
+        read_heartbeat(server_id, json.dumps(HEARTBEAT).encode())
+
+
+# Guards against a server whose address fails each request that is placed there instead of counting as unreachable.
+@pytest.mark.parametrize(
+    "address",
+    [
+        "10.0.0.1",
+        ":80",
+        "10.0.0.1:",
+        "10.0.0.1:x",
+        "10.0.0.1:0",
+        "10.0.0.1:65536",
+        "a b:1",
+        "a\0:1",
+        "a:\u00b2",
+    ],
+)
+def test_a_heartbeat_whose_address_is_none_is_rejected(address: str) -> None:
+    with pytest.raises(BadRequestError):
+        read_heartbeat("i-7", json.dumps({**HEARTBEAT, "Address": address}).encode())
+
+
 # -- which records a control node writes
 
 
