Messages: long byte strings are deflated only if samples of them become shorter

Cause: bodies and records mostly are compressed before; deflating 3.1 MB of them takes 75 ms of the event loop, which renews the leases of a store, and gains nothing.

Change: of a byte string over 64 KiB, eight samples of 2 KiB are deflated first.

The new test fails without the samples.

--- a/emberring/transport/messages.py
+++ b/emberring/transport/messages.py
@@ -21,6 +21,9 @@
 MAX_LINE_BYTES = 24 * 1024 * 1024  # a longer line aborts its connection
 MIN_DEFLATE_BYTES = 512  # shorter byte strings are not compressed
 DEFLATE_LEVEL = 1  # the fastest
+SAMPLED_BYTES = 64 * 1024  # longer byte strings are compressed only if samples of them become shorter
+SAMPLES = 8
+SAMPLE_BYTES = 2 * 1024
 MAX_ERROR_DETAIL_CHARS = 200
 
 T = TypeVar("T")
@@ -44,13 +47,22 @@
         return _TEXT + value.decode("utf-8")
     except UnicodeDecodeError:
         pass
-    if len(value) >= MIN_DEFLATE_BYTES:
+    if len(value) >= MIN_DEFLATE_BYTES and _is_compressible(value):
         compressed = zlib.compress(value, DEFLATE_LEVEL)
         if len(compressed) < len(value):
             return _DEFLATED + base64.b64encode(compressed).decode("ascii")
     return _BASE64 + base64.b64encode(value).decode("ascii")
 
 
+def _is_compressible(value: bytes) -> bool:
+    """Return whether compression is worth its time: large values mostly have been compressed before."""
+    if len(value) <= SAMPLED_BYTES:
+        return True
+    step = (len(value) - SAMPLE_BYTES) // (SAMPLES - 1)
+    sampled = b"".join(value[start : start + SAMPLE_BYTES] for start in range(0, len(value), step))
+    return len(zlib.compress(sampled, DEFLATE_LEVEL)) < len(sampled)
+
+
 def _bytes_from_json(value: object, _: type) -> bytes:
     if not isinstance(value, str):
         raise ValueError("encoded bytes must be a string")
--- a/tests/emberring/transport/test_tier_message_bytes.py
+++ b/tests/emberring/transport/test_tier_message_bytes.py
@@ -4,14 +4,16 @@
 
 import base64
 import random
+import zlib
 
 import attrs
+import orjson
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
 from emberring.errors import ProtocolViolationError
-from emberring.transport.messages import Envelope, decode, encode, message
+from emberring.transport.messages import SAMPLED_BYTES, Envelope, decode, encode, message
 
 
 @message("test.bytes")
@@ -45,3 +47,34 @@
 def test_an_invalid_encoding_of_bytes_is_rejected(field: str) -> None:
     with pytest.raises(ProtocolViolationError):
         decode(b'{"i":1,"k":"test.bytes","b":{"value":%s}}' % field.encode())
+
+
+@pytest.mark.parametrize(
+    ("value", "encoding"),
+    [
+        (b"\xfe" + b"a long value that is deflated " * 10_000, "z"),
+        (random.Random(1).randbytes(2 * SAMPLED_BYTES), "b"),
+        # Compressible at its end only, yet by enough that a sample shows it.
+        (random.Random(1).randbytes(SAMPLED_BYTES) + bytes(2 * SAMPLED_BYTES), "z"),
+    ],
+)
+def test_long_values_are_deflated_if_samples_of_them_become_shorter(value: bytes, encoding: str) -> None:
+    line = encode(Envelope(1, Carrier(value)))
+    assert orjson.loads(line)["b"]["value"][0] == encoding
+    assert decode(line[:-1]) == Envelope(1, Carrier(value))
+
+
+# Guards against a store whose event loop deflates compressed values in vain, instead of renewing its lease.
+def test_a_long_value_that_is_compressed_already_is_not_compressed_as_a_whole(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    compressed_bytes: list[int] = []
+    compress = zlib.compress
+
+    def record(data: bytes, level: int) -> bytes:
+        compressed_bytes.append(len(data))
+        return compress(data, level)
+
+    monkeypatch.setattr(zlib, "compress", record)
+    encode(Envelope(1, Carrier(random.Random(1).randbytes(64 * SAMPLED_BYTES))))
+    assert sum(compressed_bytes) <= SAMPLED_BYTES
