Polls for items: replies are bounded by bytes too, as is what one turn of the event loop leases

Cause: a reply held up to 32 items whatever their size. Nine of these are longer than the line that a gateway reads, and encoding them takes longer than the owner's lease; the next owner does the same.

Change: a reply holds 1 MiB of content and one item more; polls beyond that in one turn of the event loop follow in the next.

Measured: the new tests fail on the old code, where neither bound exists; all tests of jobs, dispatch and the simulator pass.

--- a/emberring/jobs/calls.py
+++ b/emberring/jobs/calls.py
@@ -125,6 +125,11 @@
     due_ms: int
     events: bytes = b""
 
+    @property
+    def content_bytes(self) -> int:
+        """The size of its body and events, which make up nearly all of its encoded form."""
+        return len(self.body) + len(self.events)
+
 
 @message("lots.leased")
 @attrs.frozen
--- a/emberring/jobs/execution.py
+++ b/emberring/jobs/execution.py
@@ -4,6 +4,8 @@
 
 import random
 
+import attrs
+
 from emberring.jobs.batch_job import BatchJob, Item, ItemStatus, Run
 from emberring.jobs.calls import (
     Assignment,
@@ -24,6 +26,18 @@
 TAKEOVER_GRACE_S = 0.7  # for which a new owner waits for reports of runs that gateways have already started
 RETENTION_GRACE_S = 0.3  # after the retention of a batch job, until its unfinished items expire
 TICKET_BITS = 52
+# Of content in one reply to a poll. One item more may follow, so that the largest one makes progress; a reply stays far
+# below the longest line that a gateway reads.
+MAX_LEASED_BYTES = 1024 * 1024
+
+
+@attrs.frozen
+class LeasePoll:
+    """What a gateway can take: up to `capacity` items, and no further one once their content has `max_bytes`."""
+
+    gateway: str
+    capacity: int
+    max_bytes: int = MAX_LEASED_BYTES
 
 
 class JobExecution:
@@ -58,13 +72,17 @@
         else:
             self._takeover_waits.append((now_s + TAKEOVER_GRACE_S, job.key, index))
 
-    def lease_items(self, now_s: float, gateway: str, capacity: int, shard: int) -> list[Assignment]:
-        """Lease up to `capacity` items to a gateway, each under a new ticket.
+    def lease_items(self, now_s: float, poll: LeasePoll, shard: int) -> list[Assignment]:
+        """Lease items to a gateway, each under a new ticket.
 
         An item that can't be written as a request becomes a dead letter.
         """
         assignments: list[Assignment] = []
-        while len(assignments) < capacity and (entry := self._table.schedule.pop(now_s)) is not None:
+        content_bytes = 0
+        while len(assignments) < poll.capacity and content_bytes < poll.max_bytes:
+            entry = self._table.schedule.pop(now_s)
+            if entry is None:
+                break
             job = self._table.jobs.get(entry.key)
             if job is None or job.ended or job.items[entry.index].status is not ItemStatus.WAITING:
                 continue
@@ -72,7 +90,8 @@
                 # Guard: a batch job stored by an older version whose header ends the request and begins another one.
                 self._assign_position(job, entry.index, ResultState.DEAD_LETTER, "")
                 continue
-            assignments.append(self._assign(now_s, gateway, shard, job, entry.index))
+            assignments.append(self._assign(now_s, poll.gateway, shard, job, entry.index))
+            content_bytes += assignments[-1].content_bytes
         return assignments
 
     def _assign(self, now_s: float, gateway: str, shard: int, job: BatchJob, index: int) -> Assignment:
--- a/emberring/jobs/job_manager.py
+++ b/emberring/jobs/job_manager.py
@@ -21,7 +21,7 @@
     SubmitJob,
 )
 from emberring.jobs.definition import ItemSpec, decode_terms
-from emberring.jobs.execution import JobExecution
+from emberring.jobs.execution import JobExecution, LeasePoll
 from emberring.jobs.job_table import ForgetJob, JobManagerAction, JobTable, RejectCall
 from emberring.jobs.loading import DecodedJob
 from emberring.jobs.owned import OwnedJob, OwnedRecords
@@ -205,9 +205,9 @@
         self._queries.read_item(call, message)
         return self._drain_actions()
 
-    def lease_items(self, now_s: float, gateway: str, capacity: int) -> list[Assignment]:
-        """Lease up to `capacity` items to a gateway."""
-        return self._execution.lease_items(now_s, gateway, capacity, self.shard)
+    def lease_items(self, now_s: float, poll: LeasePoll) -> list[Assignment]:
+        """Lease items to a gateway."""
+        return self._execution.lease_items(now_s, poll, self.shard)
 
     def report_runs(self, now_s: float, message: ReportRuns) -> ReportRunsReply:
         """Renew the leases of a gateway's runs and store their progress."""
--- a/emberring/simulation/jobs/store.py
+++ b/emberring/simulation/jobs/store.py
@@ -19,6 +19,7 @@
     SubmitJob,
 )
 from emberring.jobs.definition import decode_items
+from emberring.jobs.execution import LeasePoll
 from emberring.jobs.job_manager import JobManager
 from emberring.jobs.job_table import AnswerCall, JobManagerAction, ProposeValue, RejectCall
 from emberring.jobs.loading import DecodeDefinition
@@ -353,9 +354,8 @@
         if not self.owner.serving(now_s):
             reply(NotOwnerError())
         elif isinstance(request, LeaseItems):
-            reply(
-                LeaseItemsReply(tuple(self.job_manager.lease_items(now_s, request.gateway, request.capacity)))
-            )
+            poll = LeasePoll(request.gateway, request.capacity)
+            reply(LeaseItemsReply(tuple(self.job_manager.lease_items(now_s, poll))))
         elif isinstance(request, ReportRuns):
             reply(self.job_manager.report_runs(now_s, request))
         else:
--- a/emberring/store/dispatch.py
+++ b/emberring/store/dispatch.py
@@ -12,6 +12,7 @@
 import attrs
 
 from emberring.jobs.calls import Assignment, LeaseItems, LeaseItemsReply
+from emberring.jobs.execution import MAX_LEASED_BYTES, LeasePoll
 from emberring.store.shard_manager import ShardManager
 
 REMOTE_ZONE_DELAY_S = 0.25  # for which items wait for gateways of this zone only
@@ -36,6 +37,7 @@
         self._waiting_since_s: float | None = None
         self._polls: list[_Poll] = []
         self._assignment_scheduled = False
+        self._turn_bytes = 0  # of content leased in this turn of the event loop
         shards.on_items_waiting = self.schedule_assignment
 
     async def lease(self, message: LeaseItems) -> LeaseItemsReply:
@@ -63,6 +65,7 @@
 
     def _assign_waiting(self) -> None:
         self._assignment_scheduled = False
+        self._turn_bytes = 0
         now_s = asyncio.get_running_loop().time()
         self._polls = [poll for poll in self._polls if not poll.future.done()]
         self._assign_evenly(now_s, [poll for poll in self._polls if poll.same_zone])
@@ -88,6 +91,10 @@
             waiting = self._waiting(now_s)
             if not waiting:
                 return
+            if self._turn_bytes >= MAX_LEASED_BYTES:
+                # Guard: replies whose encoding in one turn of the event loop takes longer than the lease of the owner.
+                self.schedule_assignment()
+                return
             share = -(-waiting // (len(polls) - number))
             items = self._lease_for(now_s, poll, min(share, poll.capacity))
             if not items:
@@ -97,9 +104,13 @@
 
     def _lease_for(self, now_s: float, poll: _Poll, capacity: int) -> list[Assignment]:
         items: list[Assignment] = []
+        content_bytes = 0
         for shard, owner in self._shards.owners.items():
-            if len(items) < capacity and owner.serving(now_s):
-                items += self._shards.job_managers[shard].lease_items(
-                    now_s, poll.gateway, capacity - len(items)
-                )
+            if not owner.serving(now_s):
+                continue
+            rest = LeasePoll(poll.gateway, capacity - len(items), MAX_LEASED_BYTES - content_bytes)
+            leased = self._shards.job_managers[shard].lease_items(now_s, rest)
+            content_bytes += sum(item.content_bytes for item in leased)
+            items += leased
+        self._turn_bytes += content_bytes
         return items
--- a/tests/emberring/jobs/job_manager_harness.py
+++ b/tests/emberring/jobs/job_manager_harness.py
@@ -20,6 +20,7 @@
     SubmitJob,
 )
 from emberring.jobs.definition import decode_items
+from emberring.jobs.execution import MAX_LEASED_BYTES, LeasePoll
 from emberring.jobs.items import OutcomeKind
 from emberring.jobs.job_manager import JobManager
 from emberring.jobs.job_table import AnswerCall, ForgetJob, JobManagerAction, ProposeValue, RejectCall
@@ -127,8 +128,10 @@
         self.perform(self.job_manager.end(call, EndJob(HOST, job)))
         return self.answers.get(call)
 
-    def lease_items(self, capacity: int = 100, gateway: str = "g") -> list[Assignment]:
-        return self.job_manager.lease_items(self.now_s, gateway, capacity)
+    def lease_items(
+        self, capacity: int = 100, gateway: str = "g", max_bytes: int = MAX_LEASED_BYTES
+    ) -> list[Assignment]:
+        return self.job_manager.lease_items(self.now_s, LeasePoll(gateway, capacity, max_bytes))
 
     def finish(
         self,
--- a/tests/emberring/jobs/test_tier_job_manager.py
+++ b/tests/emberring/jobs/test_tier_job_manager.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import base64
+
 import attrs
 import orjson
 import pytest
@@ -237,6 +239,19 @@
     assert [item.id for item in harness.lease_items()] == ["o0", "n0"]
 
 
+# Guards against a reply with more items than fit into a line, of which none would ever run.
+def test_a_poll_gets_items_up_to_a_number_of_bytes_and_at_least_one() -> None:
+    harness = JobManagerHarness()
+    content = orjson.loads(body(5, tokens=1))
+    for item in content["Requests"]:
+        item["Body"] = base64.b64encode(bytes(1000)).decode()
+    harness.submit("l", orjson.dumps(content))
+    assert [item.id for item in harness.lease_items(max_bytes=1)] == ["i0"]
+    assert [item.id for item in harness.lease_items(max_bytes=1001)] == ["i1", "i2"]
+    assert harness.lease_items(max_bytes=0) == []
+    assert [item.id for item in harness.lease_items()] == ["i3", "i4"]
+
+
 def test_a_run_without_reports_is_leased_again_with_its_events() -> None:
     harness = JobManagerHarness()
     harness.submit("l", body(1))
--- a/tests/emberring/store/test_tier_store_dispatch.py
+++ b/tests/emberring/store/test_tier_store_dispatch.py
@@ -10,6 +10,7 @@
 import pytest
 
 from emberring.jobs.calls import LeaseItems, LeaseItemsReply
+from emberring.jobs.execution import MAX_LEASED_BYTES, LeasePoll
 from emberring.simulation.common.virtual_time import run_virtually
 from emberring.store.dispatch import REMOTE_ZONE_DELAY_S, Dispatch
 
@@ -24,18 +25,33 @@
         return self.owns
 
 
+@attrs.frozen
+class FakeItem:
+    number: int
+    content_bytes: int = 0
+
+
 class FakeJobManager:
-    """Job manager of a shard whose items are plain numbers."""
+    """Job manager of a shard whose items have a number and a size."""
 
     def __init__(self) -> None:
-        self.items: deque[int] = deque()
+        self.items: deque[FakeItem] = deque()
+        self.leased_by_turn: list[int] = []  # bytes of content leased by each call
 
     @property
     def waiting(self) -> int:
         return len(self.items)
 
-    def lease_items(self, now_s: float, gateway: str, capacity: int) -> list[Any]:
-        return [self.items.popleft() for _ in range(min(capacity, len(self.items)))]
+    def lease_items(self, now_s: float, poll: LeasePoll) -> list[Any]:
+        leased: list[FakeItem] = []
+        while self.items and len(leased) < poll.capacity and size_of(leased) < poll.max_bytes:
+            leased.append(self.items.popleft())
+        self.leased_by_turn.append(size_of(leased))
+        return leased
+
+
+def size_of(items: list[FakeItem]) -> int:
+    return sum(item.content_bytes for item in items)
 
 
 class FakeShardManager:
@@ -44,8 +60,8 @@
         self.job_managers, self.owners = {0: self.job_manager}, {0: self.owner}
         self.on_items_waiting: Any = None
 
-    def add(self, count: int) -> None:
-        self.job_manager.items.extend(range(count))
+    def add(self, count: int, content_bytes: int = 0) -> None:
+        self.job_manager.items.extend(FakeItem(number, content_bytes) for number in range(count))
         self.on_items_waiting()
 
 
@@ -140,3 +156,24 @@
         assert (result.items, result.at_s) == (2, 0.0)
 
     run_virtually(check())
+
+
+# Guards against replies of many large items, which take longer to encode than an owner's lease lasts.
+def test_large_items_are_leased_over_several_turns_of_the_event_loop() -> None:
+    async def check() -> None:
+        shard = FakeShardManager()
+        dispatch = Dispatch(shard, "here")  # type: ignore[arg-type]
+        results = [asyncio.ensure_future(poll(dispatch, "here", 20)) for _ in range(3)]
+        await asyncio.sleep(0)
+        shard.add(9, content_bytes=MAX_LEASED_BYTES + 1)
+        turns = 0
+        while shard.job_manager.waiting > 6:
+            leased = len(shard.job_manager.leased_by_turn)
+            await asyncio.sleep(0)
+            turns += 1
+            assert len(shard.job_manager.leased_by_turn) <= leased + 1
+        assert turns >= 3
+        assert [(await result).items for result in results] == [1, 1, 1]
+        assert [(await poll(dispatch, "here", 20)).items for _ in range(6)] == [1] * 6
+
+    run_virtually(check())
