Register: a change in flight when the service stops has an unknown outcome

What a caller saw: 503 for a change that the other replicas committed.

Cause: RegisterService.stop ended all operations with NotReadyError, which promises that nothing was carried out.

Change: a change in flight ends with UnknownOutcomeError, a read is refused as before.

Measured: the new test, in which two of three replicas accept and their replies are withheld, got NotReadyError before, while a read at another node returned the new value; it passes now.

--- a/emberring/register/service.py
+++ b/emberring/register/service.py
@@ -10,10 +10,13 @@
 from pathlib import Path
 from typing import Protocol
 
+import attrs
+
 from emberring.errors import (
     DiskFailedError,
     EmberringError,
     NotReadyError,
+    UnknownOutcomeError,
 )
 from emberring.journal import Journal, Position
 from emberring.logs import get_logger
@@ -51,6 +54,7 @@
 )
 from emberring.register.model import Member
 from emberring.register.node import RegisterNode
+from emberring.register.pending_operations import OUTCOME_UNKNOWN
 from emberring.register.subscribers import ValueSubscribers
 from emberring.settings import CONTROL_PORT_OFFSET, Settings
 from emberring.transport.messages import Ok
@@ -69,6 +73,14 @@
         future.set_result(outcome.payload)
 
 
+@attrs.frozen
+class _Operation:
+    """A change or a read that waits for its outcome; `error_at_stop` is its outcome if the service stops first."""
+
+    future: asyncio.Future[bytes | None]
+    error_at_stop: EmberringError
+
+
 class NodeRecordLike(Protocol):
     """The part of a node's status record that `set_peers` needs."""
 
@@ -113,7 +125,7 @@
         self._snapshot_segment = -1
         self._request_numbers = itertools.count(1)
         self._replies: dict[int, asyncio.Future[Answer]] = {}
-        self._operations: dict[int, asyncio.Future[bytes | None]] = {}
+        self._operations: dict[int, _Operation] = {}
         self._appends: dict[int, asyncio.Future[Position]] = {}
         self._subscribers = ValueSubscribers()
         self._tasks: set[asyncio.Task[None]] = set()
@@ -143,7 +155,11 @@
         self._apply(PeersChanged(self._peers))
 
     async def stop(self) -> None:
-        """Leave the register and close the journal; operations and calls in flight fail with `NotReadyError`."""
+        """Leave the register and close the journal.
+
+        Reads and calls in flight fail with `NotReadyError`, changes with `UnknownOutcomeError`: other replicas may have
+        accepted them.
+        """
         if self._timer is not None:
             self._timer.cancel()
         self._node = None
@@ -151,8 +167,8 @@
             task.cancel()
         stopping = NotReadyError("the register is stopping")
         for operation in self._operations.values():
-            if not operation.done():
-                operation.set_exception(stopping)
+            if not operation.future.done():
+                operation.future.set_exception(operation.error_at_stop)
         for reply in self._replies.values():
             if not reply.done():
                 reply.set_exception(stopping)
@@ -170,7 +186,9 @@
         been committed.
         """
         payload = await self._run_operation(
-            lambda operation, deadline_s: ChangeRequested(operation, decide, deadline_s), timeout_s
+            lambda operation, deadline_s: ChangeRequested(operation, decide, deadline_s),
+            timeout_s,
+            UnknownOutcomeError(OUTCOME_UNKNOWN),
         )
         return payload or b""
 
@@ -181,7 +199,9 @@
         replicas reply in time.
         """
         return await self._run_operation(
-            lambda operation, deadline_s: ReadRequested(operation, deadline_s), timeout_s
+            lambda operation, deadline_s: ReadRequested(operation, deadline_s),
+            timeout_s,
+            NotReadyError("the register is stopping"),
         )
 
     def subscribe(self, callback: Callable[[bytes], None]) -> None:
@@ -206,13 +226,15 @@
         )
         self._apply(PeersChanged(self._peers))
 
-    async def _run_operation(self, event: Callable[[int, float], Event], timeout_s: float) -> bytes | None:
+    async def _run_operation(
+        self, event: Callable[[int, float], Event], timeout_s: float, error_at_stop: EmberringError
+    ) -> bytes | None:
         if self._node is None:
             raise NotReadyError("the register has not started")
         loop = asyncio.get_running_loop()
         number = next(self._request_numbers)
         future: asyncio.Future[bytes | None] = loop.create_future()
-        self._operations[number] = future
+        self._operations[number] = _Operation(future, error_at_stop)
         try:
             self._apply(event(number, loop.time() + timeout_s))
             return await future
@@ -269,7 +291,8 @@
             case Reply():
                 self._reply(action)
             case Resolve():
-                resolve_future(self._operations.get(action.operation), action)
+                operation = self._operations.get(action.operation)
+                resolve_future(operation.future if operation is not None else None, action)
             case Learned():
                 self._subscribers.notify(action.payload)
 
--- a/tests/emberring/register/test_tier_register_service.py
+++ b/tests/emberring/register/test_tier_register_service.py
@@ -445,6 +445,58 @@
     run_on_deployment(tmp_path, work)
 
 
+class ReplylessNetwork(Network):
+    """Delivers proposals to other replicas and withholds their replies."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.withholding = False
+        self.accepted = 0
+
+    async def call(self, address: str, message: Any, reply: Any, timeout_s: float) -> Any:
+        answer = await super().call(address, message, reply, timeout_s)
+        if self.withholding and isinstance(message, Accept):
+            self.accepted += 1
+            await asyncio.Event().wait()
+        return answer
+
+
+# Guards against an operator who is told that a change was not taken while other replicas have committed it.
+def test_a_change_that_others_have_accepted_has_an_unknown_outcome_when_the_register_stops(
+    tmp_path: Path,
+) -> None:
+    async def work(deployment: Deployment) -> None:
+        deployment.network_class = ReplylessNetwork
+        await deployment.start(0, 1, 2)
+        await deployment[0].change(lambda value: b"1", TIMEOUT_S)
+        network = deployment.nodes[0].network
+        assert isinstance(network, ReplylessNetwork)
+        network.withholding = True
+        change = asyncio.ensure_future(deployment[0].change(lambda value: b"2", TIMEOUT_S))
+        async with asyncio.timeout(TIMEOUT_S):
+            while network.accepted < QUORUM:
+                await asyncio.sleep(0)
+        await deployment.stop(0)
+        with pytest.raises(UnknownOutcomeError):
+            await change
+        assert await deployment[1].read(TIMEOUT_S) == b"2"
+
+    run_on_deployment(tmp_path, work)
+
+
+def test_a_read_is_refused_when_the_register_stops(tmp_path: Path) -> None:
+    async def work(deployment: Deployment) -> None:
+        await deployment.start(0)
+        register = deployment[0]
+        read = asyncio.ensure_future(register.read(TIMEOUT_S))
+        await asyncio.sleep(0)
+        await deployment.stop(0)
+        with pytest.raises(NotReadyError):
+            await read
+
+    run_on_deployment(tmp_path, work)
+
+
 class FaultyNetwork(Network):
     """Fails calls with an unexpected exception, as a defect in the program would."""
 
