Register: a reply that omits a state unknown here counts as a failure of its replica

Cause: such a reply raised in the middle of an attempt. The task of its call ended with the actions lost, and the attempt counted that replica as neither replied nor failed until the operation's deadline.

Change: _QuorumReplies.add returns whether it could use the reply; an attempt and a read count the others as failed.

Measured: both new tests raised ProtocolViolationError before and pass now; all tests of the register and simulators pass.

--- a/emberring/register/proposer.py
+++ b/emberring/register/proposer.py
@@ -12,7 +12,6 @@
 
 import attrs
 
-from emberring.errors import ProtocolViolationError
 from emberring.register.messages import Accept, Accepted, Prepare, Promise, Query, Rejected, StateReport
 from emberring.register.model import Member, Proposal, ProposalNumber, State
 
@@ -50,19 +49,20 @@
     def known_number(self) -> ProposalNumber | None:
         return None if self._known is None else self._known.number
 
-    def add(self, identity: str, number: ProposalNumber | None, state: State | None) -> None:
+    def add(self, identity: str, number: ProposalNumber | None, state: State | None) -> bool:
         """Add a replica's reply; an omitted state (None) is that of the known proposal.
 
-        Raises `ProtocolViolationError` if the omitted state is not the known one.
+        Return False, without adding it, if the omitted state is not the known one.
         """
         if number is not None:
             if state is None:
                 if self._known is None or self._known.number != number:
-                    raise ProtocolViolationError(f"{identity} omitted a state that this node does not have")
+                    return False
                 state = self._known.state
             if self.newest is None or number > self.newest.number:
                 self.newest = Proposal(number, state)
         self.numbers[identity] = number
+        return True
 
     @property
     def complete(self) -> bool:
@@ -135,7 +135,10 @@
         Any reply other than a promise or an acceptance counts as a failure of that replica.
         """
         if isinstance(reply, Promise) and reply.identity == member.identity and reply.number == self.number:
-            return self._on_promise(reply) if self.phase is Phase.PREPARING else []
+            if self.phase is not Phase.PREPARING:
+                return []
+            if self._replies.add(reply.identity, reply.accepted, reply.state):
+                return self._on_promise()
         if isinstance(reply, Accepted) and reply.identity == member.identity and reply.number == self.number:
             self._on_accepted(reply)
             return []
@@ -148,8 +151,7 @@
     def _prepare(self, member: Member) -> Send:
         return Send(member, Prepare(member.identity, self.number, self._replies.known_number))
 
-    def _on_promise(self, promise: Promise) -> list[Send]:
-        self._replies.add(promise.identity, promise.accepted, promise.state)
+    def _on_promise(self) -> list[Send]:
         newest = self._replies.newest
         if newest is None:
             return []
@@ -218,15 +220,18 @@
 
     def on_reply(self, member: Member, reply: object) -> list[Send]:
         """Handle a replica's reply (None if there was none), and return the queries to send next."""
-        if not isinstance(reply, StateReport) or reply.identity != member.identity:
+        if not self._add_report(member, reply):
             self._recipients.failed.add(member.identity)
-        else:
-            self._replies.add(reply.identity, reply.accepted, reply.state)
         newest = self._replies.newest
         sends = [] if newest is None else self.start(newest.state.replicas.all_members)
         resolved = set(self._replies.numbers) | self._recipients.failed
         self.finished = self.committed is not None or resolved >= set(self._recipients.sent)
         return sends
 
+    def _add_report(self, member: Member, reply: object) -> bool:
+        if not isinstance(reply, StateReport) or reply.identity != member.identity:
+            return False
+        return self._replies.add(reply.identity, reply.accepted, reply.state)
+
     def _query(self, member: Member) -> Send:
         return Send(member, Query(member.identity, self._replies.known_number))
--- a/tests/emberring/register/test_tier_register_proposer.py
+++ b/tests/emberring/register/test_tier_register_proposer.py
@@ -103,6 +103,27 @@
     assert attempt.outcome == Proposal(MINE, State(OLD, b"held"))
 
 
+# Guards against a reply that breaks the protocol and ends the task of its call, so that the attempt never ends.
+def test_a_promise_that_omits_a_state_unknown_here_counts_as_a_failure() -> None:
+    attempt = attempt_to_set(b"v")
+    attempt.start(OLD.all_members)
+    unknown = proposal(4, OLD, b"other")
+    assert attempt.on_reply(A, Promise("a", MINE, unknown.number)) == []
+    attempt.on_reply(B, promise(B, FIRST))
+    sends = attempt.on_reply(C, promise(C, FIRST))
+    assert recipients(sends, Accept) == ["a", "b", "c"]
+
+
+def test_a_report_that_omits_a_state_unknown_here_counts_as_a_failure() -> None:
+    read = QuorumRead(FIRST)
+    read.start(OLD.all_members)
+    unknown = proposal(4, OLD, b"other")
+    read.on_reply(A, StateReport("a", unknown.number))
+    read.on_reply(B, report(B, FIRST))
+    read.on_reply(C, report(C, FIRST))
+    assert (read.finished, read.committed) == (True, FIRST)
+
+
 def test_an_omitted_state_is_that_of_the_known_proposal() -> None:
     known = proposal(3, OLD, b"known")
     attempt = ProposalAttempt(
