--- a/tests/http/test_rendered_requests.py
+++ b/tests/http/test_rendered_requests.py
@@ -25,7 +25,8 @@
         b"\r\n\r\nGET /x HTTP/1.1\r\nHost: b",
     ]
 )
-TEXTS = st.lists(PIECES, max_size=4).map(b"".join)
+PLAIN_TEXTS = st.text("a/:%", min_size=1, max_size=4).map(str.encode)
+TEXTS = PLAIN_TEXTS | PLAIN_TEXTS | PLAIN_TEXTS | st.lists(PIECES, max_size=4).map(b"".join)
 
 
 class RequestReader:
@@ -84,4 +85,5 @@
     assert rendered is not None
     assert (rendered.targets, rendered.bodies) == (accepted.targets, accepted.bodies)
     forwarded = {name: value for name, value in message.headers.items() if name in FORWARDED}
-    assert {name: value for name, value in rendered.headers if name in FORWARDED} == forwarded
+    own = {b"req-deadline-ms": b"1000", b"content-length": b"%d" % len(body)}
+    assert sorted(rendered.headers) == sorted((forwarded | own).items())
