Stores: a definition whose terms are damaged counts as damaged, too

Cause: the terms of a definition were decoded when its batch job was loaded, after it had left the queue; an error there ended the loading of the shard and left the batch job reported as absent.

Change: the decoder checks the terms with the items.

Measured: the test of damaged terms and damaged items passes; the first row fails without the check.

--- a/emberring/jobs/loading.py
+++ b/emberring/jobs/loading.py
@@ -57,9 +57,7 @@
         self._ended: dict[str, OwnedJob] = {}
         self._damaged: set[str] = set()  # keys of batch jobs whose definition can't be decoded
         self._known: dict[str, BatchJob] = {}
-        self._deferred: dict[
-            str, list[DeferredCall]
-        ] = {}  # by key; in the order in which they are to be loaded
+        self._deferred: dict[str, list[DeferredCall]] = {}  # by key, in the order in which to load them
         self._decoding = ""  # key of the batch job whose definition is being decoded
         self._number = 0  # of the latest `DecodeDefinition`; the result of an earlier one is ignored
 
--- a/emberring/store/definition_decoder.py
+++ b/emberring/store/definition_decoder.py
@@ -7,7 +7,7 @@
 from concurrent.futures import ThreadPoolExecutor
 
 from emberring.errors import CorruptRecordError
-from emberring.jobs.definition import ItemSpec, decode_items
+from emberring.jobs.definition import ItemSpec, decode_items, decode_terms
 from emberring.jobs.loading import DecodeDefinition
 from emberring.logs import get_logger
 
@@ -40,6 +40,7 @@
         callback(action.number, specs)
 
     async def _items(self, value: bytes) -> list[ItemSpec]:
+        decode_terms(value)  # damaged terms count as a damaged definition, too
         if len(value) <= MAX_INLINE_BYTES:
             return decode_items(value)
         return await asyncio.get_running_loop().run_in_executor(self._executor, decode_items, value)
--- a/tests/emberring/store/test_tier_store_faults.py
+++ b/tests/emberring/store/test_tier_store_faults.py
@@ -16,11 +16,15 @@
 
 from emberring.errors import NotFoundError, NotReadyError, OverloadedError, UnknownOutcomeError
 from emberring.jobs import definition
+from emberring.jobs.calls import JobTerms
+from emberring.jobs.definition import encode_definition
+from emberring.jobs.loading import DecodeDefinition
 from emberring.placement.model import shard_of
 from emberring.placement.retirement import begin_retire, retire_state
-from emberring.store.definition_decoder import MAX_INLINE_BYTES
+from emberring.store.definition_decoder import MAX_INLINE_BYTES, DefinitionDecoder
 
 SHARD = shard_of(HOST)
+TERMS = JobTerms("r", "/batch/", 1, 8000.0, 40.0, 2, 0)
 
 
 async def until(condition: Any, limit_s: float = 6.0) -> None:
@@ -284,3 +288,18 @@
         "Tokens": 10,
     }
     return orjson.dumps({"Requests": [item]})
+
+
+# Guards against a damaged definition that leaves all batch jobs behind it unreadable.
+@pytest.mark.parametrize("damaged", [b"no terms\nabc", encode_definition(TERMS, b"not compressed")])
+def test_a_definition_that_can_not_be_decoded_is_reported_as_damaged(damaged: bytes) -> None:
+    async def scenario() -> None:
+        decoder = DefinitionDecoder()
+        decoded: asyncio.Future[list[Any] | None] = asyncio.get_running_loop().create_future()
+        decoder.decode(
+            DecodeDefinition(7, damaged), lambda number, specs: decoded.set_result([number, specs])
+        )
+        assert await decoded == [7, None]
+        decoder.close()
+
+    asyncio.run(scenario())
