Stores: pauses of the event loop are logged

Cause: an owner whose event loop stands still loses its lease, and nothing in its log told this from a slow disk or link.

--- a/emberring/store/role.py
+++ b/emberring/store/role.py
@@ -34,6 +34,7 @@
 from emberring.store.disk import open_disk, record_process_start
 from emberring.store.dispatch import Dispatch
 from emberring.store.gateway_calls import GatewayCalls
+from emberring.store.loop_monitor import LoopMonitor
 from emberring.store.replica_client import ReplicaClient
 from emberring.store.replica_host import ReplicaHost
 from emberring.store.shard_manager import ShardManager
@@ -89,6 +90,7 @@
         self.shards = ShardManager(
             self.host, self.replica_client, settings.bounds.status_s, self._report_migration
         )
+        self._loop_monitor = LoopMonitor(TICK_INTERVAL_S, loop.time())
         self._placement_epoch = 0
         self._configuration_version = 0
         self._shutting_down = False
@@ -151,6 +153,7 @@
         ]
 
     def _tick(self) -> None:
+        self._loop_monitor.check(asyncio.get_running_loop().time())
         healthy = (
             not self._shutting_down and not self.host.failed and self.host.stalled_s() < DISK_STALL_TIMEOUT_S
         )
