Test of damaged terms: items that can be decoded beside them

Change: its items are valid.

Measured: it fails with the check taken out of a copy, and passes with it.

--- a/tests/emberring/store/test_tier_store_faults.py
+++ b/tests/emberring/store/test_tier_store_faults.py
@@ -19,6 +19,7 @@
 from emberring.jobs.calls import JobTerms
 from emberring.jobs.definition import encode_definition
 from emberring.jobs.loading import DecodeDefinition
+from emberring.jobs.packing import compress
 from emberring.placement.model import shard_of
 from emberring.placement.retirement import begin_retire, retire_state
 from emberring.store.definition_decoder import MAX_INLINE_BYTES, DefinitionDecoder
@@ -291,7 +292,9 @@
 
 
 # Guards against a damaged definition that leaves all batch jobs behind it unreadable.
-@pytest.mark.parametrize("damaged", [b"no terms\nabc", encode_definition(TERMS, b"not compressed")])
+@pytest.mark.parametrize(
+    "damaged", [b"{}\n" + compress(job_body("lot1", 1)), encode_definition(TERMS, b"not compressed")]
+)
 def test_a_definition_that_can_not_be_decoded_is_reported_as_damaged(damaged: bytes) -> None:
     async def scenario() -> None:
         decoder = DefinitionDecoder()
