--- a/review/5/case.py
+++ b/review/5/case.py
@@ -15,6 +15,7 @@
 PREFIX = "/pule252/"
 ITEMS = 20  # of a batch job
 JOBS_PER_LOST_HOST = 3
+CALM_S = 6.0  # from the crash to the first batch job, so that the crash is long over when the rule is judged
 
 
 async def play(case: Case) -> bool:
@@ -32,6 +33,7 @@
 
     if case.trouble:
         lost.crash()
+    await asyncio.sleep(CALM_S)
     others = await _submit(case, frontends, LOST_HOSTS * JOBS_PER_LOST_HOST)
     jobs = await _submit(case, frontends, SOUND_HOSTS)
     record.note("case: the traffic ends")
