--- a/review/rig_two/platform.py
+++ b/review/rig_two/platform.py
@@ -21,6 +21,7 @@
 CLASSES = {"gateway": "edge", "control": "core", "store": "storage"}
 SERVES = {"gateway": "edge", "control": "controller", "store": "storage"}
 ZONES = ("kilima-a", "kilima-b", "kilima-c")
+MEMORY_MB = {"gateway": 300, "control": 296, "store": 340}
 STOP_LIMIT_S = 5.0
 
 SETTINGS = """\
@@ -48,7 +49,7 @@
 [Limits]
 CpuShare = 0.86
 Cores = 3
-MemoryMb = 300
+MemoryMb = {memory_mb}
 MaxFds = 4096
 LinkMbps = 1000.0
 DiskMb = {disk_mb}
@@ -119,6 +120,7 @@
             counts="true" if has_disk else "false",
             data_dir=f'DataDir = "{self.folder / "data"}"\n' if has_disk else "",
             listen=listen,
+            memory_mb=MEMORY_MB[self.role],
             disk_mb={"gateway": 0, "control": 128, "store": 430}[self.role],
         )
 
