--- a/review/rig_two/callers.py
+++ b/review/rig_two/callers.py
@@ -128,7 +128,9 @@
 
 
 class BatchClient:
-    """Submits one batch job, reads it, asks for bodies, ends it."""
+    """Submits one batch job and reads it; a class that derives from it may set the tokens of an item."""
+
+    item_tokens = 80
 
     def __init__(
         self, record: Record, frontends: list[str], prefix: str, items: int, *, host: str = HOST
@@ -137,15 +139,23 @@
         self.job = new_id()
         self.items = [new_id() for _ in range(items)]
         self._path = f"{prefix}{new_id()[:6]}"
-        listed = [self._item(item, prefix) for item in self.items]
+        listed = [self._item(item, prefix, self.item_tokens) for item in self.items]
         self._body = json.dumps({"Requests": listed}).encode()
         self._turn = 0
 
     @staticmethod
-    def _item(item: str, prefix: str) -> dict[str, Any]:
-        headers = {"Model": "m", "Token-Count": "60,20", "Prefix-Hash": "9c2e41:40,5d07b8:20"}
+    def _item(item: str, prefix: str, tokens: int) -> dict[str, Any]:
+        prompt, most = tokens * 3 // 4, tokens - tokens * 3 // 4
+        parts = f"9c2e41:{prompt - 2},5d07b8:2"
+        headers = {"Model": "m", "Token-Count": f"{prompt},{most}", "Prefix-Hash": parts}
         body = base64.b64encode(f"body of {item}".encode()).decode()
-        return {"Id": item, "Path": f"{prefix}3/{item[:4]}", "Headers": headers, "Body": body, "Tokens": 80}
+        return {
+            "Id": item,
+            "Path": f"{prefix}3/{item[:4]}",
+            "Headers": headers,
+            "Body": body,
+            "Tokens": tokens,
+        }
 
     def _frontend(self) -> str:
         self._turn += 1
