Stores lease items of all their shards by due time, not shard by shard

Cause: a poll was filled from the shards in the order of their numbers. While a lower shard had waiting items, those of higher ones at the same store were not leased, whatever they were due; a backlog of one host held back the urgent batch jobs of another one.

Change: each job manager names the rank of the item that it would lease next, and lease_in_order takes the first of all shards.

--- a/emberring/jobs/execution.py
+++ b/emberring/jobs/execution.py
@@ -21,6 +21,7 @@
 from emberring.jobs.lease_budget import LeaseBudget
 from emberring.jobs.packing import pack_events, unpack_events
 from emberring.jobs.results import ResultState
+from emberring.jobs.schedule import Rank
 
 RUN_LEASE_S = 2.0  # since a report arrived; longer than the gateway's lease of 1.5 s since it sent the report
 TAKEOVER_GRACE_S = 0.7  # for which a new owner waits for reports of runs that gateways have already started
@@ -65,12 +66,15 @@
         else:
             self._takeover_waits.append((now_s + TAKEOVER_GRACE_S, job.key, index))
 
-    def lease_items(self, now_s: float, budget: LeaseBudget, shard: int) -> list[Assignment]:
-        """Lease items to a gateway, each under a new ticket.
+    def next_rank(self, now_s: float, budget: LeaseBudget) -> Rank | None:
+        """Return the rank of the item that would be leased next; None if there is none."""
+        return None if budget.exhausted else self._table.queues.first_rank(now_s, budget.allows)
+
+    def lease_item(self, now_s: float, budget: LeaseBudget, shard: int) -> Assignment | None:
+        """Lease the next item to a gateway under a new ticket; None if there is none.
 
         An item that can't be written as a request becomes a dead letter.
         """
-        assignments: list[Assignment] = []
         while not budget.exhausted:
             taken = self._table.queues.take(now_s, budget.allows)
             if taken is None:
@@ -82,8 +86,8 @@
                 continue
             assignment = self._assign(now_s, budget.gateway, shard, job, index)
             budget.spend(taken.segment, assignment.content_bytes)
-            assignments.append(assignment)
-        return assignments
+            return assignment
+        return None
 
     def _assign(self, now_s: float, gateway: str, shard: int, job: BatchJob, index: int) -> Assignment:
         item, spec = job.items[index], self._table.specs(job)[index]
--- a/emberring/jobs/item_queues.py
+++ b/emberring/jobs/item_queues.py
@@ -13,7 +13,7 @@
 import attrs
 
 from emberring.configuration.service_choice import UNKNOWN_SEGMENT, SplitSegment
-from emberring.jobs.schedule import QueuedItem, RunEstimate, Schedule
+from emberring.jobs.schedule import QueuedItem, Rank, RunEstimate, Schedule
 
 # Items in one step of the event loop, in which the owner renews no lease.
 REASSIGNED_AT_ONCE = 500
@@ -81,9 +81,10 @@
     def take(self, now_s: float, allows: Callable[[SplitSegment], bool]) -> TakenItem | None:
         """Remove and return the item to run next, of all segments that are allowed; None if there is none."""
         while True:
-            segment = self._first_segment(now_s, allows)
-            if segment is None:
+            first = self._first(now_s, allows)
+            if first is None:
                 return None
+            _, segment = first
             queue = self._queues[segment]
             entry = queue.pop(now_s)
             if not queue:
@@ -91,13 +92,20 @@
             if entry is not None and self._items.is_waiting(entry):
                 return TakenItem(entry, segment)
 
-    def _first_segment(self, now_s: float, allows: Callable[[SplitSegment], bool]) -> SplitSegment | None:
+    def first_rank(self, now_s: float, allows: Callable[[SplitSegment], bool]) -> Rank | None:
+        """Return the rank of the item that `take` would return, or of one before it that is not waiting any more."""
+        first = self._first(now_s, allows)
+        return first[0] if first is not None else None
+
+    def _first(
+        self, now_s: float, allows: Callable[[SplitSegment], bool]
+    ) -> tuple[Rank, SplitSegment] | None:
         ranked = [
             (rank, segment)
             for segment, queue in self._queues.items()
             if allows(segment) and (rank := queue.rank(now_s)) is not None
         ]
-        return min(ranked, key=lambda found: found[0])[1] if ranked else None
+        return min(ranked, key=lambda found: found[0]) if ranked else None
 
     def on_routes_changed(self) -> None:
         """Begin to assign all items to queues again."""
--- a/emberring/jobs/job_manager.py
+++ b/emberring/jobs/job_manager.py
@@ -30,6 +30,7 @@
 from emberring.jobs.queries import JobQueries
 from emberring.jobs.records import DEFINITION, END, TOMBSTONE
 from emberring.jobs.results import item_index
+from emberring.jobs.schedule import Rank
 from emberring.jobs.submission import JobSubmission
 
 SCAN_INTERVAL_S = 0.5  # between checks of all batch jobs
@@ -212,9 +213,13 @@
         self._queries.read_item(call, message)
         return self._drain_actions()
 
-    def lease_items(self, now_s: float, budget: LeaseBudget) -> list[Assignment]:
-        """Lease items to a gateway."""
-        return self._execution.lease_items(now_s, budget, self.shard)
+    def next_rank(self, now_s: float, budget: LeaseBudget) -> Rank | None:
+        """Return the rank of the item that would be leased next; None if there is none."""
+        return self._execution.next_rank(now_s, budget)
+
+    def lease_item(self, now_s: float, budget: LeaseBudget) -> Assignment | None:
+        """Lease the next item to a gateway; None if there is none."""
+        return self._execution.lease_item(now_s, budget, self.shard)
 
     def report_runs(self, now_s: float, message: ReportRuns) -> ReportRunsReply:
         """Renew the leases of a gateway's runs and store their progress."""
--- a/emberring/simulation/jobs/store.py
+++ b/emberring/simulation/jobs/store.py
@@ -22,6 +22,7 @@
 from emberring.jobs.job_manager import JobManager
 from emberring.jobs.job_table import AnswerCall, JobManagerAction, ProposeValue, RejectCall
 from emberring.jobs.lease_budget import LeaseBudget
+from emberring.jobs.lease_order import lease_in_order
 from emberring.jobs.loading import DecodeDefinition
 from emberring.jobs.messages import RenewLeases, RenewLeasesReply
 from emberring.jobs.owner import ShardOwner
@@ -355,7 +356,7 @@
             reply(NotOwnerError())
         elif isinstance(request, LeaseItems):
             budget = LeaseBudget(request.gateway, request.capacity, request.service_capacity)
-            reply(LeaseItemsReply(tuple(self.job_manager.lease_items(now_s, budget))))
+            reply(LeaseItemsReply(tuple(lease_in_order(now_s, [self.job_manager], budget))))
         elif isinstance(request, ReportRuns):
             reply(self.job_manager.report_runs(now_s, request))
         else:
--- a/emberring/store/dispatch.py
+++ b/emberring/store/dispatch.py
@@ -17,6 +17,7 @@
 from emberring.configuration.service_choice import SplitSegment
 from emberring.jobs.calls import Assignment, LeaseItems, LeaseItemsReply
 from emberring.jobs.lease_budget import MAX_LEASED_BYTES, LeaseBudget
+from emberring.jobs.lease_order import lease_in_order
 from emberring.store.shard_manager import ShardManager
 
 REMOTE_ZONE_DELAY_S = 0.25  # for which items wait for gateways of this zone only
@@ -140,10 +141,13 @@
                 waiting = self._waiting(now_s, segments)
 
     def _lease_for(self, now_s: float, budget: LeaseBudget) -> list[Assignment]:
-        items: list[Assignment] = []
-        for shard, owner in self._shards.owners.items():
-            if owner.serving(now_s):
-                items += self._shards.job_managers[shard].lease_items(now_s, budget)
+        """Lease items of all shards that this store owns, in the order in which they are to run."""
+        managers = [
+            self._shards.job_managers[shard]
+            for shard, owner in self._shards.owners.items()
+            if owner.serving(now_s)
+        ]
+        items = list(lease_in_order(now_s, managers, budget))
         self._turn_bytes += budget.leased_bytes
         return items
 
--- a/tests/emberring/jobs/test_tier_item_queues.py
+++ b/tests/emberring/jobs/test_tier_item_queues.py
@@ -10,6 +10,8 @@
 from emberring.jobs import item_queues
 from emberring.jobs.calls import Assignment
 from emberring.jobs.items import OutcomeKind
+from emberring.jobs.lease_budget import LeaseBudget
+from emberring.jobs.lease_order import lease_in_order
 
 
 def batch_route(name: str, prefix: str, *shares: Share) -> Route:
@@ -137,3 +139,16 @@
     harness.pass_time(0.05)
     assert harness.job_manager.waiting == 0
     assert [state for _, state, _ in states(harness.read("j2"))] == ["dead_letter"] * 3
+
+
+# Guards against items of one shard that wait until those of the shards before it are all leased, whatever they are due.
+def test_items_of_several_shards_are_leased_by_their_due_times() -> None:
+    first, second = JobManagerHarness(), JobManagerHarness()
+    first.submit("backlog", body(5, 1, "b"), attrs.evolve(TERMS, completion_ms=30_000.0))
+    second.submit("urgent", body(2, 1, "u"), attrs.evolve(TERMS, completion_ms=5_000.0))
+    second.submit("last", body(1, 1, "l"), attrs.evolve(TERMS, completion_ms=60_000.0))
+    managers = [first.job_manager, second.job_manager]
+    budget = LeaseBudget("g", 4)
+    assert ids(list(lease_in_order(0.0, managers, budget))) == ["u0", "u1", "b0", "b1"]
+    assert budget.exhausted
+    assert ids(list(lease_in_order(0.0, managers, LeaseBudget("g", 9)))) == ["b2", "b3", "b4", "l0"]
