A 421 of the server itself concerns that request alone, not the server

Cause: the executor told a 421 in the server's own name from that of another one, but admission was told `wrong_server` for both and kept the server out for good. Items that were declined went back to the head of the queue at once.

Change: a 421 that names no other server is the outcome `declined`: not executed, tried elsewhere, and nothing is recorded about the server.

The tests of the outcome at the gateway, of a server's unchanged state after 50 declined calls and of the order of declined items are new; the first fails on the old code, where the outcome is wrong_server.

--- a/emberring/admission/attempts.py
+++ b/emberring/admission/attempts.py
@@ -7,7 +7,7 @@
 from emberring.admission.types import CallOutcome
 
 # Outcomes with which a server guarantees that it did not execute the request.
-NOT_EXECUTED = frozenset({CallOutcome.FULL, CallOutcome.WRONG_SERVER})
+NOT_EXECUTED = frozenset({CallOutcome.FULL, CallOutcome.WRONG_SERVER, CallOutcome.DECLINED})
 # Outcomes after which no byte of the request was sent.
 NEVER_SENT = frozenset({CallOutcome.CONNECT_FAILED, CallOutcome.NOT_SENT})
 # Outcomes after which an idempotent request may be retried.
--- a/emberring/admission/outcomes.py
+++ b/emberring/admission/outcomes.py
@@ -16,6 +16,8 @@
 SERVER_FAILURES = frozenset({CallOutcome.CONNECT_FAILED, CallOutcome.BROKEN, CallOutcome.SILENT})
 # Outcomes that count as failures in the server's failure rate.
 FAILURE_OUTCOMES = SERVER_FAILURES | {CallOutcome.FAILED}
+# Outcomes that say nothing about the server: what a client sends must not change which servers others get.
+CALL_MATTERS = frozenset({CallOutcome.NOT_SENT, CallOutcome.DECLINED})
 
 
 class OutcomeRecorder:
@@ -84,5 +86,5 @@
             server.record_event(now_s)
             if placed_call.sent_s is not None:
                 self.service_rate.record_completion(now_s - placed_call.sent_s)
-        if outcome is not CallOutcome.NOT_SENT:
+        if outcome not in CALL_MATTERS:
             self.meter.record_outcome(full=outcome is CallOutcome.FULL)
--- a/emberring/admission/types.py
+++ b/emberring/admission/types.py
@@ -76,7 +76,8 @@
     COMPLETED = "completed"  # a complete response, 422 included
     FAILED = "failed"  # a complete response that reports a failure of an executed request (500, 504)
     FULL = "full"  # 503 or 429 with Not-Executed: the server is full
-    WRONG_SERVER = "wrong_server"  # 421: another server has taken over the address
+    WRONG_SERVER = "wrong_server"  # 421 in the name of another server, which has taken over the address
+    DECLINED = "declined"  # 421 of the server itself, which concerns this request alone
     CONNECT_FAILED = "connect_failed"  # no connection could be opened; nothing was sent
     BROKEN = "broken"  # connection reset or closed early, or an invalid response
     SILENT = "silent"  # nothing was received within the timeout
--- a/emberring/gateway/attempt.py
+++ b/emberring/gateway/attempt.py
@@ -8,6 +8,7 @@
 
 import attrs
 
+from emberring.admission.attempts import NOT_EXECUTED
 from emberring.admission.types import CallOutcome
 from emberring.distribution.records import ServerRecord
 from emberring.gateway.connection_pool import ConnectionPool, ConnectionUnavailable
@@ -15,7 +16,7 @@
 from emberring.gateway.messages import ClientRequest, ResponseHead, render_request
 from emberring.gateway.ports import AdmissionPort
 from emberring.gateway.response import PendingResponse, ResponseTimeouts, ServerActivity
-from emberring.gateway.responses import OUTCOME_BY_CLASS, ResponseClass, classify_response
+from emberring.gateway.responses import ResponseClass, classify_response, failure_outcome
 from emberring.gateway.upstream import ServerConnection
 
 BUFFERED_BODY_BYTES = 256 * 1024  # a longer response without a stream is forwarded and cannot be retried
@@ -189,7 +190,7 @@
             if self._receiver.started or self._call.stream_only:
                 return AttemptResult(CallOutcome.BROKEN)
             return await self._forward_body(response, head)
-        return await self._collect_failure(response, head, OUTCOME_BY_CLASS[response_class])
+        return await self._collect_failure(response, head, failure_outcome(head, self._server.id))
 
     async def _forward_stream(self, response: PendingResponse, head: ResponseHead) -> AttemptResult:
         parser = EventParser()
@@ -255,7 +256,7 @@
             if finished and response.completed:
                 return AttemptResult(outcome, head, body)
             if finished or len(body) > MAX_FAILURE_BYTES:
-                guaranteed = outcome in (CallOutcome.FULL, CallOutcome.WRONG_SERVER)
+                guaranteed = outcome in NOT_EXECUTED
                 return AttemptResult(outcome, head) if guaranteed else AttemptResult(self._failure())
             if not response.finished and not response.buffered_bytes:
                 await response.wait_for_change()
@@ -289,6 +290,6 @@
             and self._server_was_unresponsive(response, now_s)
         ):
             outcome = CallOutcome.SILENT
-        if outcome in (CallOutcome.FULL, CallOutcome.WRONG_SERVER, CallOutcome.CONNECT_FAILED):
+        if outcome in NOT_EXECUTED or outcome is CallOutcome.CONNECT_FAILED:
             self._call.possibly_sent = False
         self._context.admission.finished(now_s, self._call.id, outcome)
--- a/emberring/gateway/execution.py
+++ b/emberring/gateway/execution.py
@@ -15,7 +15,7 @@
 from emberring.gateway.attempt import Attempt, AttemptContext, AttemptResult, Receiver, UpstreamCall
 from emberring.gateway.calls import read_milliseconds, read_prefix_parts, read_token_count
 from emberring.gateway.connection_pool import ConnectionPool
-from emberring.gateway.items import ItemReceiver, item_outcome, item_request
+from emberring.gateway.items import ItemReceiver, declines_item, item_outcome, item_request
 from emberring.gateway.messages import ClientRequest, ResponseHead
 from emberring.gateway.ports import AdmissionPort
 from emberring.gateway.response import ResponseTimeouts, ServerActivity
@@ -199,7 +199,7 @@
                 )
         except TimeoutError:
             return ItemOutcome(OutcomeKind.BROKEN, service)
-        return ItemOutcome(item_outcome(result), service)
+        return ItemOutcome(item_outcome(result), service, declines_item(result))
 
     # ---------------------------------------------------------------- both
 
@@ -244,12 +244,10 @@
             self._admission.finished(asyncio.get_running_loop().time(), call.id, CallOutcome.NOT_SENT)
             return AttemptResult(CallOutcome.NOT_SENT)
         result = await Attempt(self._context, call, server, receiver, timeouts).run()
-        if result.outcome is CallOutcome.WRONG_SERVER and result.head is not None:
-            answered_by = result.head.header(b"instance-id")
-            if answered_by is not None and answered_by != server_id.encode("latin-1"):
-                self._servers.mark_misdirected(server_id)
-                self._pool.close_idle(server_id)
-                self.on_misdirected()
+        if result.outcome is CallOutcome.WRONG_SERVER:
+            self._servers.mark_misdirected(server_id)
+            self._pool.close_idle(server_id)
+            self.on_misdirected()
         return result
 
     def forget_absent(self, present: set[str]) -> None:
--- a/emberring/gateway/items.py
+++ b/emberring/gateway/items.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Callable
 
+from emberring.admission.attempts import NEVER_SENT, NOT_EXECUTED
 from emberring.admission.types import CallOutcome
 from emberring.errors import BadRequestError
 from emberring.gateway.attempt import AttemptResult
@@ -16,9 +17,7 @@
 EXECUTION_FAILED_STATUS = 500
 
 _HEADERS_NOT_TAKEN = CONNECTION_HEADERS | {b"request-id", b"host", b"content-length", b"expect"}
-_NOT_RUN_OUTCOMES = frozenset(
-    (CallOutcome.FULL, CallOutcome.WRONG_SERVER, CallOutcome.CONNECT_FAILED, CallOutcome.NOT_SENT)
-)
+_NOT_RUN_OUTCOMES = NOT_EXECUTED | NEVER_SENT
 
 
 def item_request(item: ItemCall, now_s: float) -> ClientRequest:
@@ -62,6 +61,17 @@
     return OutcomeKind.BROKEN
 
 
+def declines_item(result: AttemptResult) -> bool:
+    """Return whether the server could run other items, but not this one, at least for now.
+
+    That is so after a 421 of the server itself and after a complete response with another status that a client can
+    cause, such as 404. Servers' failures are not such statuses.
+    """
+    if result.outcome is CallOutcome.COMPLETED:
+        return item_outcome(result) is OutcomeKind.BROKEN
+    return result.outcome is CallOutcome.DECLINED
+
+
 class ItemReceiver:
     """Forwards the events of an item as they arrive."""
 
--- a/emberring/gateway/responses.py
+++ b/emberring/gateway/responses.py
@@ -44,7 +44,7 @@
     return ResponseClass.FORWARD
 
 
-OUTCOME_BY_CLASS = {
+_OUTCOME_BY_CLASS = {
     ResponseClass.FORWARD: CallOutcome.COMPLETED,
     ResponseClass.FULL: CallOutcome.FULL,
     ResponseClass.WRONG_SERVER: CallOutcome.WRONG_SERVER,
@@ -53,6 +53,21 @@
 }
 
 
+def failure_outcome(head: ResponseHead, server_id: str) -> CallOutcome:
+    """Return the outcome of an attempt at this server for a complete response that is no success."""
+    outcome = _OUTCOME_BY_CLASS[classify_response(head)]
+    if outcome is CallOutcome.WRONG_SERVER and not _is_foreign(head, server_id):
+        # Guard: a client whose requests a sound server declines, and which takes that server from all others.
+        return CallOutcome.DECLINED
+    return outcome
+
+
+def _is_foreign(head: ResponseHead, server_id: str) -> bool:
+    """Return whether a response names another server than the one that the request was sent to."""
+    answered_by = head.header(b"instance-id")
+    return answered_by is not None and answered_by != server_id.encode("latin-1")
+
+
 @attrs.frozen
 class GatewayResponse:
     """A response that the gateway generated: it has no server signature, and its body is one line of text."""
--- a/emberring/jobs/batch_job.py
+++ b/emberring/jobs/batch_job.py
@@ -39,7 +39,9 @@
 class Item:
     """An item of a batch job.
 
-    `events`: the events received from its newest run; `failures`: the tickets of runs that ended with status 500.
+    `events`: the events received from its newest run; `failures`: the tickets of runs that ended with status 500;
+    `declined`: how many runs in a row ended because the server declined the item; `retry_at_s`: when it may be leased
+    again after that (seconds of the monotonic clock).
     """
 
     id: str
@@ -49,6 +51,8 @@
     run: Run | None = None
     events: tuple[EventData, ...] = ()
     failures: frozenset[int] = frozenset()
+    declined: int = 0
+    retry_at_s: float = 0.0
 
     @property
     def done(self) -> bool:
--- a/emberring/jobs/calls.py
+++ b/emberring/jobs/calls.py
@@ -186,12 +186,13 @@
     runs: tuple[RunRenewal, ...]
 
 
-@message("lots.finish")
+@message("lots.finish", optional=("declined",))
 @attrs.frozen
 class FinishRun:
     """Report the end of a run; `kind` is the value of an `OutcomeKind`.
 
-    `events` (packed) are those from number `start` on, out of `total`.
+    `events` (packed) are those from number `start` on, out of `total`. `declined`: the server could run other
+    items, but not this one, at least for now.
     """
 
     gateway: str
@@ -203,6 +204,7 @@
     start: int
     total: int
     events: bytes = b""
+    declined: bool = False
 
 
 @message("lots.finished", wire_keys={"acknowledged": "taken"})
--- a/emberring/jobs/execution.py
+++ b/emberring/jobs/execution.py
@@ -27,6 +27,8 @@
 TAKEOVER_GRACE_S = 0.7  # for which a new owner waits for reports of runs that gateways have already started
 RETENTION_GRACE_S = 0.3  # after the retention of a batch job, until its unfinished items expire
 TICKET_BITS = 52
+# After a server has declined an item: doubled with each further time in a row.
+DECLINE_BACKOFF_S, MAX_DECLINE_BACKOFF_S = 0.5, 10.0
 
 
 class JobExecution:
@@ -179,6 +181,8 @@
             self._assign_position(job, message.index, ResultState.DEAD_LETTER, "")
         else:
             self._table.actions.append(AnswerCall(call, FinishRunReply(True)))
+            if current:
+                _record_decline(now_s, item, message.declined)
             self._on_unsuccessful_run(message, job, item, events)
 
     def _on_unsuccessful_run(
@@ -247,3 +251,13 @@
         self._waiting_finishes.clear()
         self._running.clear()
         self._takeover_waits.clear()
+
+
+def _record_decline(now_s: float, item: Item, declined: bool) -> None:
+    """Record whether a server declined the item; if so, others go first and it waits for a time that grows."""
+    if not declined:
+        item.declined, item.retry_at_s = 0, 0.0
+        return
+    item.declined += 1
+    backoff_s = min(MAX_DECLINE_BACKOFF_S, DECLINE_BACKOFF_S * 2.0 ** (item.declined - 1))
+    item.retry_at_s = now_s + backoff_s
--- a/emberring/jobs/items.py
+++ b/emberring/jobs/items.py
@@ -58,11 +58,13 @@
 class ItemOutcome:
     """Outcome of a run; `on_events` has received its events before.
 
-    `service` is the one that was chosen for the run; None if there was none.
+    `service` is the one that was chosen for the run; None if there was none. `declined`: the server could run other
+    items, but not this one, at least for now.
     """
 
     kind: OutcomeKind
     service: str | None = None
+    declined: bool = False
 
 
 class ItemExecutor(Protocol):
--- a/emberring/jobs/job_table.py
+++ b/emberring/jobs/job_table.py
@@ -166,7 +166,8 @@
     def enqueue(self, job: BatchJob, index: int) -> None:
         """Add the item to its queue, where it waits for a server."""
         expires_s = job.accepted_s + self.retention_s(job)
-        self.queues.add(QueuedItem(job.due_s, expires_s, job.key, index))
+        retry_at_s = job.items[index].retry_at_s
+        self.queues.add(QueuedItem(job.due_s, expires_s, job.key, index, retry_at_s))
 
     def is_waiting(self, entry: QueuedItem) -> bool:
         """Return whether a queued item still waits for a server."""
--- a/emberring/jobs/runner.py
+++ b/emberring/jobs/runner.py
@@ -156,26 +156,24 @@
         run.task = self._spawn(self._run(run))
 
     async def _run(self, run: _Run) -> None:
-        service: str | None = None
         try:
             outcome = await self._execute(run)
-            kind, service = outcome.kind, outcome.service
         except asyncio.CancelledError:
             if run.stopped or not self._shutting_down:
                 self._runs.pop(run.assignment.ticket, None)
                 raise
-            kind = OutcomeKind.BROKEN
+            outcome = ItemOutcome(OutcomeKind.BROKEN)
         except Exception:
             # Guard: a run whose task ends without a report would be reported as running until the item's retention.
             logger.exception("event=run_failed item=%r", run.assignment.id)
-            kind = OutcomeKind.BROKEN
+            outcome = ItemOutcome(OutcomeKind.BROKEN)
         run.ended = True
         self._run_ended.set()
-        self.outcomes[(service or "", kind.value)] += 1
-        if kind is OutcomeKind.NOT_RUN:
-            self._paused_until_s[service] = _now_s() + NOT_RUN_PAUSE_S
+        self.outcomes[(outcome.service or "", outcome.kind.value)] += 1
+        if outcome.kind is OutcomeKind.NOT_RUN and not outcome.declined:
+            self._paused_until_s[outcome.service] = _now_s() + NOT_RUN_PAUSE_S
         try:
-            await self._deliver(run, kind)
+            await self._deliver(run, outcome)
         finally:
             self._runs.pop(run.assignment.ticket, None)
 
@@ -203,14 +201,14 @@
 
         return await self._executor.run_item(call, on_events)
 
-    async def _deliver(self, run: _Run, kind: OutcomeKind) -> None:
+    async def _deliver(self, run: _Run, outcome: ItemOutcome) -> None:
         """Report the end of a run, with retries until an owner has acknowledged it."""
         item = run.assignment
         until_s = _now_s() + DELIVERY_TIMEOUT_S
         start = run.acked
         while _now_s() < until_s and not run.stopped:
             address = self._directory.address(item.shard)
-            message = self._finish_message(run, kind, start)
+            message = self._finish_message(run, outcome, start)
             try:
                 if address is not None:
                     reply = await self._network.call(address, message, FinishRunReply, CALL_TIMEOUT_S)
@@ -222,7 +220,7 @@
                 self._on_call_failed(item.shard, address or "", error)
             await asyncio.sleep(DELIVERY_RETRY_PAUSE_S)
 
-    def _finish_message(self, run: _Run, kind: OutcomeKind, start: int) -> FinishRun:
+    def _finish_message(self, run: _Run, outcome: ItemOutcome, start: int) -> FinishRun:
         """Return the message that reports the end of a run, with its events from number `start` on."""
         item = run.assignment
         return FinishRun(
@@ -231,10 +229,11 @@
             key=item.key,
             index=item.index,
             ticket=item.ticket,
-            kind=kind.value,
+            kind=outcome.kind.value,
             start=start,
             total=len(run.events),
             events=pack_events(run.events[start:]),
+            declined=outcome.declined,
         )
 
     # Reports.
--- a/emberring/jobs/schedule.py
+++ b/emberring/jobs/schedule.py
@@ -16,12 +16,16 @@
 
 @attrs.frozen(order=True)
 class QueuedItem:
-    """An item waiting for a server. Times are seconds of the monotonic clock."""
+    """An item waiting for a server. Times are seconds of the monotonic clock.
+
+    `retry_at_s` is when an item that servers have declined may run again; 0 for all others.
+    """
 
     due_s: float
     expires_s: float
     key: str
     index: int
+    retry_at_s: float = 0.0
 
 
 class RunEstimate:
@@ -46,30 +50,36 @@
     EXPIRING = 0
     ON_TIME = 1
     LATE = 2
+    DECLINED = 3
 
 
 @attrs.frozen(order=True)
 class Rank:
-    """Rank of the next item of a schedule among those of other schedules; `at_s` is when it is due, or expires."""
+    """Rank of the next item of a schedule; `at_s` is when it is due, expires, or may run again."""
 
     urgency: Urgency
     at_s: float
 
 
 class Schedule:
-    """Items waiting for a server, of which any may run next. `run_estimate` may be shared with other schedules."""
+    """Items waiting for a server, of which any may run next. `run_estimate` may be shared with other schedules.
+
+    Items that servers have declined come after all others, and not before their `retry_at_s`.
+    """
 
     def __init__(self, run_estimate: RunEstimate) -> None:
         self._run_estimate = run_estimate
         self._on_time: SortedList = SortedList()
         self._late: SortedList = SortedList(key=lambda entry: (entry.expires_s, entry.key, entry.index))
+        self._declined: SortedList = SortedList(key=lambda entry: (entry.retry_at_s, entry.key, entry.index))
 
     def __len__(self) -> int:
-        return len(self._on_time) + len(self._late)
+        return len(self._on_time) + len(self._late) + len(self._declined)
 
     def add(self, entry: QueuedItem) -> None:
         """Add an item."""
-        self._on_time.add(entry)
+        queue = self._declined if entry.retry_at_s else self._on_time
+        queue.add(entry)
 
     def rank(self, now_s: float) -> Rank | None:
         """Return the rank of the item that `pop` would return; None if there is none.
@@ -84,20 +94,24 @@
             return Rank(Urgency.EXPIRING, self._late[0].expires_s)
         if self._on_time:
             return Rank(Urgency.ON_TIME, self._on_time[0].due_s)
-        return Rank(Urgency.LATE, self._late[0].expires_s) if self._late else None
+        if self._late:
+            return Rank(Urgency.LATE, self._late[0].expires_s)
+        if self._declined and self._declined[0].retry_at_s <= now_s:
+            return Rank(Urgency.DECLINED, self._declined[0].retry_at_s)
+        return None
 
     def pop(self, now_s: float) -> QueuedItem | None:
         """Remove and return the item to run next, or None. The caller skips items that are not waiting any more."""
         rank = self.rank(now_s)
         if rank is None:
             return None
-        queue = self._on_time if rank.urgency is Urgency.ON_TIME else self._late
-        entry: QueuedItem = queue.pop(0)
+        queues = {Urgency.ON_TIME: self._on_time, Urgency.DECLINED: self._declined}
+        entry: QueuedItem = queues.get(rank.urgency, self._late).pop(0)
         return entry
 
     def drop_first(self, is_done: Callable[[QueuedItem], bool], limit: int) -> None:
-        """Remove up to `limit` items that are done, from both ends at which items are taken, up to one that is not."""
-        for queue in (self._on_time, self._late):
+        """Remove items that are done, up to `limit` of each kind, until the next one to run is not done."""
+        for queue in (self._on_time, self._late, self._declined):
             dropped = 0
             while queue and dropped < limit and is_done(queue[0]):
                 queue.pop(0)
@@ -105,5 +119,5 @@
 
     def pop_any(self) -> QueuedItem | None:
         """Remove and return any item, the one that is due first if it is known to be in time; None if there is none."""
-        queue = self._on_time or self._late
+        queue = self._on_time or self._late or self._declined
         return queue.pop(0) if queue else None
--- a/tests/emberring/admission/test_tier_admission.py
+++ b/tests/emberring/admission/test_tier_admission.py
@@ -242,3 +242,22 @@
     decisions = [admission.offer(0.0, call(f"c{number}")) for number in range(6)]
     assert decisions[0] == Admitted("s4")
     assert any(decision != Admitted("s4") for decision in decisions)
+
+
+# Guards against a client whose requests a server declines, and which changes what other clients get from that server.
+def test_calls_that_a_server_declines_change_nothing_about_it() -> None:
+    admission = admission_of(record("s1"))
+    admission.offer(0.0, call("first"))
+    admission.started(0.0, "first", "s1")
+    admission.first_event(0.01, "first")
+    admission.finished(0.02, "first", CallOutcome.COMPLETED)
+    (server,) = admission._pools["llm"].servers.values()
+    before = attrs.evolve(server, calls={}), admission.batch_capacity(0.1)
+    for number in range(50):
+        name = f"d{number}"
+        assert isinstance(admission.offer(0.1, call(name)), Admitted)
+        admission.started(0.1, name, "s1")
+        admission.finished(0.1, name, CallOutcome.DECLINED)
+    assert attrs.asdict(server, recurse=False) == attrs.asdict(before[0], recurse=False)
+    assert admission.batch_capacity(0.1) == before[1]
+    assert admission.suspected_servers() == {}
--- a/tests/emberring/admission/test_tier_admission_machine.py
+++ b/tests/emberring/admission/test_tier_admission_machine.py
@@ -36,6 +36,7 @@
         CallOutcome.SILENT,
         CallOutcome.CONNECT_FAILED,
         CallOutcome.WRONG_SERVER,
+        CallOutcome.DECLINED,
     }
 )
 
--- a/tests/emberring/admission/test_tier_attempts.py
+++ b/tests/emberring/admission/test_tier_attempts.py
@@ -13,6 +13,7 @@
     [
         (CallOutcome.FULL, False, 1, True, True),
         (CallOutcome.WRONG_SERVER, False, 1, True, True),
+        (CallOutcome.DECLINED, False, 1, True, True),
         (CallOutcome.CONNECT_FAILED, False, 1, True, True),
         (CallOutcome.NOT_SENT, False, 1, True, True),
         (CallOutcome.BROKEN, False, 3, False, False),
--- a/tests/emberring/gateway/test_tier_gateway_failures.py
+++ b/tests/emberring/gateway/test_tier_gateway_failures.py
@@ -214,15 +214,18 @@
     play(scenario)
 
 
-def test_a_421_of_the_server_itself_concerns_this_request_alone() -> None:
+# Guards against a client whose requests sound servers decline, and which takes these servers from all other clients.
+@pytest.mark.parametrize("named", [{"Instance_Id": "i-1"}, {}])
+def test_a_421_of_the_server_itself_concerns_this_request_alone(named: dict[str, str]) -> None:
     async def scenario(world: World) -> None:
         async def other_version(side: ServerSide, seen: ReceivedRequest) -> None:
-            await side.answer(seen, 421, Instance_Id="i-1")
+            await side.answer(seen, 421, **named)
 
         await world.server(other_version, answer_ok)
         await world.server(answer_ok)
         assert (await (await world.client()).ask()).status == 200
         assert world.routable_servers.routable("i-1") is not None
+        assert world.admission.outcomes == ["declined", "completed"]
 
     play(scenario)
 
--- a/tests/emberring/gateway/test_tier_gateway_items.py
+++ b/tests/emberring/gateway/test_tier_gateway_items.py
@@ -243,6 +243,34 @@
     play(scenario)
 
 
+async def answer_421(side: ServerSide, seen: ReceivedRequest) -> None:
+    await side.answer(seen, 421, Not_Executed="1")
+
+
+# Guards against items that no server can run for what their client sent, and which are run again at once and for ever.
+@pytest.mark.parametrize(
+    ("script", "kind", "declined"),
+    [
+        (answer_421, OutcomeKind.NOT_RUN, True),
+        (answer_404, OutcomeKind.BROKEN, True),
+        (answer_500, OutcomeKind.FAILED_500, False),
+        (answer_504, OutcomeKind.BROKEN, False),
+        (answer_503_not_executed, OutcomeKind.NOT_RUN, False),
+        (close_after_two_events, OutcomeKind.BROKEN, False),
+        (stream_to_three, OutcomeKind.COMPLETED, False),
+    ],
+)
+def test_an_item_is_declined_by_a_server_that_could_run_others(
+    script: Script, kind: OutcomeKind, declined: bool
+) -> None:
+    async def scenario(world: World) -> None:
+        await world.server(script)
+        outcome = await world.executor.run_item(item(), lambda events: None)
+        assert (outcome.kind, outcome.declined) == (kind, declined)
+
+    play(scenario)
+
+
 def test_an_item_that_is_no_longer_allowed_is_not_sent() -> None:
     async def scenario(world: World) -> None:
         server = await world.server(stream_to_three)
--- a/tests/emberring/jobs/job_manager_harness.py
+++ b/tests/emberring/jobs/job_manager_harness.py
@@ -145,6 +145,7 @@
         kind: OutcomeKind = OutcomeKind.COMPLETED,
         run_events: tuple[EventData, ...] = (),
         start: int = 0,
+        declined: bool = False,
     ) -> Any:
         call = self.next_call()
         message = FinishRun(
@@ -157,6 +158,7 @@
             start,
             start + len(run_events),
             pack_events(run_events),
+            declined,
         )
         self.perform(self.job_manager.finish_run(self.now_s, call, message))
         return self.answers.get(call)
--- a/tests/emberring/jobs/test_tier_item_queues.py
+++ b/tests/emberring/jobs/test_tier_item_queues.py
@@ -4,7 +4,7 @@
 
 import attrs
 import pytest
-from job_manager_harness import HOST, TERMS, JobManagerHarness, body, states
+from job_manager_harness import HOST, TERMS, JobManagerHarness, body, events, states
 
 from emberring.configuration.model import Configuration, Route, RouteType, Share
 from emberring.jobs import item_queues
@@ -152,3 +152,32 @@
     assert ids(list(lease_in_order(0.0, managers, budget))) == ["u0", "u1", "b0", "b1"]
     assert budget.exhausted
     assert ids(list(lease_in_order(0.0, managers, LeaseBudget("g", 9)))) == ["b2", "b3", "b4", "l0"]
+
+
+# Guards against items that every server declines, which are leased again at once, before all others, and for ever.
+def test_items_that_servers_decline_come_after_all_others_and_wait_for_longer_each_time() -> None:
+    harness = JobManagerHarness()
+    harness.submit("j", body(2, 1), TERMS)
+    harness.submit("k", body(1, 1, "k"), attrs.evolve(TERMS, completion_ms=30_000.0))
+    declined, _ = harness.lease_items(2)
+    harness.finish(declined, OutcomeKind.NOT_RUN, declined=True)
+    assert ids(harness.lease_items()) == ["k0"]
+    for backoff_s in (0.5, 1.0, 2.0, 4.0, 8.0, 10.0):
+        harness.now_s += backoff_s - 0.01
+        assert harness.lease_items() == []
+        harness.now_s += 0.02
+        harness.submit(f"n{backoff_s}", body(1, 1, "n"), TERMS)
+        other, again = harness.lease_items()
+        assert (other.id, again.id) == ("n0", "i0")
+        harness.finish(again, OutcomeKind.NOT_RUN, declined=True)
+
+
+def test_a_declined_item_that_begins_to_run_is_an_ordinary_one_again() -> None:
+    harness = JobManagerHarness()
+    harness.submit("j", body(1, 1), TERMS)
+    (item,) = harness.lease_items()
+    harness.finish(item, OutcomeKind.NOT_RUN, declined=True)
+    harness.now_s += 0.5
+    (again,) = harness.lease_items()
+    harness.finish(again, OutcomeKind.BROKEN, events("a"))
+    assert ids(harness.lease_items()) == ["i0"]
--- a/tests/golden/test_golden_messages.py
+++ b/tests/golden/test_golden_messages.py
@@ -34,7 +34,7 @@
 KINDS = 48
 # The last fields of kinds that earlier versions know without them: their lines stay as they are, since these fields are
 # not written at their default.
-ADDED_FIELDS = {"lots.lease": 1}
+ADDED_FIELDS = {"lots.lease": 1, "lots.finish": 1}
 TEXT_ENUMS = {"failure": FailureKinds, "run_end": RunEnds, "trouble": Troubles}  # sent as plain texts
 
 
