--- a/emberring/admission/eligibility.py
+++ b/emberring/admission/eligibility.py
@@ -63,11 +63,7 @@
 
 def eligible(now_s: float, server: ServerView, usual_event_gap_ms: float) -> bool:
     """Return whether the server may be sent calls, regardless of its load."""
-    return (
-        not server.replaced
-        and now_s >= server.ejected_until_s
-        and not unresponsive(now_s, server, usual_event_gap_ms)
-    )
+    return now_s >= server.ejected_until_s and not unresponsive(now_s, server, usual_event_gap_ms)
 
 
 def remaining_capacity(now_s: float, server: ServerView, share: float, gateways: int) -> float:
--- a/emberring/admission/outcomes.py
+++ b/emberring/admission/outcomes.py
@@ -79,8 +79,6 @@
             server.prefix_cache.clear()
         elif outcome is CallOutcome.FULL:
             eligibility.record_full(now_s, server, self._random)
-        elif outcome is CallOutcome.WRONG_SERVER:
-            server.replaced = True
         elif outcome in (CallOutcome.COMPLETED, CallOutcome.FAILED):
             server.consecutive_failures = 0
             server.record_event(now_s)
--- a/emberring/admission/pool.py
+++ b/emberring/admission/pool.py
@@ -104,9 +104,7 @@
         return [
             server
             for server in self.servers.values()
-            if server.record.state is ServerState.READY
-            and not server.replaced
-            and server.record.id not in excluded
+            if server.record.state is ServerState.READY and server.record.id not in excluded
         ]
 
     def _working_servers(self) -> list[ServerView]:
--- a/emberring/admission/server.py
+++ b/emberring/admission/server.py
@@ -74,7 +74,6 @@
         last_failure: outcome of the latest failed attempt.
         ejected_until_s: end of the ejection after failures; no calls are sent before.
         full_until_s: end of the backoff after the server rejected a call as full; no calls are sent before.
-        replaced: whether another server has taken over its address.
     """
 
     record: ServerRecord
@@ -98,7 +97,6 @@
     failure_rate: FailureRate = attrs.field(factory=FailureRate)
     ejected_until_s: float = -math.inf
     full_until_s: float = -math.inf
-    replaced: bool = False
 
     @property
     def capacity(self) -> int:
