An unknown server at the address of a silent one makes it lost, not gone

Cause: an unknown id was taken for newer by the order of arrival; servers at its address that had been silent for over 1.0 s, less than an interval of heartbeats, were written as gone, which is for good.

Change: they are written as lost after 1.5 intervals of silence, with the newest sequence seen; the next heartbeat makes a living one ready again. The test of reused addresses asks for lost in place of gone, at the same times: gone was the fault.

Result: the new test fails on the code before for heartbeats 1.1, 2.5 and 5.0 s after the living server's last one.

--- a/emberring/registry/servers.py
+++ b/emberring/registry/servers.py
@@ -18,8 +18,8 @@
 TIMEOUT_SLACK_S = 0.6
 # Added for a server without a record of a live control node: an unreachable one may still receive its heartbeats.
 ORPHAN_TIMEOUT_SLACK_S = 6.0
-# A server without heartbeats for this long counts as gone if another server reports its address.
-ADDRESS_REUSE_TIMEOUT_S = 1.0
+# A server that has missed this many intervals of heartbeats counts as lost if another server reports its address.
+REUSED_ADDRESS_INTERVALS = 1.5
 # A longer interval between two ticks means that this node was frozen and received nothing.
 MAX_TICK_GAP_S = 1.0
 FORGET_S = 120.0  # retention of a server that is gone or lost
@@ -41,6 +41,7 @@
     def __init__(self, now_s: float, heartbeat_s: float) -> None:
         self._last_tick_s = now_s
         self.timeout_s = MISSED_HEARTBEATS * heartbeat_s + TIMEOUT_SLACK_S
+        self._reused_address_timeout_s = REUSED_ADDRESS_INTERVALS * heartbeat_s
         self._last_seen: dict[str, _LastSeen] = {}
         self._ended_since_s: dict[str, float] = {}
 
@@ -83,7 +84,7 @@
         self._record_seen(now_s, record.id, record.sequence)
         before = known.get(record.id)
         if before is None:
-            return [record, *self._replaced_at(now_s, record, known)]
+            return [record, *self._silent_at(now_s, record, known)]
         if record.sequence < before.sequence and not heartbeat.draining:
             return []
         after = merged(before, record)
@@ -95,18 +96,24 @@
         unchanged = live_record is not None and _equivalent(live_record, after) and _equivalent(before, after)
         return [] if unchanged else [after]
 
-    def _replaced_at(
+    def _silent_at(
         self, now_s: float, record: ServerRecord, known: Mapping[str, ServerRecord]
     ) -> list[ServerRecord]:
-        """Records that mark older servers at the address of a new one as gone."""
-        replaced = []
+        """Records that mark ready servers at the address of an unknown one as lost, if they have been silent.
+
+        The unknown one may be newer, or have ended before and its heartbeat comes late. So this is no proof that the
+        other has ended: its next heartbeat makes it ready again.
+        """
+        silent = []
         for other in known.values():
-            if other.address != record.address or other.id == record.id or other.state is ServerState.GONE:
+            if other.address != record.address or other.id == record.id:
                 continue
             last_seen = self._last_seen.get(other.id)
-            if last_seen is not None and now_s - last_seen.received_s > ADDRESS_REUSE_TIMEOUT_S:
-                replaced.append(attrs.evolve(other, state=ServerState.GONE))
-        return replaced
+            if other.state is not ServerState.READY or last_seen is None:
+                continue
+            if now_s - last_seen.received_s > self._reused_address_timeout_s:
+                silent.append(_lost(other, last_seen))
+        return silent
 
     def on_goodbye(self, server_id: str, known: Mapping[str, ServerRecord]) -> list[ServerRecord]:
         """The records to write after a goodbye, which may be that of an unknown server."""
@@ -158,8 +165,11 @@
         timeout_s = self.timeout_s if is_listed(record.id) else self.timeout_s + ORPHAN_TIMEOUT_SLACK_S
         if now_s - last_seen.received_s <= timeout_s:
             return None
-        state = ServerState.GONE if record.state is ServerState.DRAINING else ServerState.LOST
-        return attrs.evolve(record, state=state, sequence=max(record.sequence, last_seen.sequence))
+        if record.state is ServerState.DRAINING:
+            return attrs.evolve(
+                record, state=ServerState.GONE, sequence=max(record.sequence, last_seen.sequence)
+            )
+        return _lost(record, last_seen)
 
     def expired(self, now_s: float, known: Mapping[str, ServerRecord]) -> list[str]:
         """Remove and return the ids of the servers that have been gone or lost for `FORGET_S`."""
@@ -180,6 +190,11 @@
         return expired
 
 
+def _lost(record: ServerRecord, last_seen: _LastSeen) -> ServerRecord:
+    """The record of a server that counts as lost until a heartbeat newer than the last one seen."""
+    return attrs.evolve(record, state=ServerState.LOST, sequence=max(record.sequence, last_seen.sequence))
+
+
 def _equivalent(first: ServerRecord, second: ServerRecord) -> bool:
     """Whether two records differ only in the sequence and in the progress of the warm-up, which other nodes ignore."""
     return _without_progress(first) == _without_progress(second)
