A client that leaves after a long body ends its request

Cause: uvicorn stops reading when more than 64 KB of a body arrive at once, and reads on when the application asks for more or after the response. After the last part nobody asked, and the end of a connection that is not read is not noticed: the server worked on for a client that had left, and the body stayed in memory.

Change: the gateway reads on after a complete body; pipelined requests stop the reading as before.

--- a/emberring/gateway/app.py
+++ b/emberring/gateway/app.py
@@ -79,6 +79,7 @@
         body = await _read_body(scope, receive, configuration.limits, timeout_s)
         if isinstance(body, GatewayResponse):
             return body
+        scope["state"]["connection"].watch_for_disconnect()
         request = attrs.evolve(request, body=body)
         # The configuration may have changed while the body was read; the latest one is used.
         route = _find_route(self._directory.configuration or configuration, request)
--- a/emberring/gateway/clients.py
+++ b/emberring/gateway/clients.py
@@ -123,6 +123,14 @@
             or (self.cycle is not None and not self.cycle.response_complete)
         )
 
+    def watch_for_disconnect(self) -> None:
+        """Read on after a complete body, so that the end of the connection is noticed while the response is prepared.
+
+        uvicorn stops reading when a large part of a body arrives, and otherwise goes on only after the response.
+        """
+        if not self.pipeline:
+            self.flow.resume_reading()
+
     def close_after_response(self) -> None:
         """Send `Connection: close` with the next response and close the connection after it."""
         if not self.pipeline:
