check lots: a second service without servers, whose batch jobs are due first

Change: in a quarter of the schedules, by the seed, a service without servers has batch jobs until the end, due before those of the other one. Gateways poll for the services that have servers; the mutation polls_without_services lets them poll as before. All stores have a configuration with both routes.

--- a/emberring/simulation/jobs/client.py
+++ b/emberring/simulation/jobs/client.py
@@ -8,19 +8,15 @@
 import orjson
 
 from emberring.errors import NotFoundError
-from emberring.jobs.calls import EndJob, JobPage, JobTerms, ReadJob, SubmitJob
+from emberring.jobs.calls import EndJob, JobPage, ReadJob, SubmitJob
 from emberring.jobs.packing import compress
 from emberring.jobs.results import page_json
 from emberring.simulation.jobs.gateway import SimulatedGateway
 from emberring.simulation.jobs.history import History, ItemRecord, JobRecord, SubmissionOutcome
+from emberring.simulation.jobs.services import HOST, LOST, LOST_JOB_INTERVAL_S, SOUND, terms_of
 from emberring.simulation.jobs.store import is_error
 from emberring.simulation.jobs.world import World
 
-HOST = "lots.example"
-MAX_TOKENS = 400
-MAX_ATTEMPTS = 2
-RETENTION_S = 60.0
-TERMS = JobTerms("r-lots", "/batch/", 1, 4000.0, RETENTION_S, MAX_ATTEMPTS, MAX_TOKENS)
 MAX_ATTEMPTS_TO_SUBMIT = 5
 
 
@@ -35,22 +31,28 @@
         self.on_result_read: Callable[[], None] = lambda: None
         self.stopping = False
 
-    def submit_job(self) -> None:
-        """Submit a new batch job."""
+    def submit_lost_jobs(self) -> None:
+        """Submit batch jobs of the service without servers, again and again."""
+        self.submit_job(LOST)
+        if not self.stopping:
+            self.world.after(LOST_JOB_INTERVAL_S, self.submit_lost_jobs)
+
+    def submit_job(self, service: str = SOUND) -> None:
+        """Submit a new batch job of this service."""
         rng = self.world.rng
         job_id = f"lot{len(self.history.jobs)}"
         items = {
             f"{job_id}-{number}": ItemRecord(rng.randint(5, 15), rng.randint(1, 5), rng.random() < 0.04)
             for number in range(rng.randint(1, 12))
         }
-        job = JobRecord(job_id, items, self.world.now_s)
+        job = JobRecord(job_id, items, self.world.now_s, runnable=service == SOUND)
         self.history.submitted(self.world.now_s, job)
         listed = [
             {"Id": name, "Path": "/batch/x", "Headers": {}, "Body": "", "Tokens": item.tokens}
             for name, item in items.items()
         ]
         self._attempt_submission(
-            job, SubmitJob(HOST, job_id, TERMS, compress(orjson.dumps({"Requests": listed})))
+            job, SubmitJob(HOST, job_id, terms_of(service), compress(orjson.dumps({"Requests": listed})))
         )
 
     def _gateway(self) -> SimulatedGateway:
@@ -76,6 +78,8 @@
         gateway.when_awake(gateway.incarnation, gateway.submit, message, done)
 
     def _schedule_reads(self, job: JobRecord) -> None:
+        if not job.runnable:
+            return
         self.world.after(0.2, self._read_next, job)
         if self.world.rng.random() < 0.2:
             self.world.after(self.world.rng.random() * 2.0, self._end_job, job)
--- a/emberring/simulation/jobs/gateway.py
+++ b/emberring/simulation/jobs/gateway.py
@@ -27,6 +27,8 @@
 from emberring.jobs.items import OutcomeKind
 from emberring.jobs.packing import pack_events, unpack_events
 from emberring.simulation.jobs.history import History, SubmissionOutcome
+from emberring.simulation.jobs.mutations import Mutations
+from emberring.simulation.jobs.services import LOST, ROUTES, SOUND
 from emberring.simulation.jobs.store import SimulatedStore, is_error
 from emberring.simulation.jobs.world import World
 
@@ -57,13 +59,20 @@
     """A simulated gateway. Its runs are lost when it is killed."""
 
     def __init__(
-        self, world: World, history: History, name: str, shard: int, stores: dict[str, SimulatedStore]
+        self,
+        world: World,
+        history: History,
+        name: str,
+        shard: int,
+        stores: dict[str, SimulatedStore],
+        mutations: Mutations,
     ) -> None:
         self.world = world
         self.history = history
         self.name = name
         self.shard = shard
         self.stores = stores
+        self.mutations = mutations
         self.running = True
         self.frozen_until_s = 0.0
         self.incarnation = 0
@@ -180,7 +189,9 @@
     def _poll(self) -> None:
         capacity = CAPACITY - sum(1 for run in self.runs.values() if run.kind is None)
         if capacity > 0:
-            self.call(LeaseItems(self.name, capacity, 0), CALL_TIMEOUT_S, self._on_leased)
+            service_capacity = None if self.mutations.polls_without_services else {SOUND: capacity}
+            message = LeaseItems(self.name, capacity, 0, service_capacity=service_capacity)
+            self.call(message, CALL_TIMEOUT_S, self._on_leased)
 
     def _on_leased(self, body: Any) -> None:
         if is_error(body):
@@ -197,7 +208,8 @@
         if run is None or run.stopped:
             return
         rng = self.world.rng
-        if self.world.now_s >= run.allowed_until_s or rng.random() < 0.05:
+        no_server = run.assignment.route == ROUTES[LOST].name
+        if no_server or self.world.now_s >= run.allowed_until_s or rng.random() < 0.05:
             self._finish_run(run, OutcomeKind.NOT_RUN)
             return
         name = run.assignment.id
--- a/emberring/simulation/jobs/history.py
+++ b/emberring/simulation/jobs/history.py
@@ -45,11 +45,12 @@
 
 @attrs.define(eq=False)
 class JobRecord:
-    """The state of a batch job as observed by its client."""
+    """The state of a batch job as observed by its client; `runnable`: its service has servers."""
 
     id: str
     items: dict[str, ItemRecord]
     sent_s: float
+    runnable: bool = True
     attempts: list[SubmissionOutcome] = attrs.field(factory=list)
     accepted_s: float | None = None
     end_requested_s: float | None = None
@@ -89,7 +90,7 @@
                 self.add_violation(now_s, f"QUOTA {waiting} tokens queued after {job.id}")
 
     def _waiting_tokens(self, job: JobRecord) -> int:
-        if job.accepted_s is None or job.end_requested_s is not None:
+        if job.accepted_s is None or job.end_requested_s is not None or not job.runnable:
             return 0
         dead = {item for item, state, _ in job.visible.values() if state == "dead_letter"}
         return sum(
@@ -182,6 +183,7 @@
                 self.add_violation(now_s, f"REFUSED {job.id} ran")
             if (
                 job.accepted_s is not None
+                and job.runnable
                 and job.end_requested_s is None
                 and len(job.visible) != len(job.items)
             ):
--- a/emberring/simulation/jobs/mutations.py
+++ b/emberring/simulation/jobs/mutations.py
@@ -24,7 +24,7 @@
     before they are committed. `unsynced`: replicas confirm writes before the disk has synced. `keeps_identity`:
     a store reuses its identity after the loss of its disk. `doubles`: a new owner keeps one item at two positions.
     `single_quorum`: a change of the group requires a quorum of the next members only. `endless_lease`: the lease of
-    an owner never expires.
+    an owner never expires. `polls_without_services`: gateways poll for items of any service.
     """
 
     tokenless: bool = False
@@ -34,6 +34,7 @@
     doubles: bool = False
     single_quorum: bool = False
     endless_lease: bool = False
+    polls_without_services: bool = False
 
 
 class _TokenlessReplica(Replica):
--- a/emberring/simulation/jobs/simulator.py
+++ b/emberring/simulation/jobs/simulator.py
@@ -13,7 +13,7 @@
 from emberring.placement.planning import PlanMemory, plan
 from emberring.placement.retirement import begin_retire, retire_state
 from emberring.simulation.common.shrinking import shrink_schedule
-from emberring.simulation.jobs.client import HOST, MAX_ATTEMPTS, MAX_TOKENS, RETENTION_S, Clients
+from emberring.simulation.jobs.client import Clients
 from emberring.simulation.jobs.gateway import SimulatedGateway
 from emberring.simulation.jobs.history import History
 from emberring.simulation.jobs.mutations import Mutations, seeded
@@ -26,6 +26,13 @@
     make_schedule,
     normal_network,
 )
+from emberring.simulation.jobs.services import (
+    HOST,
+    MAX_ATTEMPTS,
+    MAX_TOKENS,
+    RETENTION_S,
+    has_lost_service,
+)
 from emberring.simulation.jobs.store import SYNC_S, Disk, SimulatedStore
 from emberring.simulation.jobs.world import NetworkConditions, World
 
@@ -81,7 +88,9 @@
         for number in range(schedule.stores):
             self._add(f"store-{number}").start()
         self.gateways = [
-            SimulatedGateway(self.world, self.history, f"gateway-{number}", self.shard, self.stores)
+            SimulatedGateway(
+                self.world, self.history, f"gateway-{number}", self.shard, self.stores, mutations
+            )
             for number in range(2)
         ]
         self.clients = Clients(self.world, self.history, self.gateways)
@@ -94,6 +103,8 @@
         self._run_control_plane()
         for step in self.schedule.steps:
             world.at(step.at_s, self._perform_step, step)
+        if has_lost_service(self.schedule.seed):
+            world.after(0.8, self.clients.submit_lost_jobs)
         world.run(FAULT_PERIOD_S + 2.0)
         self._clear_faults()
         world.run(world.now_s + RECOVERY_PERIOD_S)
--- a/emberring/simulation/jobs/store.py
+++ b/emberring/simulation/jobs/store.py
@@ -38,6 +38,7 @@
 from emberring.jobs.replica_log import decode_entry, encode_entry
 from emberring.placement.model import Placement
 from emberring.simulation.jobs.mutations import Mutations, make_owner, make_replica
+from emberring.simulation.jobs.services import CONFIGURATION
 from emberring.simulation.jobs.world import World
 
 TICK_INTERVAL_S = 0.05
@@ -117,6 +118,7 @@
         seed = self.world.rng.getrandbits(32)
         self.owner = make_owner(self.mutations, self.identity, self.replica, seed)
         self.job_manager = JobManager(self.shard, self.owner.records, 30.0, seed)
+        self.job_manager.configure(CONFIGURATION)
         self.apply_placement(self.placement)
         self._tick(self.incarnation)
         self._renew_leases(self.incarnation)
--- a/tests/emberring/simulation/test_tier_jobs_simulator.py
+++ b/tests/emberring/simulation/test_tier_jobs_simulator.py
@@ -20,8 +20,13 @@
 
 @pytest.mark.parametrize(
     ("mutations", "first_seed"),
-    [(Mutations(tokenless=True), 0), (Mutations(shows_early=True), 0), (Mutations(unsynced=True), 0)],
-    ids=["tokenless", "shows_early", "unsynced"],
+    [
+        (Mutations(tokenless=True), 0),
+        (Mutations(shows_early=True), 0),
+        (Mutations(unsynced=True), 0),
+        (Mutations(polls_without_services=True), 0),
+    ],
+    ids=["tokenless", "shows_early", "unsynced", "polls_without_services"],
 )
 def test_a_seeded_mutation_is_found(mutations: Mutations, first_seed: int) -> None:
     assert any(play_seed(seed, mutations).violations for seed in range(first_seed, first_seed + 120))
