check control: servers that start again while heartbeats of ended ones come late

Change: a step that crashes a server, starts its next incarnation at its address and delivers late, twice and to any control node, its last heartbeat and the first ones of four incarnations that were never heard of. The mutation orders-by-arrival takes unknown servers for newer, as before.

--- a/emberring/simulation/control_plane/client_steps.py
+++ b/emberring/simulation/control_plane/client_steps.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import random
 from collections.abc import Callable, Coroutine
 from typing import Any
 
@@ -15,6 +16,10 @@
 
 CHANGES_IN_SERIES = 40  # change requests
 RESPONSE_LOSS_SHARE = 0.7  # share of the responses to operators that are lost during the step
+ADDRESS_REUSE_S = 2.0  # from the crash of a server until its address is used again
+MAX_HEARTBEAT_DELAY_S = 5.0  # from then on
+EARLY_CRASHES = 4  # incarnations that crash before their first heartbeat arrives
+MAX_MACHINES = 12  # of which one is drawn; the number is taken modulo those that there are
 
 
 class ClientSteps:
@@ -97,7 +102,11 @@
         self._deployment.add_server()
 
     def _ready_server(self, step: Step) -> ModelServer | None:
-        found = [server for server in self._deployment.servers if not server.gone and server.state == "ready"]
+        found = [
+            server
+            for server in self._deployment.servers
+            if not server.gone and server.state == "ready" and not server.is_successor
+        ]
         return found[step.slot % len(found)] if found else None
 
     def _drain_server(self, step: Step) -> None:
@@ -111,3 +120,34 @@
     def _crash_server(self, step: Step) -> None:
         if (server := self._ready_server(step)) is not None:
             server.crash()
+
+    def _restart_server(self, step: Step) -> None:
+        """Crash a server and start its next incarnation at its address while heartbeats of ended ones are on their way.
+
+        These are its last heartbeat, and the first ones of incarnations that crashed before anything was heard of them.
+        Each arrives twice, at any control node, also after heartbeats of the living server.
+        """
+        server = self._ready_server(step)
+        if server is None:
+            return
+        server.crash()
+        self._call_later(ADDRESS_REUSE_S, self._start_successor, server.address)
+        rng = random.Random(f"late heartbeats {self._deployment.schedule.seed} {step.at_s}")
+        late = [(server.name, server.next_heartbeat)]
+        late += [(f"{server.name}-early-{number}", server.heartbeat(1)) for number in range(EARLY_CRASHES)]
+        for name, body in late * 2:
+            wait_s = rng.uniform(ADDRESS_REUSE_S, ADDRESS_REUSE_S + MAX_HEARTBEAT_DELAY_S)
+            self._call_later(wait_s, self._deliver_late, name, body, rng.randrange(MAX_MACHINES))
+
+    def _start_successor(self, address: str) -> None:
+        if not self._ended:
+            self._deployment.add_server(address)
+
+    def _deliver_late(self, name: str, body: bytes, slot: int) -> None:
+        machines = self._deployment.control_machines
+        if not self._ended and machines:
+            machine = machines[slot % len(machines)]
+            self._spawn(self._deliver(machine, name, body))
+
+    async def _deliver(self, machine: ControlMachine, name: str, body: bytes) -> None:
+        await self._deployment.platform.call(machine, "PUT", f"/v1/instances/{name}", body)
--- a/emberring/simulation/control_plane/clients.py
+++ b/emberring/simulation/control_plane/clients.py
@@ -175,13 +175,20 @@
 class ModelServer:
     """A model server that sends heartbeats and shuts down.
 
-    `on_shutdown_acknowledged` is called when its drain or deregistration is acknowledged.
+    `on_shutdown_acknowledged` is called when its drain or deregistration is acknowledged. `address` is its own one, or
+    that of a server that has ended; such a successor is not ended by a step, so that the final checks cover it.
     """
 
     def __init__(
-        self, platform: Platform, name: str, on_shutdown_acknowledged: Callable[[ModelServer], None]
+        self,
+        platform: Platform,
+        name: str,
+        on_shutdown_acknowledged: Callable[[ModelServer], None],
+        address: str = "",
     ) -> None:
         self.name = name
+        self.address = address or f"{name}:8080"
+        self.is_successor = bool(address)
         self.state = "ready"
         self.acknowledged_s: float | None = None  # when its drain or deregistration was acknowledged
         self.leaving_s: float | None = None
@@ -253,12 +260,21 @@
         if self.state == "gone":
             return await self._platform.call(machine, "DELETE", path)
         self._sequence += 1
-        heartbeat = {
+        return await self._platform.call(machine, "PUT", path, self.heartbeat(self._sequence))
+
+    def heartbeat(self, sequence: int) -> bytes:
+        """Return the body of its heartbeat with this sequence number."""
+        content = {
             "Service": SERVICE,
-            "Address": f"{self.name}:8080",
+            "Address": self.address,
             "Zone": "zone-0",
             "Capacity": 8,
             "State": self.state,
-            "Sequence": self._sequence,
+            "Sequence": sequence,
         }
-        return await self._platform.call(machine, "PUT", path, json.dumps(heartbeat).encode())
+        return json.dumps(content).encode()
+
+    @property
+    def next_heartbeat(self) -> bytes:
+        """The body of the heartbeat that it would send next."""
+        return self.heartbeat(self._sequence + 1)
--- a/emberring/simulation/control_plane/deployment.py
+++ b/emberring/simulation/control_plane/deployment.py
@@ -91,9 +91,10 @@
         store.start()
         return store
 
-    def add_server(self) -> ModelServer:
-        """Add and start a model server."""
-        server = ModelServer(self.platform, f"server-{len(self.servers)}", self._on_shutdown_acknowledged)
+    def add_server(self, address: str = "") -> ModelServer:
+        """Add and start a model server, at the address of an ended one if it is given."""
+        name = f"server-{len(self.servers)}"
+        server = ModelServer(self.platform, name, self._on_shutdown_acknowledged, address)
         self.servers.append(server)
         return server
 
--- a/emberring/simulation/control_plane/fault_injector.py
+++ b/emberring/simulation/control_plane/fault_injector.py
@@ -387,6 +387,7 @@
     Kind.SERVER_DRAIN: FaultInjector._drain_server,
     Kind.SERVER_DEREGISTRATION: FaultInjector._deregister_server,
     Kind.SERVER_CRASH: FaultInjector._crash_server,
+    Kind.SERVER_RESTART: FaultInjector._restart_server,
     Kind.KILL: FaultInjector._kill_machine,
     Kind.POWER_LOSS: FaultInjector._cut_power,
     Kind.KILL_ALL: FaultInjector._kill_all,
--- a/emberring/simulation/control_plane/mutations.py
+++ b/emberring/simulation/control_plane/mutations.py
@@ -14,6 +14,7 @@
 from emberring.configuration.state import ControlState
 from emberring.control import operator_requests
 from emberring.control.heartbeat_handler import HeartbeatHandler
+from emberring.distribution.records import ServerState
 from emberring.distribution.sources import SourceSelector
 from emberring.distribution.view import FollowerView
 from emberring.errors import VersionConflictError
@@ -21,6 +22,7 @@
 from emberring.register.catch_up import CatchUp
 from emberring.register.model import Proposal, ReplicaSet, State
 from emberring.register.proposal_loop import ProposalLoop
+from emberring.registry.servers import ServerRegistry
 from emberring.simulation.control_plane import network
 from emberring.simulation.control_plane.control_machine import ControlMachine, HostedRegister
 from emberring.transport.messages import Envelope, decode, encode
@@ -45,6 +47,7 @@
     NEVER_FETCHES = "never-fetches"
     FORGETS_PROMISES = "forgets-promises"
     ENCODES_NO_DRAIN = "encodes-no-drain"
+    ORDERS_BY_ARRIVAL = "orders-by-arrival"
 
 
 async def _read_from_memory(self: HostedRegister, timeout_s: float) -> bytes | None:
@@ -143,6 +146,18 @@
     return decode(line.rstrip(b"\n")).body
 
 
+def _gone_by_arrival(self: ServerRegistry, now_s: float, record: Any, known: Any) -> list[Any]:
+    """Take an unknown server for newer than all others at its address that have been silent for a second."""
+    return [
+        attrs.evolve(other, state=ServerState.GONE)
+        for other in known.values()
+        if other.address == record.address
+        and other.id != record.id
+        and (last_seen := self._last_seen.get(other.id)) is not None
+        and now_s - last_seen.received_s > 1.0
+    ]
+
+
 _PATCHES: dict[Mutation, tuple[tuple[Any, str, Callable[..., Any]], ...]] = {
     Mutation.READS_FROM_MEMORY: ((HostedRegister, "read", _read_from_memory),),
     Mutation.LATE_JOBS: ((ProposalLoop, "_decide", _decide_including_queued_jobs),),
@@ -156,6 +171,7 @@
     Mutation.REWRITES_WITHOUT_SNAPSHOT: ((ControlMachine, "_reclaim", _reclaim_without_snapshot),),
     Mutation.NEVER_FETCHES: ((CatchUp, "on_announced", _ignore_announcement),),
     Mutation.FORGETS_PROMISES: ((Acceptor, "restore", _restore_without_promise),),
+    Mutation.ORDERS_BY_ARRIVAL: ((ServerRegistry, "_silent_at", _gone_by_arrival),),
     Mutation.ENCODES_NO_DRAIN: ((network, "over_wire", _without_drains),),
 }
 
--- a/emberring/simulation/control_plane/schedule.py
+++ b/emberring/simulation/control_plane/schedule.py
@@ -48,6 +48,8 @@
     RETIRE_TWO = "two stores emptied, disk lost"
     POWER_LOSS_AFTER_ACK = "power lost after acknowledgement"
     GATEWAY_KILL = "gateway killed"
+    # Not in the tuples below, so that the seeds keep their other steps: see `_restart_steps`.
+    SERVER_RESTART = "server starts again, heartbeats late"
     # Used only in hand-written schedules: adding a kind to the tuples below would change the schedules of all seeds.
     THROTTLE = "core as a quota"
     ZONE_KILL = "zone killed"
@@ -125,6 +127,8 @@
     Kind.CHANGE_SERIES,
     Kind.RESPONSES_LOST,
 )
+RESTART_SHARE = 0.25  # of the schedules have restarts of servers with late heartbeats
+MAX_RESTARTS = 4
 SPAN_S = 14.0
 PARTITION_SPAN_S = 26.0
 MAX_FAULTS = 7
@@ -167,6 +171,7 @@
     else:
         steps += _random_steps(rng, FAULTS, span_s, MAX_FAULTS)
     steps += _random_steps(rng, CLIENTS, span_s, 26)
+    steps += _restart_steps(seed, span_s)
     return Schedule(
         seed,
         tuple(sorted(steps, key=lambda step: step.at_s)),
@@ -178,6 +183,17 @@
     )
 
 
+def _restart_steps(seed: int, span_s: float) -> list[Step]:
+    """Return restarts of model servers whose ended incarnations' heartbeats come late, in a part of the schedules."""
+    rng = random.Random(f"restarts {seed}")
+    if rng.random() >= RESTART_SHARE:
+        return []
+    return [
+        Step(rng.random() * span_s, Kind.SERVER_RESTART, rng.randrange(12))
+        for _ in range(rng.randint(1, MAX_RESTARTS))
+    ]
+
+
 def _partition_steps(rng: random.Random) -> list[Step]:
     """Return a partition of 15 to 25 s and at most three other faults."""
     at_s = rng.random() * 2
--- a/tests/emberring/simulation/control_worst_days.py
+++ b/tests/emberring/simulation/control_worst_days.py
@@ -51,6 +51,10 @@
         *(Step(1.2, Kind.SERVER_START, number) for number in range(9)),
         *(Step(5.0 + 0.9 * number, Kind.SERVER_DRAIN, number) for number in range(12)),
     ),
+    "servers start again, heartbeats late": (
+        *(Step(0.1, Kind.SERVER_START, number) for number in range(9)),
+        *(Step(2.0 + 1.1 * number, Kind.SERVER_RESTART, number) for number in range(9)),
+    ),
     "frozen": (Step(1.0, Kind.FREEZE, 0, 12.0), Step(14.0, Kind.FREEZE, 1, 6.0)),
     # 2: concurrent operators, retries after lost responses
     "answers lost": (Step(0.5, Kind.RESPONSES_LOST, 0, 15.0), Step(1.0, Kind.CHANGE_SERIES, 0)),
--- a/tests/emberring/simulation/test_tier_control_mutations.py
+++ b/tests/emberring/simulation/test_tier_control_mutations.py
@@ -28,6 +28,7 @@
     Mutation.UNSYNCED: ("disk lost as all others lose power", 0, SLOW_SYNC_S),
     Mutation.REWRITES_WITHOUT_SNAPSHOT: ("dark for many changes", 0, 0.001),
     Mutation.ENCODES_NO_DRAIN: ("servers leave during a cut", 2, 0.001),
+    Mutation.ORDERS_BY_ARRIVAL: ("servers start again, heartbeats late", 0, 0.001),
     Mutation.NEVER_FETCHES: ("cut off until all is calm", 0, 0.001),
 }
 COVERED_BY_REGISTER_TESTS = {Mutation.LATE_JOBS, Mutation.OLD_SET_ALONE, Mutation.FORGETS_PROMISES}
