Simulator of batch jobs: typed calls; restarts are drawn apart from schedules

Cause: calls between simulated gateways and stores were of type Any.

Change: the requests and replies of gateways and stores are types of their own; a reply that is no reply of a replica counts as a failed call. Restarts of servers are added when a seed is played, after its schedule is made.

--- a/emberring/simulation/control_plane/schedule.py
+++ b/emberring/simulation/control_plane/schedule.py
@@ -48,7 +48,7 @@
     RETIRE_TWO = "two stores emptied, disk lost"
     POWER_LOSS_AFTER_ACK = "power lost after acknowledgement"
     GATEWAY_KILL = "gateway killed"
-    # Not in the tuples below, so that the seeds keep their other steps: see `_restart_steps`.
+    # Not in the tuples below, so that the seeds keep their other steps: see `with_restarts`.
     SERVER_RESTART = "server starts again, heartbeats late"
     # Used only in hand-written schedules: adding a kind to the tuples below would change the schedules of all seeds.
     THROTTLE = "core as a quota"
@@ -171,7 +171,6 @@
     else:
         steps += _random_steps(rng, FAULTS, span_s, MAX_FAULTS)
     steps += _random_steps(rng, CLIENTS, span_s, 26)
-    steps += _restart_steps(seed, span_s)
     return Schedule(
         seed,
         tuple(sorted(steps, key=lambda step: step.at_s)),
@@ -183,15 +182,20 @@
     )
 
 
-def _restart_steps(seed: int, span_s: float) -> list[Step]:
-    """Return restarts of model servers whose ended incarnations' heartbeats come late, in a part of the schedules."""
-    rng = random.Random(f"restarts {seed}")
+def with_restarts(schedule: Schedule) -> Schedule:
+    """Return the schedule with restarts of model servers, if it is in the part that has them.
+
+    They are drawn apart from the other steps, which each seed keeps.
+    """
+    rng = random.Random(f"restarts {schedule.seed}")
     if rng.random() >= RESTART_SHARE:
-        return []
-    return [
-        Step(rng.random() * span_s, Kind.SERVER_RESTART, rng.randrange(12))
+        return schedule
+    restarts = [
+        Step(rng.random() * schedule.span_s, Kind.SERVER_RESTART, rng.randrange(12))
         for _ in range(rng.randint(1, MAX_RESTARTS))
     ]
+    steps = sorted((*schedule.steps, *restarts), key=lambda step: step.at_s)
+    return attrs.evolve(schedule, steps=tuple(steps))
 
 
 def _partition_steps(rng: random.Random) -> list[Step]:
--- a/emberring/simulation/control_plane/simulator.py
+++ b/emberring/simulation/control_plane/simulator.py
@@ -15,7 +15,7 @@
 from emberring.simulation.control_plane.fault_injector import FaultInjector
 from emberring.simulation.control_plane.history import ACCEPTED
 from emberring.simulation.control_plane.mutations import Mutation, seeded
-from emberring.simulation.control_plane.schedule import Schedule, make_schedule
+from emberring.simulation.control_plane.schedule import Schedule, make_schedule, with_restarts
 
 ACK_S = 4.0
 # Below the bound of 4.9 s, and before the change sent after the last fault could help a replica to catch up.
@@ -197,7 +197,7 @@
 
 def play_seed(seed: int, mutation: Mutation | None = None) -> Verdict:
     """Run the schedule of a seed."""
-    return play(make_schedule(seed), mutation)
+    return play(with_restarts(make_schedule(seed)), mutation)
 
 
 def shorten(verdict: Verdict, mutation: Mutation | None = None) -> Verdict:
--- a/emberring/simulation/jobs/client.py
+++ b/emberring/simulation/jobs/client.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from typing import Any
 
 import orjson
 
@@ -13,8 +12,8 @@
 from emberring.jobs.results import page_json
 from emberring.simulation.jobs.gateway import SimulatedGateway
 from emberring.simulation.jobs.history import History, ItemRecord, JobRecord, SubmissionOutcome
+from emberring.simulation.jobs.messages import GatewayReply, is_error
 from emberring.simulation.jobs.services import HOST, LOST, LOST_JOB_INTERVAL_S, SOUND, terms_of
-from emberring.simulation.jobs.store import is_error
 from emberring.simulation.jobs.world import World
 
 MAX_ATTEMPTS_TO_SUBMIT = 5
@@ -97,7 +96,7 @@
         gateway, sent_s = self._gateway(), self.world.now_s
         known = dict(job.visible)
 
-        def done(body: Any, outcome_unknown: bool) -> None:
+        def done(body: GatewayReply, outcome_unknown: bool) -> None:
             if isinstance(body, NotFoundError):
                 self.history.not_found(self.world.now_s, job, sent_s)
             elif isinstance(body, JobPage) and (start in known or body.results):
@@ -117,7 +116,7 @@
         gateway = self._gateway()
         resolved = [False]
 
-        def done(body: Any, outcome_unknown: bool) -> None:
+        def done(body: GatewayReply, outcome_unknown: bool) -> None:
             if resolved[0]:
                 return
             resolved[0] = True
--- a/emberring/simulation/jobs/gateway.py
+++ b/emberring/simulation/jobs/gateway.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from typing import Any
 
 import attrs
 
@@ -20,16 +19,26 @@
     FinishRun,
     FinishRunReply,
     LeaseItems,
+    LeaseItemsReply,
     ReportRuns,
     ReportRunsReply,
     RunProgress,
+    SubmitJob,
 )
 from emberring.jobs.items import OutcomeKind
 from emberring.jobs.packing import pack_events, unpack_events
-from emberring.simulation.jobs.history import History, SubmissionOutcome
+from emberring.placement.model import shard_of
+from emberring.simulation.jobs.history import History, ItemRecord, SubmissionOutcome
+from emberring.simulation.jobs.messages import (
+    GatewayReply,
+    GatewayRequest,
+    JobRequest,
+    OnGatewayReply,
+    is_error,
+)
 from emberring.simulation.jobs.mutations import Mutations
-from emberring.simulation.jobs.services import LOST, ROUTES, SOUND
-from emberring.simulation.jobs.store import SimulatedStore, is_error
+from emberring.simulation.jobs.services import HOST, LOST, ROUTES, SOUND
+from emberring.simulation.jobs.store import SimulatedStore
 from emberring.simulation.jobs.world import World
 
 ITEM_LEASE_S = 1.5
@@ -41,8 +50,6 @@
 DELIVERY_TIMEOUT_S = 12.0
 RETRY_PAUSE_S = 0.05
 
-Callback = Callable[[Any], None]
-
 
 @attrs.define(eq=False)
 class _Run:
@@ -63,14 +70,13 @@
         world: World,
         history: History,
         name: str,
-        shard: int,
         stores: dict[str, SimulatedStore],
         mutations: Mutations,
     ) -> None:
         self.world = world
         self.history = history
         self.name = name
-        self.shard = shard
+        self.shard = shard_of(HOST)
         self.stores = stores
         self.mutations = mutations
         self.running = True
@@ -101,7 +107,7 @@
             work()
         self.world.after(every_s, self._loop, incarnation, every_s, work)
 
-    def when_awake(self, incarnation: int, work: Callable[..., None], *arguments: Any) -> None:
+    def when_awake(self, incarnation: int, work: Callable[..., None], *arguments: object) -> None:
         """Call `work` in that incarnation once the gateway is not frozen."""
         if incarnation != self.incarnation or not self.running:
             return
@@ -112,7 +118,7 @@
 
     # Calls to the owner.
 
-    def call(self, request: Any, wait_s: float, done: Callback) -> None:
+    def call(self, request: GatewayRequest, wait_s: float, done: OnGatewayReply) -> None:
         """Make one attempt at the assumed owner of the shard; `done` gets the response, an error, or None."""
         names = list(self.stores)
         if self.assumed_owner not in self.stores or self.world.rng.random() < 0.05:
@@ -120,7 +126,7 @@
         target, incarnation = self.assumed_owner, self.incarnation
         pending = [True]
 
-        def finish(body: Any) -> None:
+        def finish(body: GatewayReply) -> None:
             if not pending[0]:
                 return
             pending[0] = False
@@ -136,7 +142,7 @@
         self.world.send(self.name, target, store.handle_request, self.name, request, finish)
 
     def call_with_retries(
-        self, request: Any, limit_s: float, wait_s: float, done: Callable[[Any, bool], None]
+        self, request: JobRequest, limit_s: float, wait_s: float, done: Callable[[GatewayReply, bool], None]
     ) -> None:
         """Retry until the owner responds or the deadline passes.
 
@@ -145,7 +151,7 @@
         until_s = self.world.now_s + limit_s
         outcome_unknown = [False]
 
-        def answered(body: Any) -> None:
+        def answered(body: GatewayReply) -> None:
             if isinstance(body, NotOwnerError | PeerUnavailableError | NotReadyError):
                 retry()
             elif body is None or (
@@ -167,10 +173,10 @@
 
         attempt()
 
-    def submit(self, request: Any, done: Callable[[SubmissionOutcome], None]) -> None:
+    def submit(self, request: SubmitJob, done: Callable[[SubmissionOutcome], None]) -> None:
         """Submit a client's batch job."""
 
-        def answered(body: Any, outcome_unknown: bool) -> None:
+        def answered(body: GatewayReply, outcome_unknown: bool) -> None:
             if body is not None and not is_error(body):
                 done(SubmissionOutcome.ACCEPTED)
             elif outcome_unknown:
@@ -193,8 +199,8 @@
             message = LeaseItems(self.name, capacity, 0, service_capacity=service_capacity)
             self.call(message, CALL_TIMEOUT_S, self._on_leased)
 
-    def _on_leased(self, body: Any) -> None:
-        if is_error(body):
+    def _on_leased(self, body: GatewayReply) -> None:
+        if not isinstance(body, LeaseItemsReply):
             return
         for assignment in body.items:
             now_s = self.world.now_s
@@ -226,7 +232,7 @@
         else:
             self._produce_event(ticket, number, 0 if resume is None else resume + 1, item)
 
-    def _produce_event(self, ticket: int, number: int, event: int, item: Any) -> None:
+    def _produce_event(self, ticket: int, number: int, event: int, item: ItemRecord) -> None:
         """Produce the next event of the server, which the gateway receives while it runs."""
         run = self.runs.get(ticket)
         if run is None or run.stopped:
@@ -274,7 +280,7 @@
             pack_events(run.events[start:]),
         )
 
-        def done(body: Any) -> None:
+        def done(body: GatewayReply) -> None:
             if isinstance(body, FinishRunReply) and body.acknowledged:
                 self.runs.pop(item.ticket, None)
             else:
@@ -297,7 +303,7 @@
             return
         sent_s = self.world.now_s
 
-        def done(body: Any) -> None:
+        def done(body: GatewayReply) -> None:
             if isinstance(body, ReportRunsReply):
                 for answer in body.runs:
                     self._on_reported(answer.ticket, answer.lease_renewed, answer.events_received, sent_s)
--- a/emberring/simulation/jobs/simulator.py
+++ b/emberring/simulation/jobs/simulator.py
@@ -88,9 +88,7 @@
         for number in range(schedule.stores):
             self._add(f"store-{number}").start()
         self.gateways = [
-            SimulatedGateway(
-                self.world, self.history, f"gateway-{number}", self.shard, self.stores, mutations
-            )
+            SimulatedGateway(self.world, self.history, f"gateway-{number}", self.stores, mutations)
             for number in range(2)
         ]
         self.clients = Clients(self.world, self.history, self.gateways)
--- a/emberring/simulation/jobs/store.py
+++ b/emberring/simulation/jobs/store.py
@@ -3,14 +3,12 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from typing import Any
 
 import attrs
 
-from emberring.errors import EmberringError, InternalError, NotOwnerError, UnknownOutcomeError
+from emberring.errors import NotOwnerError, UnknownOutcomeError
 from emberring.jobs.calls import (
     EndJob,
-    FinishRun,
     LeaseItems,
     LeaseItemsReply,
     ReadItem,
@@ -37,6 +35,15 @@
 from emberring.jobs.replica import REPLICA_LEASE_S, FailCall, PersistEntry, Replica, ReplicaAction, SendReply
 from emberring.jobs.replica_log import decode_entry, encode_entry
 from emberring.placement.model import Placement
+from emberring.simulation.jobs.messages import (
+    GatewayReply,
+    GatewayRequest,
+    JobRequest,
+    OnGatewayReply,
+    OnStoreReply,
+    StoreReply,
+    StoreRequest,
+)
 from emberring.simulation.jobs.mutations import Mutations, make_owner, make_replica
 from emberring.simulation.jobs.services import CONFIGURATION
 from emberring.simulation.jobs.world import World
@@ -48,8 +55,6 @@
 SYNC_S = 0.001
 DECODING_S = 0.02  # of one definition at a new owner
 
-Callback = Callable[[Any], None]
-
 
 @attrs.define(eq=False)
 class Disk:
@@ -84,8 +89,8 @@
         self.replica: Replica
         self.owner: ShardOwner
         self.job_manager: JobManager
-        self._calls: dict[int, Callback] = {}
-        self._job_manager_calls: dict[int, Callback] = {}
+        self._calls: dict[int, OnStoreReply] = {}
+        self._job_manager_calls: dict[int, OnGatewayReply] = {}
         self._number = 0
         self._syncing = False
 
@@ -144,7 +149,7 @@
         normal_s = self.disk.normal_sync_s
         self.disk = Disk(identity, sync_s=normal_s, normal_sync_s=normal_s)
 
-    def when_awake(self, incarnation: int, work: Callable[..., None], *arguments: Any) -> None:
+    def when_awake(self, incarnation: int, work: Callable[..., None], *arguments: object) -> None:
         """Call `work` in that incarnation once the process is not frozen."""
         if not self.running or incarnation != self.incarnation:
             return
@@ -182,8 +187,8 @@
                     self._call(identity, message, self._on_lease_renewal(identity, self.world.now_s))
         self.world.after(LEASE_RENEWAL_INTERVAL_S, self._renew_leases, incarnation)
 
-    def _on_lease_renewal(self, identity: str, sent_s: float) -> Callback:
-        def done(reply: Any) -> None:
+    def _on_lease_renewal(self, identity: str, sent_s: float) -> OnStoreReply:
+        def done(reply: StoreReply) -> None:
             if isinstance(reply, RenewLeasesReply):
                 for answer in reply.answers:
                     self.perform(self.owner.on_lease_renewal(self.world.now_s, identity, sent_s, answer))
@@ -203,12 +208,12 @@
 
     # Calls to replicas.
 
-    def _call(self, target: str, message: Any, done: Callback) -> None:
+    def _call(self, target: str, message: StoreRequest, done: OnStoreReply) -> None:
         """Call the machine with this identity; `done` gets the reply, or None after the timeout."""
         incarnation = self.incarnation
         pending = [True]
 
-        def finish(reply: Any) -> None:
+        def finish(reply: StoreReply) -> None:
             if pending[0]:
                 pending[0] = False
                 self.when_awake(incarnation, done, reply)
@@ -218,12 +223,12 @@
         if machine is not None:
             self.world.send(self.name, machine.name, machine.receive, self.name, message, finish)
 
-    def receive(self, origin: str, message: Any, finish: Callback) -> None:
+    def receive(self, origin: str, message: StoreRequest, finish: OnStoreReply) -> None:
         """Handle a call of another store."""
         self.when_awake(self.incarnation, self._handle_call, origin, message, finish)
 
-    def _handle_call(self, origin: str, message: Any, finish: Callback) -> None:
-        def reply(body: Any) -> None:
+    def _handle_call(self, origin: str, message: StoreRequest, finish: OnStoreReply) -> None:
+        def reply(body: StoreReply) -> None:
             self.world.send(self.name, origin, finish, body)
 
         if message.target != self.identity:
@@ -294,10 +299,10 @@
             elif isinstance(action, MigrationCompleted):
                 self.on_migration_completed(self.name, self.shard, action.epoch)
 
-    def _on_call_ended(self, ticket: int) -> Callback:
-        def done(reply: Any) -> None:
+    def _on_call_ended(self, ticket: int) -> OnStoreReply:
+        def done(reply: StoreReply) -> None:
             now_s = self.world.now_s
-            if reply is None:
+            if reply is None or isinstance(reply, RenewLeasesReply):
                 self.perform(self.owner.on_call_failed(now_s, ticket))
             else:
                 self.perform(self.owner.on_reply(now_s, ticket, reply))
@@ -337,21 +342,21 @@
         actions = self.job_manager.on_definition_decoded(self.world.now_s, number, decode_items(value))
         self.perform_job_manager(actions)
 
-    def _resolve(self, call: int, body: Any) -> None:
+    def _resolve(self, call: int, body: GatewayReply) -> None:
         done = self._job_manager_calls.pop(call, None)
         if done is not None:
             done(body)
 
     # Calls from gateways.
 
-    def handle_request(self, origin: str, request: Any, finish: Callback) -> None:
+    def handle_request(self, origin: str, request: GatewayRequest, finish: OnGatewayReply) -> None:
         """Handle a call of a gateway; `finish` gets the response or an error."""
         self.when_awake(self.incarnation, self._handle_request, origin, request, finish)
 
-    def _handle_request(self, origin: str, request: Any, finish: Callback) -> None:
+    def _handle_request(self, origin: str, request: GatewayRequest, finish: OnGatewayReply) -> None:
         now_s = self.world.now_s
 
-        def reply(body: Any) -> None:
+        def reply(body: GatewayReply) -> None:
             self.world.send(self.name, origin, finish, body)
 
         if not self.owner.serving(now_s):
@@ -366,7 +371,7 @@
             self._job_manager_calls[self._number] = self._with_ownership_check(request, reply)
             self.perform_job_manager(self._dispatch(now_s, self._number, request))
 
-    def _dispatch(self, now_s: float, call: int, request: Any) -> list[JobManagerAction]:
+    def _dispatch(self, now_s: float, call: int, request: JobRequest) -> list[JobManagerAction]:
         if isinstance(request, SubmitJob):
             return self.job_manager.submit(now_s, call, request)
         if isinstance(request, ReadJob):
@@ -375,20 +380,13 @@
             return self.job_manager.read_item(call, request)
         if isinstance(request, EndJob):
             return self.job_manager.end(call, request)
-        if isinstance(request, FinishRun):
-            return self.job_manager.finish_run(now_s, call, request)
-        raise InternalError(f"{type(request).__name__} is no request of a gateway")
+        return self.job_manager.finish_run(now_s, call, request)
 
-    def _with_ownership_check(self, request: Any, reply: Callback) -> Callback:
+    def _with_ownership_check(self, request: JobRequest, reply: OnGatewayReply) -> OnGatewayReply:
         """Wrap `reply` so that a read that waited is answered only if this store is still the owner."""
 
-        def done(body: Any) -> None:
+        def done(body: GatewayReply) -> None:
             stale = isinstance(request, ReadJob) and not self.owner.serving(self.world.now_s)
             reply(UnknownOutcomeError("the owner may have changed") if stale else body)
 
         return done
-
-
-def is_error(body: Any) -> bool:
-    """Return whether a call of a gateway ended with an error or without a response."""
-    return body is None or isinstance(body, EmberringError)
--- a/emberring/simulation/jobs/world.py
+++ b/emberring/simulation/jobs/world.py
@@ -5,7 +5,6 @@
 import heapq
 import random
 from collections.abc import Callable
-from typing import Any
 
 import attrs
 
@@ -28,15 +27,15 @@
         self.partitioned: set[str] = set()  # names of partitioned machines
         self.partitioned_links: set[frozenset[str]] = set()
         self.events_handled = 0
-        self._heap: list[tuple[float, int, Callable[..., None], tuple[Any, ...]]] = []
+        self._heap: list[tuple[float, int, Callable[..., None], tuple[object, ...]]] = []
         self._order = 0
 
-    def at(self, when_s: float, work: Callable[..., None], *arguments: Any) -> None:
+    def at(self, when_s: float, work: Callable[..., None], *arguments: object) -> None:
         """Call `work` at the given time."""
         self._order += 1
         heapq.heappush(self._heap, (when_s, self._order, work, arguments))
 
-    def after(self, wait_s: float, work: Callable[..., None], *arguments: Any) -> None:
+    def after(self, wait_s: float, work: Callable[..., None], *arguments: object) -> None:
         """Call `work` after `wait_s` seconds."""
         self.at(self.now_s + wait_s, work, *arguments)
 
@@ -58,7 +57,7 @@
             or frozenset((one, other)) in self.partitioned_links
         )
 
-    def send(self, origin: str, target: str, work: Callable[..., None], *arguments: Any) -> None:
+    def send(self, origin: str, target: str, work: Callable[..., None], *arguments: object) -> None:
         """Deliver a message, possibly late or never.
 
         A message across a partition is lost, or sent again after a delay.
