Tests of released requests count only those of their own scenario

Change: what was in memory before the scenario, after a full collection, is not counted, in the tests of live requests and of submissions. Everything that the scenario itself leaves behind is.

--- a/tests/emberring/gateway/test_tier_released_requests.py
+++ b/tests/emberring/gateway/test_tier_released_requests.py
@@ -17,10 +17,9 @@
 BODY = b"x" * 300_000  # more than the listener buffers
 
 
-def kept() -> list[str]:
-    """Return the names of the types of requests that are in memory."""
-    gc_tracked = gc.get_objects()
-    return [type(found).__name__ for found in gc_tracked if type(found) in (ClientRequest, UpstreamCall)]
+def requests_in_memory() -> list[object]:
+    """Return all requests in memory; other tests of the process may keep some of their own."""
+    return [found for found in gc.get_objects() if type(found) in (ClientRequest, UpstreamCall)]
 
 
 async def close_at_once(side: ServerSide, seen: ReceivedRequest) -> None:
@@ -90,15 +89,17 @@
         await world.server(*[script] * REPEATS)
         await world.server(*[script] * REPEATS)
         gc.collect()
+        earlier = requests_in_memory()
         gc.disable()
         try:
             for _ in range(REPEATS):
                 await fail(world, path)
             await until(lambda: not world.listener.connections)
             await asyncio.sleep(0.05)
-            found = kept()
+            found = requests_in_memory()
         finally:
             gc.enable()
-        assert found == []
+        known = {id(request) for request in earlier}
+        assert [type(request).__name__ for request in found if id(request) not in known] == []
 
     play(scenario)
--- a/tests/emberring/store/test_tier_released_bodies.py
+++ b/tests/emberring/store/test_tier_released_bodies.py
@@ -32,8 +32,14 @@
         gc.enable()
 
 
-def submissions_alive() -> int:
-    return sum(type(found) is SubmitJob for found in gc.get_objects())
+def submissions_in_memory() -> list[object]:
+    """Return all submissions in memory; other tests of the process may keep some of their own."""
+    return [found for found in gc.get_objects() if type(found) is SubmitJob]
+
+
+def count_new(found: list[object], earlier: list[object]) -> int:
+    known = {id(submission) for submission in earlier}
+    return sum(id(submission) not in known for submission in found)
 
 
 async def refuse(cluster: Cluster, gateway: Gateway, number: int) -> None:
@@ -79,10 +85,11 @@
         while cluster.owner_of(shard_of(HOST)) is None:
             await asyncio.sleep(0.02)
         async with without_collections():
+            earlier = submissions_in_memory()
             for number in range(REFUSALS):
                 await fail(cluster, gateway, number)
             await asyncio.sleep(0.1)
-            alive = submissions_alive()
+            alive = count_new(submissions_in_memory(), earlier)
         assert alive == 0
         await gateway.end()
         await cluster.end()
@@ -98,10 +105,11 @@
         for name in ("s1", "s2"):
             await cluster.kill(name)
         async with without_collections():
+            earlier = submissions_in_memory()
             with pytest.raises(EmberringError):
                 await gateway.client.submit(HOST, ROUTE, "job", job_body("job", 2))
             await asyncio.sleep(0.1)
-            alive = submissions_alive()
+            alive = count_new(submissions_in_memory(), earlier)
         assert alive == 0
         await gateway.end()
         await cluster.end()
