Waits that double are computed in one place, for any count of failures

Cause: two waits of this change (declined items, misdirected servers) took a power of two of the count and then its maximum. From 1,025 in a row on that power is no number: the end of an item's run would have failed with OverflowError, after some three hours of declines. Two older places had the same formula with a bound of their own.

Change: doubled_wait_s, called by all four; the older waits are the same.

--- a/emberring/admission/eligibility.py
+++ b/emberring/admission/eligibility.py
@@ -10,6 +10,7 @@
 
 from emberring.admission.server import ServerView
 from emberring.admission.types import CallOutcome
+from emberring.backoff import doubled_wait_s
 from loadbalancer.slow_start import COLD_SHARE
 
 EJECTION_BASE_S = 0.15  # for a count of 1 consecutive failure; doubled with each further count
@@ -37,8 +38,8 @@
         and other_responses_continue
     ):
         return
-    ejection_s = EJECTION_BASE_S * 2.0 ** min(server.consecutive_failures - 1, 6)
-    server.ejected_until_s = now_s + min(EJECTION_MAX_S, ejection_s) * random.uniform(0.75, 1.25)
+    ejection_s = doubled_wait_s(EJECTION_BASE_S, EJECTION_MAX_S, server.consecutive_failures)
+    server.ejected_until_s = now_s + ejection_s * random.uniform(0.75, 1.25)
 
 
 def failing(server: ServerView) -> bool:
--- a/emberring/distribution/sources.py
+++ b/emberring/distribution/sources.py
@@ -11,6 +11,8 @@
 
 import attrs
 
+from emberring.backoff import doubled_wait_s
+
 QUORUM_FRESH_S = 1.0  # a control node without a majority for longer is replaced by another
 CONTACT_S = 1.2  # a reply of a node with a majority within this time counts as contact
 FIRST_BACKOFF_S = 0.1  # after the first failure; doubles with each consecutive one
@@ -95,7 +97,7 @@
             return
         source.failures += 1
         source.failed_s = now_s
-        backoff_s = min(MAX_BACKOFF_S, FIRST_BACKOFF_S * 2 ** min(source.failures - 1, 8))
+        backoff_s = doubled_wait_s(FIRST_BACKOFF_S, MAX_BACKOFF_S, source.failures)
         source.not_before_s = now_s + backoff_s * self._random.uniform(0.5, 1.0)
         self._release(address)
         if not source.is_seed and source.failures >= FORGET_FAILURES:
--- a/emberring/gateway/routable_servers.py
+++ b/emberring/gateway/routable_servers.py
@@ -7,6 +7,7 @@
 
 import attrs
 
+from emberring.backoff import doubled_wait_s
 from emberring.distribution.records import ServerRecord, ServerState
 from emberring.gateway.ports import Directory
 
@@ -76,7 +77,7 @@
         """
         before = self._misdirections.get(server_id)
         count = before.count + 1 if before is not None else 1
-        duration_s = min(MISDIRECTED_MAX_S, MISDIRECTED_BASE_S * 2.0 ** (count - 1))
+        duration_s = doubled_wait_s(MISDIRECTED_BASE_S, MISDIRECTED_MAX_S, count)
         self._misdirections[server_id] = _Misdirection(count, self._clock() + duration_s)
 
     def forget_absent(self) -> None:
--- a/emberring/jobs/execution.py
+++ b/emberring/jobs/execution.py
@@ -4,6 +4,7 @@
 
 import random
 
+from emberring.backoff import doubled_wait_s
 from emberring.configuration.service_choice import SplitSegment
 from emberring.jobs.batch_job import BatchJob, Item, ItemStatus, Run
 from emberring.jobs.calls import (
@@ -259,5 +260,4 @@
         item.declined, item.retry_at_s = 0, 0.0
         return
     item.declined += 1
-    backoff_s = min(MAX_DECLINE_BACKOFF_S, DECLINE_BACKOFF_S * 2.0 ** (item.declined - 1))
-    item.retry_at_s = now_s + backoff_s
+    item.retry_at_s = now_s + doubled_wait_s(DECLINE_BACKOFF_S, MAX_DECLINE_BACKOFF_S, item.declined)
--- a/tests/emberring/test_tier_structure.py
+++ b/tests/emberring/test_tier_structure.py
@@ -27,12 +27,12 @@
     frozenset({"register"}),
     frozenset({"membership", "journal"}),
     frozenset({"transport"}),
-    frozenset({"settings", "errors", "logs", "http_syntax"}),
+    frozenset({"settings", "errors", "logs", "http_syntax", "backoff"}),
     frozenset({"__init__"}),
 )
 # Modules that define only types; packages in lower rows may import them too.
 TYPES = frozenset({"distribution.records"})
-SETTINGS_ROW = frozenset({"settings", "errors", "logs", "http_syntax"})
+SETTINGS_ROW = frozenset({"settings", "errors", "logs", "http_syntax", "backoff"})
 # Files that are longer than the maximum, each with its reason.
 LONG_FILES: dict[str, str] = {}
 # click is not listed, as uvicorn imports it itself.
