One budget says what a poll may get, and each poll is looked at once

Cause: the poll of a gateway and the budget of a lease each had the rule which service's capacity an item takes, and an assignment asked it twice for each poll.

Change: a poll holds a LeaseBudget, of which an even share is a part. What a poll wants is found once; a lease only takes from it.

--- a/emberring/jobs/lease_budget.py
+++ b/emberring/jobs/lease_budget.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from collections.abc import Container, Mapping
 
 from emberring.configuration.service_choice import SplitSegment
@@ -46,17 +47,34 @@
         """Return whether an item of this segment may be leased."""
         if self._segments is not None and segment not in self._segments:
             return False
-        if self._service_capacity is None:
-            return True
-        service = segment.service(self._service_capacity.__contains__)
-        return service is None or self._service_capacity.get(service, 0) > 0
+        service = self._service(segment)
+        if self._service_capacity is None or service is None:
+            return self._capacity > 0
+        return min(self._capacity, self._service_capacity.get(service, 0)) > 0
 
     def spend(self, segment: SplitSegment, content_bytes: int) -> None:
         """Record an item that was leased."""
         self._capacity -= 1
         self.leased_bytes += content_bytes
-        if self._service_capacity is None:
-            return
-        service = segment.service(self._service_capacity.__contains__)
-        if service is not None:
+        service = self._service(segment)
+        if self._service_capacity is not None and service is not None:
             self._service_capacity[service] -= 1
+
+    def part(self, shares: Mapping[SplitSegment, int]) -> LeaseBudget:
+        """Return a budget within this one, of the segments in `shares` alone and with that number of items of each."""
+        capacity = min(self._capacity, sum(shares.values()))
+        if self._service_capacity is None:
+            return LeaseBudget(self.gateway, capacity, None, shares, self._max_bytes)
+        by_service: Counter[str | None] = Counter()
+        for segment, share in shares.items():
+            by_service[self._service(segment)] += share
+        service_capacity = {
+            service: min(free, by_service[service]) for service, free in self._service_capacity.items()
+        }
+        return LeaseBudget(self.gateway, capacity, service_capacity, shares, self._max_bytes)
+
+    def _service(self, segment: SplitSegment) -> str | None:
+        """Return the service whose capacity the items of a segment take; None if only their total is limited."""
+        if self._service_capacity is None:
+            return None
+        return segment.service(self._service_capacity.__contains__)
--- a/emberring/store/dispatch.py
+++ b/emberring/store/dispatch.py
@@ -10,7 +10,7 @@
 
 import asyncio
 from collections import Counter
-from collections.abc import Collection, Mapping, Sequence
+from collections.abc import Collection, Sequence
 
 import attrs
 
@@ -22,30 +22,15 @@
 
 REMOTE_ZONE_DELAY_S = 0.25  # for which items wait for gateways of this zone only
 
-WaitingItems = Mapping[SplitSegment, int]
-
 
 @attrs.define(eq=False)
 class _Poll:
-    """A poll of a gateway that is waiting for items; see `LeaseItems` for `service_capacity`."""
+    """A poll of a gateway that is waiting for items."""
 
-    gateway: str
-    capacity: int
-    service_capacity: dict[str, int] | None
+    budget: LeaseBudget
     same_zone: bool
     future: asyncio.Future[LeaseItemsReply]
 
-    def has_servers(self, service: str) -> bool:
-        """Return whether the gateway knows servers of this service."""
-        return self.service_capacity is None or service in self.service_capacity
-
-    def capacity_for(self, segment: SplitSegment) -> int:
-        """Return how many items of this segment the gateway can run."""
-        service = segment.service(self.has_servers)
-        if self.service_capacity is None or service is None:
-            return self.capacity
-        return min(self.capacity, self.service_capacity.get(service, 0))
-
 
 class Dispatch:
     """Long polls of gateways for items of all shards that this store owns."""
@@ -62,10 +47,8 @@
     async def lease(self, message: LeaseItems) -> LeaseItemsReply:
         """Return items to run: at once if some are waiting, otherwise after at most `message.wait_ms`."""
         loop = asyncio.get_running_loop()
-        same_zone = message.zone == self._zone
-        poll = _Poll(
-            message.gateway, message.capacity, message.service_capacity, same_zone, loop.create_future()
-        )
+        budget = LeaseBudget(message.gateway, message.capacity, message.service_capacity)
+        poll = _Poll(budget, message.zone == self._zone, loop.create_future())
         self._polls.append(poll)
         self.schedule_assignment()
         try:
@@ -108,7 +91,7 @@
             asyncio.get_running_loop().call_later(REMOTE_ZONE_DELAY_S, self.schedule_assignment)
         self._waiting_since_s = since_s
 
-    def _waiting(self, now_s: float, segments: Collection[SplitSegment] | None) -> WaitingItems:
+    def _waiting(self, now_s: float, segments: Collection[SplitSegment] | None) -> dict[SplitSegment, int]:
         """Return upper bounds of the waiting items in the shards that this store owns, by segment."""
         waiting: Counter[SplitSegment] = Counter()
         for shard, owner in self._shards.owners.items():
@@ -123,20 +106,23 @@
     ) -> None:
         """Assign even shares of the waiting items to these polls; `segments` limits them to some of the segments."""
         waiting = self._waiting(now_s, segments)
-        if not waiting:
-            return
-        takers = Counter(segment for poll in polls for segment in waiting if poll.capacity_for(segment) > 0)
-        for poll in polls:
-            wanted = [segment for segment in waiting if poll.capacity_for(segment) > 0]
-            if not wanted:
+        wanted = [(poll, list(filter(poll.budget.allows, waiting))) for poll in polls] if waiting else []
+        # The polls that can take items of a segment and had no share of them yet.
+        takers = Counter(segment for _, wanted_segments in wanted for segment in wanted_segments)
+        for poll, wanted_segments in wanted:
+            shares = {
+                segment: -(-waiting[segment] // takers[segment])
+                for segment in wanted_segments
+                if segment in waiting
+            }
+            takers.subtract(wanted_segments)
+            if not shares:
                 continue
             if self._turn_bytes >= MAX_LEASED_BYTES:
                 # Guard: replies whose encoding in one turn of the event loop takes longer than the lease of the owner.
                 self.schedule_assignment()
                 return
-            budget = _even_share(poll, wanted, waiting, takers, segments)
-            takers.subtract(wanted)
-            items = self._lease_for(now_s, budget)
+            items = self._lease_for(now_s, poll.budget.part(shares))
             if items:
                 self._polls.remove(poll)
                 poll.future.set_result(LeaseItemsReply(tuple(items)))
@@ -152,32 +138,3 @@
         items = list(lease_in_order(now_s, managers, budget))
         self._turn_bytes += budget.leased_bytes
         return items
-
-
-def _even_share(
-    poll: _Poll,
-    wanted: Sequence[SplitSegment],
-    waiting: WaitingItems,
-    takers: Mapping[SplitSegment, int],
-    segments: Collection[SplitSegment] | None,
-) -> LeaseBudget:
-    """Return the poll's share of the waiting items, which the polls that can take them get in equal numbers.
-
-    Args:
-        poll: the poll.
-        wanted: the segments of waiting items that the poll can take.
-        waiting: the number of waiting items by segment.
-        takers: the number of polls, this one included, that can take items of a segment and had no share yet.
-        segments: the segments that may be leased; None for all.
-    """
-    shares = {segment: -(-waiting[segment] // max(1, takers[segment])) for segment in wanted}
-    capacity = min(poll.capacity, sum(shares.values()))
-    if poll.service_capacity is None:
-        return LeaseBudget(poll.gateway, capacity, None, segments)
-    by_service: Counter[str] = Counter()
-    for segment, share in shares.items():
-        by_service[segment.service(poll.has_servers) or ""] += share
-    service_capacity = {
-        service: min(free, by_service[service]) for service, free in poll.service_capacity.items()
-    }
-    return LeaseBudget(poll.gateway, capacity, service_capacity, segments)
