Services, routes and classes of responses are found once

Cause: a batch item's service was chosen twice, the class of a failed response was found twice, the route of a batch job was looked up in two places, items without a service had a queue beside the others, and the record of an ended server was written in two forms.

Change: one of each. The set of outcomes that are not about the server is named for that.

Result: no test is changed; those of jobs, gateway, admission, registry, control and stores pass.

--- a/emberring/admission/outcomes.py
+++ b/emberring/admission/outcomes.py
@@ -17,7 +17,7 @@
 # Outcomes that count as failures in the server's failure rate.
 FAILURE_OUTCOMES = SERVER_FAILURES | {CallOutcome.FAILED}
 # Outcomes that say nothing about the server: what a client sends must not change which servers others get.
-CALL_MATTERS = frozenset({CallOutcome.NOT_SENT, CallOutcome.DECLINED})
+NOT_ABOUT_THE_SERVER = frozenset({CallOutcome.NOT_SENT, CallOutcome.DECLINED})
 
 
 class OutcomeRecorder:
@@ -84,5 +84,5 @@
             server.record_event(now_s)
             if placed_call.sent_s is not None:
                 self.service_rate.record_completion(now_s - placed_call.sent_s)
-        if outcome not in CALL_MATTERS:
+        if outcome not in NOT_ABOUT_THE_SERVER:
             self.meter.record_outcome(full=outcome is CallOutcome.FULL)
--- a/emberring/gateway/attempt.py
+++ b/emberring/gateway/attempt.py
@@ -190,7 +190,9 @@
             if self._receiver.started or self._call.stream_only:
                 return AttemptResult(CallOutcome.BROKEN)
             return await self._forward_body(response, head)
-        return await self._collect_failure(response, head, failure_outcome(head, self._server.id))
+        return await self._collect_failure(
+            response, head, failure_outcome(response_class, head, self._server.id)
+        )
 
     async def _forward_stream(self, response: PendingResponse, head: ResponseHead) -> AttemptResult:
         parser = EventParser()
--- a/emberring/gateway/execution.py
+++ b/emberring/gateway/execution.py
@@ -118,6 +118,11 @@
                 return await self._respond_to_failure(receiver, progress, last, None)
             call.resumed = receiver.started
 
+    def _offer(self, call: UpstreamCall, route: Route, excluded: set[str], admitted: bool) -> Decision:
+        """Offer an attempt of a live request to admission."""
+        info = self._call_info(call, route, excluded, admitted)
+        return self._admission.offer(asyncio.get_running_loop().time(), info)
+
     @staticmethod
     async def _finish_response(receiver: LiveReceiver, result: AttemptResult) -> None:
         """Finish the response after an attempt to which the server sent a complete response."""
@@ -188,8 +193,9 @@
             last_event_id=item.resume_after,
             resumed=item.resume_after is not None,
         )
-        service = self._service_of(item.route, request.request_id)
-        decision = self._offer(call, item.route, set(), due_s=item.due_s)
+        info = self._call_info(call, item.route, set(), due_s=item.due_s)
+        service = info.service or None
+        decision = self._admission.offer(loop.time(), info)
         if not isinstance(decision, Admitted):
             return ItemOutcome(OutcomeKind.NOT_RUN, service)
         try:
@@ -203,23 +209,20 @@
 
     # ---------------------------------------------------------------- both
 
-    def _service_of(self, route: Route, request_id: bytes) -> str | None:
-        return choose_service(route, request_id, self._servers.has_servers)
-
-    def _offer(
+    def _call_info(
         self,
         call: UpstreamCall,
         route: Route,
         excluded: set[str],
         admitted: bool = False,
         due_s: float | None = None,
-    ) -> Decision:
-        """Offer a call to admission; `due_s` is when a batch item is due, and None for a live request."""
+    ) -> CallInfo:
+        """Return what admission needs to know; `due_s` is when a batch item is due, and None for a live request."""
         request = call.request
         batch = due_s is not None
-        service = self._service_of(route, request.request_id)
+        service = choose_service(route, request.request_id, self._servers.has_servers)
         tokens_in, tokens_out = read_token_count(request.header(b"token-count"))
-        info = CallInfo(
+        return CallInfo(
             id=call.id,
             service=service or "",
             route=route.name,
@@ -234,7 +237,6 @@
             excluded=frozenset(excluded),
             admitted=admitted,
         )
-        return self._admission.offer(asyncio.get_running_loop().time(), info)
 
     async def _attempt(
         self, call: UpstreamCall, server_id: str, receiver: Receiver, timeouts: ResponseTimeouts | None
--- a/emberring/gateway/responses.py
+++ b/emberring/gateway/responses.py
@@ -53,13 +53,12 @@
 }
 
 
-def failure_outcome(head: ResponseHead, server_id: str) -> CallOutcome:
-    """Return the outcome of an attempt at this server for a complete response that is no success."""
-    outcome = _OUTCOME_BY_CLASS[classify_response(head)]
-    if outcome is CallOutcome.WRONG_SERVER and not _is_foreign(head, server_id):
+def failure_outcome(response_class: ResponseClass, head: ResponseHead, server_id: str) -> CallOutcome:
+    """Return the outcome of an attempt at this server for a complete response of this class that is no success."""
+    if response_class is ResponseClass.WRONG_SERVER and not _is_foreign(head, server_id):
         # Guard: a client whose requests a sound server declines, and which takes that server from all others.
         return CallOutcome.DECLINED
-    return outcome
+    return _OUTCOME_BY_CLASS[response_class]
 
 
 def _is_foreign(head: ResponseHead, server_id: str) -> bool:
--- a/emberring/jobs/item_queues.py
+++ b/emberring/jobs/item_queues.py
@@ -47,16 +47,12 @@
     def __init__(self, items: WaitingItems) -> None:
         self._items = items
         self.run_estimate = RunEstimate()
-        self._queues: dict[SplitSegment, Schedule] = {}
-        self._without_service = Schedule(self.run_estimate)
+        # The queue of None has the items that no route leads to a service; they can't be taken.
+        self._queues: dict[SplitSegment | None, Schedule] = {}
         self._unassigned: deque[Schedule] = deque()
 
     def __len__(self) -> int:
-        return (
-            sum(map(len, self._queues.values()))
-            + len(self._without_service)
-            + sum(map(len, self._unassigned))
-        )
+        return sum(map(len, (*self._queues.values(), *self._unassigned)))
 
     @property
     def has_unknown(self) -> bool:
@@ -65,14 +61,11 @@
 
     def lengths(self) -> dict[SplitSegment, int]:
         """Return how many items can be taken of each queue; some of them may not be waiting any more."""
-        return {segment: len(queue) for segment, queue in self._queues.items()}
+        return {segment: len(queue) for segment, queue in self._queues.items() if segment is not None}
 
     def add(self, entry: QueuedItem) -> None:
         """Add a waiting item to its queue."""
         segment = self._items.segment(entry)
-        if segment is None:
-            self._without_service.add(entry)
-            return
         queue = self._queues.get(segment)
         if queue is None:
             queue = self._queues[segment] = Schedule(self.run_estimate)
@@ -103,17 +96,14 @@
         ranked = [
             (rank, segment)
             for segment, queue in self._queues.items()
-            if allows(segment) and (rank := queue.rank(now_s)) is not None
+            if segment is not None and allows(segment) and (rank := queue.rank(now_s)) is not None
         ]
         return min(ranked, key=lambda found: found[0]) if ranked else None
 
     def on_routes_changed(self) -> None:
         """Begin to assign all items to queues again."""
-        self._unassigned.extend(queue for queue in self._queues.values() if queue)
-        if self._without_service:
-            self._unassigned.append(self._without_service)
+        self._unassigned.extend(self._queues.values())
         self._queues = {}
-        self._without_service = Schedule(self.run_estimate)
         self._reassign_some()
 
     def tidy(self) -> None:
@@ -127,7 +117,6 @@
             queue.drop_first(self._is_done, DROPPED_AT_ONCE)
             if not queue:
                 del self._queues[segment]
-        self._without_service.drop_first(self._is_done, DROPPED_AT_ONCE)
 
     def _is_done(self, entry: QueuedItem) -> bool:
         return not self._items.is_waiting(entry)
--- a/emberring/jobs/job_table.py
+++ b/emberring/jobs/job_table.py
@@ -98,10 +98,14 @@
 
     def route_of(self, job: BatchJob) -> Route | None:
         """Return the currently configured route of the batch job; None if there is none or no configuration yet."""
+        route = self._matching_route(job)
+        return route if route is not None and route.type is RouteType.BATCH else None
+
+    def _matching_route(self, job: BatchJob) -> Route | None:
+        """Return the route of any type that gateways find for the batch job."""
         if self.configuration is None:
             return None
-        route = self.configuration.route_for(job.host, job.terms.path)
-        return route if route is not None and route.type is RouteType.BATCH else None
+        return self.configuration.route_for(job.host, job.terms.path)
 
     def route_gone(self, job: BatchJob) -> bool:
         """Whether the route was removed, by a configuration that is not older than that of the submission."""
@@ -183,7 +187,7 @@
         job = self.jobs[entry.key]
         if self.configuration is None or self.configuration.version < job.terms.version:
             return UNKNOWN_SEGMENT
-        route = self.configuration.route_for(job.host, job.terms.path)
+        route = self._matching_route(job)
         # Guard: ids that an older version accepted, which no header can hold; they become dead letters when leased.
         key = job.items[entry.index].id.encode("latin-1", "replace")
         return split_segment(route, key) if route is not None else None
--- a/emberring/registry/servers.py
+++ b/emberring/registry/servers.py
@@ -112,7 +112,7 @@
             if other.state is not ServerState.READY or last_seen is None:
                 continue
             if now_s - last_seen.received_s > self._reused_address_timeout_s:
-                silent.append(_lost(other, last_seen))
+                silent.append(_ended(other, last_seen, ServerState.LOST))
         return silent
 
     def on_goodbye(self, server_id: str, known: Mapping[str, ServerRecord]) -> list[ServerRecord]:
@@ -165,11 +165,8 @@
         timeout_s = self.timeout_s if is_listed(record.id) else self.timeout_s + ORPHAN_TIMEOUT_SLACK_S
         if now_s - last_seen.received_s <= timeout_s:
             return None
-        if record.state is ServerState.DRAINING:
-            return attrs.evolve(
-                record, state=ServerState.GONE, sequence=max(record.sequence, last_seen.sequence)
-            )
-        return _lost(record, last_seen)
+        state = ServerState.GONE if record.state is ServerState.DRAINING else ServerState.LOST
+        return _ended(record, last_seen, state)
 
     def expired(self, now_s: float, known: Mapping[str, ServerRecord]) -> list[str]:
         """Remove and return the ids of the servers that have been gone or lost for `FORGET_S`."""
@@ -190,9 +187,9 @@
         return expired
 
 
-def _lost(record: ServerRecord, last_seen: _LastSeen) -> ServerRecord:
-    """The record of a server that counts as lost until a heartbeat newer than the last one seen."""
-    return attrs.evolve(record, state=ServerState.LOST, sequence=max(record.sequence, last_seen.sequence))
+def _ended(record: ServerRecord, last_seen: _LastSeen, state: ServerState) -> ServerRecord:
+    """The record of a server in this state from its newest heartbeat on; a lost one is ready again with the next."""
+    return attrs.evolve(record, state=state, sequence=max(record.sequence, last_seen.sequence))
 
 
 def _equivalent(first: ServerRecord, second: ServerRecord) -> bool:
