Tests of released objects share one check and wait for conditions

Cause: the tests of live requests and of submissions each counted what stays in memory, two scenarios differed by one step, and fixed sleeps gave the event loop time. Sleeps of the poller's test advance a virtual clock, which their name did not say.

Change: released_at_once is the one check, with the collector off, until nothing new is left or 2 s have passed. A call is known to be on its way by the bytes sent. The scenario without an owner is a case of the others, with a refused batch job in place of one that fits; its assertion names the two errors that the client may raise. `until` of the stores' tests stands beside their cluster. pass_time is the name of the virtual clock's sleep. The sleep in test_tier_store_faults stays: it is the slow decoding itself.

--- a/tests/emberring/gateway/test_tier_released_requests.py
+++ b/tests/emberring/gateway/test_tier_released_requests.py
@@ -2,12 +2,11 @@
 
 from __future__ import annotations
 
-import asyncio
-import gc
 from collections.abc import Awaitable, Callable
 
 import pytest
 from gateway_world import ReceivedRequest, Script, ServerSide, World, play, request, until
+from released_objects import released_at_once
 
 from emberring.admission.types import Refused
 from emberring.gateway.attempt import UpstreamCall
@@ -17,11 +16,6 @@
 BODY = b"x" * 300_000  # more than the listener buffers
 
 
-def requests_in_memory() -> list[object]:
-    """Return all requests in memory; other tests of the process may keep some of their own."""
-    return [found for found in gc.get_objects() if type(found) in (ClientRequest, UpstreamCall)]
-
-
 async def close_at_once(side: ServerSide, seen: ReceivedRequest) -> None:
     side.close()
 
@@ -88,18 +82,9 @@
     async def scenario(world: World) -> None:
         await world.server(*[script] * REPEATS)
         await world.server(*[script] * REPEATS)
-        gc.collect()
-        earlier = requests_in_memory()
-        gc.disable()
-        try:
+        async with released_at_once(ClientRequest, UpstreamCall):
             for _ in range(REPEATS):
                 await fail(world, path)
             await until(lambda: not world.listener.connections)
-            await asyncio.sleep(0.05)
-            found = requests_in_memory()
-        finally:
-            gc.enable()
-        known = {id(request) for request in earlier}
-        assert [type(request).__name__ for request in found if id(request) not in known] == []
 
     play(scenario)
--- a/tests/emberring/jobs/test_tier_store_poller.py
+++ b/tests/emberring/jobs/test_tier_store_poller.py
@@ -9,10 +9,21 @@
 
 from emberring.errors import PeerUnavailableError
 from emberring.jobs.calls import LeaseItems, LeaseItemsReply
-from emberring.jobs.store_poller import FAILED_POLL_PAUSE_S, MAX_LEASE_BATCH, GatewayIdentity, StorePoller
+from emberring.jobs.store_poller import (
+    FAILED_POLL_PAUSE_S,
+    MAX_LEASE_BATCH,
+    NO_CAPACITY_WAIT_S,
+    GatewayIdentity,
+    StorePoller,
+)
 from emberring.simulation.common.virtual_time import run_virtually
 
 
+async def pass_time(seconds: float) -> None:
+    """Advance the virtual clock of `play`, on which every timer in between runs; nothing waits for real."""
+    await asyncio.sleep(seconds)
+
+
 class FakeNetwork:
     """Network whose calls wait until the test answers them; `polls` has all calls so far."""
 
@@ -49,6 +60,8 @@
 
 
 def play(scenario: Callable[[], Awaitable[None]]) -> None:
+    """Run a scenario on virtual time."""
+
     async def check() -> None:
         await scenario()
 
@@ -58,11 +71,11 @@
 def test_one_poll_covers_all_services_with_capacity() -> None:
     async def scenario() -> None:
         store = PolledStore(a=3, b=2)
-        await asyncio.sleep(5.0)
+        await pass_time(5.0)
         assert store.network.requested == [{"a": 3, "b": 2}]
         assert store.network.polls[0].capacity == 5
         store.network.open[0].set_result(LeaseItemsReply())
-        await asyncio.sleep(0.01)
+        await pass_time(0.01)
         assert len(store.replies) == 1
         assert len(store.network.polls) == 2
 
@@ -73,14 +86,14 @@
 def test_a_service_that_gets_capacity_later_has_a_poll_of_its_own() -> None:
     async def scenario() -> None:
         store = PolledStore(a=3, b=0)
-        await asyncio.sleep(0.5)
+        await pass_time(0.5)
         store.capacity["b"] = 4
-        await asyncio.sleep(0.05)
+        await pass_time(0.05)
         assert store.network.requested == [{"a": 3, "b": 0}, {"a": 0, "b": 4}]
-        await asyncio.sleep(5.0)
+        await pass_time(5.0)
         assert len(store.network.polls) == 2
         store.network.open[0].set_result(LeaseItemsReply())
-        await asyncio.sleep(0.01)
+        await pass_time(0.01)
         assert store.network.requested[2:] == [{"a": 3, "b": 0}]
 
     play(scenario)
@@ -89,13 +102,11 @@
 def test_the_end_of_a_run_is_noticed_at_once() -> None:
     async def scenario() -> None:
         store = PolledStore(a=0)
-        await asyncio.sleep(1.0)
+        await pass_time(1.0)
         assert store.network.polls == []
         store.capacity["a"] = 1
         store.run_ended.set()
-        await asyncio.sleep(0)
-        await asyncio.sleep(0)
-        await asyncio.sleep(0)
+        await pass_time(NO_CAPACITY_WAIT_S / 10)
         assert store.network.requested == [{"a": 1}]
 
     play(scenario)
@@ -104,7 +115,7 @@
 def test_no_poll_has_more_than_a_number_of_items() -> None:
     async def scenario() -> None:
         store = PolledStore(a=500)
-        await asyncio.sleep(0.01)
+        await pass_time(0.01)
         assert store.network.polls[0].capacity == MAX_LEASE_BATCH
 
     play(scenario)
@@ -113,10 +124,10 @@
 def test_without_known_servers_there_is_no_poll() -> None:
     async def scenario() -> None:
         store = PolledStore()
-        await asyncio.sleep(1.0)
+        await pass_time(1.0)
         assert store.network.polls == []
         store.capacity["a"] = 2
-        await asyncio.sleep(0.05)
+        await pass_time(0.05)
         assert store.network.requested == [{"a": 2}]
 
     play(scenario)
@@ -125,11 +136,11 @@
 def test_after_a_failure_there_is_a_pause() -> None:
     async def scenario() -> None:
         store = PolledStore(a=1)
-        await asyncio.sleep(0.01)
+        await pass_time(0.01)
         store.network.open[0].set_exception(PeerUnavailableError())
-        await asyncio.sleep(FAILED_POLL_PAUSE_S - 0.02)
+        await pass_time(FAILED_POLL_PAUSE_S - 0.02)
         assert len(store.network.polls) == 1
-        await asyncio.sleep(0.04)
+        await pass_time(0.04)
         assert len(store.network.polls) == 2
 
     play(scenario)
@@ -139,9 +150,9 @@
 def test_a_cancelled_poller_leaves_no_poll(capacity: dict[str, int]) -> None:
     async def scenario() -> None:
         store = PolledStore(**capacity)
-        await asyncio.sleep(0.1)
+        await pass_time(0.1)
         store.task.cancel()
-        await asyncio.sleep(0.01)
+        await pass_time(0.01)
         assert store.task.cancelled()
         assert all(poll.cancelled() for poll in store.network.open)
 
--- a/tests/emberring/store/test_tier_released_bodies.py
+++ b/tests/emberring/store/test_tier_released_bodies.py
@@ -6,111 +6,81 @@
 from __future__ import annotations
 
 import asyncio
-import gc
-from collections.abc import AsyncIterator, Awaitable, Callable
-from contextlib import asynccontextmanager
+from collections.abc import Awaitable, Callable
 from pathlib import Path
 
 import pytest
-from tier_store_cluster import HOST, ROUTE, Cluster, Gateway, job_body, run
+from released_objects import released_at_once
+from tier_store_cluster import HOST, ROUTE, Cluster, Gateway, job_body, run, until
 
-from emberring.errors import EmberringError, NotReadyError, QuotaExceededError, UnknownOutcomeError
+from emberring.errors import NotReadyError, QuotaExceededError, UnknownOutcomeError
 from emberring.jobs.calls import SubmitJob
 from emberring.placement.model import shard_of
 
-REFUSALS = 20
 TOKENS_OVER_QUOTA = 60_000  # of an item: two of them do not fit into the route's `MaxQueuedTokens`
 
 
-@asynccontextmanager
-async def without_collections() -> AsyncIterator[None]:
-    gc.collect()
-    gc.disable()
-    try:
-        yield
-    finally:
-        gc.enable()
-
-
-def submissions_in_memory() -> list[object]:
-    """Return all submissions in memory; other tests of the process may keep some of their own."""
-    return [found for found in gc.get_objects() if type(found) is SubmitJob]
+def submission(gateway: Gateway, number: int) -> asyncio.Task[None]:
+    """Begin to submit a batch job that does not fit."""
+    body = job_body(f"job{number}", 2, TOKENS_OVER_QUOTA)
+    return asyncio.ensure_future(gateway.client.submit(HOST, ROUTE, f"job{number}", body))
 
 
-def count_new(found: list[object], earlier: list[object]) -> int:
-    known = {id(submission) for submission in earlier}
-    return sum(id(submission) not in known for submission in found)
+async def sent_submission(gateway: Gateway, number: int) -> asyncio.Task[None]:
+    """Begin to submit such a batch job, and return right after its message has been sent."""
+    sent_bytes = gateway.network.sent_bytes
+    call = submission(gateway, number)
+    while gateway.network.sent_bytes == sent_bytes:
+        await asyncio.sleep(0)
+    return call
 
 
 async def refuse(cluster: Cluster, gateway: Gateway, number: int) -> None:
-    body = job_body(f"job{number}", 2, TOKENS_OVER_QUOTA)
-    with pytest.raises(QuotaExceededError):
-        await gateway.client.submit(HOST, ROUTE, f"job{number}", body)
+    # Gathered, not awaited: the traceback would refer to this frame, and so to the task and its error again.
+    (outcome,) = await asyncio.gather(submission(gateway, number), return_exceptions=True)
+    assert isinstance(outcome, QuotaExceededError)
 
 
 async def cancel(cluster: Cluster, gateway: Gateway, number: int) -> None:
     """Let the caller leave while the call is on its way."""
-    submission = asyncio.ensure_future(
-        gateway.client.submit(HOST, ROUTE, f"job{number}", job_body(f"job{number}", 2, TOKENS_OVER_QUOTA))
-    )
-    await asyncio.sleep(0)
-    submission.cancel()
-    await asyncio.wait({submission})
-    assert submission.cancelled()
-    await asyncio.sleep(0.02)
+    call = await sent_submission(gateway, number)
+    call.cancel()
+    await asyncio.wait({call})
+    assert call.cancelled()
 
 
 async def lose_connections(cluster: Cluster, gateway: Gateway, number: int) -> None:
     """Cut the connections to the stores while the call is on its way."""
-    submission = asyncio.ensure_future(
-        gateway.client.submit(HOST, ROUTE, f"job{number}", job_body(f"job{number}", 2, TOKENS_OVER_QUOTA))
-    )
-    await asyncio.sleep(0)
-    await asyncio.sleep(0)
+    call = await sent_submission(gateway, number)
     for connection in list(gateway.network.connections):
         connection.abort()
-    # Not awaited itself: the traceback would refer to this frame, and so to the task and its error again.
-    (outcome,) = await asyncio.gather(submission, return_exceptions=True)
+    (outcome,) = await asyncio.gather(call, return_exceptions=True)
     assert isinstance(outcome, QuotaExceededError | UnknownOutcomeError | NotReadyError)
 
 
+async def find_no_owner(cluster: Cluster, gateway: Gateway, number: int) -> None:
+    """Ask while two of three stores are gone."""
+    for name in ("s1", "s2"):
+        await cluster.kill(name)
+    await until(lambda: cluster.owner_of(shard_of(HOST)) is None)
+    (outcome,) = await asyncio.gather(submission(gateway, number), return_exceptions=True)
+    assert isinstance(outcome, UnknownOutcomeError | NotReadyError)
+
+
 # Guards against refused batch jobs that stay in memory until the process is over its limit.
-@pytest.mark.parametrize("fail", [refuse, cancel, lose_connections])
+@pytest.mark.parametrize(
+    ("fail", "times"), [(refuse, 20), (cancel, 20), (lose_connections, 20), (find_no_owner, 1)]
+)
 def test_failed_submissions_leave_no_body_in_memory(
-    tmp_path: Path, fail: Callable[[Cluster, Gateway, int], Awaitable[None]]
+    tmp_path: Path, fail: Callable[[Cluster, Gateway, int], Awaitable[None]], times: int
 ) -> None:
     async def scenario() -> None:
         cluster = await Cluster.begin(tmp_path)
         gateway = cluster.gateway()
-        while cluster.owner_of(shard_of(HOST)) is None:
-            await asyncio.sleep(0.02)
-        async with without_collections():
-            earlier = submissions_in_memory()
-            for number in range(REFUSALS):
+        await until(lambda: cluster.owner_of(shard_of(HOST)) is not None)
+        async with released_at_once(SubmitJob):
+            for number in range(times):
                 await fail(cluster, gateway, number)
-            await asyncio.sleep(0.1)
-            alive = count_new(submissions_in_memory(), earlier)
-        assert alive == 0
-        await gateway.end()
-        await cluster.end()
-
-    run(scenario())
-
-
-# Guards against a store that can't be asked and whose callers' bodies stay in memory.
-def test_submissions_without_an_owner_leave_no_body_in_memory(tmp_path: Path) -> None:
-    async def scenario() -> None:
-        cluster = await Cluster.begin(tmp_path)
-        gateway = cluster.gateway()
-        for name in ("s1", "s2"):
-            await cluster.kill(name)
-        async with without_collections():
-            earlier = submissions_in_memory()
-            with pytest.raises(EmberringError):
-                await gateway.client.submit(HOST, ROUTE, "job", job_body("job", 2))
-            await asyncio.sleep(0.1)
-            alive = count_new(submissions_in_memory(), earlier)
-        assert alive == 0
         await gateway.end()
         await cluster.end()
 
--- a/tests/emberring/store/test_tier_store_faults.py
+++ b/tests/emberring/store/test_tier_store_faults.py
@@ -12,7 +12,7 @@
 
 import orjson
 import pytest
-from tier_store_cluster import HOST, ROUTE, Cluster, FakeExecutor, job_body, read_all, run, text_of
+from tier_store_cluster import HOST, ROUTE, Cluster, FakeExecutor, job_body, read_all, run, text_of, until
 
 from emberring.errors import NotFoundError, NotReadyError, OverloadedError, UnknownOutcomeError
 from emberring.jobs import definition
@@ -28,15 +28,6 @@
 TERMS = JobTerms("r", "/batch/", 1, 8000.0, 40.0, 2, 0)
 
 
-async def until(condition: Any, limit_s: float = 6.0) -> None:
-    """Wait until a condition is true."""
-    loop = asyncio.get_running_loop()
-    deadline_s = loop.time() + limit_s
-    while not condition():
-        assert loop.time() < deadline_s, "the condition did not become true in time"
-        await asyncio.sleep(0.02)
-
-
 def holds(cluster: Cluster, name: str, job: str) -> bool:
     return f"{HOST}/{job}" in cluster.stores[name].host.replicas[SHARD].jobs
 
@@ -256,7 +247,7 @@
         decompress = definition.decompress
 
         def decompress_slowly(data: bytes | memoryview) -> bytes:
-            time.sleep(DECODING_S)
+            time.sleep(DECODING_S)  # the slow work itself, as in a library that releases the interpreter
             return decompress(data)
 
         monkeypatch.setattr(definition, "decompress", decompress_slowly)
--- a/tests/emberring/store/tier_store_cluster.py
+++ b/tests/emberring/store/tier_store_cluster.py
@@ -286,6 +286,15 @@
         await self.network.close()
 
 
+async def until(condition: Callable[[], bool], limit_s: float = 6.0) -> None:
+    """Wait until a condition is true."""
+    loop = asyncio.get_running_loop()
+    deadline_s = loop.time() + limit_s
+    while not condition():
+        assert loop.time() < deadline_s, "the condition did not become true in time"
+        await asyncio.sleep(0.02)
+
+
 async def read_all(client: JobClient, job: str, limit_s: float = 5.0) -> list[dict[str, str]]:
     """Read all results of a batch job, page by page."""
     loop = asyncio.get_running_loop()
